--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,371 @@
+// SPDX-License-Identifier: MIT
+
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"shalewick/process/front"
+	"shalewick/request"
+)
+
+// Request is one request.
+type Request struct {
+	Service string
+	Method  string
+	Path    string // with the query
+	Header  http.Header
+	Body    []byte
+	// Once marks a request that may not be repeated.
+	Once bool
+	// Timeout bounds the whole of it; zero means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// DefaultTimeout is the timeout of a request that names none.
+const DefaultTimeout = 10 * time.Second
+
+// Response is a whole answer of an upstream.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Refusal is the end of a request that got no whole answer.
+type Refusal struct {
+	request.Result
+	Err error // the last failure, if it was not a result
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	if r.Err != nil {
+		return fmt.Sprintf("ran: %s: %v", r.Ran, r.Err)
+	}
+	return r.Result.Error()
+}
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct {
+	// Known are addresses of instances to start from.
+	Known []string
+	// Address is the client's own, for the look-up; "" lets the instance see.
+	Address string
+	// HTTP carries the calls.
+	HTTP *http.Client
+
+	mu      sync.Mutex
+	entries []string
+	until   time.Time
+	avoid   map[string]time.Time
+	tickets map[string][]ticket
+}
+
+type ticket struct {
+	text  string
+	taken time.Time
+}
+
+// New returns a client that starts from known instances.
+func New(known []string) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	return &Client{Known: known, HTTP: &http.Client{Transport: t}}
+}
+
+const (
+	lookupTimeout = time.Second
+	avoidTime     = time.Second
+	ticketBatch   = 16
+	ticketKeep    = time.Minute
+	maxLookup     = 64 << 10
+	pause         = 50 * time.Millisecond
+)
+
+// sending is the course of one request.
+type sending struct {
+	c      *Client
+	req    *Request
+	ticket string
+	at     string      // the instance that the ticket is of
+	ran    request.Ran // what is known so far
+	last   Refusal
+}
+
+// Do sends a request until it has an answer, a final refusal, or no time left.
+func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
+	timeout := req.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	s := &sending{c: c, req: req, ran: request.RanNo}
+	for ctx.Err() == nil {
+		res, retry, final := s.try(ctx)
+		if res != nil {
+			return res, nil
+		}
+		if final || !sleepWithin(ctx, retry) {
+			break
+		}
+	}
+	s.last.Ran = s.ran
+	return nil, &s.last
+}
+
+// sleepWithin waits, unless the context would end before.
+func sleepWithin(ctx context.Context, d time.Duration) bool {
+	if limit, ok := ctx.Deadline(); ok && time.Until(limit) < d {
+		return false
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try sends once. Without an answer it says when to try again, or that the
+// refusal is final.
+func (s *sending) try(ctx context.Context) (res *Response, retry time.Duration, final bool) {
+	entry := s.at
+	if entry == "" || s.c.avoided(entry) {
+		var err error
+		if entry, err = s.c.pick(ctx); err != nil {
+			s.last.Err = err
+			return nil, pause, false
+		}
+	}
+	if s.req.Once && s.ticket == "" {
+		t, err := s.c.takeTicket(ctx, entry)
+		if err != nil {
+			s.c.failed(entry)
+			s.last.Err = err
+			return nil, pause, false
+		}
+		s.ticket, s.at = t, entry
+	}
+	res, result, err := s.c.send(ctx, entry, s.req, s.ticket)
+	if err != nil {
+		return nil, pause, s.broken(entry, err)
+	}
+	if result == nil {
+		return res, 0, false
+	}
+	return s.refused(entry, result)
+}
+
+// broken takes note of a call that brought nothing.
+func (s *sending) broken(entry string, err error) (final bool) {
+	s.c.failed(entry)
+	s.last = Refusal{Err: err}
+	s.ran = request.RanUnknown
+	// With a ticket the outcome can be asked for; without one, a request
+	// may be sent again, since only repeatable ones have none.
+	return false
+}
+
+// refused takes note of a result.
+func (s *sending) refused(entry string, r *request.Result) (*Response, time.Duration, bool) {
+	s.last = Refusal{Result: *r}
+	if r.Code == request.Leaving {
+		s.c.failed(entry)
+	}
+	if r.Ran != request.RanNo {
+		s.ran = request.RanUnknown
+		return nil, r.Retry, r.Retry == 0 || s.ticket == ""
+	}
+	// Not run: the ticket is used up, the next try takes another. But if an
+	// earlier call with it may have run, this is not known of that one.
+	if s.ticket != "" {
+		s.ran = request.RanNo
+		s.ticket, s.at = "", ""
+	}
+	return nil, r.Retry, r.Retry == 0
+}
+
+// send makes one call. Exactly one of the three is set.
+func (c *Client) send(ctx context.Context, entry string, req *Request, ticket string) (*Response, *request.Result, error) {
+	hr, err := http.NewRequestWithContext(ctx, req.Method, "http://"+entry+req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	for k, vs := range req.Header {
+		hr.Header[k] = vs
+	}
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	hr.Header.Set(request.HeaderID, id)
+	hr.Header.Set(request.HeaderService, req.Service)
+	if limit, ok := ctx.Deadline(); ok {
+		hr.Header.Set(request.HeaderDeadline, strconv.FormatInt(max(1, time.Until(limit).Milliseconds()), 10))
+	}
+	if ticket != "" {
+		hr.Header.Set(request.HeaderTicket, ticket)
+		hr.Header.Set(request.HeaderOnce, "true")
+	}
+	res, err := c.HTTP.Do(hr)
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "send to %s", entry)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "answer of %s", entry)
+	}
+	if res.Header.Get(request.HeaderID) != id {
+		return nil, nil, errors.Errorf("answer of %s is to another request", entry)
+	}
+	if res.Header.Get(front.HeaderEntry) != "" {
+		c.forget()
+	}
+	if r, ok := request.FromHeader(res.Header); ok {
+		return nil, &r, nil
+	}
+	return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, nil, nil
+}
+
+// pick returns the instance to use now.
+func (c *Client) pick(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	entries, fresh := c.entries, time.Now().Before(c.until)
+	c.mu.Unlock()
+	if !fresh || c.firstUsable(entries) == "" {
+		found, err := c.lookup(ctx)
+		if err != nil {
+			return "", err
+		}
+		entries = found
+	}
+	if e := c.firstUsable(entries); e != "" {
+		return e, nil
+	}
+	return "", errors.New("no instance answers")
+}
+
+func (c *Client) firstUsable(entries []string) string {
+	for _, e := range entries {
+		if !c.avoided(e) {
+			return e
+		}
+	}
+	return ""
+}
+
+// lookup asks the cached and the known instances, in turn, which to use.
+func (c *Client) lookup(ctx context.Context) ([]string, error) {
+	c.mu.Lock()
+	ask := append(append([]string(nil), c.entries...), c.Known...)
+	c.mu.Unlock()
+	err := errors.New("no instance is known")
+	for _, address := range ask {
+		if c.avoided(address) {
+			continue
+		}
+		var l front.Lookup
+		if err = c.call(ctx, address, "lookup?client="+url.QueryEscape(c.Address), &l); err != nil {
+			c.failed(address)
+			continue
+		}
+		var entries []string
+		for _, e := range l.Entries {
+			entries = append(entries, e.Address)
+		}
+		c.mu.Lock()
+		c.entries = entries
+		c.until = time.Now().Add(time.Duration(l.LifeMs) * time.Millisecond)
+		c.mu.Unlock()
+		return entries, nil
+	}
+	return nil, err
+}
+
+// call makes one of the system's own calls.
+func (c *Client) call(ctx context.Context, address, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+front.Reserved+path, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: status %d", address, res.StatusCode)
+	}
+	return errors.Trace(json.NewDecoder(io.LimitReader(res.Body, maxLookup)).Decode(v))
+}
+
+// takeTicket returns a ticket of an instance.
+func (c *Client) takeTicket(ctx context.Context, entry string) (string, error) {
+	c.mu.Lock()
+	for ts := c.tickets[entry]; len(ts) > 0; ts = c.tickets[entry] {
+		t := ts[len(ts)-1]
+		c.tickets[entry] = ts[:len(ts)-1]
+		if time.Since(t.taken) < ticketKeep {
+			c.mu.Unlock()
+			return t.text, nil
+		}
+	}
+	c.mu.Unlock()
+	var ts front.Tickets
+	taken := time.Now()
+	if err := c.call(ctx, entry, "tickets?n="+strconv.Itoa(ticketBatch), &ts); err != nil {
+		return "", err
+	}
+	if len(ts.Tickets) == 0 {
+		return "", errors.Errorf("%s gave no ticket", entry)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tickets == nil {
+		c.tickets = make(map[string][]ticket)
+	}
+	for _, t := range ts.Tickets[1:] {
+		c.tickets[entry] = append(c.tickets[entry], ticket{text: t, taken: taken})
+	}
+	return ts.Tickets[0], nil
+}
+
+// failed avoids an instance for a while and drops its unused tickets.
+func (c *Client) failed(entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.avoid == nil {
+		c.avoid = make(map[string]time.Time)
+	}
+	c.avoid[entry] = time.Now().Add(avoidTime)
+	delete(c.tickets, entry)
+	c.until = time.Time{}
+}
+
+func (c *Client) avoided(entry string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.avoid[entry])
+}
+
+// forget makes the next request ask which instances to use.
+func (c *Client) forget() {
+	c.mu.Lock()
+	c.until = time.Time{}
+	c.mu.Unlock()
+}
--- /dev/null
+++ b/cmd/shalewick/main.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+// Command shalewick runs an instance of the traffic steering system, and is
+// the operators' command line. It only passes settings to the library.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"shalewick/process/setting"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "shalewick",
+		Short:         "Global traffic steering: regions and upstreams for each request",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			return setting.FromEnvironment(cmd.Flags())
+		},
+	}
+	cmd.AddCommand(entryCommand(), standinCommand(), loadCommand(), demoCommand())
+	cmd.AddCommand(operatorCommands()...)
+	for _, sub := range cmd.Commands() {
+		setting.Describe(sub.Flags())
+		for _, subsub := range sub.Commands() {
+			setting.Describe(subsub.Flags())
+		}
+	}
+	return cmd
+}
--- /dev/null
+++ b/cmd/shalewick/operator.go
@@ -0,0 +1,298 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"sigs.k8s.io/yaml"
+
+	"shalewick/operator"
+	"shalewick/process/admin"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// adminFlag adds the flag that every operators' command has.
+func adminFlag(cmd *cobra.Command) *[]string {
+	return cmd.Flags().StringSlice("admin", []string{"127.0.0.1:8002"}, "admin addresses of instances, tried in turn")
+}
+
+func operatorCommands() []*cobra.Command {
+	return []*cobra.Command{
+		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), drainCommand(), shiftCommand(),
+	}
+}
+
+func applyCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{Use: "apply -f FILE", Short: "Write resources from YAML or JSON documents", Args: cobra.NoArgs}
+	addresses := adminFlag(cmd)
+	cmd.Flags().StringVarP(&file, "file", "f", "", "file to read, - for standard input")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if file == "" {
+			return errors.New("--file: must be set")
+		}
+		docs, err := readFile(cmd, file)
+		if err != nil {
+			return err
+		}
+		rs, err := version.Parse(docs)
+		if err != nil {
+			return err
+		}
+		return applyAndTell(cmd, operator.New(*addresses), rs)
+	}
+	return cmd
+}
+
+func readFile(cmd *cobra.Command, file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(cmd.InOrStdin())
+	}
+	return os.ReadFile(file)
+}
+
+func applyAndTell(cmd *cobra.Command, c *operator.Client, rs []version.Resource) error {
+	applied, err := c.Apply(cmd.Context(), rs)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "version=%d operation=%s\n", applied.Version, applied.Operation)
+	return err
+}
+
+// parseKey reads "kind/name" or "kind name".
+func parseKey(args []string) (version.Key, error) {
+	kind, name, ok := strings.Cut(strings.Join(args, "/"), "/")
+	if !ok || kind == "" || name == "" {
+		return version.Key{}, errors.New("name a resource as KIND/NAME")
+	}
+	return version.Key{Kind: version.Kind(kind), Name: name}, nil
+}
+
+func getCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "get [KIND[/NAME]]", Short: "Print resources as YAML documents", Args: cobra.MaximumNArgs(1)}
+	addresses := adminFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		c := operator.New(*addresses)
+		if len(args) == 1 && strings.Contains(args[0], "/") {
+			k, err := parseKey(args)
+			if err != nil {
+				return err
+			}
+			r, err := c.Get(cmd.Context(), k)
+			if err != nil {
+				return err
+			}
+			return printYAML(cmd.OutOrStdout(), []version.Resource{r})
+		}
+		rs, err := c.List(cmd.Context(), version.Kind(strings.Join(args, "")))
+		if err != nil {
+			return err
+		}
+		return printYAML(cmd.OutOrStdout(), rs)
+	}
+	return cmd
+}
+
+func printYAML(w io.Writer, rs []version.Resource) error {
+	for i := range rs {
+		b, err := yaml.Marshal(rs[i])
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if _, err := fmt.Fprintf(w, "---\n%s", b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func deleteCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "delete KIND/NAME", Short: "Remove a resource", Args: cobra.ExactArgs(1)}
+	addresses := adminFlag(cmd)
+	at := cmd.Flags().Int64("version", 0, "version that the deletion is made against; 0: the present one")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		k, err := parseKey(args)
+		if err != nil {
+			return err
+		}
+		c := operator.New(*addresses)
+		if *at == 0 {
+			r, err := c.Get(cmd.Context(), k)
+			if err != nil {
+				return err
+			}
+			*at = r.Version
+		}
+		applied, err := c.Delete(cmd.Context(), k, *at)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "version=%d operation=%s\n", applied.Version, applied.Operation)
+		return err
+	}
+	return cmd
+}
+
+func watchCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "watch", Short: "Print changes as they are taken up, a JSON line each", Args: cobra.NoArgs}
+	addresses := adminFlag(cmd)
+	from := cmd.Flags().Int64("from", 0, "print changes above this version")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		enc := json.NewEncoder(cmd.OutOrStdout())
+		err := operator.New(*addresses).Watch(cmd.Context(), *from, func(ch version.Change) error { return enc.Encode(ch) })
+		if cmd.Context().Err() != nil {
+			return nil // ended by the user
+		}
+		return err
+	}
+	return cmd
+}
+
+func statusCommand() *cobra.Command {
+	var wait bool
+	var at int64
+	var timeout time.Duration
+	cmd := &cobra.Command{Use: "status", Short: "Show what is in force at each instance", Args: cobra.NoArgs}
+	addresses := adminFlag(cmd)
+	cmd.Flags().BoolVar(&wait, "wait", false, "return once the version is in force everywhere, or say who is missing")
+	cmd.Flags().Int64Var(&at, "version", 0, "version to wait for; 0: the present one")
+	cmd.Flags().DurationVar(&timeout, "timeout", 13*time.Second, "how long to wait")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		c := operator.New(*addresses)
+		st, err := c.Status(cmd.Context())
+		if err == nil && wait {
+			if at == 0 {
+				at = st.Version
+			}
+			st, err = c.WaitInForce(cmd.Context(), at, timeout)
+		}
+		printStatus(cmd.OutOrStdout(), &st)
+		return err
+	}
+	return cmd
+}
+
+// printStatus writes one line for each instance and one for each limit.
+func printStatus(w io.Writer, st *admin.Status) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "version %d, in force everywhere: %v\n", st.Version, st.InForce)
+	fmt.Fprintln(t, "INSTANCE\tHALL\tVERSION\tSINCE\tCONFIRMED\tEPOCH\tSTATE")
+	for _, e := range st.Entries {
+		state := "live"
+		if e.Leaving {
+			state = "leaving"
+		}
+		if e.Missing != "" {
+			fmt.Fprintf(t, "%s\t%s\t-\t-\t-\t-\tmissing: %s\n", e.Instance, e.Hall, e.Missing)
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%dms\t%d\t%s\n", e.Instance, e.Hall, e.Version,
+			e.Since.Format("15:04:05.000"), e.ConfirmedMs, e.Epoch, state)
+	}
+	fmt.Fprintln(t, "LIMIT\tSIZE\tHOME\tFREE\tBUSY\tLENT")
+	for _, p := range sumPools(st.Entries) {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Size, p.Home, p.Free, p.Busy, p.Lent)
+	}
+	_ = t.Flush() // a closed standard output has nobody to tell
+}
+
+// sumPools adds up what the instances hold of each limit.
+func sumPools(entries []admin.EntryStatus) []admin.PoolStatus {
+	var out []admin.PoolStatus
+	place := make(map[string]int)
+	for _, e := range entries {
+		for _, p := range e.Pools {
+			i, ok := place[p.Pool]
+			if !ok {
+				i = len(out)
+				place[p.Pool] = i
+				out = append(out, admin.PoolStatus{Pool: p.Pool, Size: p.Size})
+			}
+			out[i].Home += p.Home
+			out[i].Free += p.Free
+			out[i].Busy += p.Busy
+			out[i].Lent += p.Lent
+			out[i].Borrowed += p.Borrowed
+		}
+	}
+	return out
+}
+
+func drainCommand() *cobra.Command {
+	var undo bool
+	cmd := &cobra.Command{
+		Use: "drain upstream/NAME|hall/NAME|region/NAME", Short: "Take a place out of use, or with --undo into use", Args: cobra.ExactArgs(1),
+	}
+	addresses := adminFlag(cmd)
+	cmd.Flags().BoolVar(&undo, "undo", false, "end the drain")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		k, err := parseKey(args)
+		if err != nil {
+			return err
+		}
+		c := operator.New(*addresses)
+		r := version.Resource{Key: version.Key{Kind: version.KindDrain, Name: string(k.Kind) + "-" + k.Name}, Drain: &version.Drain{}}
+		if undo {
+			present, err := c.Get(cmd.Context(), r.Key)
+			if err != nil {
+				return err
+			}
+			_, err = c.Delete(cmd.Context(), r.Key, present.Version)
+			return err
+		}
+		switch k.Kind {
+		case version.KindUpstream:
+			r.Drain.Upstream = k.Name
+		case version.KindHall:
+			r.Drain.Hall = k.Name
+		case version.KindRegion:
+			r.Drain.Region = k.Name
+		default:
+			return errors.Errorf("a %s can not be drained", k.Kind)
+		}
+		return applyAndTell(cmd, c, []version.Resource{r})
+	}
+	return cmd
+}
+
+func shiftCommand() *cobra.Command {
+	var s version.Shift
+	var ramp time.Duration
+	cmd := &cobra.Command{Use: "shift", Short: "Move a share of a service's requests from one region to another", Args: cobra.NoArgs}
+	addresses := adminFlag(cmd)
+	f := cmd.Flags()
+	f.StringVar(&s.Service, "service", "", "service")
+	f.StringVar(&s.From, "from", "", "region to move requests from")
+	f.StringVar(&s.To, "to", "", "region to move them to")
+	f.Float64Var(&s.Share, "share", 0, "share of the requests, 0 to 1")
+	f.IntVar(&s.Cap, "cap", 0, "most shifted requests at once")
+	f.IntVar(&s.Rate, "rate", 0, "most shifted requests a second; 0: no bound")
+	f.DurationVar(&ramp, "ramp", 0, "time over which the share rises from 0")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if s.Service == "" || s.From == "" || s.To == "" {
+			return errors.New("--service, --from and --to: must be set")
+		}
+		s.Ramp = version.Duration(ramp)
+		c := operator.New(*addresses)
+		r := version.Resource{Key: version.Key{Kind: version.KindShift, Name: s.Service + "-" + s.From}, Shift: &s}
+		present, err := c.Get(cmd.Context(), r.Key)
+		var refused *operator.RefusedError
+		if err != nil && !(errors.As(err, &refused) && refused.Code == request.NotFound) {
+			return err
+		}
+		r.Version = present.Version
+		return applyAndTell(cmd, c, []version.Resource{r})
+	}
+	return cmd
+}
--- /dev/null
+++ b/cmd/shalewick/standin.go
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"shalewick/process/setting"
+	"shalewick/standin/platform"
+	"shalewick/standin/upstream"
+)
+
+func standinCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in of what surrounds the system, for tests",
+	}
+	cmd.AddCommand(standinPlatformCommand(), standinUpstreamCommand())
+	return cmd
+}
+
+func standinPlatformCommand() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a stand-in of the platform: tables, objects, list of instances",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := setting.Address("listen", listen); err != nil {
+				return err
+			}
+			var s platform.Server
+			return serve(cmd.Context(), []string{listen}, []http.Handler{s.Handler()})
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:7000", "address to listen on")
+	return cmd
+}
+
+func standinUpstreamCommand() *cobra.Command {
+	var listen, name string
+	var count, slots int
+	var work time.Duration
+	cmd := &cobra.Command{
+		Use:   "upstream",
+		Short: "Run stand-ins of upstreams on adjoining ports",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			first, err := netip.ParseAddrPort(listen)
+			if err != nil {
+				return setting.Address("listen", listen)
+			}
+			if count < 1 || slots < 1 || work < 0 {
+				return errors.New("--count and --slots must be at least 1, --work not negative")
+			}
+			var addresses []string
+			var handlers []http.Handler
+			for i := range count {
+				s := &upstream.Server{Name: name + strconv.Itoa(i), Slots: slots, Work: work}
+				addresses = append(addresses, netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String())
+				handlers = append(handlers, s.Handler())
+			}
+			return serve(cmd.Context(), addresses, handlers)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:9000", "address of the first to listen on")
+	f.StringVar(&name, "name", "upstream-", "beginning of their names in records")
+	f.IntVar(&count, "count", 1, "how many")
+	f.IntVar(&slots, "slots", 4, "requests that each serves at once")
+	f.DurationVar(&work, "work", 5*time.Millisecond, "mean time of work for a request")
+	return cmd
+}
+
+// serve serves the handlers until the context ends.
+func serve(ctx context.Context, addresses []string, handlers []http.Handler) error {
+	failed := make(chan error, len(addresses))
+	for i, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return errors.Annotatef(err, "listen on %s", a)
+		}
+		s := &http.Server{Handler: handlers[i], ReadHeaderTimeout: 10 * time.Second}
+		go func() { failed <- s.Serve(l) }()
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/conn/dispatch.go
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Options of one dispatch.
+type Options struct {
+	// Deadline is when the request is given up.
+	Deadline time.Time
+	// Allowed is asked right before the first byte leaves.
+	Allowed func() bool
+	// Release is called once, when the upstream has surely let go of the request.
+	Release func()
+}
+
+// past is a deadline that ends all waiting.
+var past = time.Unix(1, 0)
+
+// Margin is how long after its deadline a request is held to occupy a slot of
+// an upstream that did not say it let go. It covers the time on the way.
+const Margin = 500 * time.Millisecond
+
+// DispatchError is a dispatch that got no answer.
+type DispatchError struct {
+	// Sent reports whether a byte of the request may have left.
+	Sent bool
+	Err  error
+}
+
+// Error describes the failure.
+func (e *DispatchError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DispatchError) Unwrap() error { return e.Err }
+
+// Exchange is a request at an upstream whose answer has begun.
+type Exchange struct {
+	Response *http.Response
+
+	pool    *Pool
+	link    *link
+	opts    Options
+	written chan error // result of sending the body; nil once received
+	stop    func() bool
+	broken  chan struct{} // closed once the context's end was carried out
+	once    sync.Once
+	whole   bool
+}
+
+// Dispatch sends the request and reads the head of the answer. It never sends
+// twice. The context's end breaks the exchange off. On error the exchange is
+// closed and Release is called as Close does.
+func (p *Pool) Dispatch(ctx context.Context, req *http.Request, o Options) (*Exchange, error) {
+	dialCtx, cancel := context.WithDeadline(ctx, o.Deadline)
+	l, err := p.get(dialCtx)
+	cancel()
+	if err != nil {
+		o.Release()
+		return nil, &DispatchError{Err: err}
+	}
+	l.sent = 0
+	l.allowed = o.Allowed
+	ex := &Exchange{pool: p, link: l, opts: o}
+	if err := l.SetDeadline(o.Deadline); err != nil {
+		ex.Close()
+		return nil, &DispatchError{Err: err}
+	}
+	ex.broken = make(chan struct{})
+	ex.stop = context.AfterFunc(ctx, func() {
+		_ = l.SetDeadline(past) // wakes whoever reads or writes
+		close(ex.broken)
+	})
+	if err := ex.send(req); err != nil {
+		sent := l.sent > 0
+		ex.Close()
+		return nil, &DispatchError{Sent: sent, Err: err}
+	}
+	res, err := http.ReadResponse(l.r, req)
+	for err == nil && res.StatusCode/100 == 1 {
+		res, err = http.ReadResponse(l.r, req)
+	}
+	if err != nil {
+		ex.Close()
+		return nil, &DispatchError{Sent: true, Err: errors.Annotate(err, "read answer")}
+	}
+	ex.Response = res
+	res.Body = &body{ReadCloser: res.Body, ex: ex}
+	return ex, nil
+}
+
+// send writes the request. One without a body is written at once; a body is
+// sent beside the reading of the answer, which may come before its end.
+func (ex *Exchange) send(req *http.Request) error {
+	l := ex.link
+	if req.Body == nil || req.Body == http.NoBody {
+		if err := req.Write(l.w); err != nil {
+			return errors.Annotate(err, "write request")
+		}
+		return errors.Annotate(l.w.Flush(), "write request")
+	}
+	if !l.allowed() {
+		return NotAllowed
+	}
+	ex.written = make(chan error, 1)
+	go func() {
+		err := req.Write(l.w)
+		if err == nil {
+			err = l.w.Flush()
+		}
+		if err != nil {
+			_ = l.SetDeadline(past) // wakes the reader of the answer
+		}
+		ex.written <- err
+	}()
+	return nil
+}
+
+// body notes when the whole answer was read.
+type body struct {
+	io.ReadCloser
+	ex *Exchange
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ex.whole = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept for the next request when
+// request and answer are both whole.
+func (ex *Exchange) Close() {
+	ex.once.Do(ex.close)
+}
+
+func (ex *Exchange) close() {
+	undisturbed := ex.stop == nil || ex.stop()
+	if !undisturbed {
+		<-ex.broken
+	}
+	sent := ex.written != nil || ex.link.sent > 0
+	if ex.written != nil && ex.whole {
+		select {
+		case err := <-ex.written:
+			ex.whole = err == nil
+			ex.written = nil
+		default: // answered before the body's end
+			ex.whole = false
+		}
+	}
+	if !sent {
+		_ = ex.link.Conn.Close() // nothing left on it
+		ex.opts.Release()
+		return
+	}
+	if ex.whole && undisturbed && !ex.Response.Close && ex.link.SetDeadline(time.Time{}) == nil {
+		ex.pool.put(ex.link)
+		ex.opts.Release()
+		return
+	}
+	go ex.letGo()
+}
+
+// letGo tells the upstream that the request is given up, by closing the
+// sending side, and waits until the upstream closes its own. A late answer is
+// read and dropped.
+func (ex *Exchange) letGo() {
+	defer ex.opts.Release()
+	c := ex.link.Conn
+	defer c.Close()
+	limit := ex.opts.Deadline.Add(Margin)
+	if ex.written != nil {
+		_ = c.SetWriteDeadline(past) // stops a body still being sent
+		<-ex.written
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || c.SetReadDeadline(limit) != nil {
+		time.Sleep(time.Until(limit))
+		return
+	}
+	if _, err := io.Copy(io.Discard, c); isTimeout(err) {
+		// What still waits to be sent must never arrive. An error leaves
+		// it to the upstream's own deadline.
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
--- /dev/null
+++ b/conn/pool.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Bounds of a pool.
+const (
+	// MaxIdle is the number of idle connections kept to one upstream.
+	MaxIdle = 16
+	// IdleTime is how long an idle connection is kept.
+	IdleTime = 30 * time.Second
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout = time.Second
+)
+
+// Pool keeps connections to one upstream. Address is set before use.
+type Pool struct {
+	Address string
+
+	mu   sync.Mutex
+	idle []*link // most recently used last
+}
+
+// link is one connection with its buffers.
+type link struct {
+	net.Conn
+	r     *bufio.Reader
+	w     *bufio.Writer
+	since time.Time // idle since
+	sent  int64     // bytes handed to the kernel for the present request
+	// allowed is asked right before each first write of a request, so that a
+	// process that was frozen in between does not send what it no longer may.
+	allowed func() bool
+}
+
+const bufferSize = 16 << 10
+
+// NotAllowed is the error of a request that Options.Allowed refused. No byte
+// of it was sent.
+const NotAllowed = errors.ConstError("the dispatch is no longer allowed")
+
+// Write counts what leaves.
+func (l *link) Write(p []byte) (int, error) {
+	if l.sent == 0 && !l.allowed() {
+		return 0, NotAllowed
+	}
+	n, err := l.Conn.Write(p)
+	l.sent += int64(n)
+	return n, err
+}
+
+// get returns an idle connection that still looks open, or a new one.
+func (p *Pool) get(ctx context.Context) (*link, error) {
+	for {
+		l := p.popIdle()
+		if l == nil {
+			break
+		}
+		if time.Since(l.since) < IdleTime && quiet(l.Conn) {
+			return l, nil
+		}
+		_ = l.Conn.Close() // it is of no more use
+	}
+	d := net.Dialer{Timeout: DialTimeout}
+	c, err := d.DialContext(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "open connection to %s", p.Address)
+	}
+	l := &link{Conn: c, r: bufio.NewReaderSize(c, bufferSize)}
+	l.w = bufio.NewWriterSize(l, bufferSize)
+	return l, nil
+}
+
+func (p *Pool) popIdle() *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	l := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return l
+}
+
+func (p *Pool) put(l *link) {
+	l.since = time.Now()
+	p.mu.Lock()
+	if len(p.idle) < MaxIdle {
+		p.idle = append(p.idle, l)
+		l = nil
+	}
+	p.mu.Unlock()
+	if l != nil {
+		_ = l.Conn.Close() // one too many
+	}
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	for l := p.popIdle(); l != nil; l = p.popIdle() {
+		_ = l.Conn.Close() // nothing is in flight on it
+	}
+}
+
+// quiet reports whether an idle connection is open with nothing to read. An
+// upstream that closed it, or that sent an answer nobody waits for, is not.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = rerr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/conn/report.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// States in an upstream's own word on itself.
+const (
+	StateReady   = "ready"
+	StateCold    = "cold"
+	StateLeaving = "leaving"
+)
+
+// Report is an upstream's load report, the answer to GET /probe.
+type Report struct {
+	State    string `json:"state"`
+	Boot     string `json:"boot"` // identifies one start of the upstream
+	InFlight int    `json:"inFlight"`
+	Slots    int    `json:"slots"`
+}
+
+// maxReport bounds a load report, in bytes.
+const maxReport = 4 << 10
+
+// Probe asks the upstream at address for its load report.
+func Probe(ctx context.Context, c *http.Client, address string) (Report, error) {
+	var rep Report
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/probe", nil)
+	if err != nil {
+		return rep, errors.Trace(err)
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return rep, errors.Trace(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return rep, errors.Errorf("probe of %s: status %d", address, res.StatusCode)
+	}
+	return rep, errors.Trace(json.NewDecoder(io.LimitReader(res.Body, maxReport)).Decode(&rep))
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,305 @@
+// SPDX-License-Identifier: MIT
+
+// Package demo shows the whole system in one process, on loopback ports that
+// are free: stand-ins of the platform and of Caroni's upstreams, several
+// entries, load, a shift, drains, and the planned stop and the death of an
+// entry, with a short table at the end.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"shalewick/caller"
+	"shalewick/load"
+	"shalewick/operator"
+	"shalewick/process/entry"
+	"shalewick/process/platform"
+	"shalewick/standin/fleet"
+	standplatform "shalewick/standin/platform"
+	"shalewick/standin/upstream"
+	"shalewick/version"
+)
+
+const (
+	entries   = 6
+	loadTime  = 20 * time.Second
+	rate      = 400
+	readyTime = 10 * time.Second
+	work      = 4 * time.Millisecond
+)
+
+// world is the stand-ins and entries of the demonstration.
+type world struct {
+	size      fleet.Size
+	platform  *standplatform.Server
+	upstreams []*upstream.Server
+	addresses []netip.AddrPort
+	entries   []*entry.Entry
+	fronts    []string
+	admins    []string
+	out       io.Writer
+	began     time.Time
+	shifted   time.Time // when the shift was in force everywhere
+}
+
+// Run runs the demonstration and returns an error if a promise was broken.
+func Run(ctx context.Context, out io.Writer) error {
+	w := &world{size: fleet.Caroni(), platform: &standplatform.Server{}, out: out, began: time.Now()}
+	if err := w.start(); err != nil {
+		return err
+	}
+	op := operator.New(w.admins)
+	if err := w.configure(ctx, op); err != nil {
+		return err
+	}
+	var outcomes []load.Outcome
+	var loadErr error
+	var running sync.WaitGroup
+	mix := w.mix()
+	running.Go(func() {
+		outcomes, loadErr = load.Run(ctx, load.Options{Clients: w.clients(), Rate: rate, Duration: loadTime, Mix: mix})
+	})
+	drained, err := w.script(ctx, op)
+	running.Wait()
+	if err != nil {
+		return err
+	}
+	if loadErr != nil {
+		return loadErr
+	}
+	return w.report(mix, outcomes, drained)
+}
+
+func (w *world) say(format string, args ...any) {
+	fmt.Fprintf(w.out, "%6.2fs  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// serve starts a server on a free port.
+func serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, errors.Trace(err)
+	}
+	go func() { _ = http.Serve(l, h) }() // ends with the process
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// freePort returns a port that was free a moment ago.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (w *world) start() error {
+	base, err := serve(w.platform.Handler())
+	if err != nil {
+		return err
+	}
+	for i := range w.size.Upstreams() {
+		u := &upstream.Server{Name: w.size.UpstreamName(i), Slots: w.size.Slots, Work: work}
+		if i%2 == 1 {
+			u.Work = 3 * work // old hardware
+		}
+		a, err := serve(u.Handler())
+		if err != nil {
+			return err
+		}
+		w.upstreams = append(w.upstreams, u)
+		w.addresses = append(w.addresses, a)
+	}
+	w.listInstances(entries)
+	for i := range entries {
+		if err := w.startEntry(i, "http://"+base.String()); err != nil {
+			return err
+		}
+	}
+	w.say("%d entries, %d upstreams, 1 platform", entries, len(w.upstreams))
+	return nil
+}
+
+func (w *world) listInstances(n int) {
+	var list []platform.Instance
+	for i := range n {
+		list = append(list, platform.Instance{Name: instanceName(i), State: platform.Live})
+	}
+	w.platform.SetInstances(list)
+}
+
+func instanceName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func (w *world) startEntry(i int, base string) error {
+	var ports [3]string
+	for j := range ports {
+		p, err := freePort()
+		if err != nil {
+			return err
+		}
+		ports[j] = p
+	}
+	e, err := entry.Start(entry.Settings{
+		Instance: instanceName(i), Hall: w.size.Hall(i), Front: ports[0], Peer: ports[1], Admin: ports[2],
+		Platform: base, Grace: entry.DefaultGrace, LogLevel: "error",
+	}, io.Discard)
+	if err != nil {
+		return err
+	}
+	w.entries = append(w.entries, e)
+	w.fronts = append(w.fronts, ports[0])
+	w.admins = append(w.admins, ports[2])
+	return nil
+}
+
+func (w *world) configure(ctx context.Context, op *operator.Client) error {
+	start := time.Now()
+	for _, e := range w.entries {
+		for !e.Ready() {
+			if time.Since(start) > readyTime {
+				return errors.New("an entry did not become ready")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	start = time.Now()
+	if err := w.apply(ctx, op, w.size.Resources(w.addresses)...); err != nil {
+		return err
+	}
+	w.say("configuration in force at all entries after %d ms", time.Since(start).Milliseconds())
+	return nil
+}
+
+func (w *world) apply(ctx context.Context, op *operator.Client, rs ...version.Resource) error {
+	applied, err := op.Apply(ctx, rs)
+	if err != nil {
+		return err
+	}
+	_, err = op.WaitInForce(ctx, applied.Version, readyTime)
+	return err
+}
+
+func (w *world) mix() []load.Kind {
+	s := &w.size
+	return []load.Kind{
+		{Name: "read", Service: s.Read, Method: "GET", Path: "/lots", Weight: 80, Answer: 4096, Timeout: 3 * time.Second},
+		{Name: "commit", Service: s.Ledger, Method: "POST", Path: "/bids", Weight: 15, Once: true, Body: 200, Answer: 200, Timeout: 5 * time.Second},
+		{Name: "upload", Service: s.Upload, Method: "POST", Path: "/videos", Weight: 5, Body: 300 << 10, Answer: 100, Timeout: 10 * time.Second},
+	}
+}
+
+// clients returns callers in each hall.
+func (w *world) clients() []*caller.Client {
+	var cs []*caller.Client
+	for h := range w.size.Halls() {
+		c := caller.New(w.fronts)
+		c.Address = w.size.Client(h)
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+// script is what happens while the load runs. It returns the drain time of
+// the upstream and of the entry.
+func (w *world) script(ctx context.Context, op *operator.Client) (drained []string, err error) {
+	time.Sleep(2 * time.Second)
+	s := &w.size
+	err = w.apply(ctx, op, version.Resource{
+		Key: version.Key{Kind: version.KindShift, Name: "evening"},
+		Shift: &version.Shift{
+			Service: s.Read, From: s.Regions[0], To: s.Regions[1], Share: 0.5, Cap: 6, Rate: 60,
+			Ramp: version.Duration(2 * time.Second),
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	w.shifted = time.Now()
+	w.say("shift: half of the reads from %s to %s, at most 6 at once and 60 a second", s.Regions[0], s.Regions[1])
+	time.Sleep(3 * time.Second)
+	start := time.Now()
+	err = w.apply(ctx, op, version.Resource{
+		Key:   version.Key{Kind: version.KindDrain, Name: "old-1"},
+		Drain: &version.Drain{Upstream: s.UpstreamName(1)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	last := w.lastStart(1, start)
+	drained = append(drained, fmt.Sprintf("upstream drained: in force everywhere after %d ms, last work began %d ms after the call",
+		time.Since(start).Milliseconds(), max(0, last.Sub(start).Milliseconds())))
+	time.Sleep(2 * time.Second)
+	w.say("the platform is down")
+	w.platform.SetFault(standplatform.Fault{Down: true})
+	w.upstreams[4].SetFault(upstream.Fault{Leaving: true})
+	time.Sleep(2 * time.Second)
+	w.platform.SetFault(standplatform.Fault{})
+	w.say("the platform is back")
+	start = time.Now()
+	w.entries[0].Stop(ctx)
+	drained = append(drained, fmt.Sprintf("entry stopped as planned after %d ms", time.Since(start).Milliseconds()))
+	w.say("an entry has stopped")
+	w.entries[1].Kill()
+	w.say("another entry has died")
+	return drained, nil
+}
+
+// lastStart returns when an upstream last began work, at least since.
+func (w *world) lastStart(i int, since time.Time) time.Time {
+	last := since
+	for _, r := range w.upstreams[i].Records() {
+		if r.Start.After(last) {
+			last = r.Start
+		}
+	}
+	return last
+}
+
+func (w *world) report(mix []load.Kind, outcomes []load.Outcome, drained []string) error {
+	var records []upstream.Record
+	peak, slots, afterLeaving := 0, 0, 0
+	for _, u := range w.upstreams {
+		rs := u.Records()
+		records = append(records, rs...)
+		peak = max(peak, u.Peak())
+		slots = max(slots, u.Slots)
+		for _, r := range rs {
+			if r.Leaving {
+				afterLeaving++
+			}
+		}
+	}
+	rep := load.Judge(mix, outcomes, records)
+	fmt.Fprintln(w.out)
+	rep.Print(w.out)
+	for _, d := range drained {
+		fmt.Fprintln(w.out, d)
+	}
+	fmt.Fprintf(w.out, "most at once at any upstream: %d of %d slots; begun after an upstream's own word of leaving: %d\n", peak, slots, afterLeaving)
+	atOnce, second := Crossing(records, w.shifted, w.size.Read, w.size.Regions[0], w.size.Regions[1], w.regionOf)
+	fmt.Fprintf(w.out, "shift: most at once %d of 6, most in any one second %d of 60\n", atOnce, second)
+	if rep.Faults() > 0 || peak > slots || atOnce > 6 || second > 60 {
+		return errors.New("a promise was broken, see above")
+	}
+	return nil
+}
+
+// regionOf returns service and region of an upstream by its name.
+func (w *world) regionOf(name string) (service, region string) {
+	for i := range w.upstreams {
+		if w.size.UpstreamName(i) == name {
+			return w.size.ServiceOf(i), w.size.Regions[i%len(w.size.Halls())/2]
+		}
+	}
+	return "", ""
+}
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: MIT
+
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"shalewick/caller"
+	"shalewick/request"
+	"shalewick/standin/upstream"
+)
+
+// Kind is one kind of request in the mix.
+type Kind struct {
+	Name    string // of the line in the report
+	Service string
+	Method  string
+	Path    string
+	Weight  int
+	Once    bool
+	// Body and Answer are sizes in bytes.
+	Body    int
+	Answer  int
+	Timeout time.Duration
+}
+
+// Options of a run.
+type Options struct {
+	// Clients send in turn; each stands for many callers in one place.
+	Clients  []*caller.Client
+	Rate     float64 // requests a second
+	Duration time.Duration
+	Mix      []Kind
+}
+
+// MaxRequests bounds the requests of one run.
+const MaxRequests = 2_000_000
+
+// Outcome is how one request ended, as its caller saw it.
+type Outcome struct {
+	Kind int
+	Tag  string
+	// Code is request.OK for an answer.
+	Code request.Code
+	Ran  request.Ran
+	// Wrong says what was wrong with an answer.
+	Wrong   string
+	Latency time.Duration // from when it was due
+}
+
+// Run sends the load and returns the outcomes. It ends by itself.
+func Run(ctx context.Context, o Options) ([]Outcome, error) {
+	n := int(o.Rate * o.Duration.Seconds())
+	if n <= 0 || n > MaxRequests {
+		return nil, errors.Errorf("rate and duration give %d requests; 1 to %d are possible", n, MaxRequests)
+	}
+	if len(o.Clients) == 0 || len(o.Mix) == 0 {
+		return nil, errors.New("there are no clients or no kinds of request")
+	}
+	run := strconv.FormatUint(rand.Uint64(), 36)
+	outcomes := make([]Outcome, n)
+	var all sync.WaitGroup
+	start := time.Now()
+	sent := 0
+	for i := range n {
+		due := start.Add(time.Duration(float64(i) / o.Rate * float64(time.Second)))
+		if !sleepUntil(ctx, due) {
+			break
+		}
+		sent++
+		kind := pick(o.Mix)
+		tag := fmt.Sprintf("%s-%d;", run, i)
+		client := o.Clients[i%len(o.Clients)]
+		all.Go(func() {
+			out := send(ctx, client, &o.Mix[kind], tag)
+			out.Kind = kind
+			out.Latency = time.Since(due)
+			outcomes[i] = out
+		})
+	}
+	all.Wait()
+	return outcomes[:sent], nil
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func pick(mix []Kind) int {
+	sum := 0
+	for _, k := range mix {
+		sum += k.Weight
+	}
+	at := rand.IntN(max(1, sum))
+	for i, k := range mix {
+		if at -= k.Weight; at < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func send(ctx context.Context, c *caller.Client, k *Kind, tag string) Outcome {
+	body := bytes.Repeat([]byte{tag[0]}, k.Body)
+	path := k.Path + "?size=" + strconv.Itoa(k.Answer)
+	out := Outcome{Tag: tag}
+	res, err := c.Do(ctx, &caller.Request{
+		Service: k.Service, Method: k.Method, Path: path, Body: body, Once: k.Once, Timeout: k.Timeout,
+		Header: http.Header{upstream.HeaderTag: {tag}},
+	})
+	var refusal *caller.Refusal
+	if errors.As(err, &refusal) {
+		out.Code, out.Ran = refusal.Code, refusal.Ran
+		if out.Code == request.OK {
+			out.Code = request.AnswerLost // the entry itself did not answer
+		}
+		return out
+	}
+	out.Ran = request.RanYes
+	out.Wrong = check(res, tag, body, k.Answer)
+	return out
+}
+
+// check compares an answer with what the stand-in must give to the request.
+func check(res *caller.Response, tag string, body []byte, size int) string {
+	switch {
+	case res.Status != http.StatusOK:
+		return fmt.Sprintf("status %d", res.Status)
+	case len(res.Body) != max(size, len(tag)):
+		return fmt.Sprintf("%d bytes in place of %d", len(res.Body), max(size, len(tag)))
+	case !bytes.HasPrefix(res.Body, []byte(tag)):
+		return "the answer to another request"
+	case res.Header.Get(upstream.HeaderSum) != strconv.FormatUint(xxhash.Sum64(body), 16):
+		return "another body"
+	}
+	return ""
+}
+
+// Line is the report on one kind of request.
+type Line struct {
+	Name      string
+	Sent      int
+	Answered  int
+	Refused   map[request.Code]int // by code
+	Unknown   int                  // refusals that do not say whether it ran
+	Latencies *hdrhistogram.Histogram
+}
+
+// Report is the result of a run.
+type Report struct {
+	Lines []Line
+	// Faults of the system; all should be zero.
+	Lost        int // answered, but never finished at an upstream
+	Doubled     int // may not be repeated, but ran twice
+	Mixed       int // a wrong or cut answer
+	FalseNotRun int // said not to have run, but ran
+	Examples    []string
+}
+
+// Faults is the number of broken promises.
+func (r *Report) Faults() int { return r.Lost + r.Doubled + r.Mixed + r.FalseNotRun }
+
+// maxLatency is the top of the histograms, in microseconds.
+const maxLatency = 10 * 60 * 1e6
+
+// Judge compares the outcomes with the upstreams' records.
+func Judge(mix []Kind, outcomes []Outcome, records []upstream.Record) *Report {
+	ran, done := make(map[string]int), make(map[string]int)
+	for _, rec := range records {
+		ran[rec.Tag]++
+		if rec.Done {
+			done[rec.Tag]++
+		}
+	}
+	r := &Report{}
+	for _, k := range mix {
+		r.Lines = append(r.Lines, Line{
+			Name: k.Name, Refused: make(map[request.Code]int), Latencies: hdrhistogram.New(1, maxLatency, 3),
+		})
+	}
+	for _, o := range outcomes {
+		l := &r.Lines[o.Kind]
+		l.Sent++
+		if mix[o.Kind].Once && ran[o.Tag] > 1 {
+			r.fault(&r.Doubled, "ran %d times: %+v", ran[o.Tag], o)
+		}
+		if o.Code == request.OK {
+			l.Answered++
+			_ = l.Latencies.RecordValue(o.Latency.Microseconds()) // out of range can not be
+			if o.Wrong != "" {
+				r.fault(&r.Mixed, "%+v", o)
+			}
+			if done[o.Tag] == 0 {
+				r.fault(&r.Lost, "%+v", o)
+			}
+			continue
+		}
+		l.Refused[o.Code]++
+		if o.Ran == request.RanUnknown {
+			l.Unknown++
+		}
+		if o.Ran == request.RanNo && ran[o.Tag] > 0 {
+			r.fault(&r.FalseNotRun, "%+v", o)
+		}
+	}
+	return r
+}
+
+const maxExamples = 10
+
+func (r *Report) fault(count *int, format string, args ...any) {
+	*count++
+	if len(r.Examples) < maxExamples {
+		r.Examples = append(r.Examples, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/load/print.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"shalewick/standin/upstream"
+)
+
+// Print writes the report as a short table; latencies in milliseconds.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "%-12s %8s %8s %8s %8s %8s %8s  %s\n", "kind", "sent", "answered", "unknown", "p50", "p99", "p99.9", "refused")
+	for _, l := range r.Lines {
+		ms := func(q float64) float64 { return float64(l.Latencies.ValueAtQuantile(q)) / 1000 }
+		var refused []string
+		for _, c := range slices.Sorted(maps.Keys(l.Refused)) {
+			refused = append(refused, fmt.Sprintf("%s=%d", c.Info().Name, l.Refused[c]))
+		}
+		fmt.Fprintf(w, "%-12s %8d %8d %8d %8.2f %8.2f %8.2f  %s\n", l.Name, l.Sent, l.Answered, l.Unknown,
+			ms(50), ms(99), ms(99.9), strings.Join(refused, " "))
+	}
+	fmt.Fprintf(w, "lost=%d doubled=%d mixed=%d false_not_run=%d\n", r.Lost, r.Doubled, r.Mixed, r.FalseNotRun)
+	for _, e := range r.Examples {
+		fmt.Fprintln(w, "  fault:", e)
+	}
+}
+
+// fetchTimeout bounds the reading of one stand-in's records.
+const fetchTimeout = 30 * time.Second
+
+// FetchRecords reads the records of upstream stand-ins.
+func FetchRecords(addresses []string) ([]upstream.Record, error) {
+	var out []upstream.Record
+	c := http.Client{Timeout: fetchTimeout}
+	for _, a := range addresses {
+		res, err := c.Get("http://" + a + "/standin/records")
+		if err != nil {
+			return nil, errors.Annotatef(err, "records of %s", a)
+		}
+		dec := json.NewDecoder(res.Body)
+		for {
+			var rec upstream.Record
+			if err = dec.Decode(&rec); err != nil {
+				break
+			}
+			out = append(out, rec)
+		}
+		_ = res.Body.Close() // read to its end
+		if !errors.Is(err, io.EOF) {
+			return nil, errors.Annotatef(err, "records of %s", a)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/process/admin/admin.go
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: MIT
+
+package admin
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/kataras/iris/v12"
+	"github.com/rs/zerolog"
+
+	"shalewick/process/config"
+	"shalewick/process/metric"
+	"shalewick/process/platform"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// Admin serves operators. The fields are set before use.
+type Admin struct {
+	Log     *config.Log
+	Store   *config.Store
+	Logger  zerolog.Logger
+	Metrics *metric.Set
+	Status  func(context.Context) []EntryStatus
+	Ready   func() bool
+}
+
+// EntryStatus is what one instance has in force.
+type EntryStatus struct {
+	ID          string    `json:"id"`
+	Instance    string    `json:"instance"`
+	Hall        string    `json:"hall"`
+	Leaving     bool      `json:"leaving,omitempty"`
+	Missing     string    `json:"missing,omitempty"` // why it did not answer
+	Version     int64     `json:"version"`
+	Since       time.Time `json:"since"`
+	ConfirmedMs int64     `json:"confirmedMs"` // age of the last confirmation; -1: none
+	Epoch       int64     `json:"epoch"`       // of the split of tokens
+
+	Pools            []PoolStatus `json:"pools,omitempty"`
+	UpstreamsLeaving []string     `json:"upstreamsLeaving,omitempty"`
+}
+
+// PoolStatus counts the tokens of one limit at one instance.
+type PoolStatus struct {
+	Pool     string `json:"pool"`
+	Size     int32  `json:"size"`
+	Home     int32  `json:"home"`
+	Free     int32  `json:"free"`
+	Busy     int32  `json:"busy"`
+	Lent     int32  `json:"lent"`
+	Borrowed int32  `json:"borrowed"`
+}
+
+// Applied is the answer to an accepted change.
+type Applied struct {
+	Version   int64  `json:"version"`
+	Operation string `json:"operation"`
+}
+
+// Refused is the answer to a refused change.
+type Refused struct {
+	request.Result
+	Text    string            `json:"text"`
+	Present *version.Resource `json:"present,omitempty"` // on conflict
+}
+
+// Status is the answer to a status call.
+type Status struct {
+	Version int64         `json:"version"` // in force at the answering instance
+	InForce bool          `json:"inForce"` // everywhere; with wait, the awaited version
+	Entries []EntryStatus `json:"entries"`
+}
+
+// maxBody bounds a call's body, in bytes.
+const maxBody = 8 << 20
+
+// Handler returns the HTTP handler.
+func (a *Admin) Handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post("/v1/apply", a.apply)
+	app.Get("/v1/resources", a.list)
+	app.Get("/v1/resources/{kind}", a.list)
+	app.Get("/v1/resources/{kind}/{name}", a.get)
+	app.Delete("/v1/resources/{kind}/{name}", a.delete)
+	app.Get("/v1/watch", a.watch)
+	app.Get("/v1/status", a.status)
+	app.Get("/metrics", func(c iris.Context) { _ = a.Metrics.Write(c.ResponseWriter()) })
+	app.Get("/healthz", func(c iris.Context) { _, _ = c.WriteString("ok\n") })
+	app.Get("/readyz", a.ready)
+	if err := app.Build(); err != nil {
+		return nil, errors.Annotate(err, "build admin routes")
+	}
+	return app, nil
+}
+
+func (a *Admin) ready(c iris.Context) {
+	if !a.Ready() {
+		request.NotRun(request.NoVersion, time.Second).Write(c.ResponseWriter())
+		return
+	}
+	_, _ = c.WriteString("ready\n")
+}
+
+func (a *Admin) apply(c iris.Context) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, maxBody))
+	if err != nil {
+		a.refuse(c, request.TooLarge, err)
+		return
+	}
+	puts, err := version.Parse(body)
+	if err != nil {
+		a.refuse(c, request.Invalid, err)
+		return
+	}
+	if len(puts) == 0 {
+		a.refuse(c, request.Invalid, errors.New("no documents"))
+		return
+	}
+	a.commit(c, version.Change{Puts: puts})
+}
+
+func (a *Admin) delete(c iris.Context) {
+	v, err := strconv.ParseInt(c.URLParam("version"), 10, 64)
+	if err != nil || v <= 0 {
+		a.refuse(c, request.Invalid, errors.New("version: must name the version that the deletion is made against"))
+		return
+	}
+	a.commit(c, version.Change{Deletes: []version.Ref{{Key: keyOf(c), Version: v}}})
+}
+
+func keyOf(c iris.Context) version.Key {
+	return version.Key{Kind: version.Kind(c.Params().Get("kind")), Name: c.Params().Get("name")}
+}
+
+// commitTimeout bounds the taking of a change to the platform.
+const commitTimeout = 15 * time.Second
+
+func (a *Admin) commit(c iris.Context, ch version.Change) {
+	ch.Operation = cmp.Or(c.GetHeader(request.HeaderOperation), rand.Text())
+	c.Header(request.HeaderOperation, ch.Operation)
+	// A caller that goes away does not leave a change half known.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), commitTimeout)
+	defer cancel()
+	seq, err := a.Log.Commit(ctx, ch)
+	if err != nil {
+		a.refuse(c, codeOf(err), err)
+		return
+	}
+	a.Logger.Info().Int64("version", seq).Str("operation", ch.Operation).Int("puts", len(ch.Puts)).
+		Int("deletes", len(ch.Deletes)).Msg("accepted")
+	writeJSON(c, http.StatusOK, Applied{Version: seq, Operation: ch.Operation})
+}
+
+// codeOf numbers the error of a commit.
+func codeOf(err error) request.Code {
+	var conflict *version.ConflictError
+	var field *version.FieldError
+	switch {
+	case errors.As(err, &conflict):
+		return request.Conflict
+	case errors.As(err, &field):
+		return request.Invalid
+	case errors.Is(err, platform.Unknown):
+		return request.CommitUnknown
+	}
+	return request.PlatformDown
+}
+
+func (a *Admin) refuse(c iris.Context, code request.Code, err error) {
+	info := code.Info()
+	r := Refused{Result: request.NotRun(code, 0), Text: info.Text}
+	r.Name = info.Name
+	r.Detail = err.Error()
+	if code == request.CommitUnknown {
+		r.Ran = request.RanUnknown
+	}
+	var conflict *version.ConflictError
+	if errors.As(err, &conflict) && conflict.Present.Kind != "" {
+		r.Present = &conflict.Present
+	}
+	c.Header(request.HeaderResult, code.String())
+	c.Header(request.HeaderRan, string(r.Ran))
+	writeJSON(c, info.Status, r)
+}
+
+func writeJSON(c iris.Context, status int, v any) {
+	c.ContentType("application/json")
+	c.StatusCode(status)
+	_ = json.NewEncoder(c.ResponseWriter()).Encode(v) // a caller that is gone needs no answer
+}
+
+func (a *Admin) list(c iris.Context) {
+	rs := a.Store.Config().List(version.Kind(c.Params().Get("kind")))
+	if rs == nil {
+		rs = []version.Resource{}
+	}
+	writeJSON(c, http.StatusOK, rs)
+}
+
+func (a *Admin) get(c iris.Context) {
+	r, ok := a.Store.Config().Resources[keyOf(c)]
+	if !ok {
+		a.refuse(c, request.NotFound, errors.Errorf("%s does not exist", keyOf(c)))
+		return
+	}
+	writeJSON(c, http.StatusOK, r)
+}
+
+// watch streams changes. One that is asked for from a version that is no
+// longer kept begins with the whole configuration as one change.
+func (a *Admin) watch(c iris.Context) {
+	from, err := strconv.ParseInt(cmp.Or(c.URLParam("from"), "0"), 10, 64)
+	if err != nil {
+		a.refuse(c, request.Invalid, errors.New("from: must be a version"))
+		return
+	}
+	w := c.ResponseWriter()
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	for {
+		news := a.Store.News()
+		changes, ok := a.Store.Since(from)
+		if !ok {
+			cfg := a.Store.Config()
+			changes = []version.Change{{Seq: cfg.Seq, Operation: "snapshot", Puts: cfg.List("")}}
+		}
+		for _, ch := range changes {
+			if err := enc.Encode(ch); err != nil {
+				return
+			}
+			from = ch.Seq
+		}
+		w.Flush()
+		select {
+		case <-news:
+		case <-c.Request().Context().Done():
+			return
+		}
+	}
+}
+
+// Times of a waiting status call.
+const (
+	statusPoll     = 100 * time.Millisecond
+	defaultTimeout = 13 * time.Second
+)
+
+func (a *Admin) status(c iris.Context) {
+	ctx := c.Request().Context()
+	st := Status{Version: a.Store.Config().Seq}
+	want := st.Version
+	if text := c.URLParam("wait"); text != "" {
+		w, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			a.refuse(c, request.Invalid, errors.New("wait: must be a version"))
+			return
+		}
+		want = w
+	}
+	timeout, err := time.ParseDuration(cmp.Or(c.URLParam("timeout"), defaultTimeout.String()))
+	if err != nil {
+		a.refuse(c, request.Invalid, errors.New("timeout: must be a duration like 5s"))
+		return
+	}
+	limit := time.Now().Add(timeout)
+	for {
+		st.Entries = a.Status(ctx)
+		st.InForce = inForce(st.Entries, want)
+		if st.InForce || c.URLParam("wait") == "" || time.Now().After(limit) || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(statusPoll)
+	}
+	st.Version = a.Store.Config().Seq
+	code := http.StatusOK
+	if !st.InForce && c.URLParam("wait") != "" {
+		code = request.NotInForce.Info().Status
+		c.Header(request.HeaderResult, request.NotInForce.String())
+	}
+	writeJSON(c, code, st)
+}
+
+func inForce(entries []EntryStatus, want int64) bool {
+	for _, e := range entries {
+		if e.Missing != "" || e.Version < want {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/process/entry/entry.go
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"shalewick/process/admin"
+	"shalewick/process/config"
+	"shalewick/process/front"
+	"shalewick/process/health"
+	"shalewick/process/member"
+	"shalewick/process/metric"
+	"shalewick/process/peer"
+	"shalewick/process/platform"
+	"shalewick/process/slots"
+	"shalewick/process/steer"
+	"shalewick/process/ticket"
+	"shalewick/version"
+)
+
+// Entry is one running instance.
+type Entry struct {
+	settings Settings
+	log      zerolog.Logger
+	started  time.Time
+
+	platform platform.Platform
+	members  *member.Registry
+	store    *config.Store
+	changes  *config.Log
+	slots    *slots.Table
+	health   *health.Table
+	steer    *steer.Steerer
+	ledger   *ticket.Ledger
+	metrics  *metric.Set
+	front    *front.Front
+	peers    *peerConns
+	splitter splitter
+
+	short  chan struct{} // a request lacks a token
+	push   chan struct{} // there is something new to tell all peers
+	synced chan struct{} // closed once a version is in force and confirmed
+	once   sync.Once
+
+	servers []*http.Server
+	grpc    *grpc.Server
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+	probes  *http.Client
+}
+
+// Start checks the settings, opens the listeners and starts the loops. It
+// returns once the entry serves; requests are refused until it has a version.
+func Start(s Settings, logTo io.Writer) (*Entry, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	e := &Entry{
+		settings: s,
+		log:      NewLogger(logTo).Level(level).With().Str("instance", s.Instance).Logger(),
+		started:  time.Now(),
+		platform: platform.NewClient(s.Platform),
+		metrics:  metric.NewSet(),
+		peers:    newPeerConns(),
+		short:    make(chan struct{}, 1),
+		push:     make(chan struct{}, 1),
+		synced:   make(chan struct{}),
+		probes:   &http.Client{Timeout: probeTimeout},
+	}
+	e.assemble()
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	for _, loop := range []func(context.Context){
+		e.exchangeLoop, e.pushLoop, e.platformLoop, e.splitLoop, e.balanceLoop, e.probeLoop, e.tickLoop,
+	} {
+		e.loops.Go(func() { loop(ctx) })
+	}
+	e.log.Info().Str("id", e.members.Self().GetId()).Str("front", s.Front).
+		Str("peer", s.Peer).Str("admin", s.Admin).Str("hall", s.Hall).Msg("started")
+	return e, nil
+}
+
+// now is the process's clock. It goes on while the process is stopped.
+func (e *Entry) now() time.Duration { return time.Since(e.started) }
+
+// assemble makes the parts and ties them together.
+func (e *Entry) assemble() {
+	s := e.settings
+	id := s.Instance + "." + strings.ToLower(rand.Text()[:8])
+	e.members = member.NewRegistry(&peer.Member{
+		Id: id, Instance: s.Instance, Hall: s.Hall, Front: s.Front, Peer: s.Peer,
+	})
+	e.slots = &slots.Table{Self: id, OnFree: func(int32) { e.steer.Wake() }}
+	e.health = &health.Table{OnLeaving: e.onLeaving}
+	e.steer = &steer.Steerer{
+		Now: e.now, Slots: e.slots, Health: e.health, Region: e.region,
+		Short: func() { poke(e.short) },
+	}
+	e.store = &config.Store{Now: e.now, OnInstall: e.onInstall}
+	e.changes = &config.Log{Platform: e.platform, Store: e.store}
+	e.ledger = ticket.NewLedger(id, e.now)
+	e.front = &front.Front{
+		Steer: e.steer, Ledger: e.ledger, Members: e.members,
+		Metrics: e.metrics, Log: e.log, Now: e.now,
+	}
+}
+
+// region returns the own region in a view.
+func (e *Entry) region(v *version.View) int32 {
+	if h := v.Hall(e.settings.Hall); h != version.None {
+		return v.Halls[h].Region
+	}
+	return version.None
+}
+
+func (e *Entry) onInstall(v *version.View) {
+	e.steer.Install(v)
+	e.log.Info().Int64("version", v.Seq).Msg("in-force")
+	poke(e.push)
+}
+
+func (e *Entry) onLeaving(l health.Leaving) {
+	e.log.Info().Str("upstream", l.Upstream).Str("boot", l.Boot).Msg("upstream-leaving")
+	poke(e.push)
+}
+
+// poke wakes a loop; one wake is enough for many pokes.
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// confirm notes that the version and the split in force were confirmed by
+// somebody who was asked at a time.
+func (e *Entry) confirm(asked time.Duration) {
+	if _, _, ok := e.store.InForce(); !ok {
+		return
+	}
+	e.steer.Confirm(asked)
+	e.once.Do(func() { close(e.synced) })
+}
+
+// Ready reports whether the entry serves.
+func (e *Entry) Ready() bool {
+	select {
+	case <-e.synced:
+		return e.steer.Fresh()
+	default:
+		return false
+	}
+}
+
+const (
+	tickTime   = 10 * time.Millisecond
+	healthTime = 100 * time.Millisecond
+	decayTime  = time.Second
+	purgeTime  = time.Minute
+)
+
+// tickLoop moves on what waits for time.
+func (e *Entry) tickLoop(ctx context.Context) {
+	var health, decay, purge time.Duration
+	every(ctx, tickTime, func() {
+		now := e.now()
+		e.slots.Tick(now)
+		if now-health >= healthTime {
+			health = now
+			e.health.Tick(now)
+		}
+		if now-decay >= decayTime {
+			decay = now
+			e.slots.Decay()
+		}
+		if now-purge >= purgeTime {
+			purge = now
+			e.ledger.Purge()
+		}
+	})
+}
+
+// every calls f at once and then at each interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// adminServer returns the handler for operators.
+func (e *Entry) adminServer() (http.Handler, error) {
+	a := &admin.Admin{
+		Log:     e.changes,
+		Store:   e.store,
+		Logger:  e.log,
+		Metrics: e.metrics,
+		Status:  e.allStatus,
+		Ready:   e.Ready,
+	}
+	return a.Handler()
+}
--- /dev/null
+++ b/process/entry/log.go
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each
+// event.
+func NewLogger(w io.Writer) zerolog.Logger {
+	pair := func(key string) zerolog.Formatter {
+		return func(v any) string {
+			if v == nil {
+				return ""
+			}
+			return fmt.Sprintf("%s=%v", key, v)
+		}
+	}
+	out := zerolog.ConsoleWriter{
+		Out: w, NoColor: true,
+		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FormatTimestamp: pair("time"),
+		FormatLevel:     pair("level"),
+		FormatMessage:   pair("event"),
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(out).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/process/entry/probe.go
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shalewick/conn"
+	"shalewick/version"
+)
+
+// Times and bounds of the probing of upstreams.
+const (
+	probeTime    = 500 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
+	// probers is the number of members that probe each upstream.
+	probers = 2
+)
+
+// probeLoop asks upstreams for their load report. Each is probed by a few
+// members of its region, chosen by hash; what they learn of its leaving they
+// tell the others. An upstream that this member has closed is probed too.
+func (e *Entry) probeLoop(ctx context.Context) {
+	every(ctx, probeTime, func() {
+		b := e.steer.Bound()
+		if b == nil {
+			return
+		}
+		live := e.candidates(b.View)
+		for i := range b.View.Upstreams {
+			u := &b.View.Upstreams[i]
+			var ids []string
+			for _, c := range live {
+				if c.Region == b.View.Regions[u.Region] {
+					ids = append(ids, c.ID)
+				}
+			}
+			if b.Counters.Closed[i].Load() || proberOf(u.Name, ids, e.members.Self().GetId()) {
+				go e.probe(ctx, u)
+			}
+		}
+	})
+}
+
+// proberOf reports whether a member is one of those that probe an upstream.
+func proberOf(upstream string, ids []string, self string) bool {
+	slices.SortFunc(ids, func(a, b string) int {
+		ha, hb := xxhash.Sum64String(upstream+a), xxhash.Sum64String(upstream+b)
+		if ha < hb {
+			return -1
+		}
+		return 1
+	})
+	return slices.Contains(ids[:min(len(ids), probers)], self)
+}
+
+func (e *Entry) probe(ctx context.Context, u *version.UpstreamView) {
+	start := e.now()
+	rep, err := conn.Probe(ctx, e.probes, u.Address)
+	if err != nil {
+		e.health.Failed(u.Name, e.now())
+		return
+	}
+	e.health.Probed(u.Name, rep, e.now()-start, e.now())
+}
--- /dev/null
+++ b/process/entry/status.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"shalewick/process/admin"
+	"shalewick/process/peer"
+)
+
+const statusTimeout = time.Second
+
+// allStatus asks every member what it has in force.
+func (e *Entry) allStatus(ctx context.Context) []admin.EntryStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	members := e.members.All(e.now())
+	out := make([]admin.EntryStatus, len(members))
+	var all sync.WaitGroup
+	for i, m := range members {
+		all.Go(func() { out[i] = e.statusOf(ctx, m) })
+	}
+	all.Wait()
+	return out
+}
+
+func (e *Entry) statusOf(ctx context.Context, m *peer.Member) admin.EntryStatus {
+	s := admin.EntryStatus{ID: m.GetId(), Instance: m.GetInstance(), Hall: m.GetHall(), Leaving: m.GetLeaving()}
+	reply := e.status()
+	if m.GetId() != e.members.Self().GetId() {
+		client, err := e.peers.client(m.GetPeer())
+		if err == nil {
+			reply, err = client.Status(ctx, &peer.StatusRequest{})
+		}
+		if err == nil && reply.GetSelf().GetId() != m.GetId() {
+			s.Missing = "replaced"
+			return s
+		}
+		if err != nil {
+			s.Missing = "no answer"
+			return s
+		}
+	}
+	s.Version = reply.GetSeq()
+	s.Since = time.Now().Add(-time.Duration(reply.GetSinceMs()) * time.Millisecond)
+	s.ConfirmedMs = reply.GetConfirmedMs()
+	s.Epoch = reply.GetEpoch()
+	for _, p := range reply.GetPools() {
+		s.Pools = append(s.Pools, admin.PoolStatus{
+			Pool: p.GetPool(), Size: p.GetSize(), Home: p.GetHome(), Free: p.GetFree(),
+			Busy: p.GetBusy(), Lent: p.GetLent(), Borrowed: p.GetBorrowed(),
+		})
+	}
+	for _, l := range reply.GetLeaving() {
+		s.UpstreamsLeaving = append(s.UpstreamsLeaving, l.GetUpstream())
+	}
+	return s
+}
--- /dev/null
+++ b/process/health/health.go
@@ -0,0 +1,232 @@
+// SPDX-License-Identifier: MIT
+
+package health
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shalewick/conn"
+	"shalewick/version"
+)
+
+// Leaving is an upstream's word that one start of it takes no more work.
+type Leaving struct {
+	Upstream string
+	Boot     string
+}
+
+// Table keeps what is known of each upstream, by name. OnLeaving is set before
+// use; it is called without a lock held when a fact is first learned.
+type Table struct {
+	OnLeaving func(Leaving)
+
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+	leaving   map[Leaving]bool
+	digest    uint64
+	view      *version.View
+	counters  *version.Counters
+	places    map[string]int32
+}
+
+type upstream struct {
+	boot     string
+	cost     time.Duration
+	failures int           // in a row
+	closed   time.Duration // closed for failures until then, on the process's clock
+	cold     bool
+}
+
+// Bounds of the reaction to failures.
+const (
+	failuresToClose = 3
+	firstClose      = 500 * time.Millisecond
+	maxClose        = 5 * time.Second
+	costWeight      = 8 // one new time counts 1/8 in the mean
+)
+
+// Install puts a view in force.
+func (t *Table) Install(v *version.View, n *version.Counters, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.upstreams == nil {
+		t.upstreams = make(map[string]*upstream)
+	}
+	t.view, t.counters = v, n
+	t.places = make(map[string]int32, len(v.Upstreams))
+	for i := range v.Upstreams {
+		name := v.Upstreams[i].Name
+		t.places[name] = int32(i)
+		if t.upstreams[name] == nil {
+			t.upstreams[name] = &upstream{}
+		}
+	}
+	for name := range t.upstreams {
+		if _, ok := t.places[name]; !ok {
+			delete(t.upstreams, name)
+		}
+	}
+	t.publishAll(now)
+}
+
+// Answered notes an answer: how long it took, and the upstream's own word.
+func (t *Table) Answered(name string, took time.Duration, state, boot string, now time.Duration) {
+	t.mu.Lock()
+	u := t.upstreams[name]
+	if u == nil {
+		t.mu.Unlock()
+		return
+	}
+	u.failures = 0
+	u.closed = 0
+	if u.cost == 0 {
+		u.cost = took
+	}
+	u.cost += (took - u.cost) / costWeight
+	fact, news := t.word(name, u, state, boot)
+	t.publish(name, now)
+	t.mu.Unlock()
+	if news {
+		t.OnLeaving(fact)
+	}
+}
+
+// Probed notes a load report.
+func (t *Table) Probed(name string, rep conn.Report, took time.Duration, now time.Duration) {
+	t.mu.Lock()
+	u := t.upstreams[name]
+	if u == nil {
+		t.mu.Unlock()
+		return
+	}
+	if now >= u.closed {
+		u.failures = 0
+	}
+	if u.cost == 0 {
+		u.cost = took
+	}
+	fact, news := t.word(name, u, rep.State, rep.Boot)
+	t.publish(name, now)
+	t.mu.Unlock()
+	if news {
+		t.OnLeaving(fact)
+	}
+}
+
+// word takes up an upstream's own word. The caller holds the lock.
+func (t *Table) word(name string, u *upstream, state, boot string) (Leaving, bool) {
+	if boot == "" {
+		return Leaving{}, false
+	}
+	u.boot = boot
+	u.cold = state == conn.StateCold
+	if state != conn.StateLeaving {
+		return Leaving{}, false
+	}
+	fact := Leaving{Upstream: name, Boot: boot}
+	return fact, t.add(fact)
+}
+
+func (t *Table) add(f Leaving) bool {
+	if t.leaving[f] {
+		return false
+	}
+	if t.leaving == nil {
+		t.leaving = make(map[Leaving]bool)
+	}
+	t.leaving[f] = true
+	t.digest ^= xxhash.Sum64String(f.Upstream + "\x00" + f.Boot)
+	return true
+}
+
+// Failed notes that an attempt or a probe got no whole answer.
+func (t *Table) Failed(name string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[name]
+	if u == nil {
+		return
+	}
+	u.failures++
+	if over := u.failures - failuresToClose; over >= 0 {
+		u.closed = now + min(maxClose, firstClose<<min(over, 4))
+	}
+	t.publish(name, now)
+}
+
+// Merge takes up facts that a peer knows.
+func (t *Table) Merge(facts []Leaving, now time.Duration) {
+	var news []Leaving
+	t.mu.Lock()
+	for _, f := range facts {
+		if t.add(f) {
+			news = append(news, f)
+			t.publish(f.Upstream, now)
+		}
+	}
+	t.mu.Unlock()
+	for _, f := range news {
+		t.OnLeaving(f)
+	}
+}
+
+// Facts returns the leaving facts, unordered.
+func (t *Table) Facts() []Leaving {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Leaving, 0, len(t.leaving))
+	for f := range t.leaving {
+		out = append(out, f)
+	}
+	return out
+}
+
+// Digest is equal for equal sets of facts.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest
+}
+
+// Tick opens upstreams whose time of being closed has passed.
+func (t *Table) Tick(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.view != nil {
+		t.publishAll(now)
+	}
+}
+
+func (t *Table) publishAll(now time.Duration) {
+	for name := range t.places {
+		t.publish(name, now)
+	}
+}
+
+// publish writes what decisions read. The caller holds the lock.
+func (t *Table) publish(name string, now time.Duration) {
+	place, ok := t.places[name]
+	if !ok {
+		return
+	}
+	u := t.upstreams[name]
+	t.counters.Cost[place].Store(int64(u.cost))
+	t.counters.Closed[place].Store(now < u.closed || t.isLeaving(name, u))
+}
+
+// isLeaving reports whether the latest known start of an upstream is leaving.
+// A fact about a start that was never seen here counts until it is.
+func (t *Table) isLeaving(name string, u *upstream) bool {
+	if u.boot != "" {
+		return t.leaving[Leaving{Upstream: name, Boot: u.boot}]
+	}
+	for f := range t.leaving {
+		if f.Upstream == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/process/slots/table.go
@@ -0,0 +1,381 @@
+// SPDX-License-Identifier: MIT
+
+package slots
+
+import (
+	"sync"
+	"time"
+
+	"shalewick/version"
+)
+
+// Table holds the tokens of one member. Self and OnFree are set before use.
+// All times are durations on the process's own monotonic clock.
+type Table struct {
+	// Self is the member's id.
+	Self string
+	// OnFree is called without a lock held when tokens of a service became
+	// free; None stands for any service.
+	OnFree func(service int32)
+
+	mu       sync.Mutex
+	view     *version.View
+	counters *version.Counters
+	split    *Split
+	pools    map[string]*pool
+	bound    []*pool // by index in the view's pools
+	groups   map[groupKey]*group
+	leases   uint64
+	leaving  bool
+}
+
+type groupKey struct {
+	service string
+	region  string
+}
+
+// Grant is what a request holds: one token of each pool that it needs.
+type Grant struct {
+	n      int
+	pools  [version.MaxPools]*pool
+	tokens [version.MaxPools]*token
+}
+
+// Install puts a view in force. Free counts go to the counters from now on.
+func (t *Table) Install(v *version.View, n *version.Counters, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pools == nil {
+		t.pools = make(map[string]*pool)
+	}
+	old := t.groups
+	t.view, t.counters = v, n
+	t.groups = make(map[groupKey]*group)
+	for _, p := range t.pools {
+		p.place = -1
+		p.group = nil
+	}
+	t.bound = make([]*pool, len(v.Pools))
+	for i, spec := range v.Pools {
+		p := t.pools[spec.Name]
+		if p == nil {
+			p = &pool{}
+			t.pools[spec.Name] = p
+		}
+		p.spec, p.place = spec, i
+		t.bound[i] = p
+	}
+	for i := range v.Upstreams {
+		u := &v.Upstreams[i]
+		p := t.bound[u.Pool]
+		p.group = t.groupOf(v.Services[u.Service].Name, v.Regions[u.Region], old)
+		p.group.busy += p.busy()
+	}
+	t.syncHomes(now)
+	t.publishAll(now)
+}
+
+// groupOf returns the group of a service in a region, made on first use from
+// what an earlier view's group knew.
+func (t *Table) groupOf(service, region string, old map[groupKey]*group) *group {
+	k := groupKey{service, region}
+	g := t.groups[k]
+	if g == nil {
+		g = &group{}
+		if o := old[k]; o != nil {
+			g.peak, g.waiting = o.peak, o.waiting
+		}
+		t.groups[k] = g
+	}
+	return g
+}
+
+func (p *pool) busy() int {
+	n := 0
+	for _, t := range p.tokens {
+		if t.state == stateBusy {
+			n++
+		}
+	}
+	return n
+}
+
+// SetSplit takes up a newer split.
+func (t *Table) SetSplit(s *Split, now time.Duration) {
+	t.mu.Lock()
+	if t.split != nil && s.Epoch <= t.split.Epoch {
+		t.mu.Unlock()
+		return
+	}
+	t.split = s
+	t.syncHomes(now)
+	t.publishAll(now)
+	t.mu.Unlock()
+	t.OnFree(version.None)
+}
+
+// Split returns the split in force, never nil.
+func (t *Table) Split() *Split {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.split == nil {
+		return &Split{}
+	}
+	return t.split
+}
+
+// syncHomes makes the tokens at home here those that the split names.
+func (t *Table) syncHomes(now time.Duration) {
+	if t.split == nil {
+		return
+	}
+	for name, p := range t.pools {
+		t.loseHomes(name, p)
+		if p.place >= 0 {
+			t.gainHomes(name, p, now)
+		}
+	}
+}
+
+func (t *Table) loseHomes(name string, p *pool) {
+	for i := len(p.tokens) - 1; i >= 0; i-- {
+		k := p.tokens[i]
+		if k.lessor != "" || t.split.Home(name, k.index) == t.Self {
+			continue
+		}
+		if k.state == stateBusy {
+			k.revoked = true
+			continue
+		}
+		p.remove(k)
+	}
+}
+
+func (t *Table) gainHomes(name string, p *pool, now time.Duration) {
+	ps := t.split.Pools[name]
+	fenced := make(map[int32]bool, len(ps.Fenced))
+	for _, i := range ps.Fenced {
+		fenced[i] = true
+	}
+	for i := range ps.Homes {
+		if t.split.Home(name, i) != t.Self || p.atHome(i) != nil {
+			continue
+		}
+		k := &token{index: i}
+		if fenced[int32(i)] {
+			k.state = stateResting
+			k.until = now + Fence(&p.spec)
+		}
+		p.tokens = append(p.tokens, k)
+	}
+}
+
+// Take takes one token of each pool that the choice needs, or none. The seq
+// is that of the view that the choice was made on.
+func (t *Table) Take(seq int64, c *version.Choice, now time.Duration) (Grant, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var g Grant
+	if t.view == nil || t.view.Seq != seq {
+		return g, false
+	}
+	for _, place := range c.Pools[:c.NumPools] {
+		p := t.bound[place]
+		k := p.take(now)
+		if k == nil {
+			t.undo(&g, now)
+			t.publish(p, now)
+			return Grant{}, false
+		}
+		k.state = stateBusy
+		k.lastUsed = now
+		g.pools[g.n], g.tokens[g.n] = p, k
+		g.n++
+		if p.group != nil {
+			p.group.busy++
+			p.group.note()
+		}
+		t.publish(p, now)
+	}
+	return g, true
+}
+
+// undo puts tokens back that no request used.
+func (t *Table) undo(g *Grant, now time.Duration) {
+	for i := range g.n {
+		p, k := g.pools[i], g.tokens[i]
+		k.state = stateFree
+		if p.group != nil {
+			p.group.busy--
+		}
+		t.publish(p, now)
+	}
+	g.n = 0
+}
+
+// Valid reports whether the tokens may still be used for a request that has
+// not left yet.
+func (t *Table) Valid(g *Grant, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range g.n {
+		k := g.tokens[i]
+		if k.revoked || k.expired(now) || k.index >= g.pools[i].size() {
+			return false
+		}
+	}
+	return true
+}
+
+// Release gives the tokens of a grant back, after the upstream let go.
+func (t *Table) Release(g *Grant, now time.Duration) {
+	t.mu.Lock()
+	for i := range g.n {
+		p, k := g.pools[i], g.tokens[i]
+		k.state = stateFree
+		k.lastUsed = now
+		if p.spec.Kind == version.PoolRate {
+			k.state = stateResting
+			k.until = now + RestTime
+		}
+		if k.revoked {
+			p.remove(k)
+		}
+		if p.group != nil {
+			p.group.busy--
+		}
+		t.publish(p, now)
+	}
+	g.n = 0
+	t.mu.Unlock()
+	t.OnFree(version.None)
+}
+
+// Tick moves on what waits for time: rests, fences, and leases of tokens lent
+// from here. It is called every few milliseconds.
+func (t *Table) Tick(now time.Duration) {
+	t.mu.Lock()
+	freed := false
+	for _, p := range t.pools {
+		before := p.usable(now)
+		for _, k := range p.tokens {
+			over := k.state == stateResting || k.state == stateLent
+			if over && now >= k.until {
+				k.state = stateFree
+				k.holder = ""
+			}
+		}
+		after := p.usable(now)
+		freed = freed || after > before || t.published(p) < after
+		t.publish(p, now)
+	}
+	t.mu.Unlock()
+	if freed {
+		t.OnFree(version.None)
+	}
+}
+
+// Decay lowers the remembered demand by half. It is called every second.
+func (t *Table) Decay() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.groups {
+		g.peak /= 2
+		g.note()
+	}
+	for _, p := range t.pools {
+		p.wanted = false
+	}
+}
+
+// Wait changes the number of requests that wait for a service in a region.
+func (t *Table) Wait(service, region string, by int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groupOf(service, region, nil)
+	g.waiting += by
+	g.note()
+}
+
+// Miss notes that a request could have used one more slot of a service in a
+// region, and a token of each of the named pools.
+func (t *Table) Miss(service, region string, pools ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groupOf(service, region, nil)
+	g.peak = max(g.peak, float64(g.busy+g.waiting+1))
+	for _, name := range pools {
+		if p := t.pools[name]; p != nil {
+			p.wanted = true
+		}
+	}
+}
+
+func (t *Table) publish(p *pool, now time.Duration) {
+	if p.place >= 0 {
+		t.counters.Free[p.place].Store(int32(p.usable(now)))
+	}
+}
+
+func (t *Table) published(p *pool) int {
+	if p.place < 0 {
+		return 0
+	}
+	return int(t.counters.Free[p.place].Load())
+}
+
+func (t *Table) publishAll(now time.Duration) {
+	for _, p := range t.bound {
+		t.publish(p, now)
+	}
+}
+
+// Held returns how many slots of a service this member can use at once now.
+func (t *Table) Held(service string, now time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for k := range t.groups {
+		if k.service != service {
+			continue
+		}
+		for _, p := range t.groupPools(k.service, k.region) {
+			n += p.usable(now) + p.busy()
+		}
+	}
+	return n
+}
+
+// PoolStatus counts the tokens of one pool as this member sees them.
+type PoolStatus struct {
+	Name     string
+	Size     int
+	Home     int // at home here
+	Free     int // usable now, own or borrowed
+	Busy     int
+	Lent     int
+	Borrowed int
+}
+
+// Status returns the counts of the pools in force.
+func (t *Table) Status(now time.Duration) []PoolStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]PoolStatus, 0, len(t.bound))
+	for _, p := range t.bound {
+		s := PoolStatus{Name: p.spec.Name, Size: p.spec.Size, Free: p.usable(now), Busy: p.busy()}
+		for _, k := range p.tokens {
+			switch {
+			case k.lessor != "":
+				s.Borrowed++
+			case k.state == stateLent:
+				s.Lent++
+				s.Home++
+			default:
+				s.Home++
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/request/result.go
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Code is the number of a result. docs/RESULTS.md lists them.
+type Code int
+
+// The result codes. Tens group them: 1x the request is at fault, 2x there is
+// no room, 3x the instance can not serve now, 4x an upstream failed, 5x
+// tickets, 6x operators' calls.
+const (
+	OK Code = 0
+
+	BadRequest     Code = 10
+	UnknownService Code = 11
+	UnknownRoute   Code = 12
+	TooLarge       Code = 13
+	CallerGone     Code = 14
+
+	QueueFull    Code = 20
+	DeadlineNear Code = 21
+	NoUpstream   Code = 22
+
+	NoVersion   Code = 30
+	Unconfirmed Code = 31
+	Leaving     Code = 32
+
+	ConnectFailed   Code = 40
+	UpstreamRefused Code = 41
+	AnswerLost      Code = 42
+	AnswerWrong     Code = 43
+	DeadlinePassed  Code = 44
+
+	TicketNeeded  Code = 50
+	TicketInvalid Code = 51
+	TicketGone    Code = 52
+	TicketUsed    Code = 53
+
+	Invalid       Code = 60
+	Conflict      Code = 61
+	NotFound      Code = 62
+	PlatformDown  Code = 63
+	CommitUnknown Code = 64
+	NotInForce    Code = 65
+)
+
+// Ran says whether an upstream ran a request.
+type Ran string
+
+// The values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Info describes a code.
+type Info struct {
+	Name   string
+	Status int // HTTP status
+	Text   string
+}
+
+// infos is the table that docs/RESULTS.md shows.
+var infos = map[Code]Info{
+	OK:              {"OK", http.StatusOK, "answered by an upstream"},
+	BadRequest:      {"BAD_REQUEST", http.StatusBadRequest, "the request could not be read"},
+	UnknownService:  {"UNKNOWN_SERVICE", http.StatusNotFound, "no service has this name or host"},
+	UnknownRoute:    {"UNKNOWN_ROUTE", http.StatusNotFound, "the service has no route for this method and path"},
+	TooLarge:        {"TOO_LARGE", http.StatusRequestEntityTooLarge, "the body is larger than the route allows"},
+	CallerGone:      {"CALLER_GONE", 499, "the caller went away before the answer"},
+	QueueFull:       {"QUEUE_FULL", http.StatusServiceUnavailable, "too many requests wait for a slot"},
+	DeadlineNear:    {"DEADLINE_NEAR", http.StatusServiceUnavailable, "no slot can be had before the deadline"},
+	NoUpstream:      {"NO_UPSTREAM", http.StatusServiceUnavailable, "no upstream of the service takes work"},
+	NoVersion:       {"NO_VERSION", http.StatusServiceUnavailable, "the instance has no configuration yet"},
+	Unconfirmed:     {"UNCONFIRMED", http.StatusServiceUnavailable, "nobody has confirmed the instance's configuration lately"},
+	Leaving:         {"LEAVING", http.StatusServiceUnavailable, "the instance is leaving; use another"},
+	ConnectFailed:   {"CONNECT_FAILED", http.StatusBadGateway, "no connection to an upstream could be opened"},
+	UpstreamRefused: {"UPSTREAM_REFUSED", http.StatusServiceUnavailable, "the upstream refused the request without running it"},
+	AnswerLost:      {"ANSWER_LOST", http.StatusBadGateway, "the connection failed before the whole answer came"},
+	AnswerWrong:     {"ANSWER_WRONG", http.StatusBadGateway, "the upstream's answer was not to this request"},
+	DeadlinePassed:  {"DEADLINE_PASSED", http.StatusGatewayTimeout, "no whole answer came before the deadline"},
+	TicketNeeded:    {"TICKET_NEEDED", http.StatusPreconditionRequired, "a request that may not be repeated needs a ticket; one is in the header"},
+	TicketInvalid:   {"TICKET_INVALID", http.StatusBadRequest, "the ticket was not issued by this system"},
+	TicketGone:      {"TICKET_GONE", http.StatusConflict, "the ticket's instance is gone or the ticket is too old; it will never run from now on"},
+	TicketUsed:      {"TICKET_USED", http.StatusConflict, "the ticket was used before and the answer is no longer kept"},
+	Invalid:         {"INVALID", http.StatusUnprocessableEntity, "a resource breaks a rule"},
+	Conflict:        {"CONFLICT", http.StatusConflict, "the resource has changed since"},
+	NotFound:        {"NOT_FOUND", http.StatusNotFound, "no such resource"},
+	PlatformDown:    {"PLATFORM_DOWN", http.StatusServiceUnavailable, "the platform did not answer; nothing was written"},
+	CommitUnknown:   {"COMMIT_UNKNOWN", http.StatusServiceUnavailable, "the platform's answer was lost; ask again with the same operation id"},
+	NotInForce:      {"NOT_IN_FORCE", http.StatusGatewayTimeout, "not every instance has the version in force"},
+}
+
+// Info returns the description of the code.
+func (c Code) Info() Info {
+	return infos[c]
+}
+
+// Codes lists every code with a description, unordered.
+func Codes() []Code {
+	cs := make([]Code, 0, len(infos))
+	for c := range infos {
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+// String returns number and name.
+func (c Code) String() string {
+	return fmt.Sprintf("%d %s", int(c), infos[c].Name)
+}
+
+// Headers of requests and answers.
+const (
+	HeaderService   = "Shalewick-Service"    // names the service, before Host
+	HeaderResult    = "Shalewick-Result"     // number and name of the result
+	HeaderRan       = "Shalewick-Ran"        // no, yes or unknown
+	HeaderRetry     = "Shalewick-Retry-Ms"   // when to come back, milliseconds
+	HeaderDeadline  = "Shalewick-Timeout-Ms" // time left, milliseconds
+	HeaderID        = "Shalewick-Request-Id" // echoed by upstreams
+	HeaderTicket    = "Shalewick-Ticket"     // ticket of a request that may not be repeated
+	HeaderOnce      = "Shalewick-Once"       // "true": treat as not repeatable
+	HeaderForwarded = "Shalewick-Forwarded"  // set by an instance that passes a ticket on
+	HeaderRegion    = "Shalewick-Region"     // region of the instance that sent it
+	HeaderNotRun    = "Shalewick-Not-Run"    // "true" in an upstream's refusal: it was not run
+	HeaderState     = "Shalewick-State"      // upstream's own word: ready, cold or leaving
+	HeaderBoot      = "Shalewick-Boot"       // identifies one start of an upstream
+	HeaderUpstream  = "Shalewick-Upstream"   // which upstream answered
+	HeaderOperation = "Shalewick-Operation"  // identifies an operator's call
+)
+
+// Result is the end of a request that no upstream's answer ended.
+type Result struct {
+	Code   Code          `json:"code"`
+	Name   string        `json:"name"`
+	Ran    Ran           `json:"ran"`
+	Retry  time.Duration `json:"-"` // when to come back; zero: no use in coming back
+	Detail string        `json:"detail,omitempty"`
+}
+
+// NotRun returns a result that promises that the request was not run.
+func NotRun(c Code, retry time.Duration) Result {
+	return Result{Code: c, Ran: RanNo, Retry: retry}
+}
+
+// Unknown returns a result for a request that may have been run.
+func Unknown(c Code) Result {
+	return Result{Code: c, Ran: RanUnknown}
+}
+
+// Error makes a Result usable as an error.
+func (r Result) Error() string {
+	return fmt.Sprintf("%s: %s (ran: %s)", r.Code, r.Detail, r.Ran)
+}
+
+// resultBody is the JSON form of a Result.
+type resultBody struct {
+	Result
+	Text    string `json:"text"`
+	RetryMs int64  `json:"retryMs,omitempty"`
+}
+
+// Write answers with the result, in headers and JSON body.
+func (r Result) Write(w http.ResponseWriter) {
+	info := r.Code.Info()
+	r.Name = info.Name
+	h := w.Header()
+	h.Set(HeaderResult, r.Code.String())
+	h.Set(HeaderRan, string(r.Ran))
+	if r.Retry > 0 {
+		h.Set(HeaderRetry, strconv.FormatInt(r.Retry.Milliseconds(), 10))
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.Retry.Seconds()))))
+	}
+	b, err := json.Marshal(resultBody{Result: r, Text: info.Text, RetryMs: r.Retry.Milliseconds()})
+	if err != nil {
+		b = []byte("{}")
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(info.Status)
+	_, _ = w.Write(b) // the caller may be gone; there is nobody left to tell
+}
+
+// FromHeader reads a result back. The bool is false for an upstream's answer.
+func FromHeader(h http.Header) (Result, bool) {
+	text := h.Get(HeaderResult)
+	if text == "" {
+		return Result{}, false
+	}
+	var r Result
+	var code int
+	if _, err := fmt.Sscanf(text, "%d %s", &code, &r.Name); err != nil {
+		return Result{}, false
+	}
+	r.Code = Code(code)
+	r.Ran = Ran(h.Get(HeaderRan))
+	if ms, err := strconv.ParseInt(h.Get(HeaderRetry), 10, 64); err == nil {
+		r.Retry = time.Duration(ms) * time.Millisecond
+	}
+	return r, r.Code != OK
+}
--- /dev/null
+++ b/standin/upstream/server.go
@@ -0,0 +1,245 @@
+// SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shalewick/conn"
+	"shalewick/request"
+)
+
+// Headers between the load tool and the stand-in.
+const (
+	HeaderTag = "Load-Tag"
+	HeaderSum = "Load-Sum"
+)
+
+// Fault is how the stand-in is told to misbehave. Shares are 0 to 1. The zero
+// value is none.
+type Fault struct {
+	SlowMs       int     `json:"slowMs"`       // added to each request's work
+	Shed         float64 `json:"shed"`         // refused without running
+	Leaving      bool    `json:"leaving"`      // says that it is leaving
+	LieIdle      bool    `json:"lieIdle"`      // reports no load
+	LateMs       int     `json:"lateMs"`       // answer held back after the work
+	Cut          float64 `json:"cut"`          // answers cut short
+	WrongID      float64 `json:"wrongId"`      // answers with another request's id
+	Drop         float64 `json:"drop"`         // connections closed in place of an answer
+	ColdRequests int     `json:"coldRequests"` // how many next requests are cold
+	ColdMs       int     `json:"coldMs"`       // added to the work of a cold request
+}
+
+// Record is one request that was run.
+type Record struct {
+	Upstream string    `json:"upstream"`
+	Tag      string    `json:"tag"`
+	Method   string    `json:"method"`
+	Region   string    `json:"region"` // of the instance that sent it
+	Start    time.Time `json:"start"`
+	End      time.Time `json:"end"`
+	Leaving  bool      `json:"leaving"` // had said that it was leaving, at the start
+	Done     bool      `json:"done"`    // the work was finished, not cancelled
+}
+
+// Server is one stand-in. Name, Slots and Work are set before use.
+type Server struct {
+	Name  string
+	Slots int
+	Work  time.Duration // mean time of work for one request
+
+	mu       sync.Mutex
+	boot     string
+	fault    Fault
+	inFlight int
+	peak     int
+	records  []Record
+}
+
+// SetFault replaces the present fault.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	s.fault = f
+	s.mu.Unlock()
+}
+
+// Peak returns the most requests that ran at once.
+func (s *Server) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+// Records returns a copy of what was run.
+func (s *Server) Records() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Record(nil), s.records...)
+}
+
+// Handler returns the HTTP form.
+func (s *Server) Handler() http.Handler {
+	s.boot = strconv.FormatUint(rand.Uint64(), 36)
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /standin/fault", func(w http.ResponseWriter, r *http.Request) {
+		var f Fault
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFault(f)
+	})
+	mux.HandleFunc("GET /standin/records", func(w http.ResponseWriter, _ *http.Request) {
+		b := bufio.NewWriter(w)
+		defer b.Flush()
+		for _, rec := range s.Records() {
+			_ = json.NewEncoder(b).Encode(rec)
+		}
+	})
+	mux.HandleFunc("GET /standin/peak", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s.Peak())
+	})
+	mux.HandleFunc("GET /probe", s.probe)
+	mux.HandleFunc("/", s.work)
+	return mux
+}
+
+// state is the stand-in's own word on itself.
+func (f *Fault) state() string {
+	if f.Leaving {
+		return conn.StateLeaving
+	}
+	if f.ColdRequests > 0 {
+		return conn.StateCold
+	}
+	return conn.StateReady
+}
+
+func (s *Server) probe(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	rep := conn.Report{State: s.fault.state(), Boot: s.boot, InFlight: s.inFlight, Slots: s.Slots}
+	if s.fault.LieIdle {
+		rep.InFlight = 0
+	}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(rep)
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.fault
+	s.mu.Unlock()
+	h := w.Header()
+	h.Set(request.HeaderState, f.state())
+	h.Set(request.HeaderBoot, s.boot)
+	h.Set(request.HeaderID, r.Header.Get(request.HeaderID))
+	if rand.Float64() < f.Shed {
+		h.Set(request.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	at, cold := s.begin(r)
+	sum, done := s.run(r, cold)
+	s.end(at, done)
+	time.Sleep(time.Duration(f.LateMs) * time.Millisecond)
+	if !done || rand.Float64() < f.Drop {
+		panic(http.ErrAbortHandler)
+	}
+	if rand.Float64() < f.WrongID {
+		h.Set(request.HeaderID, "not-"+r.Header.Get(request.HeaderID))
+	}
+	h.Set(HeaderSum, strconv.FormatUint(sum, 16))
+	s.answer(w, r, rand.Float64() < f.Cut)
+}
+
+// begin takes a slot and opens a record; it returns the record's place.
+func (s *Server) begin(r *http.Request) (at int, cold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight++
+	s.peak = max(s.peak, s.inFlight)
+	if s.fault.ColdRequests > 0 {
+		s.fault.ColdRequests--
+		cold = true
+	}
+	s.records = append(s.records, Record{
+		Upstream: s.Name, Tag: r.Header.Get(HeaderTag), Method: r.Method,
+		Region: r.Header.Get(request.HeaderRegion), Start: time.Now(), Leaving: s.fault.Leaving,
+	})
+	return len(s.records) - 1, cold
+}
+
+// end gives the slot back and closes the record.
+func (s *Server) end(at int, done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	s.records[at].End = time.Now()
+	s.records[at].Done = done
+}
+
+// run reads the body and works, until done, cancelled or past the deadline.
+func (s *Server) run(r *http.Request, cold bool) (sum uint64, done bool) {
+	ctx := r.Context()
+	if ms, err := strconv.Atoi(r.Header.Get(request.HeaderDeadline)); err == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+		defer cancel()
+	}
+	d := xxhash.New()
+	if _, err := io.Copy(d, r.Body); err != nil {
+		return 0, false
+	}
+	s.mu.Lock()
+	work := time.Duration(float64(s.Work)*(0.5+rand.Float64())) + time.Duration(s.fault.SlowMs)*time.Millisecond
+	if cold {
+		work += time.Duration(s.fault.ColdMs) * time.Millisecond
+	}
+	s.mu.Unlock()
+	t := time.NewTimer(work)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return d.Sum64(), true
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// maxSize bounds an answer's body, in bytes.
+const maxSize = 64 << 20
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, cut bool) {
+	tag := r.Header.Get(HeaderTag)
+	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
+	size = min(max(size, len(tag)), maxSize)
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	w.WriteHeader(http.StatusOK)
+	if cut {
+		_, _ = io.WriteString(w, tag[:len(tag)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, tag)
+	_, _ = io.Copy(w, io.LimitReader(filler{}, int64(size-len(tag))))
+}
+
+// filler is an endless source of dots.
+type filler struct{}
+
+func (filler) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = '.'
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/version/check.go
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"shalewick/request"
+)
+
+// FieldError names the field of a resource that breaks a rule.
+type FieldError struct {
+	Key   Key
+	Field string
+	Rule  string
+}
+
+// Error names resource, field and rule.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s: %s", e.Key, e.Field, e.Rule)
+}
+
+var nameRule = regexp.MustCompile("^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$")
+
+// Check applies every rule to the whole configuration and returns the first
+// breach, a *FieldError.
+func (c *Config) Check() error {
+	for _, r := range c.List("") {
+		k := checker{c: c, key: r.Key}
+		k.that(len(r.Name) <= MaxName && nameRule.MatchString(r.Name), "name",
+			"must be 1 to 63 of a-z, 0-9, '-' and '.', beginning and ending with a letter or digit")
+		k.resource(&r)
+		if k.err != nil {
+			return k.err
+		}
+	}
+	return c.checkUnique()
+}
+
+// checker keeps the first breach found in one resource.
+type checker struct {
+	c   *Config
+	key Key
+	err error
+}
+
+func (k *checker) that(ok bool, field, rule string) {
+	if !ok && k.err == nil {
+		k.err = &FieldError{Key: k.key, Field: field, Rule: rule}
+	}
+}
+
+// exists checks that a field names a resource.
+func (k *checker) exists(field string, kind Kind, name string) {
+	_, ok := k.c.Resources[Key{kind, name}]
+	k.that(ok, field, fmt.Sprintf("names %s %q, which does not exist", kind, name))
+}
+
+func (k *checker) resource(r *Resource) {
+	switch r.Kind {
+	case KindService:
+		k.service(r.Service)
+	case KindHall:
+		k.exists("spec.region", KindRegion, r.Hall.Region)
+	case KindUpstream:
+		k.upstream(r.Upstream)
+	case KindLink:
+		k.link(r.Link)
+	case KindShift:
+		k.shift(r.Shift)
+	case KindDrain:
+		k.drain(r.Drain)
+	}
+}
+
+func (k *checker) service(s *Service) {
+	k.that(len(s.Routes) > 0, "spec.routes", "must have at least one route")
+	k.that(s.Queue >= 0 && s.Queue <= 1<<16, "spec.queue", "must be 0 to 65536")
+	for i, rt := range s.Routes {
+		f := fmt.Sprintf("spec.routes[%d].", i)
+		k.that(strings.HasPrefix(rt.Prefix, "/"), f+"prefix", "must begin with '/'")
+		k.that(rt.Class.Valid(), f+"class", "must be one of "+strings.Join(request.ClassNames(), ", "))
+		k.that(rt.Deadline > 0 && time.Duration(rt.Deadline) <= MaxDeadline, f+"deadline", "must be above 0 and at most 10m")
+		k.that(rt.MaxBody >= 0, f+"maxBody", "must not be negative")
+	}
+}
+
+func (k *checker) upstream(u *Upstream) {
+	k.exists("spec.service", KindService, u.Service)
+	k.exists("spec.hall", KindHall, u.Hall)
+	k.that(u.Address.IsValid() && u.Address.Port() != 0, "spec.address", "must be an IP number and a port")
+	k.that(u.Slots >= 1 && u.Slots <= MaxSlots, "spec.slots", "must be 1 to 4096")
+}
+
+func (k *checker) link(l *Link) {
+	k.exists("spec.from", KindRegion, l.From)
+	k.exists("spec.to", KindRegion, l.To)
+	k.that(l.From != l.To, "spec.to", "must differ from spec.from")
+	k.that(l.Cap >= 0 && l.Cap <= MaxSlots, "spec.cap", "must be 0 to 4096")
+	k.that(l.Latency >= 0, "spec.latency", "must not be negative")
+}
+
+func (k *checker) shift(s *Shift) {
+	k.exists("spec.service", KindService, s.Service)
+	k.exists("spec.from", KindRegion, s.From)
+	k.exists("spec.to", KindRegion, s.To)
+	k.that(s.From != s.To, "spec.to", "must differ from spec.from")
+	k.that(s.Share >= 0 && s.Share <= 1, "spec.share", "must be 0 to 1")
+	k.that(s.Cap >= 0 && s.Cap <= MaxSlots, "spec.cap", "must be 0 to 4096")
+	k.that(s.Rate >= 0 && s.Rate <= MaxSlots, "spec.rate", "must be 0 to 4096")
+	k.that(s.Ramp >= 0, "spec.ramp", "must not be negative")
+	k.that(k.c.hasLink(s.From, s.To), "spec.to", "has no link from spec.from")
+}
+
+func (c *Config) hasLink(from, to string) bool {
+	for _, r := range c.Resources {
+		if r.Link != nil && r.Link.From == from && r.Link.To == to {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *checker) drain(d *Drain) {
+	set := 0
+	for _, t := range []struct {
+		field string
+		kind  Kind
+		name  string
+	}{
+		{"spec.upstream", KindUpstream, d.Upstream},
+		{"spec.hall", KindHall, d.Hall},
+		{"spec.region", KindRegion, d.Region},
+	} {
+		if t.name == "" {
+			continue
+		}
+		set++
+		k.exists(t.field, t.kind, t.name)
+	}
+	k.that(set == 1, "spec", "must name exactly one upstream, hall or region")
+}
+
+// checkUnique refuses two resources that claim the same thing.
+func (c *Config) checkUnique() error {
+	seen := make(map[string]Key)
+	claim := func(r Resource, field, what string) error {
+		if other, ok := seen[field+what]; ok {
+			return &FieldError{Key: r.Key, Field: field, Rule: fmt.Sprintf("%s is already used by %s", what, other)}
+		}
+		seen[field+what] = r.Key
+		return nil
+	}
+	for _, r := range c.List("") {
+		if err := r.eachClaim(claim); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// eachClaim calls f for whatever the resource must be alone in naming.
+func (r Resource) eachClaim(f func(r Resource, field, what string) error) error {
+	switch r.Kind {
+	case KindUpstream:
+		return f(r, "spec.address", r.Upstream.Address.String())
+	case KindLink:
+		return f(r, "spec.to", "link from "+r.Link.From+" to "+r.Link.To)
+	case KindShift:
+		return f(r, "spec.to", "shift of "+r.Shift.Service+" from "+r.Shift.From)
+	case KindService:
+		for _, h := range r.Service.Hosts {
+			if err := f(r, "spec.hosts", h); err != nil {
+				return err
+			}
+		}
+	case KindHall:
+		for _, p := range r.Hall.Clients {
+			if err := f(r, "spec.clients", p.Masked().String()); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/version/view.go
@@ -0,0 +1,289 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"shalewick/request"
+)
+
+// None is the index of nothing.
+const None int32 = -1
+
+// PoolKind says what one token of a pool stands for.
+type PoolKind uint8
+
+const (
+	// PoolSlots has one token for each slot of an upstream.
+	PoolSlots PoolKind = iota
+	// PoolLink has one token for each request that may be on a link at once.
+	PoolLink
+	// PoolShift has one token for each shifted request that may run at once.
+	PoolShift
+	// PoolRate has one token for each shifted request that may start in a second.
+	PoolRate
+)
+
+// Pool is one limit of the configuration, as a number of tokens.
+type Pool struct {
+	Name     string // same name in every version in which the limit exists
+	Kind     PoolKind
+	Size     int
+	Region   int32         // the region whose instances need the tokens
+	Deadline time.Duration // the longest deadline of a request that holds one
+}
+
+// UpstreamView is an upstream with names replaced by indexes.
+type UpstreamView struct {
+	Name    string
+	Service int32
+	Hall    int32
+	Region  int32
+	Address string
+	Pool    int32
+	Drained bool // by a drain resource
+}
+
+// HallView is a hall with its region.
+type HallView struct {
+	Name   string
+	Region int32
+}
+
+// Crossing is the way from one region to another.
+type Crossing struct {
+	To      int32
+	Pool    int32
+	Latency time.Duration
+}
+
+// ShiftView is a shift with indexes. Pool is None where there is no shift.
+type ShiftView struct {
+	Name     string
+	To       int32
+	Share    float64
+	Ramp     time.Duration
+	Pool     int32
+	RatePool int32 // None without a rate
+}
+
+// ServiceView is a service with its upstreams grouped by region.
+type ServiceView struct {
+	Name     string
+	Routes   []Route
+	Queue    int
+	Deadline time.Duration // the longest of its routes
+	ByRegion [][]int32     // upstreams by region
+	Shifts   []ShiftView   // by the region they are from
+}
+
+// View is a Config compiled for decisions. It never changes.
+type View struct {
+	Seq       int64
+	Config    *Config
+	Regions   []string
+	Halls     []HallView
+	Services  []ServiceView
+	Upstreams []UpstreamView
+	Crossings [][]Crossing // by region, nearest first
+	Pools     []Pool
+	Blocks    BlockTable // client address to hall
+
+	services map[string]int32
+	hosts    map[string]int32
+	regions  map[string]int32
+	halls    map[string]int32
+}
+
+// Service returns the index of the service with this name, or None.
+func (v *View) Service(name string) int32 { return find(v.services, name) }
+
+// Host returns the index of the service with this host, or None.
+func (v *View) Host(host string) int32 { return find(v.hosts, host) }
+
+// Region returns the index of the region, or None.
+func (v *View) Region(name string) int32 { return find(v.regions, name) }
+
+// Hall returns the index of the hall, or None.
+func (v *View) Hall(name string) int32 { return find(v.halls, name) }
+
+func find(m map[string]int32, name string) int32 {
+	if i, ok := m[name]; ok {
+		return i
+	}
+	return None
+}
+
+// Route returns the first route of a service that matches, or nil.
+func (s *ServiceView) Route(method, path string) *Route {
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Classes lists the classes of a service's routes.
+func (s *ServiceView) Classes() []request.Class {
+	var cs []request.Class
+	for _, r := range s.Routes {
+		if !slices.Contains(cs, r.Class) {
+			cs = append(cs, r.Class)
+		}
+	}
+	return cs
+}
+
+// Compile builds the view of a checked configuration.
+func Compile(c *Config) (*View, error) {
+	v := &View{
+		Seq:      c.Seq,
+		Config:   c,
+		services: make(map[string]int32),
+		hosts:    make(map[string]int32),
+		regions:  make(map[string]int32),
+		halls:    make(map[string]int32),
+	}
+	v.addPlaces(c)
+	v.addServices(c)
+	v.addUpstreams(c)
+	v.addLinks(c)
+	v.addShifts(c)
+	v.addDrains(c)
+	return v, v.addBlocks(c)
+}
+
+func (v *View) addPlaces(c *Config) {
+	for i, r := range c.List(KindRegion) {
+		v.regions[r.Name] = int32(i)
+		v.Regions = append(v.Regions, r.Name)
+	}
+	v.Crossings = make([][]Crossing, len(v.Regions))
+	for i, r := range c.List(KindHall) {
+		v.halls[r.Name] = int32(i)
+		v.Halls = append(v.Halls, HallView{Name: r.Name, Region: v.Region(r.Hall.Region)})
+	}
+}
+
+func (v *View) addServices(c *Config) {
+	for i, r := range c.List(KindService) {
+		s := ServiceView{
+			Name:     r.Name,
+			Queue:    cmp.Or(r.Service.Queue, DefaultQueue),
+			Routes:   slices.Clone(r.Service.Routes),
+			ByRegion: make([][]int32, len(v.Regions)),
+			Shifts:   make([]ShiftView, len(v.Regions)),
+		}
+		for j := range s.Routes {
+			rt := &s.Routes[j]
+			rt.MaxBody = cmp.Or(rt.MaxBody, DefaultMaxBody)
+			s.Deadline = max(s.Deadline, time.Duration(rt.Deadline))
+		}
+		for j := range s.Shifts {
+			s.Shifts[j].Pool = None
+		}
+		v.services[r.Name] = int32(i)
+		for _, h := range r.Service.Hosts {
+			v.hosts[h] = int32(i)
+		}
+		v.Services = append(v.Services, s)
+	}
+}
+
+func (v *View) addPool(p Pool) int32 {
+	v.Pools = append(v.Pools, p)
+	return int32(len(v.Pools) - 1)
+}
+
+func (v *View) addUpstreams(c *Config) {
+	for i, r := range c.List(KindUpstream) {
+		svc := v.Service(r.Upstream.Service)
+		hall := v.Hall(r.Upstream.Hall)
+		region := v.Halls[hall].Region
+		s := &v.Services[svc]
+		pool := v.addPool(Pool{
+			Name: r.Key.String(), Kind: PoolSlots, Size: r.Upstream.Slots,
+			Region: region, Deadline: s.Deadline,
+		})
+		v.Upstreams = append(v.Upstreams, UpstreamView{
+			Name: r.Name, Service: svc, Hall: hall, Region: region,
+			Address: r.Upstream.Address.String(), Pool: pool,
+		})
+		s.ByRegion[region] = append(s.ByRegion[region], int32(i))
+	}
+}
+
+func (v *View) addLinks(c *Config) {
+	longest := v.longestDeadline()
+	for _, r := range c.List(KindLink) {
+		from := v.Region(r.Link.From)
+		pool := v.addPool(Pool{Name: r.Key.String(), Kind: PoolLink, Size: r.Link.Cap, Region: from, Deadline: longest})
+		v.Crossings[from] = append(v.Crossings[from], Crossing{
+			To: v.Region(r.Link.To), Pool: pool, Latency: time.Duration(r.Link.Latency),
+		})
+	}
+	for _, cs := range v.Crossings {
+		slices.SortStableFunc(cs, func(a, b Crossing) int { return cmp.Compare(a.Latency, b.Latency) })
+	}
+}
+
+func (v *View) longestDeadline() time.Duration {
+	var d time.Duration
+	for i := range v.Services {
+		d = max(d, v.Services[i].Deadline)
+	}
+	return d
+}
+
+func (v *View) addShifts(c *Config) {
+	for _, r := range c.List(KindShift) {
+		from := v.Region(r.Shift.From)
+		s := &v.Services[v.Service(r.Shift.Service)]
+		sv := ShiftView{
+			Name: r.Name, To: v.Region(r.Shift.To), Share: r.Shift.Share,
+			Ramp: time.Duration(r.Shift.Ramp), RatePool: None,
+		}
+		p := Pool{Name: r.Key.String(), Kind: PoolShift, Size: r.Shift.Cap, Region: from, Deadline: s.Deadline}
+		sv.Pool = v.addPool(p)
+		if r.Shift.Rate > 0 {
+			p.Name += "/rate"
+			p.Kind = PoolRate
+			p.Size = r.Shift.Rate
+			sv.RatePool = v.addPool(p)
+		}
+		s.Shifts[from] = sv
+	}
+}
+
+func (v *View) addDrains(c *Config) {
+	for _, r := range c.List(KindDrain) {
+		for i := range v.Upstreams {
+			u := &v.Upstreams[i]
+			named := u.Name == r.Drain.Upstream ||
+				v.Halls[u.Hall].Name == r.Drain.Hall ||
+				v.Regions[u.Region] == r.Drain.Region
+			u.Drained = u.Drained || named
+		}
+	}
+}
+
+func (v *View) addBlocks(c *Config) error {
+	var blocks []Block
+	for _, r := range c.List(KindHall) {
+		for _, p := range r.Hall.Clients {
+			blocks = append(blocks, Block{Prefix: p, Site: uint16(v.Hall(r.Name))})
+		}
+	}
+	var err error
+	v.Blocks, err = NewBlockTable(blocks)
+	return err
+}
