all: find tokens where they are, and members at once

Cause: in the demonstration reads were refused with QUEUE_FULL in the first half second and commits waited for up to 1.4 s three seconds after the start. The timeline of the outcomes showed three causes. New limits got homes only in the next half-second round. Members that started together knew each other only after an exchange round, so the first split gave all tokens to one. A member asked only peers of an upstream's region for its tokens and never for link tokens, although their homes were elsewhere.

Ruled out: lost leases (the counts of lent and borrowed tokens agreed at each moment), lost lease calls (none failed in the log), conflicts of split writers.

Change: a new version wakes the split loop; the first round with the platform is followed by a push to all members; tokens are asked for at the members that the split names as homes; a decision names the link that lacked a token. The status names listed instances that are not known. A caller asks another instance at once after its first broken call; an instance that does not answer is left out of look-ups. Ports of the demonstration lie below the ephemeral range.

Conclusion: the refusals and the tail came from where tokens were sought, not from a lack of slots.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -101,6 +101,7 @@
 	ticket string
 	at     string      // the instance that the ticket is of
 	ran    request.Ran // what is known so far
+	breaks int
 	last   Refusal
 }
 
@@ -163,7 +164,8 @@
 	}
 	res, result, err := s.c.send(ctx, entry, s.req, s.ticket)
 	if err != nil {
-		return nil, pause, s.broken(entry, err)
+		s.broken(entry, err)
+		return nil, s.pause(), false
 	}
 	if result == nil {
 		return res, 0, false
@@ -171,14 +173,23 @@
 	return s.refused(entry, result)
 }
 
-// broken takes note of a call that brought nothing.
-func (s *sending) broken(entry string, err error) (final bool) {
+// broken takes note of a call that brought nothing. With a ticket the outcome
+// can be asked for by way of another instance; without one the request is
+// repeatable and is sent again.
+func (s *sending) broken(entry string, err error) {
 	s.c.failed(entry)
 	s.last = Refusal{Err: err}
 	s.ran = request.RanUnknown
-	// With a ticket the outcome can be asked for; without one, a request
-	// may be sent again, since only repeatable ones have none.
-	return false
+	s.breaks++
+}
+
+// pause is the time before the next try after a broken call: none the first
+// time, since another instance is asked.
+func (s *sending) pause() time.Duration {
+	if s.breaks <= 1 {
+		return 0
+	}
+	return pause
 }
 
 // refused takes note of a result.
--- a/cmd/shalewick/standin.go
+++ b/cmd/shalewick/standin.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
@@ -46,7 +48,7 @@
 }
 
 func standinUpstreamCommand() *cobra.Command {
-	var listen, name string
+	var listen, name, journal string
 	var count, slots int
 	var work time.Duration
 	cmd := &cobra.Command{
@@ -61,10 +63,18 @@
 			if count < 1 || slots < 1 || work < 0 {
 				return errors.New("--count and --slots must be at least 1, --work not negative")
 			}
+			var out io.Writer
+			if journal != "" {
+				f, err := os.OpenFile(journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+				if err != nil {
+					return errors.Annotate(err, "--journal")
+				}
+				out = f
+			}
 			var addresses []string
 			var handlers []http.Handler
 			for i := range count {
-				s := &upstream.Server{Name: name + strconv.Itoa(i), Slots: slots, Work: work}
+				s := &upstream.Server{Name: name + strconv.Itoa(i), Slots: slots, Work: work, Journal: out}
 				addresses = append(addresses, netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String())
 				handlers = append(handlers, s.Handler())
 			}
@@ -74,6 +84,7 @@
 	f := cmd.Flags()
 	f.StringVar(&listen, "listen", "127.0.0.1:9000", "address of the first to listen on")
 	f.StringVar(&name, "name", "upstream-", "beginning of their names in records")
+	f.StringVar(&journal, "journal", "", "file to append records to, which outlives a kill")
 	f.IntVar(&count, "count", 1, "how many")
 	f.IntVar(&slots, "slots", 4, "requests that each serves at once")
 	f.DurationVar(&work, "work", 5*time.Millisecond, "mean time of work for a request")
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -93,16 +93,6 @@
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-// freePort returns a port that was free a moment ago.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (w *world) start() error {
 	base, err := serve(w.platform.Handler())
 	if err != nil {
@@ -141,24 +131,21 @@
 func instanceName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func (w *world) startEntry(i int, base string) error {
-	var ports [3]string
-	for j := range ports {
-		p, err := freePort()
-		if err != nil {
-			return err
-		}
-		ports[j] = p
+	ports, err := fleet.Ports(3)
+	if err != nil {
+		return err
 	}
+	front, admin := ports[0].String(), ports[2].String()
 	e, err := entry.Start(entry.Settings{
-		Instance: instanceName(i), Hall: w.size.Hall(i), Front: ports[0], Peer: ports[1], Admin: ports[2],
+		Instance: instanceName(i), Hall: w.size.Hall(i), Front: front, Peer: ports[1].String(), Admin: admin,
 		Platform: base, Grace: entry.DefaultGrace, LogLevel: "error",
 	}, io.Discard)
 	if err != nil {
 		return err
 	}
 	w.entries = append(w.entries, e)
-	w.fronts = append(w.fronts, ports[0])
-	w.admins = append(w.admins, ports[2])
+	w.fronts = append(w.fronts, front)
+	w.admins = append(w.admins, admin)
 	return nil
 }
 
--- a/load/load.go
+++ b/load/load.go
@@ -56,6 +56,7 @@
 	Ran  request.Ran
 	// Wrong says what was wrong with an answer.
 	Wrong   string
+	Due     time.Duration // after the start of the run
 	Latency time.Duration // from when it was due
 }
 
@@ -85,6 +86,7 @@
 		all.Go(func() {
 			out := send(ctx, client, &o.Mix[kind], tag)
 			out.Kind = kind
+			out.Due = due.Sub(start)
 			out.Latency = time.Since(due)
 			outcomes[i] = out
 		})
--- a/process/admin/admin.go
+++ b/process/admin/admin.go
@@ -251,7 +251,7 @@
 
 // Times of a waiting status call.
 const (
-	statusPoll     = 100 * time.Millisecond
+	statusPoll     = 20 * time.Millisecond
 	defaultTimeout = 13 * time.Second
 )
 
--- a/process/entry/balance.go
+++ b/process/entry/balance.go
@@ -75,15 +75,16 @@
 	}
 }
 
-// ask borrows from one peer after the other and returns what is still wanted.
-// A pool's tokens are at home at members of its region, so these are asked for
-// slots of their region only.
+// ask borrows from one home of wanted tokens after the other and returns what
+// is still wanted.
 func (b *balancer) ask(ctx context.Context, peers []nearPeer, w slots.Want) int {
+	lessors := b.e.slots.Lessors(w)
 	for _, p := range peers {
+		id := p.member.GetId()
 		if w.Tokens <= 0 {
 			return 0
 		}
-		if b.e.now() < b.avoid[p.member.GetId()] || w.Region != "" && p.region != w.Region && p.homes {
+		if !lessors[id] || b.e.now() < b.avoid[id] {
 			continue
 		}
 		w.Tokens -= b.lease(ctx, p.member, &peer.LeaseRequest{Wants: []*peer.Want{{
@@ -107,6 +108,7 @@
 	reply, err := client.Lease(ctx, req)
 	if err != nil {
 		b.avoid[m.GetId()] = e.now() + avoidTime
+		e.log.Debug().Err(err).Str("peer", m.GetId()).Msg("lease-failed")
 		return 0
 	}
 	e.slots.Renewed(m.GetId(), fromTokens(reply.GetRenewed()), asked, e.now())
@@ -151,7 +153,6 @@
 type nearPeer struct {
 	member   *peer.Member
 	region   string
-	homes    bool // its region has members, itself, as homes of tokens
 	distance int
 }
 
@@ -167,7 +168,7 @@
 		if m.GetId() == self || h == version.None {
 			continue
 		}
-		p := nearPeer{member: m, region: v.Regions[v.Halls[h].Region], homes: true, distance: 2}
+		p := nearPeer{member: m, region: v.Regions[v.Halls[h].Region], distance: 2}
 		if p.region == home {
 			p.distance = 1
 		}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -50,6 +50,7 @@
 
 	short  chan struct{} // a request lacks a token
 	push   chan struct{} // there is something new to tell all peers
+	split  chan struct{} // there may be tokens without a home
 	synced chan struct{} // closed once a version is in force and confirmed
 	once   sync.Once
 
@@ -79,6 +80,7 @@
 		peers:    newPeerConns(),
 		short:    make(chan struct{}, 1),
 		push:     make(chan struct{}, 1),
+		split:    make(chan struct{}, 1),
 		synced:   make(chan struct{}),
 		probes:   &http.Client{Timeout: probeTimeout},
 	}
@@ -135,6 +137,7 @@
 	e.steer.Install(v)
 	e.log.Info().Int64("version", v.Seq).Msg("in-force")
 	poke(e.push)
+	poke(e.split)
 }
 
 func (e *Entry) onLeaving(l health.Leaving) {
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -145,6 +145,9 @@
 	asked := e.now()
 	reply, err := client.Exchange(ctx, st)
 	if err != nil {
+		if ctx.Err() != context.Canceled {
+			e.members.Unreachable(address, e.now())
+		}
 		e.log.Debug().Str("peer", address).Err(err).Msg("exchange-failed")
 		return
 	}
--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -34,16 +34,19 @@
 	pollPerMember = 50 * time.Millisecond
 )
 
-// platformLoop writes the heartbeat and reads what is new.
+// platformLoop writes the heartbeat and reads what is new. After the first
+// round the members that it found are told of this one.
 func (e *Entry) platformLoop(ctx context.Context) {
+	e.poll(ctx)
+	poke(e.push)
 	for ctx.Err() == nil {
-		e.poll(ctx)
 		live := len(e.members.Live(e.now()))
 		wait := max(pollTime, time.Duration(live)*pollPerMember)
 		if live <= 1 || !e.steer.Fresh() {
 			wait = pollAlone
 		}
 		sleep(ctx, wait*3/4+rand.N(wait/2))
+		e.poll(ctx)
 	}
 }
 
@@ -59,16 +62,18 @@
 // poll does one round with the platform.
 func (e *Entry) poll(ctx context.Context) {
 	asked := e.now()
-	err := e.changes.CatchUp(ctx)
+	err := e.heartbeat(ctx)
 	if err == nil {
-		err = e.readSplit(ctx)
+		err = e.readMembers(ctx)
 	}
 	if err == nil {
-		e.confirm(asked)
-		err = e.readMembers(ctx)
+		err = e.changes.CatchUp(ctx)
 	}
 	if err == nil {
-		err = e.heartbeat(ctx)
+		err = e.readSplit(ctx)
+	}
+	if err == nil {
+		e.confirm(asked)
 	}
 	if err != nil {
 		e.members.Unreadable()
--- a/process/entry/split.go
+++ b/process/entry/split.go
@@ -56,7 +56,17 @@
 	case <-ctx.Done():
 		return
 	}
-	every(ctx, splitTime, func() { e.splitRound(ctx) })
+	t := time.NewTicker(splitTime)
+	defer t.Stop()
+	for {
+		e.splitRound(ctx)
+		select {
+		case <-e.split: // a new version may have new limits
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (e *Entry) splitRound(ctx context.Context) {
--- a/process/entry/status.go
+++ b/process/entry/status.go
@@ -24,6 +24,9 @@
 		all.Go(func() { out[i] = e.statusOf(ctx, m) })
 	}
 	all.Wait()
+	for _, name := range e.members.Absent() {
+		out = append(out, admin.EntryStatus{Instance: name, Missing: "in the platform's list, but not known"})
+	}
 	return out
 }
 
--- a/process/member/registry.go
+++ b/process/member/registry.go
@@ -44,6 +44,7 @@
 	seen      time.Duration // last direct answer
 	known     time.Duration // first heard of
 	everSeen  bool
+	failed    time.Duration // last call to it that failed
 	deadSince time.Duration
 	dead      bool
 }
@@ -143,6 +144,27 @@
 	}
 }
 
+// Absent returns the names of instances that the platform's list has, but of
+// which no member is known.
+func (r *Registry) Absent() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := map[string]bool{r.self.GetInstance(): true}
+	for _, e := range r.members {
+		if !e.info.GetGone() {
+			known[e.info.GetInstance()] = true
+		}
+	}
+	var out []string
+	for name := range r.listed {
+		if !known[name] {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // leaving marks the members of an instance as leaving.
 func (r *Registry) leaving(instance string) {
 	if r.self.GetInstance() == instance {
@@ -165,6 +187,17 @@
 	}
 }
 
+// Unreachable notes that the member at a peer address did not answer.
+func (r *Registry) Unreachable(address string, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.members {
+		if e.info.GetPeer() == address {
+			e.failed = now
+		}
+	}
+}
+
 // Find returns a copy of a member, or nil.
 func (r *Registry) Find(id string) *peer.Member {
 	r.mu.Lock()
@@ -210,9 +243,12 @@
 	if e.info.GetGone() {
 		return false
 	}
+	if e.failed > e.seen {
+		return false
+	}
 	direct := e.everSeen && now-e.seen < SeenTime
 	beats := e.inRows && now-e.beatSince < LapseTime
-	return direct || beats && !(e.everSeen && now-e.seen > 2*SeenTime)
+	return direct || beats
 }
 
 // Dead returns the ids of the members whose tokens may be split anew.
--- a/process/slots/lease.go
+++ b/process/slots/lease.go
@@ -287,6 +287,28 @@
 // wantParts is the part of a link's or shift's tokens that is asked for at once.
 const wantParts = 16
 
+// Lessors returns the other members that are homes of tokens that are wanted.
+func (t *Table) Lessors(w Want) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]bool)
+	if t.view == nil || t.split == nil {
+		return out
+	}
+	pools := t.groupPools(w.Service, w.Region)
+	if p := t.pools[w.Pool]; p != nil {
+		pools = []*pool{p}
+	}
+	for _, p := range pools {
+		for i := range t.split.Pools[p.spec.Name].Homes {
+			if home := t.split.Home(p.spec.Name, i); home != "" && home != t.Self {
+				out[home] = true
+			}
+		}
+	}
+	return out
+}
+
 // Cede takes free tokens off this member that others should have, at most
 // limit, and returns them. They stay unusable until Uncede or a split that
 // gives them away.
--- a/process/steer/steer.go
+++ b/process/steer/steer.go
@@ -225,8 +225,11 @@
 	return version.None
 }
 
-// noteMiss tells the token table of tokens that a shift lacked.
+// noteMiss tells the token table of tokens that were lacking.
 func (s *Steerer) noteMiss(b *Bound, q *version.Query, c *version.Choice) {
+	if c.Link != version.None {
+		s.Slots.Miss(b.View.Services[q.Service].Name, b.View.Regions[q.Region], b.View.Pools[c.Link].Name)
+	}
 	if c.Missed == version.None {
 		return
 	}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -42,6 +42,7 @@
 
 // Record is one request that was run.
 type Record struct {
+	Seq      int       `json:"seq"` // its place among the upstream's records
 	Upstream string    `json:"upstream"`
 	Tag      string    `json:"tag"`
 	Method   string    `json:"method"`
@@ -57,6 +58,9 @@
 	Name  string
 	Slots int
 	Work  time.Duration // mean time of work for one request
+	// Journal, if set, gets each record as a JSON line when the request
+	// begins and again when it ends, so that records outlive a kill.
+	Journal io.Writer
 
 	mu       sync.Mutex
 	boot     string
@@ -173,10 +177,19 @@
 		cold = true
 	}
 	s.records = append(s.records, Record{
-		Upstream: s.Name, Tag: r.Header.Get(HeaderTag), Method: r.Method,
+		Seq: len(s.records), Upstream: s.Name, Tag: r.Header.Get(HeaderTag), Method: r.Method,
 		Region: r.Header.Get(request.HeaderRegion), Start: time.Now(), Leaving: s.fault.Leaving,
 	})
-	return len(s.records) - 1, cold
+	at = len(s.records) - 1
+	s.journal(&s.records[at])
+	return at, cold
+}
+
+// journal writes a record. The caller holds the lock.
+func (s *Server) journal(r *Record) {
+	if s.Journal != nil {
+		_ = json.NewEncoder(s.Journal).Encode(r) // a lost line shows as a fault in the report
+	}
 }
 
 // end gives the slot back and closes the record.
@@ -186,6 +199,7 @@
 	s.inFlight--
 	s.records[at].End = time.Now()
 	s.records[at].Done = done
+	s.journal(&s.records[at])
 }
 
 // run reads the body and works, until done, cancelled or past the deadline.
--- a/version/decide.go
+++ b/version/decide.go
@@ -55,6 +55,9 @@
 	// Missed is the region that a shift would have sent the request to, had
 	// there been tokens; None otherwise.
 	Missed int32
+	// Link is the pool of a link that lacked a token, when nothing was free;
+	// None otherwise.
+	Link int32
 }
 
 func (c *Choice) need(pool int32) {
@@ -70,7 +73,7 @@
 func (v *View) Decide(q *Query, n *Counters) Choice {
 	s := &v.Services[q.Service]
 	var c Choice
-	c.Upstream, c.Missed = None, None
+	c.Upstream, c.Missed, c.Link = None, None, None
 	sh := &s.Shifts[q.Region]
 	if sh.Pool != None && shareTaken(sh, q) {
 		if v.cross(q, n, s, sh.To, &c) {
@@ -83,9 +86,14 @@
 		return c
 	}
 	for i := range v.Crossings[q.Region] {
-		if v.cross(q, n, s, v.Crossings[q.Region][i].To, &c) {
+		x := &v.Crossings[q.Region][i]
+		if v.cross(q, n, s, x.To, &c) {
+			c.Link = None
 			return c
 		}
+		if c.Link == None && n.Free[x.Pool].Load() <= 0 {
+			c.Link = x.Pool
+		}
 	}
 	return c
 }
