--- a/demo/demo.go
+++ b/demo/demo.go
@@ -273,7 +273,7 @@
 		fmt.Fprintln(w.out, d)
 	}
 	fmt.Fprintf(w.out, "most at once at any upstream: %d of %d slots; begun after an upstream's own word of leaving: %d\n", peak, slots, afterLeaving)
-	atOnce, second := Crossing(records, w.shifted, w.size.Read, w.size.Regions[0], w.size.Regions[1], w.regionOf)
+	atOnce, second := load.Crossing(records, w.shifted, w.size.Read, w.size.Regions[0], w.size.Regions[1], w.regionOf)
 	fmt.Fprintf(w.out, "shift: most at once %d of 6, most in any one second %d of 60\n", atOnce, second)
 	if rep.Faults() > 0 || peak > slots || atOnce > 6 || second > 60 {
 		return errors.New("a promise was broken, see above")
--- a/demo/crossing.go
+++ b/load/crossing.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package demo
+package load
 
 import (
 	"cmp"
--- /dev/null
+++ b/proof/cluster_test.go
@@ -0,0 +1,386 @@
+// SPDX-License-Identifier: MIT
+
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/caller"
+	"shalewick/load"
+	"shalewick/operator"
+	"shalewick/process/admin"
+	"shalewick/process/platform"
+	"shalewick/standin/fleet"
+	standplatform "shalewick/standin/platform"
+	"shalewick/standin/upstream"
+	"shalewick/version"
+)
+
+// cluster is a whole deployment as separate processes.
+type cluster struct {
+	t         *testing.T
+	size      fleet.Size
+	platform  *process
+	base      string       // URL of the platform
+	regions   [3]*process  // upstreams of each region
+	upstreams []serverInfo // by number
+	entries   []*instance
+	listed    []platform.Instance
+	op        *operator.Client
+	grace     time.Duration
+	journal   string
+}
+
+// serverInfo is one upstream.
+type serverInfo struct {
+	name    string
+	real    netip.AddrPort // of the stand-in
+	address netip.AddrPort // in the configuration
+	region  int
+}
+
+// instance is one entry.
+type instance struct {
+	*process
+	name  string
+	hall  string
+	front string
+	peer  string
+	admin string
+}
+
+// shape says what a cluster is made of.
+type shape struct {
+	size    fleet.Size
+	entries int
+	work    time.Duration
+	// through, if set, returns the address to configure for an upstream.
+	through func(netip.AddrPort) netip.AddrPort
+	grace   time.Duration
+}
+
+const halls = 6
+
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, size: s.size, grace: s.grace, journal: filepath.Join(t.TempDir(), "journal")}
+	listen := ports(t, 1)[0]
+	c.base = "http://" + listen.String()
+	c.platform = run(t, "platform", "standin", "platform", "--listen", listen.String())
+	c.upstreams = make([]serverInfo, s.size.Upstreams())
+	for region := range c.regions {
+		c.startUpstreams(region, s.work, s.through)
+	}
+	eventually(t, 10*time.Second, "the platform listens", func() bool {
+		return put(c.base+"/standin/fault", standplatform.Fault{}) == nil
+	})
+	for i := range s.entries {
+		c.startEntry(fmt.Sprintf("entry-%d", i), i)
+	}
+	c.ready()
+	c.apply(s.size.Resources(c.addresses())...)
+	c.settle()
+	return c
+}
+
+func ports(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	ps, err := fleet.Ports(n)
+	assert.NilError(t, err)
+	return ps
+}
+
+// numbers returns the numbers of the upstreams of a region.
+func (c *cluster) numbers(region int) []int {
+	var out []int
+	for i := range c.upstreams {
+		if i%halls/2 == region {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func (c *cluster) startUpstreams(region int, work time.Duration, through func(netip.AddrPort) netip.AddrPort) {
+	ns := c.numbers(region)
+	ps := ports(c.t, len(ns))
+	prefix := c.size.Regions[region] + "/"
+	for j, n := range ns {
+		info := serverInfo{name: prefix + strconv.Itoa(j), real: ps[j], address: ps[j], region: region}
+		if through != nil {
+			info.address = through(ps[j])
+		}
+		c.upstreams[n] = info
+	}
+	c.runUpstreams(region, work)
+	eventually(c.t, 10*time.Second, "the upstreams listen", func() bool {
+		return put("http://"+ps[len(ps)-1].String()+"/standin/fault", upstream.Fault{}) == nil
+	})
+}
+
+// runUpstreams starts the process of a region's upstreams, also after a kill.
+func (c *cluster) runUpstreams(region int, work time.Duration) {
+	ns := c.numbers(region)
+	c.regions[region] = run(c.t, "upstreams-"+c.size.Regions[region], "standin", "upstream",
+		"--listen", c.upstreams[ns[0]].real.String(), "--name", c.size.Regions[region]+"/",
+		"--count", strconv.Itoa(len(ns)), "--slots", strconv.Itoa(c.size.Slots), "--work", work.String(),
+		"--journal", c.journal)
+}
+
+func (c *cluster) addresses() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, u := range c.upstreams {
+		out = append(out, u.address)
+	}
+	return out
+}
+
+// place returns service and region of an upstream by its name in records.
+func (c *cluster) place(name string) (service, region string) {
+	for i, u := range c.upstreams {
+		if u.name == name {
+			return c.size.ServiceOf(i), c.size.Regions[u.region]
+		}
+	}
+	return "", ""
+}
+
+// startEntry starts an entry in the hall of a number and lists it.
+func (c *cluster) startEntry(name string, number int) *instance {
+	ps := ports(c.t, 3)
+	e := &instance{
+		name: name, hall: c.size.Hall(number),
+		front: ps[0].String(), peer: ps[1].String(), admin: ps[2].String(),
+	}
+	c.listed = append(c.listed, platform.Instance{Name: name, State: platform.Live})
+	c.list()
+	c.runEntry(e)
+	c.entries = append(c.entries, e)
+	var admins []string
+	for _, e := range c.entries {
+		admins = append(admins, e.admin)
+	}
+	c.op = operator.New(admins)
+	return e
+}
+
+// runEntry starts the process of an entry, also after its end.
+func (c *cluster) runEntry(e *instance) {
+	args := []string{
+		"entry", "--instance", e.name, "--hall", e.hall, "--front", e.front, "--peer", e.peer,
+		"--admin", e.admin, "--platform", c.base,
+	}
+	for _, other := range c.entries {
+		args = append(args, "--peers", other.peer)
+	}
+	if c.grace > 0 {
+		args = append(args, "--grace", c.grace.String())
+	}
+	e.process = run(c.t, e.name, args...)
+}
+
+// list tells the platform the present list of instances.
+func (c *cluster) list() {
+	_ = put(c.base+"/standin/instances", c.listed) // fails before the platform is up, when it does not matter
+}
+
+// unlist takes an instance off the list.
+func (c *cluster) unlist(name string) {
+	var keep []platform.Instance
+	for _, i := range c.listed {
+		if i.Name != name {
+			keep = append(keep, i)
+		}
+	}
+	c.listed = keep
+	c.list()
+}
+
+// ready waits until all entries serve.
+func (c *cluster) ready() {
+	c.t.Helper()
+	for _, e := range c.entries {
+		c.entryReady(e)
+	}
+}
+
+func (c *cluster) entryReady(e *instance) {
+	c.t.Helper()
+	eventually(c.t, 20*time.Second, e.name+" is ready", func() bool {
+		res, err := http.Get("http://" + e.admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+// apply writes resources and waits until they are in force everywhere.
+func (c *cluster) apply(rs ...version.Resource) admin.Applied {
+	c.t.Helper()
+	applied, err := c.op.Apply(context.Background(), rs)
+	assert.NilError(c.t, err)
+	_, err = c.op.WaitInForce(context.Background(), applied.Version, 13*time.Second)
+	assert.NilError(c.t, err)
+	return applied
+}
+
+// settle waits until every token has a home.
+func (c *cluster) settle() {
+	c.t.Helper()
+	eventually(c.t, 20*time.Second, "every token has a home", func() bool {
+		st, err := c.op.Status(context.Background())
+		if err != nil {
+			return false
+		}
+		home, size := make(map[string]int32), make(map[string]int32)
+		for _, e := range st.Entries {
+			for _, p := range e.Pools {
+				home[p.Pool] += p.Home
+				size[p.Pool] = p.Size
+			}
+		}
+		for pool, n := range size {
+			if home[pool] < n {
+				return false
+			}
+		}
+		return len(size) > 0
+	})
+}
+
+// callers returns one client for each hall, that starts from all entries.
+func (c *cluster) callers(hallNumbers ...int) []*caller.Client {
+	var known []string
+	for _, e := range c.entries {
+		known = append(known, e.front)
+	}
+	if len(hallNumbers) == 0 {
+		hallNumbers = []int{0, 1, 2, 3, 4, 5}
+	}
+	var out []*caller.Client
+	for _, h := range hallNumbers {
+		cl := caller.New(known)
+		cl.Address = c.size.Client(h)
+		out = append(out, cl)
+	}
+	return out
+}
+
+// mix returns requests of all classes.
+func (c *cluster) mix() []load.Kind {
+	s := &c.size
+	return []load.Kind{
+		{Name: "read", Service: s.Read, Method: "GET", Path: "/lots", Weight: 70, Answer: 4096, Timeout: 4 * time.Second},
+		{Name: "commit", Service: s.Ledger, Method: "POST", Path: "/bids", Weight: 20, Once: true, Body: 200, Answer: 200, Timeout: 6 * time.Second},
+		{Name: "upload", Service: s.Upload, Method: "POST", Path: "/videos", Weight: 10, Body: 200 << 10, Answer: 100, Timeout: 12 * time.Second},
+	}
+}
+
+// underLoad runs a script while load is sent, and judges the outcomes.
+func (c *cluster) underLoad(o load.Options, script func()) (*load.Report, []load.Outcome) {
+	c.t.Helper()
+	var outcomes []load.Outcome
+	var err error
+	done := make(chan struct{})
+	go func() {
+		outcomes, err = load.Run(context.Background(), o)
+		close(done)
+	}()
+	script()
+	<-done
+	assert.NilError(c.t, err)
+	rep := load.Judge(o.Mix, outcomes, c.records())
+	var table bytes.Buffer
+	rep.Print(&table)
+	c.t.Logf("\n%s", table.String())
+	return rep, outcomes
+}
+
+// records returns what the upstreams ran, from their journal. A record that
+// has no end, since its upstream was killed, ends at the last line's time.
+func (c *cluster) records() []upstream.Record {
+	c.t.Helper()
+	time.Sleep(50 * time.Millisecond) // lets the last lines be written
+	b, err := os.ReadFile(c.journal)
+	assert.NilError(c.t, err)
+	type key struct {
+		upstream string
+		seq      int
+		start    time.Time
+	}
+	place := make(map[key]int)
+	var out []upstream.Record
+	dec := json.NewDecoder(bytes.NewReader(b))
+	for dec.More() {
+		var r upstream.Record
+		if dec.Decode(&r) != nil {
+			break // the last line of a killed process
+		}
+		k := key{r.Upstream, r.Seq, r.Start}
+		if i, ok := place[k]; ok {
+			out[i] = r
+			continue
+		}
+		place[k] = len(out)
+		out = append(out, r)
+	}
+	return out
+}
+
+// peaks returns the most requests at once at any upstream.
+func (c *cluster) peaks() int {
+	c.t.Helper()
+	most := 0
+	for _, u := range c.upstreams {
+		res, err := http.Get("http://" + u.real.String() + "/standin/peak")
+		if err != nil {
+			continue // its process is down
+		}
+		var n int
+		assert.NilError(c.t, json.NewDecoder(res.Body).Decode(&n))
+		_ = res.Body.Close()
+		most = max(most, n)
+	}
+	return most
+}
+
+func (c *cluster) platformFault(f standplatform.Fault) {
+	c.t.Helper()
+	assert.NilError(c.t, put(c.base+"/standin/fault", f))
+}
+
+func (c *cluster) upstreamFault(i int, f upstream.Fault) {
+	c.t.Helper()
+	assert.NilError(c.t, put("http://"+c.upstreams[i].real.String()+"/standin/fault", f))
+}
+
+// put sends a value as JSON.
+func put(url string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -23,6 +23,8 @@
 const (
 	HeaderTag = "Load-Tag"
 	HeaderSum = "Load-Sum"
+	// HeaderWork tells how long the work took.
+	HeaderWork = "Load-Work"
 )
 
 // Fault is how the stand-in is told to misbehave. Shares are 0 to 1. The zero
@@ -153,8 +155,10 @@
 		return
 	}
 	at, cold := s.begin(r)
+	start := time.Now()
 	sum, done := s.run(r, cold)
 	s.end(at, done)
+	h.Set(HeaderWork, time.Since(start).String())
 	time.Sleep(time.Duration(f.LateMs) * time.Millisecond)
 	if !done || rand.Float64() < f.Drop {
 		panic(http.ErrAbortHandler)
