proof: test what must always hold, over separate processes

Cause: the eight promises had no proof under failure.

Change: tests that kill, freeze and cut off 12 entries, the platform and 44 upstreams as processes, one or more for each promise; a forwarder cuts connections before, in and after requests.

Slot and shift tokens now wait until the upstream is heard from.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -86,12 +86,16 @@
 }
 
 const (
-	lookupTimeout = time.Second
+	lookupTimeout = 400 * time.Millisecond
 	avoidTime     = time.Second
 	ticketBatch   = 16
 	ticketKeep    = time.Minute
 	maxLookup     = 64 << 10
 	pause         = 50 * time.Millisecond
+	// tryParts is the part of a request's time after which another instance
+	// is asked, and tryBody the largest body, in bytes, that is sent again.
+	tryParts = 4
+	tryBody  = 64 << 10
 )
 
 // sending is the course of one request.
@@ -162,7 +166,9 @@
 		}
 		s.ticket, s.at = t, entry
 	}
-	res, result, err := s.c.send(ctx, entry, s.req, s.ticket)
+	tryCtx, cancel := s.tryContext(ctx)
+	defer cancel()
+	res, result, err := s.c.send(tryCtx, entry, s.req, s.ticket)
 	if err != nil {
 		s.broken(entry, err)
 		return nil, s.pause(), false
@@ -173,6 +179,16 @@
 	return s.refused(entry, result)
 }
 
+// tryContext bounds one call, so that an instance that is silent does not use
+// up all the time. A large body may need the time that it takes.
+func (s *sending) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	limit, ok := ctx.Deadline()
+	if !ok || len(s.req.Body) > tryBody {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, max(time.Until(limit)/tryParts, lookupTimeout))
+}
+
 // broken takes note of a call that brought nothing. With a ticket the outcome
 // can be asked for by way of another instance; without one the request is
 // repeatable and is sent again.
--- a/cmd/shalewick/operator.go
+++ b/cmd/shalewick/operator.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -61,8 +62,13 @@
 	return os.ReadFile(file)
 }
 
+// changeTimeout bounds a change whose answers are lost.
+const changeTimeout = time.Minute
+
 func applyAndTell(cmd *cobra.Command, c *operator.Client, rs []version.Resource) error {
-	applied, err := c.Apply(cmd.Context(), rs)
+	ctx, cancel := context.WithTimeout(cmd.Context(), changeTimeout)
+	defer cancel()
+	applied, err := c.Apply(ctx, rs)
 	if err != nil {
 		return err
 	}
--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -19,8 +19,11 @@
 	Deadline time.Time
 	// Allowed is asked right before the first byte leaves.
 	Allowed func() bool
-	// Release is called once, when the upstream has surely let go of the request.
-	Release func()
+	// Release is called once, when the upstream has let go of the request.
+	// Silent is true when it did not say so, and only the request's deadline
+	// and Margin have passed: an upstream that runs has let go by then, but
+	// one that is frozen may still hold it.
+	Release func(silent bool)
 }
 
 // past is a deadline that ends all waiting.
@@ -65,7 +68,7 @@
 	l, err := p.get(dialCtx)
 	cancel()
 	if err != nil {
-		o.Release()
+		o.Release(false)
 		return nil, &DispatchError{Err: err}
 	}
 	l.sent = 0
@@ -162,12 +165,12 @@
 	}
 	if !sent {
 		_ = ex.link.Conn.Close() // nothing left on it
-		ex.opts.Release()
+		ex.opts.Release(false)
 		return
 	}
 	if ex.whole && undisturbed && !ex.Response.Close && ex.link.SetDeadline(time.Time{}) == nil {
 		ex.pool.put(ex.link)
-		ex.opts.Release()
+		ex.opts.Release(false)
 		return
 	}
 	go ex.letGo()
@@ -177,7 +180,12 @@
 // sending side, and waits until the upstream closes its own. A late answer is
 // read and dropped.
 func (ex *Exchange) letGo() {
-	defer ex.opts.Release()
+	silent := ex.awaitEnd()
+	ex.opts.Release(silent)
+}
+
+// awaitEnd ends the connection and reports whether the upstream was silent.
+func (ex *Exchange) awaitEnd() (silent bool) {
 	c := ex.link.Conn
 	defer c.Close()
 	limit := ex.opts.Deadline.Add(Margin)
@@ -186,15 +194,21 @@
 		<-ex.written
 	}
 	tcp, ok := c.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil || c.SetReadDeadline(limit) != nil {
+	if !ok || c.SetReadDeadline(limit) != nil {
 		time.Sleep(time.Until(limit))
-		return
+		return true
+	}
+	if tcp.CloseWrite() != nil {
+		return false // the upstream has closed or reset it
 	}
-	if _, err := io.Copy(io.Discard, c); isTimeout(err) {
-		// What still waits to be sent must never arrive. An error leaves
-		// it to the upstream's own deadline.
-		_ = tcp.SetLinger(0)
+	_, err := io.Copy(io.Discard, c)
+	if !isTimeout(err) {
+		return false
 	}
+	// What still waits to be sent must never arrive. An error leaves it to
+	// the upstream's own deadline.
+	_ = tcp.SetLinger(0)
+	return true
 }
 
 func isTimeout(err error) bool {
--- a/conn/doc.go
+++ b/conn/doc.go
@@ -22,6 +22,7 @@
 exchange and calls Options.Release once the upstream has surely let go: at once
 when the whole answer was read; otherwise the connection is half closed, and
 the token is held until the upstream closes its side in turn, or until the
-request's deadline and a margin have passed.
+request's deadline and a margin have passed. In the latter case Release tells
+that the upstream was silent; it may be frozen with the request in hand.
 */
 package conn
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -43,6 +43,7 @@
 	platform  *standplatform.Server
 	upstreams []*upstream.Server
 	addresses []netip.AddrPort
+	ports     fleet.Ports
 	entries   []*entry.Entry
 	fronts    []string
 	admins    []string
@@ -131,7 +132,7 @@
 func instanceName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func (w *world) startEntry(i int, base string) error {
-	ports, err := fleet.Ports(3)
+	ports, err := w.ports.Take(3)
 	if err != nil {
 		return err
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -67,20 +67,43 @@
 	return c.change(ctx, http.MethodDelete, resourcePath(k)+"?version="+strconv.FormatInt(v, 10), nil)
 }
 
-const changeTries = 3
+// changePause is the time between two askings for the outcome of a change.
+const changePause = 200 * time.Millisecond
 
+// change makes a change. After an answer that was lost, or one that does not
+// tell whether it was accepted, it asks again with the same operation id until
+// it knows or the context ends. From then on, a refusal because the platform
+// is down no longer means that nothing was written.
 func (c *Client) change(ctx context.Context, method, path string, body []byte) (admin.Applied, error) {
-	var out admin.Applied
 	operation := rand.Text()
-	var err error
-	for range changeTries {
-		err = c.call(ctx, method, path, operation, body, &out)
+	unsure := false
+	for {
+		var out admin.Applied
+		err := c.call(ctx, method, path, operation, body, &out)
+		if err == nil {
+			return out, nil
+		}
 		var refused *RefusedError
-		if err == nil || errors.As(err, &refused) && refused.Code != request.CommitUnknown {
+		told := errors.As(err, &refused) && refused.Code != request.CommitUnknown
+		if told && !(unsure && refused.Code == request.PlatformDown) {
 			return out, err
 		}
+		unsure = true
+		if !sleep(ctx, changePause) {
+			return out, errors.Annotatef(err, "not known whether operation %s was accepted", operation)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return out, err
 }
 
 // Get returns one resource.
--- a/process/entry/probe.go
+++ b/process/entry/probe.go
@@ -23,7 +23,8 @@
 
 // probeLoop asks upstreams for their load report. Each is probed by a few
 // members of its region, chosen by hash; what they learn of its leaving they
-// tell the others. An upstream that this member has closed is probed too.
+// tell the others. An upstream that this member has closed, or waits for a
+// word of, is probed too.
 func (e *Entry) probeLoop(ctx context.Context) {
 	every(ctx, probeTime, func() {
 		b := e.steer.Bound()
@@ -39,7 +40,7 @@
 					ids = append(ids, c.ID)
 				}
 			}
-			if b.Counters.Closed[i].Load() || proberOf(u.Name, ids, e.members.Self().GetId()) {
+			if b.Counters.Closed[i].Load() || e.health.Awaited(u.Name) || proberOf(u.Name, ids, e.members.Self().GetId()) {
 				go e.probe(ctx, u)
 			}
 		}
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -58,6 +58,8 @@
 		f.finish(c, *res)
 		return
 	}
+	a.header.Set(request.HeaderUpstream, a.upstream) // kept for further calls too
+	a.header.Set(request.HeaderRan, string(request.RanYes))
 	if a.ex != nil {
 		defer f.Ledger.Finish(entry, ticket.Outcome{})
 		f.relay(c, a)
@@ -146,7 +148,7 @@
 	ex, err := f.peer(m.GetFront()).Dispatch(ctx, req, conn.Options{
 		Deadline: c.deadline.Add(conn.Margin),
 		Allowed:  func() bool { return true },
-		Release:  func() {},
+		Release:  func(bool) {},
 	})
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		// No process listens there: the member has ended.
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -3,6 +3,7 @@
 package health
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,13 @@
 	failures int           // in a row
 	closed   time.Duration // closed for failures until then, on the process's clock
 	cold     bool
+	awaiting []awaiting
+}
+
+// awaiting is a call to make once the upstream is heard from.
+type awaiting struct {
+	since time.Duration
+	then  func()
 }
 
 // Bounds of the reaction to failures.
@@ -64,14 +72,49 @@
 			t.upstreams[name] = &upstream{}
 		}
 	}
-	for name := range t.upstreams {
-		if _, ok := t.places[name]; !ok {
+	for name, u := range t.upstreams {
+		if _, ok := t.places[name]; !ok && len(u.awaiting) == 0 {
 			delete(t.upstreams, name)
 		}
 	}
 	t.publishAll(now)
 }
 
+// AwaitWord calls then once the upstream has answered something that was sent
+// at since or later. It is called without a lock held.
+func (t *Table) AwaitWord(name string, since time.Duration, then func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[name]
+	if u == nil {
+		u = &upstream{} // not in the version in force, but it may be again
+		t.upstreams[name] = u
+	}
+	u.awaiting = append(u.awaiting, awaiting{since, then})
+}
+
+// Awaited reports whether a word of the upstream is waited for.
+func (t *Table) Awaited(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[name]
+	return u != nil && len(u.awaiting) > 0
+}
+
+// heard removes and returns the calls to make after an answer to something
+// that was sent at a time.
+func (u *upstream) heard(sent time.Duration) []awaiting {
+	var due []awaiting
+	u.awaiting = slices.DeleteFunc(u.awaiting, func(a awaiting) bool {
+		if a.since <= sent {
+			due = append(due, a)
+			return true
+		}
+		return false
+	})
+	return due
+}
+
 // Answered notes an answer: how long it took, and the upstream's own word.
 func (t *Table) Answered(name string, took time.Duration, state, boot string, now time.Duration) {
 	t.mu.Lock()
@@ -86,12 +129,7 @@
 		u.cost = took
 	}
 	u.cost += (took - u.cost) / costWeight
-	fact, news := t.word(name, u, state, boot)
-	t.publish(name, now)
-	t.mu.Unlock()
-	if news {
-		t.OnLeaving(fact)
-	}
+	t.after(name, u, state, boot, took, now)
 }
 
 // Probed notes a load report.
@@ -108,9 +146,19 @@
 	if u.cost == 0 {
 		u.cost = took
 	}
-	fact, news := t.word(name, u, rep.State, rep.Boot)
+	t.after(name, u, rep.State, rep.Boot, took, now)
+}
+
+// after takes up the upstream's own word, and makes the calls that it was
+// awaited for. It gives back the lock that the caller holds.
+func (t *Table) after(name string, u *upstream, state, boot string, took, now time.Duration) {
+	fact, news := t.word(name, u, state, boot)
+	due := u.heard(now - took)
 	t.publish(name, now)
 	t.mu.Unlock()
+	for _, a := range due {
+		a.then()
+	}
 	if news {
 		t.OnLeaving(fact)
 	}
--- a/process/slots/table.go
+++ b/process/slots/table.go
@@ -230,27 +230,49 @@
 // Release gives the tokens of a grant back, after the upstream let go.
 func (t *Table) Release(g *Grant, now time.Duration) {
 	t.mu.Lock()
+	for i := range g.n {
+		t.release(g.pools[i], g.tokens[i], now)
+	}
+	g.n = 0
+	t.mu.Unlock()
+	t.OnFree(version.None)
+}
+
+// ReleaseWay gives back the tokens for the way to the upstream only: those of
+// links and rates.
+func (t *Table) ReleaseWay(g *Grant, now time.Duration) {
+	t.mu.Lock()
+	kept := 0
 	for i := range g.n {
 		p, k := g.pools[i], g.tokens[i]
-		k.state = stateFree
-		k.lastUsed = now
-		if p.spec.Kind == version.PoolRate {
-			k.state = stateResting
-			k.until = now + RestTime
-		}
-		if k.revoked {
-			p.remove(k)
-		}
-		if p.group != nil {
-			p.group.busy--
+		if p.spec.Kind == version.PoolLink || p.spec.Kind == version.PoolRate {
+			t.release(p, k, now)
+			continue
 		}
-		t.publish(p, now)
+		g.pools[kept], g.tokens[kept] = p, k
+		kept++
 	}
-	g.n = 0
+	g.n = kept
 	t.mu.Unlock()
 	t.OnFree(version.None)
 }
 
+func (t *Table) release(p *pool, k *token, now time.Duration) {
+	k.state = stateFree
+	k.lastUsed = now
+	if p.spec.Kind == version.PoolRate {
+		k.state = stateResting
+		k.until = now + RestTime
+	}
+	if k.revoked {
+		p.remove(k)
+	}
+	if p.group != nil {
+		p.group.busy--
+	}
+	t.publish(p, now)
+}
+
 // Tick moves on what waits for time: rests, fences, and leases of tokens lent
 // from here. It is called every few milliseconds.
 func (t *Table) Tick(now time.Duration) {
--- a/process/steer/steer.go
+++ b/process/steer/steer.go
@@ -305,9 +305,17 @@
 func (p *Place) Name() string { return p.Bound.View.Upstreams[p.Upstream].Name }
 
 // Cancel gives the tokens back unused.
-func (p *Place) Cancel() { p.release() }
+func (p *Place) Cancel() { p.release(false) }
 
-func (p *Place) release() {
+// release gives the tokens back. Of a silent upstream, which may be frozen
+// with the request in hand, those for its slot and for a shift come back only
+// once it is heard from again.
+func (p *Place) release(silent bool) {
+	if silent {
+		p.s.Slots.ReleaseWay(&p.grant, p.s.Now())
+		p.s.Health.AwaitWord(p.Name(), p.s.Now(), func() { p.release(false) })
+		return
+	}
 	now := p.s.Now()
 	p.Queue.Served(now - p.since)
 	p.s.Slots.Release(&p.grant, now)
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -41,6 +41,7 @@
 	op        *operator.Client
 	grace     time.Duration
 	journal   string
+	ports     fleet.Ports
 }
 
 // serverInfo is one upstream.
@@ -76,7 +77,7 @@
 func newCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
 	c := &cluster{t: t, size: s.size, grace: s.grace, journal: filepath.Join(t.TempDir(), "journal")}
-	listen := ports(t, 1)[0]
+	listen := c.take(1)[0]
 	c.base = "http://" + listen.String()
 	c.platform = run(t, "platform", "standin", "platform", "--listen", listen.String())
 	c.upstreams = make([]serverInfo, s.size.Upstreams())
@@ -95,10 +96,11 @@
 	return c
 }
 
-func ports(t *testing.T, n int) []netip.AddrPort {
-	t.Helper()
-	ps, err := fleet.Ports(n)
-	assert.NilError(t, err)
+// take returns n adjoining free addresses.
+func (c *cluster) take(n int) []netip.AddrPort {
+	c.t.Helper()
+	ps, err := c.ports.Take(n)
+	assert.NilError(c.t, err)
 	return ps
 }
 
@@ -115,7 +117,7 @@
 
 func (c *cluster) startUpstreams(region int, work time.Duration, through func(netip.AddrPort) netip.AddrPort) {
 	ns := c.numbers(region)
-	ps := ports(c.t, len(ns))
+	ps := c.take(len(ns))
 	prefix := c.size.Regions[region] + "/"
 	for j, n := range ns {
 		info := serverInfo{name: prefix + strconv.Itoa(j), real: ps[j], address: ps[j], region: region}
@@ -159,7 +161,7 @@
 
 // startEntry starts an entry in the hall of a number and lists it.
 func (c *cluster) startEntry(name string, number int) *instance {
-	ps := ports(c.t, 3)
+	ps := c.take(3)
 	e := &instance{
 		name: name, hall: c.size.Hall(number),
 		front: ps[0].String(), peer: ps[1].String(), admin: ps[2].String(),
@@ -341,19 +343,12 @@
 	return out
 }
 
-// peaks returns the most requests at once at any upstream.
-func (c *cluster) peaks() int {
+// peak returns the most requests that ran at once at any upstream.
+func (c *cluster) peak() int {
 	c.t.Helper()
 	most := 0
-	for _, u := range c.upstreams {
-		res, err := http.Get("http://" + u.real.String() + "/standin/peak")
-		if err != nil {
-			continue // its process is down
-		}
-		var n int
-		assert.NilError(c.t, json.NewDecoder(res.Body).Decode(&n))
-		_ = res.Body.Close()
-		most = max(most, n)
+	for _, r := range c.records() {
+		most = max(most, r.AtOnce)
 	}
 	return most
 }
--- /dev/null
+++ b/proof/outage_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: MIT
+
+package proof
+
+import (
+	"context"
+	"flag"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/load"
+	"shalewick/standin/fleet"
+	standplatform "shalewick/standin/platform"
+)
+
+// outage is the length of the platform's outage in TestOutageWithDeaths.
+var outage = flag.Duration("outage", 12*time.Second, "length of the platform's outage")
+
+// usable returns the share of all upstream slots that some entry holds or uses.
+func (c *cluster) usable() float64 {
+	st, err := c.op.Status(context.Background())
+	if err != nil {
+		return 0
+	}
+	var has, size int32
+	for i, e := range st.Entries {
+		for _, p := range e.Pools {
+			if len(p.Pool) < 9 || p.Pool[:9] != "upstream/" {
+				continue
+			}
+			has += p.Free + p.Busy
+			if i == 0 {
+				size += p.Size
+			}
+		}
+	}
+	return float64(has) / float64(max(1, size))
+}
+
+// TestOutageWithDeaths: the platform is down while entries die and join.
+// Nothing is granted twice, the entries left go on serving, and the tokens of
+// the dead are split anew once the platform is back.
+func TestOutageWithDeaths(t *testing.T) {
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: 20 * time.Millisecond})
+	mix := c.mix()[:2]
+	o := load.Options{Clients: c.callers(), Rate: 300, Duration: *outage + 25*time.Second, Mix: mix}
+	rep, _ := c.underLoad(o, func() {
+		t.Logf("usable slots before: %.2f", c.usable())
+		c.platformFault(standplatform.Fault{Down: true})
+		time.Sleep(*outage / 3)
+		for _, i := range []int{3, 8} {
+			c.entries[i].kill()
+			c.unlist(c.entries[i].name)
+		}
+		time.Sleep(*outage / 3)
+		t.Logf("usable slots with the platform down and 2 of 12 dead: %.2f", c.usable())
+		c.entryReady(c.startEntry("entry-new", 3))
+		time.Sleep(*outage / 3)
+		low := c.usable()
+		t.Logf("usable slots with one joined: %.2f", low)
+		assert.Check(t, low > 0.7)
+		c.platformFault(standplatform.Fault{})
+		back := time.Now()
+		limit := 24 * time.Second
+		for c.usable() < 0.99 && time.Since(back) < limit {
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("usable slots %v after the platform is back: %.2f", time.Since(back).Round(time.Millisecond), c.usable())
+		assert.Check(t, time.Since(back) < limit)
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	assert.Assert(t, c.peak() <= c.size.Slots)
+	for _, l := range rep.Lines {
+		assert.Assert(t, l.Answered > l.Sent*99/100, "%s: %v", l.Name, l.Refused)
+	}
+}
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -27,7 +27,7 @@
 	for _, l := range rep.Lines {
 		assert.Equal(t, l.Answered, l.Sent, "%s: %v", l.Name, l.Refused)
 	}
-	assert.Assert(t, c.peaks() <= c.size.Slots)
+	assert.Assert(t, c.peak() <= c.size.Slots)
 	addedLatency(t, c)
 }
 
--- /dev/null
+++ b/proof/promise_test.go
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: MIT
+
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/load"
+	"shalewick/request"
+	"shalewick/standin/fleet"
+	standplatform "shalewick/standin/platform"
+	"shalewick/standin/upstream"
+	"shalewick/version"
+)
+
+// reads is a mix of reads only.
+func (c *cluster) reads() []load.Kind { return c.mix()[:1] }
+
+// TestShiftStaysUnderCap: a shift never carries more than its cap, at once and
+// in any one second, through a death, a freeze past the lease, an outage of
+// the platform, and a cap that is lowered meanwhile.
+func TestShiftStaysUnderCap(t *testing.T) {
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: 20 * time.Millisecond})
+	north, central := c.size.Regions[0], c.size.Regions[1]
+	shift := func(v int64, most, rate int) int64 {
+		return c.apply(version.Resource{
+			Key: version.Key{Kind: version.KindShift, Name: "x"}, Version: v,
+			Shift: &version.Shift{Service: c.size.Read, From: north, To: central, Share: 0.8, Cap: most, Rate: rate},
+		}).Version
+	}
+	v := shift(0, 8, 60)
+	begun := time.Now()
+	var lowered, end time.Time
+	o := load.Options{Clients: c.callers(0, 1), Rate: 500, Duration: 22 * time.Second, Mix: c.reads()}
+	rep, _ := c.underLoad(o, func() {
+		time.Sleep(2 * time.Second)
+		c.platformFault(standplatform.Fault{Down: true})
+		c.entries[6].kill()
+		c.unlist(c.entries[6].name)
+		c.entries[7].freeze()
+		time.Sleep(5 * time.Second)
+		c.entries[7].thaw()
+		time.Sleep(time.Second)
+		c.platformFault(standplatform.Fault{})
+		shift(v, 4, 30)
+		lowered = time.Now()
+		time.Sleep(3 * time.Second)
+		end = time.Now()
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	records := c.records()
+	atOnce, inSecond := load.Crossing(records, begun, c.size.Read, north, central, c.place)
+	t.Logf("cap 8 at once, 60 a second: %d, %d", atOnce, inSecond)
+	assert.Assert(t, atOnce <= 8 && inSecond <= 60)
+	assert.Assert(t, atOnce >= 2 && inSecond >= 10, "the shift carried too little to show anything")
+	// Requests that began under the old cap end by their deadline.
+	atOnce, inSecond = load.Crossing(records, lowered.Add(c.size.Deadline), c.size.Read, north, central, c.place)
+	t.Logf("cap 4 at once, 30 a second, until %v after: %d, %d", end.Sub(lowered), atOnce, inSecond)
+	assert.Assert(t, atOnce <= 4 && inSecond <= 30)
+	assert.Assert(t, inSecond >= 5, "the shift carried too little to show anything")
+}
+
+// TestNoUpstreamAboveSlots: no upstream, and so no region, gets more than it
+// can serve, at 1.3 times the capacity of a region, with load reports that lie
+// and a region that freezes, dies and comes back.
+func TestNoUpstreamAboveSlots(t *testing.T) {
+	const work = 40 * time.Millisecond
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: work})
+	for i := range c.upstreams {
+		if i%2 == 0 {
+			c.upstreamFault(i, upstream.Fault{LieIdle: true, SlowMs: 40})
+		}
+	}
+	o := load.Options{Clients: c.callers(), Rate: 1300, Duration: 14 * time.Second, Mix: c.reads()}
+	o.Mix[0].Timeout = 3 * time.Second
+	rep, _ := c.underLoad(o, func() {
+		time.Sleep(2 * time.Second)
+		c.regions[2].freeze()
+		time.Sleep(5 * time.Second)
+		c.regions[2].thaw()
+		time.Sleep(2 * time.Second)
+		c.regions[2].kill()
+		time.Sleep(time.Second)
+		c.runUpstreams(2, work)
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	assert.Assert(t, c.peak() == c.size.Slots, "most at once %d of %d", c.peak(), c.size.Slots)
+	assert.Assert(t, rep.Lines[0].Answered > rep.Lines[0].Sent/3)
+}
+
+// TestAnswersAndRefusalsAreTrue: whoever is answered gets the whole answer to
+// the own request, and a request said not to have run has not, while answers
+// are late, cut, swapped or dropped, requests are shed, connections cut
+// anywhere, entries killed and frozen, and upstreams killed.
+func TestAnswersAndRefusalsAreTrue(t *testing.T) {
+	w := &wires{t: t}
+	c := newCluster(t, shape{size: fleet.Kitakaze(), entries: 12, work: 10 * time.Millisecond, through: w.through})
+	for i := range c.upstreams {
+		faults := []upstream.Fault{{LateMs: 30}, {Cut: 0.05}, {WrongID: 0.05}, {Drop: 0.05}, {Shed: 0.2}, {SlowMs: 20}, {}}
+		c.upstreamFault(i, faults[i%len(faults)])
+	}
+	w.cut.Store(150)
+	mix := c.mix()
+	mix[0].Answer = 150 << 10 // larger than what an entry holds whole
+	o := load.Options{Clients: c.callers(), Rate: 300, Duration: 12 * time.Second, Mix: mix}
+	rep, _ := c.underLoad(o, func() {
+		time.Sleep(2 * time.Second)
+		c.entries[0].freeze()
+		c.entries[1].kill()
+		time.Sleep(3 * time.Second)
+		c.entries[0].thaw()
+		c.regions[1].kill()
+		c.entries[2].freeze()
+		c.platformFault(standplatform.Fault{Down: true})
+		time.Sleep(time.Second)
+		c.runUpstreams(1, 10*time.Millisecond)
+		c.entries[2].kill() // frozen and then killed
+		time.Sleep(2 * time.Second)
+		c.platformFault(standplatform.Fault{LoseAnswers: 0.5, SlowMs: 50})
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	assert.Assert(t, w.n.Load() > 100, "too few connections were cut")
+	refused := 0
+	for _, l := range rep.Lines {
+		assert.Assert(t, l.Answered > l.Sent/2, l.Name)
+		refused += l.Sent - l.Answered
+	}
+	assert.Assert(t, refused > 0, "nothing was refused, so nothing is shown")
+}
+
+// TestRunsAtMostOnce: what may not be repeated runs at most once, although
+// callers ask again by way of other entries, while entries are killed with
+// answers outstanding and stopped with tickets outstanding, and the platform
+// is down.
+func TestRunsAtMostOnce(t *testing.T) {
+	w := &wires{t: t}
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: 30 * time.Millisecond, through: w.through, grace: 500 * time.Millisecond})
+	w.cut.Store(300)
+	commits := c.mix()[1:2]
+	o := load.Options{Clients: c.callers(), Rate: 300, Duration: 12 * time.Second, Mix: commits}
+	rep, _ := c.underLoad(o, func() {
+		time.Sleep(time.Second)
+		c.entries[0].kill()
+		time.Sleep(time.Second)
+		c.entries[1].stop(t)
+		c.platformFault(standplatform.Fault{Down: true})
+		c.entries[2].kill()
+		c.entries[3].freeze()
+		time.Sleep(2 * time.Second)
+		c.entries[3].thaw()
+		c.entries[4].stop(t)
+		c.platformFault(standplatform.Fault{})
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	l := rep.Lines[0]
+	t.Logf("outcome unknown: %d of %d; two kills, %d cut connections", l.Unknown, l.Sent, w.n.Load())
+	assert.Assert(t, l.Unknown < l.Sent/20)
+}
+
+// TestTicketRunsOnce sends one ticket many times at once by way of all entries.
+func TestTicketRunsOnce(t *testing.T) {
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 3, work: 100 * time.Millisecond})
+	answers := c.sendSameTicket(t, 24)
+	for _, a := range answers {
+		assert.Equal(t, a, answers[0]) // each gets the answer of the one run
+	}
+	n := 0
+	for _, r := range c.records() {
+		if r.Tag == "same" {
+			n++
+		}
+	}
+	assert.Equal(t, n, 1)
+}
+
+// TestLeavingUpstreamGetsNoWork: an upstream whose own word is that it leaves
+// gets no new work one second after, three seconds with the platform down,
+// also from an entry that was frozen meanwhile.
+func TestLeavingUpstreamGetsNoWork(t *testing.T) {
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: 5 * time.Millisecond})
+	left := make(map[string]time.Time)
+	leave := func(i int, within time.Duration) {
+		c.upstreamFault(i, upstream.Fault{Leaving: true})
+		left[c.upstreams[i].name] = time.Now().Add(within)
+	}
+	o := load.Options{Clients: c.callers(), Rate: 600, Duration: 12 * time.Second, Mix: c.reads()}
+	rep, _ := c.underLoad(o, func() {
+		time.Sleep(time.Second)
+		leave(0, time.Second)
+		leave(3, time.Second)
+		c.platformFault(standplatform.Fault{Down: true})
+		c.entries[0].freeze()
+		c.entries[8].freeze()
+		time.Sleep(time.Second)
+		leave(6, 3*time.Second)
+		leave(8, 3*time.Second)
+		time.Sleep(4 * time.Second)
+		c.entries[0].thaw()
+		c.entries[8].thaw()
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	during := 0
+	for _, r := range c.records() {
+		limit, ok := left[r.Upstream]
+		if !ok || !r.Leaving {
+			continue
+		}
+		during++
+		assert.Assert(t, r.Start.Before(limit), "%s began work %v after the bound", r.Upstream, r.Start.Sub(limit))
+	}
+	t.Logf("%d requests began after the word and within the bound", during)
+}
+
+// TestPlannedStopsCutNothing: entries and upstreams that are stopped as
+// planned, one after the other, cut off nothing, with callers that keep their
+// look-ups.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: 20 * time.Millisecond})
+	o := load.Options{Clients: c.callers(), Rate: 250, Duration: 16 * time.Second, Mix: c.mix()}
+	rep, _ := c.underLoad(o, func() {
+		time.Sleep(time.Second)
+		c.apply(version.Resource{
+			Key:   version.Key{Kind: version.KindDrain, Name: "south"},
+			Drain: &version.Drain{Region: c.size.Regions[2]},
+		})
+		time.Sleep(c.size.Deadline)
+		c.regions[2].kill() // a drained region has no work left
+		replaced := c.startEntry("entry-new", 0)
+		c.entryReady(replaced)
+		for _, i := range []int{0, 7} {
+			t.Logf("entry stopped after %v", c.entries[i].stop(t))
+			c.unlist(c.entries[i].name)
+		}
+	})
+	assert.Equal(t, rep.Faults(), 0)
+	for _, l := range rep.Lines {
+		assert.Equal(t, l.Answered, l.Sent, "%s: %v", l.Name, l.Refused)
+	}
+}
+
+// sendSameTicket sends one request n times with one ticket and returns the
+// bodies of the answers.
+func (c *cluster) sendSameTicket(t *testing.T, n int) []string {
+	t.Helper()
+	ticket := c.takeTicket(t, c.entries[0])
+	answers := make(chan string, n)
+	for i := range n {
+		e := c.entries[i%len(c.entries)]
+		go func() { answers <- c.postTicket(t, e, ticket) }()
+	}
+	var out []string
+	for range n {
+		out = append(out, <-answers)
+	}
+	return out
+}
+
+// TestTicketOfDeadEntryNeverRuns: once the entry that issued a ticket is dead,
+// the answer is final at once, and says that the outcome is not known.
+func TestTicketOfDeadEntryNeverRuns(t *testing.T) {
+	c := newCluster(t, shape{size: fleet.Caroni(), entries: 3, work: time.Millisecond})
+	ticket := c.takeTicket(t, c.entries[0])
+	c.entries[0].kill()
+	start := time.Now()
+	assert.Equal(t, c.postTicket(t, c.entries[1], ticket), request.TicketGone.String()+" unknown")
+	assert.Assert(t, time.Since(start) < time.Second)
+	assert.Equal(t, c.postTicket(t, c.entries[1], "forged"), request.TicketInvalid.String()+" no")
+	_, err := c.op.Status(context.Background())
+	assert.NilError(t, err)
+}
--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -18,14 +18,26 @@
 	portTries = 100
 )
 
-// Ports returns n adjoining loopback addresses that nothing listens on.
-func Ports(n int) ([]netip.AddrPort, error) {
+// Ports gives out loopback addresses, none of them twice. The zero value is
+// ready to use.
+type Ports struct {
+	next int
+}
+
+// Take returns n adjoining loopback addresses that nothing listens on.
+func (p *Ports) Take(n int) ([]netip.AddrPort, error) {
+	if p.next == 0 {
+		p.next = firstPort + rand.IntN(lastPort-firstPort)
+	}
 	for range portTries {
-		first := firstPort + rand.IntN(lastPort-firstPort-n)
+		if p.next+n > lastPort {
+			p.next = firstPort
+		}
 		addresses := make([]netip.AddrPort, n)
 		for i := range addresses {
-			addresses[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+i))
+			addresses[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(p.next+i))
 		}
+		p.next += n
 		if allFree(addresses) {
 			return addresses, nil
 		}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -51,6 +51,7 @@
 	Region   string    `json:"region"` // of the instance that sent it
 	Start    time.Time `json:"start"`
 	End      time.Time `json:"end"`
+	AtOnce   int       `json:"atOnce"`  // requests that ran at the start, this one included
 	Leaving  bool      `json:"leaving"` // had said that it was leaving, at the start
 	Done     bool      `json:"done"`    // the work was finished, not cancelled
 }
@@ -182,7 +183,7 @@
 	}
 	s.records = append(s.records, Record{
 		Seq: len(s.records), Upstream: s.Name, Tag: r.Header.Get(HeaderTag), Method: r.Method,
-		Region: r.Header.Get(request.HeaderRegion), Start: time.Now(), Leaving: s.fault.Leaving,
+		Region: r.Header.Get(request.HeaderRegion), Start: time.Now(), AtOnce: s.inFlight, Leaving: s.fault.Leaving,
 	})
 	at = len(s.records) - 1
 	s.journal(&s.records[at])
