entry: push to each peer on its own

Cause: an accepted version took up to 409 ms to be in force at running entries in TestConfigurationNeverReverts. The push waited for all peers, so a frozen one, with its time-out of a second, held back what came next; the others learned by the exchange round.

Ruled out: slow commits (the measure starts at the answer), and the platform's poll (its interval is longer than what was seen).

Change: at most one push runs to each peer at a time; what is new meanwhile is pushed afterwards. The proofs can build the command with the race detector and fail on its reports and on panics in any process's log.

Conclusion: a peer that does not answer delays only itself.

--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -109,27 +109,71 @@
 	})
 }
 
-// pushLoop tells all peers at once when there is something new.
+// pushLoop tells all peers at once when there is something new. A peer that
+// does not answer delays only itself.
 func (e *Entry) pushLoop(ctx context.Context) {
+	var p pusher
 	for {
 		select {
 		case <-e.push:
 		case <-ctx.Done():
 			return
 		}
-		e.pushAll(ctx)
+		for _, a := range e.peerAddresses() {
+			p.push(a, func() { e.exchange(ctx, a, e.news()) })
+		}
 	}
 }
 
-// pushAll tells all peers what is new and waits for their answers.
-func (e *Entry) pushAll(ctx context.Context) {
+// pusher runs at most one push to each peer at a time. What is new meanwhile
+// is pushed afterwards.
+type pusher struct {
+	mu      sync.Mutex
+	running map[string]bool // by address; true: push again afterwards
+}
+
+func (p *pusher) push(address string, f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		p.running = make(map[string]bool)
+	}
+	if _, ok := p.running[address]; ok {
+		p.running[address] = true
+		return
+	}
+	p.running[address] = false
+	go p.run(address, f)
+}
+
+func (p *pusher) run(address string, f func()) {
+	for {
+		f()
+		p.mu.Lock()
+		if !p.running[address] {
+			delete(p.running, address)
+			p.mu.Unlock()
+			return
+		}
+		p.running[address] = false
+		p.mu.Unlock()
+	}
+}
+
+// news is the state with the latest of each thing that peers may lack.
+func (e *Entry) news() *peer.State {
 	st := e.state()
 	st.Changes = e.changesSince(st.GetSeq() - 1)
 	st.Split = e.splitJSON()
 	st.Leaving = e.leavingFacts()
+	return st
+}
+
+// pushAll tells all peers what is new and waits for their answers.
+func (e *Entry) pushAll(ctx context.Context) {
 	var all sync.WaitGroup
 	for _, a := range e.peerAddresses() {
-		all.Go(func() { e.exchange(ctx, a, st) })
+		all.Go(func() { e.exchange(ctx, a, e.news()) })
 	}
 	all.Wait()
 }
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -3,6 +3,8 @@
 package proof
 
 import (
+	"bytes"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -17,13 +19,22 @@
 // binary is the command under test, built once.
 var binary string
 
+// commandRace builds the command with the race detector, which makes it
+// several times slower.
+var commandRace = flag.Bool("command-race", false, "build the command under test with the race detector")
+
 func TestMain(m *testing.M) {
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "shalewick")
 	if err != nil {
 		panic(err)
 	}
 	binary = filepath.Join(dir, "shalewick")
-	out, err := exec.Command("go", "build", "-o", binary, "shalewick/cmd/shalewick").CombinedOutput()
+	build := []string{"build", "-o", binary}
+	if *commandRace {
+		build = append(build, "-race")
+	}
+	out, err := exec.Command("go", append(build, "shalewick/cmd/shalewick")...).CombinedOutput()
 	if err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -54,7 +65,10 @@
 	}()
 	t.Cleanup(func() {
 		p.kill()
-		if b, err := os.ReadFile(p.log); err == nil && t.Failed() {
+		b, err := os.ReadFile(p.log)
+		assert.Check(t, err)
+		assert.Check(t, !bytes.Contains(b, []byte("DATA RACE")) && !bytes.Contains(b, []byte("panic:")), "see the log of %s", name)
+		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, b[max(0, len(b)-4000):])
 		}
 	})
