front, config, entry: test bad input, lost answers and settings

Cause: what callers, operators and peers may send wrongly had no test.

Versions are checked before they are compiled, and splits before they are used. Rows of dead members are deleted; members that are gone but named a successor are told on, so that a new instance finds who answers for their tickets. The load command takes a mix of kinds.

Conclusion: bad input ends in a numbered result and runs nothing.

--- a/load/load.go
+++ b/load/load.go
@@ -4,11 +4,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +37,46 @@
 	Timeout time.Duration
 }
 
+// ParseKind reads a kind from "name=value" pairs divided by commas, with the
+// names of the fields in lower case.
+func ParseKind(text string) (Kind, error) {
+	k := Kind{Method: http.MethodGet, Path: "/", Weight: 1, Timeout: caller.DefaultTimeout}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		var err error
+		switch name {
+		case "name":
+			k.Name = value
+		case "service":
+			k.Service = value
+		case "method":
+			k.Method = value
+		case "path":
+			k.Path = value
+		case "weight":
+			k.Weight, err = strconv.Atoi(value)
+		case "once":
+			k.Once, err = strconv.ParseBool(value)
+		case "body":
+			k.Body, err = strconv.Atoi(value)
+		case "answer":
+			k.Answer, err = strconv.Atoi(value)
+		case "timeout":
+			k.Timeout, err = time.ParseDuration(value)
+		default:
+			err = errors.New("no such field")
+		}
+		if err != nil {
+			return k, errors.Annotatef(err, "%q", pair)
+		}
+	}
+	if k.Service == "" || k.Weight < 1 || k.Body < 0 || k.Answer < 0 {
+		return k, errors.Errorf("%q: service must be set, weight above 0, body and answer not negative", text)
+	}
+	k.Name = cmp.Or(k.Name, k.Service)
+	return k, nil
+}
+
 // Options of a run.
 type Options struct {
 	// Clients send in turn; each stands for many callers in one place.
--- a/process/config/store.go
+++ b/process/config/store.go
@@ -91,6 +91,9 @@
 }
 
 func (s *Store) install(c *version.Config) error {
+	if err := c.Check(); err != nil { // what a peer or the platform sent may be spoilt
+		return errors.Annotatef(err, "check version %d", c.Seq)
+	}
 	v, err := version.Compile(c)
 	if err != nil {
 		return errors.Annotatef(err, "compile version %d", c.Seq)
--- /dev/null
+++ b/process/entry/entry_test.go
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/metric"
+	"shalewick/process/peer"
+	"shalewick/process/platform"
+	"shalewick/process/slots"
+	"shalewick/version"
+)
+
+func good() Settings {
+	return Settings{
+		Instance: "e", Hall: "h", Front: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0",
+		Platform: "http://127.0.0.1:1", LogLevel: "info",
+	}
+}
+
+func TestBadSettingsNameTheirFlag(t *testing.T) {
+	ok := good()
+	assert.NilError(t, ok.Check())
+	for want, spoil := range map[string]func(*Settings){
+		"--instance":  func(s *Settings) { s.Instance = "" },
+		"--hall":      func(s *Settings) { s.Hall = "" },
+		"--front":     func(s *Settings) { s.Front = "localhost:1" },
+		"--peer":      func(s *Settings) { s.Peer = "1.2.3.4" },
+		"--admin":     func(s *Settings) { s.Admin = "x" },
+		"--platform":  func(s *Settings) { s.Platform = "ftp://x" },
+		"--peers":     func(s *Settings) { s.Peers = []string{"y"} },
+		"--grace":     func(s *Settings) { s.Grace = -1 },
+		"--log-level": func(s *Settings) { s.LogLevel = "loud" },
+	} {
+		s := good()
+		spoil(&s)
+		_, err := Start(s, io.Discard)
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+func TestLogIsOneLineOfPairs(t *testing.T) {
+	var b bytes.Buffer
+	l := NewLogger(&b)
+	l.Info().Str("upstream", "u 1").Int("code", 20).Msg("refused")
+	assert.Equal(t, strings.Count(b.String(), "\n"), 1)
+	for _, pair := range []string{"time=", "level=info", "event=refused", "code=20", `upstream="u 1"`} {
+		assert.Assert(t, strings.Contains(b.String(), pair), b.String())
+	}
+}
+
+// bare returns an entry without listeners and loops.
+func bare() *Entry {
+	e := &Entry{
+		settings: good(), log: NewLogger(io.Discard), started: time.Now(), platform: platform.NewClient("http://127.0.0.1:1"),
+		metrics: metric.NewSet(), peers: newPeerConns(), short: make(chan struct{}, 1),
+		push: make(chan struct{}, 1), split: make(chan struct{}, 1), synced: make(chan struct{}),
+	}
+	e.assemble()
+	return e
+}
+
+// configured gives a bare entry a version with so many upstreams.
+func configured(tb testing.TB, upstreams int) *Entry {
+	tb.Helper()
+	var docs strings.Builder
+	docs.WriteString("kind: region\nname: r\nspec: {}\n---\nkind: hall\nname: h\nspec: {region: r}\n---\n")
+	docs.WriteString("kind: service\nname: s\nspec: {routes: [{prefix: /, class: read, deadline: 1s}]}\n")
+	for i := range upstreams {
+		fmt.Fprintf(&docs, "---\nkind: upstream\nname: u%d\nspec: {service: s, hall: h, address: \"10.1.%d.%d:80\", slots: 4}\n", i, i/250, i%250)
+	}
+	rs, err := version.Parse([]byte(docs.String()))
+	assert.NilError(tb, err)
+	cfg, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
+	assert.NilError(tb, err)
+	e := bare()
+	assert.NilError(tb, e.store.AdoptSnapshot(cfg))
+	return e
+}
+
+// FuzzAbsorb feeds what a peer may send.
+func FuzzAbsorb(f *testing.F) {
+	split, err := json.Marshal(slots.Split{Epoch: 2, Members: []string{"m"}, Pools: map[string]slots.PoolSplit{"upstream/u0": {Homes: []int32{0, 0}}}})
+	assert.NilError(f, err)
+	for _, st := range []*peer.State{
+		{},
+		{Self: &peer.Member{Id: "m", Peer: "127.0.0.1:1"}, Seq: 5, Changes: [][]byte{[]byte(`{"seq":2,"operation":"x"}`)}},
+		{Split: split, Leaving: []*peer.Leaving{{Upstream: "u0", Boot: "b"}}},
+	} {
+		b, err := proto.Marshal(st)
+		assert.NilError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var st peer.State
+		if proto.Unmarshal(b, &st) != nil {
+			return
+		}
+		e := configured(t, 2)
+		before := e.store.Config().Seq
+		e.absorb(&st)
+		assert.Assert(t, e.store.Config().Seq >= before)
+		e.slots.Status(e.now())
+		e.slots.Lessors(slots.Want{Service: "s", Region: "r", Tokens: 1})
+	})
+}
+
+// BenchmarkExchange measures what one exchange costs the side that answers,
+// with so many members known.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{12, 120, 620} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := configured(b, 100)
+			for i := range n {
+				e.members.Merge([]*peer.Member{{
+					Id: fmt.Sprintf("entry-%d.abcdefgh", i), Instance: fmt.Sprintf("entry-%d", i), Hall: "h",
+					Front: fmt.Sprintf("10.2.%d.%d:8000", i/250, i%250), Peer: fmt.Sprintf("10.2.%d.%d:8001", i/250, i%250),
+				}}, e.now())
+			}
+			in := e.state()
+			size := proto.Size(in)
+			s := &peerServer{e: e}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := s.Exchange(b.Context(), in); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "B/message")
+			b.ReportMetric(float64(proto.Size(&peer.State{Members: e.members.All(e.now())}))/float64(n), "B/member")
+		})
+	}
+}
+
+// BenchmarkInstall measures the taking up of one change, by upstreams.
+func BenchmarkInstall(b *testing.B) {
+	for _, n := range []int{50, 500, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := configured(b, n)
+			seq := e.store.Config().Seq
+			bytes := 0
+			for b.Loop() {
+				seq++
+				ch := version.Change{Seq: seq, Operation: "x", Puts: []version.Resource{{
+					Key: version.Key{Kind: version.KindRegion, Name: "r"}, Region: &version.Region{Description: "y"},
+				}}}
+				j, err := json.Marshal(ch)
+				assert.NilError(b, err)
+				bytes = len(j)
+				assert.NilError(b, e.store.Adopt(ch))
+			}
+			b.ReportMetric(float64(bytes), "B/change")
+		})
+	}
+}
+
+// BenchmarkTick measures one tick over the tokens of so many upstreams.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{50, 500, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := configured(b, n)
+			in := slots.PlanInput{Live: []slots.Candidate{{ID: e.members.Self().GetId(), Region: "r"}}, View: e.steer.Bound().View}
+			split, _ := slots.Plan(&slots.Split{}, in)
+			e.slots.SetSplit(split, e.now())
+			j, err := json.Marshal(split)
+			assert.NilError(b, err)
+			for b.Loop() {
+				e.slots.Tick(e.now())
+			}
+			b.ReportMetric(float64(len(j))/float64(n*4), "B/token")
+		})
+	}
+}
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -251,10 +251,12 @@
 		}
 	}
 	if len(st.GetSplit()) > 0 {
-		var sp slots.Split
-		if err := json.Unmarshal(st.GetSplit(), &sp); err == nil {
-			e.slots.SetSplit(&sp, now)
+		sp, err := slots.ParseSplit(st.GetSplit())
+		if err != nil {
+			e.log.Warn().Err(err).Str("peer", st.GetSelf().GetId()).Msg("bad-split")
+			return
 		}
+		e.slots.SetSplit(sp, now)
 	}
 	facts := make([]health.Leaving, 0, len(st.GetLeaving()))
 	for _, l := range st.GetLeaving() {
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -17,7 +17,9 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	maxHeader     = 64 << 10
+	// maxHeader is what is read at all, in bytes; package front refuses less
+	// with a result.
+	maxHeader = 1 << 20
 )
 
 // listen opens the listeners. If one can not be opened, none stays open.
--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -109,7 +108,9 @@
 		return errors.Annotate(err, "read instances")
 	}
 	var ms []*peer.Member
+	var ids []string
 	for _, row := range rows {
+		ids = append(ids, row.Key)
 		m := &peer.Member{}
 		if err := protojson.Unmarshal(row.Value, m); err != nil {
 			e.log.Warn().Err(err).Str("key", row.Key).Msg("bad-member-row")
@@ -119,6 +120,7 @@
 	}
 	e.members.Rows(ms, e.now())
 	e.members.List(list)
+	e.splitter.readRows(ids)
 	return nil
 }
 
@@ -132,11 +134,11 @@
 	if err != nil {
 		return errors.Annotate(err, "read split")
 	}
-	var s slots.Split
-	if err := json.Unmarshal(row.Value, &s); err != nil {
-		return errors.Annotate(err, "read split")
+	s, err := slots.ParseSplit(row.Value)
+	if err != nil {
+		return err
 	}
-	e.slots.SetSplit(&s, e.now())
+	e.slots.SetSplit(s, e.now())
 	e.splitter.read(row.Revision)
 	return nil
 }
--- a/process/entry/server.go
+++ b/process/entry/server.go
@@ -43,7 +43,7 @@
 		out.Split = e.splitJSON()
 	}
 	if in.GetMembersDigest() != out.GetMembersDigest() {
-		out.Members = e.members.All(e.now())
+		out.Members = e.members.Gossip(e.now())
 	}
 	if in.GetLeavingDigest() != out.GetLeavingDigest() {
 		out.Leaving = e.leavingFacts()
--- a/process/entry/split.go
+++ b/process/entry/split.go
@@ -32,7 +32,8 @@
 	work sync.Mutex // held for a whole round; guards what is below revision
 
 	mu       sync.Mutex
-	revision int64 // of the split's row, as last read
+	revision int64    // of the split's row, as last read
+	rows     []string // ids of the members' rows, as last read
 	// ceding are tokens taken off this member for a transaction whose end
 	// is not known. They stay so until the row has another revision than
 	// the one that the transaction was bound to.
@@ -49,6 +50,13 @@
 	s.mu.Unlock()
 }
 
+// readRows notes the members' rows.
+func (s *splitter) readRows(ids []string) {
+	s.mu.Lock()
+	s.rows = ids
+	s.mu.Unlock()
+}
+
 // splitLoop gives homes to tokens that have none.
 func (e *Entry) splitLoop(ctx context.Context) {
 	select {
@@ -85,6 +93,9 @@
 	_, needed := slots.Plan(e.slots.Split(), in)
 	if !needed {
 		e.splitter.due = 0
+		if e.rank(live) == 0 {
+			e.sweepRows(ctx, in.Dead)
+		}
 		if now-e.splitter.ceded < cedeEvery {
 			return
 		}
@@ -103,6 +114,26 @@
 	}
 }
 
+// sweepRows deletes the rows of dead members that are the home of nothing.
+func (e *Entry) sweepRows(ctx context.Context, dead map[string]bool) {
+	homes := e.slots.Split().Members
+	var ops []platform.Op
+	e.splitter.mu.Lock()
+	rows := e.splitter.rows
+	e.splitter.mu.Unlock()
+	for _, id := range rows {
+		if dead[id] && !slices.Contains(homes, id) {
+			ops = append(ops, platform.Op{Kind: platform.OpDelete, Table: tableMembers, Key: id, Revision: platform.AnyRevision})
+		}
+	}
+	if len(ops) == 0 {
+		return
+	}
+	if err := e.platform.Commit(ctx, ops); err != nil {
+		e.log.Debug().Err(err).Msg("rows-not-deleted")
+	}
+}
+
 // rank is the number of live members before this one.
 func (e *Entry) rank(live []slots.Candidate) time.Duration {
 	self := e.members.Self().GetId()
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -95,16 +95,19 @@
 	t := &trial{f: f, c: c, src: src, ask: steer.Ask{Service: c.service, Class: c.route.Class, Deadline: c.deadline}}
 	bud := f.budget(c.service)
 	bud.earn()
-	for try := 0; ; try++ {
-		a, res, again := t.attempt(ctx)
+	a, res, again := t.attempt(ctx)
+	for try := 1; again && try < maxAttempts && ctx.Err() == nil && bud.spend(); try++ {
+		f.Metrics.Retry(c.service)
+		var further *request.Result
+		a, further, again = t.attempt(ctx)
+		if further != nil && !further.Code.NoPlace() {
+			res = further // else the end of the attempt before tells more
+		}
 		if a != nil {
 			return a, nil
 		}
-		if !again || try+1 >= maxAttempts || ctx.Err() != nil || !bud.spend() {
-			return nil, res
-		}
-		f.Metrics.Retry(c.service)
 	}
+	return a, res
 }
 
 // bodyResult is the end of a request whose body could not be read.
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -122,6 +122,9 @@
 	if c.route == nil {
 		return refusal(request.UnknownRoute, 0)
 	}
+	if headerSize(c.r) > maxHeader {
+		return refusal(request.HeaderTooLarge, 0)
+	}
 	if c.r.ContentLength > c.route.MaxBody {
 		return refusal(request.TooLarge, 0)
 	}
@@ -141,6 +144,19 @@
 	return nil
 }
 
+// maxHeader bounds the headers of a request, in bytes.
+const maxHeader = 64 << 10
+
+func headerSize(r *http.Request) int {
+	n := len(r.RequestURI)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v)
+		}
+	}
+	return n
+}
+
 const minRetry = 100 * time.Millisecond
 
 func refusal(c request.Code, retry time.Duration) *request.Result {
--- /dev/null
+++ b/process/front/front_test.go
@@ -0,0 +1,290 @@
+// SPDX-License-Identifier: MIT
+
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/health"
+	"shalewick/process/member"
+	"shalewick/process/metric"
+	"shalewick/process/peer"
+	"shalewick/process/slots"
+	"shalewick/process/steer"
+	"shalewick/process/ticket"
+	"shalewick/request"
+	"shalewick/standin/upstream"
+	"shalewick/version"
+)
+
+const documents = `
+kind: region
+name: north
+spec: {}
+---
+kind: hall
+name: north-1
+spec: {region: north}
+---
+kind: service
+name: catalogue
+spec:
+  queue: 2
+  routes:
+  - {prefix: /lots, methods: [GET, HEAD], class: read, repeatable: true, deadline: 400ms}
+  - {prefix: /bids, methods: [POST], class: commit, deadline: 400ms}
+  - {prefix: /videos, methods: [PUT], class: upload, repeatable: true, deadline: 400ms, maxBody: 1000}
+---
+kind: upstream
+name: c1
+spec: {service: catalogue, hall: north-1, address: "%s", slots: 1}
+`
+
+// fixture is a front with one upstream, in one process.
+type fixture struct {
+	front    *Front
+	url      string
+	upstream *upstream.Server
+	slots    *slots.Table
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{upstream: &upstream.Server{Name: "c1", Slots: 1, Work: time.Millisecond}}
+	up := httptest.NewServer(f.upstream.Handler())
+	t.Cleanup(up.Close)
+	rs, err := version.Parse(fmt.Appendf(nil, documents, up.Listener.Addr()))
+	assert.NilError(t, err)
+	cfg, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
+	assert.NilError(t, err)
+	v, err := version.Compile(cfg)
+	assert.NilError(t, err)
+	began := time.Now()
+	now := func() time.Duration { return time.Since(began) + time.Second }
+	s := &steer.Steerer{Now: now, Region: func(*version.View) int32 { return 0 }, Short: func() {}}
+	f.slots = &slots.Table{Self: "m", OnFree: func(int32) { s.Wake() }}
+	s.Slots, s.Health = f.slots, &health.Table{OnLeaving: func(health.Leaving) {}}
+	s.Install(v)
+	s.Confirm(now() + time.Hour)
+	split, _ := slots.Plan(&slots.Split{}, slots.PlanInput{Live: []slots.Candidate{{ID: "m", Region: "north"}}, View: v})
+	f.slots.SetSplit(split, now())
+	f.front = &Front{
+		Steer: s, Ledger: ticket.NewLedger("m", now), Now: now, Metrics: metric.NewSet(), Log: zerolog.Nop(),
+		Members: member.NewRegistry(&peer.Member{Id: "m", Hall: "north-1", Front: "127.0.0.1:1"}),
+	}
+	srv := httptest.NewServer(f.front)
+	t.Cleanup(srv.Close)
+	f.url = srv.URL
+	return f
+}
+
+// call sends a request and returns the result, which is OK for an answer.
+func (f *fixture) call(t *testing.T, method, path string, body io.Reader, header ...string) (request.Result, *http.Response) {
+	t.Helper()
+	req, err := http.NewRequest(method, f.url+path, body)
+	assert.NilError(t, err)
+	req.Header.Set(request.HeaderService, "catalogue")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	r, refused := request.FromHeader(res.Header)
+	if refused {
+		var in struct {
+			Code request.Code
+			Ran  request.Ran
+		}
+		assert.NilError(t, json.Unmarshal(b, &in))
+		assert.Equal(t, in.Code, r.Code) // the body says the same as the header
+		assert.Equal(t, in.Ran, r.Ran)
+		assert.Equal(t, res.StatusCode, r.Code.Info().Status)
+	}
+	return r, res
+}
+
+func TestBadInputGetsANumberedResult(t *testing.T) {
+	f := newFixture(t)
+	for _, tc := range []struct {
+		method, path string
+		body         string
+		header       []string
+		want         request.Code
+	}{
+		{"GET", "/lots", "", nil, request.OK},
+		{"HEAD", "/lots", "", nil, request.OK},
+		{"GET", "/lots", "", []string{request.HeaderService, "zebra"}, request.UnknownService},
+		{"GET", "/unknown", "", nil, request.UnknownRoute},
+		{"POST", "/lots", "", nil, request.UnknownRoute},
+		{"PUT", "/videos", strings.Repeat("x", 1001), nil, request.TooLarge},
+		{"GET", "/lots", "", []string{"X-Large", strings.Repeat("x", 70<<10)}, request.HeaderTooLarge},
+		{"GET", "/lots", "", []string{"Upgrade", "websocket"}, request.BadRequest},
+		{"POST", "/bids", "bid", nil, request.TicketNeeded},
+		{"POST", "/bids", "bid", []string{request.HeaderTicket, "zzz"}, request.TicketInvalid},
+		{"GET", "/lots", "", []string{request.HeaderOnce, "true"}, request.TicketNeeded},
+		{"GET", Reserved + "zebra", "", nil, request.UnknownRoute},
+		{"GET", Reserved + "lookup?client=zebra", "", nil, request.BadRequest},
+	} {
+		r, _ := f.call(t, tc.method, tc.path, strings.NewReader(tc.body), tc.header...)
+		assert.Equal(t, r.Code, tc.want, "%s %s", tc.method, tc.path)
+		assert.Assert(t, r.Code == request.OK || r.Ran == request.RanNo)
+	}
+	ran := len(f.upstream.Records())
+	assert.Equal(t, ran, 2) // the two that were well formed
+}
+
+func TestLongBodyOfUnknownLengthIsRefused(t *testing.T) {
+	f := newFixture(t)
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", 1001))) // hides the length
+	r, _ := f.call(t, "PUT", "/videos", body)
+	assert.Equal(t, r.Code, request.TooLarge)
+}
+
+func TestFullQueueRefusesAtOnceWithATimeToReturn(t *testing.T) {
+	f := newFixture(t)
+	f.upstream.SetFault(upstream.Fault{SlowMs: 300})
+	results := make(chan request.Result, 8)
+	start := time.Now()
+	for range 8 {
+		go func() {
+			r, _ := f.call(t, "GET", "/lots", nil)
+			results <- r
+		}()
+	}
+	early := 0
+	for range 8 {
+		r := <-results
+		if r.Code == request.QueueFull {
+			early++
+			assert.Assert(t, r.Retry > 0 && r.Ran == request.RanNo)
+			assert.Assert(t, time.Since(start) < 250*time.Millisecond, "refused late")
+		}
+	}
+	assert.Assert(t, early >= 5, "one runs, two wait, the rest is refused: %d", early)
+}
+
+func TestCallerThatVanishesFreesTheSlot(t *testing.T) {
+	f := newFixture(t)
+	f.upstream.SetFault(upstream.Fault{SlowMs: 200})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url+"/lots", nil)
+	assert.NilError(t, err)
+	req.Header.Set(request.HeaderService, "catalogue")
+	_, err = http.DefaultClient.Do(req)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	f.upstream.SetFault(upstream.Fault{})
+	r, _ := f.call(t, "GET", "/lots", nil)
+	assert.Equal(t, r.Code, request.OK)
+	rs := f.upstream.Records()
+	assert.Assert(t, !rs[0].Done) // the cancellation was passed on
+}
+
+func TestHalfSentRequestRunsNothing(t *testing.T) {
+	f := newFixture(t)
+	c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "PUT /videos HTTP/1.1\r\nHost: x\r\nShalewick-Service: catalogue\r\nContent-Length: 10\r\n\r\nhalf")
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	r, _ := request.FromHeader(res.Header)
+	assert.Equal(t, r.Code, request.CallerGone)
+	assert.Equal(t, r.Ran, request.RanNo)
+	assert.Equal(t, len(f.upstream.Records()), 0)
+}
+
+func TestUpstreamThatMisbehaves(t *testing.T) {
+	f := newFixture(t)
+	for _, tc := range []struct {
+		fault upstream.Fault
+		want  request.Code
+		ran   request.Ran
+	}{
+		{upstream.Fault{WrongID: 1}, request.AnswerWrong, request.RanUnknown},
+		{upstream.Fault{Cut: 1}, request.AnswerLost, request.RanUnknown},
+		{upstream.Fault{Drop: 1}, request.AnswerLost, request.RanUnknown},
+		{upstream.Fault{Shed: 1}, request.UpstreamRefused, request.RanNo},
+		{upstream.Fault{SlowMs: 600}, request.DeadlinePassed, request.RanUnknown},
+	} {
+		f.upstream.SetFault(tc.fault)
+		_, res := f.call(t, "POST", "/bids", nil)
+		r, _ := f.call(t, "POST", "/bids?size=10", nil, request.HeaderTicket, res.Header.Get(request.HeaderTicket))
+		assert.Equal(t, r.Code, tc.want)
+		assert.Equal(t, r.Ran, tc.ran)
+		time.Sleep(10 * time.Millisecond)
+		f.upstream.SetFault(upstream.Fault{})
+		f.front.Steer.Health.Answered("c1", time.Millisecond, "", "", f.front.Now()) // opens it again
+	}
+}
+
+func TestCutAnswerBreaksTheCallerOff(t *testing.T) {
+	f := newFixture(t)
+	f.upstream.SetFault(upstream.Fault{Cut: 1})
+	req, err := http.NewRequest(http.MethodGet, f.url+"/lots?size=300000", nil)
+	assert.NilError(t, err)
+	req.Header.Set(request.HeaderService, "catalogue")
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	assert.Equal(t, res.StatusCode, http.StatusOK) // it is larger than what is held whole
+	_, err = io.ReadAll(res.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestOrderPrefersNearAndLeavesOutLeaving(t *testing.T) {
+	rs, err := version.Parse([]byte(`
+kind: region
+name: a
+spec: {}
+---
+kind: region
+name: b
+spec: {}
+---
+kind: hall
+name: a1
+spec: {region: a, clients: [10.0.0.0/16]}
+---
+kind: hall
+name: a2
+spec: {region: a}
+---
+kind: hall
+name: b1
+spec: {region: b}
+---
+kind: link
+name: ab
+spec: {from: a, to: b, cap: 1, latency: 12ms}
+`))
+	assert.NilError(t, err)
+	cfg, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
+	assert.NilError(t, err)
+	v, err := version.Compile(cfg)
+	assert.NilError(t, err)
+	live := []*peer.Member{
+		{Id: "1", Hall: "b1", Front: "b1"}, {Id: "2", Hall: "a2", Front: "a2"},
+		{Id: "3", Hall: "a1", Front: "a1"}, {Id: "4", Hall: "a1", Front: "leaving", Leaving: true},
+	}
+	got := Order(v, netip.MustParseAddr("10.0.3.4"), live)
+	assert.DeepEqual(t, got, []Entry{{"a1", "a1"}, {"a2", "a2"}, {"b1", "b1"}})
+}
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -190,7 +190,7 @@
 	for range maxSuccessors {
 		m = f.Members.Find(id)
 		if m == nil {
-			return nil, false
+			return nil, f.Members.Settled(now)
 		}
 		if s := m.GetSuccessor(); s != "" {
 			id = s
--- a/process/member/registry.go
+++ b/process/member/registry.go
@@ -217,6 +217,24 @@
 	return r.selectMembers(func(e *entry) bool { return !r.isDead(e, now) })
 }
 
+// Gossip returns copies of the members to tell others of, self included: those
+// that are not dead, and those that are gone but named a successor for their
+// tickets.
+func (r *Registry) Gossip(now time.Duration) []*peer.Member {
+	return r.selectMembers(func(e *entry) bool {
+		return !r.isDead(e, now) || e.info.GetGone() && e.info.GetSuccessor() != ""
+	})
+}
+
+// Settled reports whether all members are known: the platform's rows have been
+// read without a failure for LapseTime. A member that is not known then has
+// ended.
+func (r *Registry) Settled(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readable && now-r.reading >= LapseTime
+}
+
 // Live returns copies of the members that can be reached, self included unless
 // it is gone, ordered by id.
 func (r *Registry) Live(now time.Duration) []*peer.Member {
@@ -270,7 +288,7 @@
 		e.dead = true
 		e.deadSince = now
 	}
-	if now-e.deadSince > forgetTime {
+	if now-e.deadSince > forgetTime && e.info.GetSuccessor() == "" {
 		delete(r.members, id)
 	}
 }
@@ -307,7 +325,7 @@
 // Digest is equal where the same members in the same states are known.
 func (r *Registry) Digest(now time.Duration) uint64 {
 	var sum uint64
-	for _, m := range r.All(now) {
+	for _, m := range r.Gossip(now) {
 		m.Beat = 0
 		b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 		if err == nil {
--- a/process/slots/split.go
+++ b/process/slots/split.go
@@ -4,9 +4,12 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 
+	"github.com/juju/errors"
+
 	"shalewick/version"
 )
 
@@ -27,6 +30,27 @@
 	Fenced []int32 `json:"fenced,omitempty"`
 }
 
+// Check returns an error for a split that names members that it does not have.
+func (s *Split) Check() error {
+	for name, ps := range s.Pools {
+		for _, h := range ps.Homes {
+			if int(h) >= len(s.Members) {
+				return errors.Errorf("split %d: %s has a home that is not listed", s.Epoch, name)
+			}
+		}
+	}
+	return nil
+}
+
+// ParseSplit reads the JSON form.
+func ParseSplit(b []byte) (*Split, error) {
+	var s Split
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, errors.Annotate(err, "read split")
+	}
+	return &s, s.Check()
+}
+
 // Home returns the member that is the home of a token, or "".
 func (s *Split) Home(pool string, index int) string {
 	hs := s.Pools[pool].Homes
--- a/process/steer/steer.go
+++ b/process/steer/steer.go
@@ -130,6 +130,10 @@
 	Tried    [2]string // upstreams that were tried already; "" where unused
 }
 
+// again reports whether the request was tried before. It then does not wait
+// for a place: its end is known already.
+func (a *Ask) again() bool { return a.Tried[0] != "" }
+
 // Place is an upstream and the tokens to use it. Exactly one of Dispatch and
 // Cancel is to be called.
 type Place struct {
@@ -165,13 +169,16 @@
 		return nil, refuse(request.UnknownService, 0)
 	}
 	q := b.Queues[svc]
-	if q.Len() == 0 {
+	if q.Len() == 0 || a.again() {
 		if p, open := s.try(a); p != nil {
 			return p, nil
 		} else if !open {
 			return nil, refuse(request.NoUpstream, closedRetry)
 		}
 	}
+	if a.again() {
+		return nil, refuse(request.QueueFull, minRetry)
+	}
 	return s.wait(ctx, a, q, b.View.Services[svc].Queue)
 }
 
@@ -250,6 +257,7 @@
 	if time.Until(a.Deadline) < expect {
 		return nil, refuse(request.DeadlineNear, expect)
 	}
+	expect = max(expect, minRetry) // nothing was served yet, or all is quick
 	w, ok := q.Enter(a.Class, limit)
 	if !ok {
 		return nil, refuse(request.QueueFull, expect)
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -11,8 +11,11 @@
 	"gotest.tools/v3/assert"
 
 	"shalewick/load"
+	"shalewick/process/member"
+	"shalewick/process/slots"
 	"shalewick/standin/fleet"
 	standplatform "shalewick/standin/platform"
+	"shalewick/version"
 )
 
 // outage is the length of the platform's outage in TestOutageWithDeaths.
@@ -39,13 +42,22 @@
 	return float64(has) / float64(max(1, size))
 }
 
+// recovery bounds the time from the platform's return until all slots are
+// usable: the beats of the dead must stand still, the split must be read by
+// all, and the fence of the longest deadline must pass. Three polls lie between.
+func recovery() time.Duration {
+	const poll = 2500 * time.Millisecond
+	uploads := version.Pool{Deadline: fleet.UploadDeadline}
+	return member.LapseTime + slots.Fence(&uploads) + 3*poll
+}
+
 // TestOutageWithDeaths: the platform is down while entries die and join.
 // Nothing is granted twice, the entries left go on serving, and the tokens of
 // the dead are split anew once the platform is back.
 func TestOutageWithDeaths(t *testing.T) {
 	c := newCluster(t, shape{size: fleet.Caroni(), entries: 12, work: 20 * time.Millisecond})
 	mix := c.mix()[:2]
-	o := load.Options{Clients: c.callers(), Rate: 300, Duration: *outage + 25*time.Second, Mix: mix}
+	o := load.Options{Clients: c.callers(), Rate: 300, Duration: *outage + recovery(), Mix: mix}
 	rep, _ := c.underLoad(o, func() {
 		t.Logf("usable slots before: %.2f", c.usable())
 		c.platformFault(standplatform.Fault{Down: true})
@@ -63,7 +75,7 @@
 		assert.Check(t, low > 0.7)
 		c.platformFault(standplatform.Fault{})
 		back := time.Now()
-		limit := 24 * time.Second
+		limit := recovery()
 		for c.usable() < 0.99 && time.Since(back) < limit {
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/request/result.go
+++ b/request/result.go
@@ -25,6 +25,7 @@
 	UnknownRoute   Code = 12
 	TooLarge       Code = 13
 	CallerGone     Code = 14
+	HeaderTooLarge Code = 15
 
 	QueueFull    Code = 20
 	DeadlineNear Code = 21
@@ -77,6 +78,7 @@
 	UnknownService:  {"UNKNOWN_SERVICE", http.StatusNotFound, "no service has this name or host"},
 	UnknownRoute:    {"UNKNOWN_ROUTE", http.StatusNotFound, "the service has no route for this method and path"},
 	TooLarge:        {"TOO_LARGE", http.StatusRequestEntityTooLarge, "the body is larger than the route allows"},
+	HeaderTooLarge:  {"HEADER_TOO_LARGE", http.StatusRequestHeaderFieldsTooLarge, "the headers are larger than 64 KiB"},
 	CallerGone:      {"CALLER_GONE", 499, "the caller went away before the answer"},
 	QueueFull:       {"QUEUE_FULL", http.StatusServiceUnavailable, "too many requests wait for a slot"},
 	DeadlineNear:    {"DEADLINE_NEAR", http.StatusServiceUnavailable, "no slot can be had before the deadline"},
@@ -106,6 +108,12 @@
 	return infos[c]
 }
 
+// NoPlace reports whether the code says that there was no room for a request,
+// so that it was not sent at all.
+func (c Code) NoPlace() bool {
+	return c == QueueFull || c == DeadlineNear || c == NoUpstream
+}
+
 // Codes lists every code with a description, unordered.
 func Codes() []Code {
 	cs := make([]Code, 0, len(infos))
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -244,13 +245,13 @@
 	size = min(max(size, len(tag)), maxSize)
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	w.WriteHeader(http.StatusOK)
+	body := io.MultiReader(strings.NewReader(tag), filler{})
 	if cut {
-		_, _ = io.WriteString(w, tag[:len(tag)/2])
+		_, _ = io.CopyN(w, body, int64(size/2))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.WriteString(w, tag)
-	_, _ = io.Copy(w, io.LimitReader(filler{}, int64(size-len(tag))))
+	_, _ = io.CopyN(w, body, int64(size))
 }
 
 // filler is an endless source of dots.
