proof, member: sharpen the proofs, keep the digest of members

Cause: with a mechanism switched off on a scratch copy, four proofs still passed: answers were mixed up or cut without anybody being able to see it, and planned stops were covered up by callers that try again.

Change: the stand-in's wrong id comes with another request's body, and large answers are chunked, so that a cut one does not show by its length. The digest of members is kept until one changes.

--- a/process/member/registry.go
+++ b/process/member/registry.go
@@ -35,6 +35,11 @@
 	// reading is since when the platform's rows were read without a failure.
 	reading  time.Duration
 	readable bool
+	// digest is kept until changed is set, or it is too old.
+	digest    uint64
+	digestAt  time.Duration
+	digestSet bool
+	changed   bool
 }
 
 type entry struct {
@@ -73,6 +78,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f(r.self)
+	r.changed = true
 }
 
 // Merge takes up what a peer or a row says of members. Fields that only ever
@@ -93,8 +99,11 @@
 	if e == nil {
 		e = &entry{info: proto.CloneOf(m), known: now}
 		r.members[m.GetId()] = e
+		r.changed = true
 		return e
 	}
+	told := e.info.GetLeaving() != m.GetLeaving() || e.info.GetGone() != m.GetGone() || e.info.GetSuccessor() != m.GetSuccessor()
+	r.changed = r.changed || told
 	e.info.Leaving = e.info.Leaving || m.GetLeaving()
 	e.info.Gone = e.info.Gone || m.GetGone()
 	e.info.Successor = cmp.Or(e.info.GetSuccessor(), m.GetSuccessor())
@@ -168,10 +177,12 @@
 // leaving marks the members of an instance as leaving.
 func (r *Registry) leaving(instance string) {
 	if r.self.GetInstance() == instance {
+		r.changed = r.changed || !r.self.GetLeaving()
 		r.self.Leaving = true
 	}
 	for _, e := range r.members {
 		if e.info.GetInstance() == instance {
+			r.changed = r.changed || !e.info.GetLeaving()
 			e.info.Leaving = true
 		}
 	}
@@ -322,9 +333,21 @@
 	return false
 }
 
+// digestLife is how long a digest is kept when no member has changed; that a
+// member died of old age can take so long to show.
+const digestLife = 2 * time.Second
+
 // Digest is equal where the same members in the same states are known.
 func (r *Registry) Digest(now time.Duration) uint64 {
-	var sum uint64
+	r.mu.Lock()
+	fresh := !r.changed && r.digestSet && now-r.digestAt < digestLife
+	sum := r.digest
+	r.changed = false
+	r.mu.Unlock()
+	if fresh {
+		return sum
+	}
+	sum = 0
 	for _, m := range r.Gossip(now) {
 		m.Beat = 0
 		b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
@@ -332,5 +355,8 @@
 			sum ^= xxhash.Sum64(b)
 		}
 	}
+	r.mu.Lock()
+	r.digest, r.digestAt, r.digestSet = sum, now, true
+	r.mu.Unlock()
 	return sum
 }
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -165,11 +165,13 @@
 	if !done || rand.Float64() < f.Drop {
 		panic(http.ErrAbortHandler)
 	}
+	tag := r.Header.Get(HeaderTag)
 	if rand.Float64() < f.WrongID {
 		h.Set(request.HeaderID, "not-"+r.Header.Get(request.HeaderID))
+		tag = strings.Repeat("?", len(tag)) // the answer to another request
 	}
 	h.Set(HeaderSum, strconv.FormatUint(sum, 16))
-	s.answer(w, r, rand.Float64() < f.Cut)
+	s.answer(w, r, tag, rand.Float64() < f.Cut)
 }
 
 // begin takes a slot and opens a record; it returns the record's place.
@@ -239,11 +241,16 @@
 // maxSize bounds an answer's body, in bytes.
 const maxSize = 64 << 20
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, cut bool) {
-	tag := r.Header.Get(HeaderTag)
+// maxLength is the size up to which an answer says its length, in bytes; larger
+// ones are sent in chunks.
+const maxLength = 128 << 10
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, tag string, cut bool) {
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
 	size = min(max(size, len(tag)), maxSize)
-	w.Header().Set("Content-Length", strconv.Itoa(size))
+	if size <= maxLength {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+	}
 	w.WriteHeader(http.StatusOK)
 	body := io.MultiReader(strings.NewReader(tag), filler{})
 	if cut {
