conn: test dispatch, release and load reports

Change: tests of connection reuse, of an idle connection that was closed, of a refused dispatch, and of silent and closing upstreams; load reports out of range are refused, and fuzzed.

Conclusion: the package's promises are shown by themselves.

--- /dev/null
+++ b/conn/conn_test.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func FuzzParseReport(f *testing.F) {
+	f.Add([]byte(`{"state":"ready","boot":"b","inFlight":1,"slots":4}`))
+	f.Add([]byte(`{"state":"leaving"}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		rep, err := ParseReport(b)
+		assert.Assert(t, err != nil || rep.InFlight >= 0 && rep.Slots >= 0 && len(rep.Boot) <= maxBoot)
+	})
+}
+
+// script is a server that does one thing with each connection.
+func script(t *testing.T, f func(net.Conn, *bufio.Reader)) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c, bufio.NewReader(c))
+		}
+	}()
+	return &Pool{Address: l.Addr().String()}
+}
+
+// exchange dispatches a request and returns the body, the error, and how the
+// token was released.
+func exchange(t *testing.T, p *Pool, body string, deadline time.Duration, allowed bool) (string, error, bool) {
+	t.Helper()
+	released := make(chan bool, 2)
+	req, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader(body))
+	assert.NilError(t, err)
+	ex, err := p.Dispatch(context.Background(), req, Options{
+		Deadline: time.Now().Add(deadline),
+		Allowed:  func() bool { return allowed },
+		Release:  func(silent bool) { released <- silent },
+	})
+	got := ""
+	if err == nil {
+		var b []byte
+		b, err = io.ReadAll(ex.Response.Body)
+		got = string(b)
+		ex.Close()
+	}
+	silent := <-released
+	assert.Equal(t, len(released), 0) // released once
+	return got, err, silent
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	var conns atomic.Int64
+	p := script(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	for range 3 {
+		got, err, silent := exchange(t, p, "body", time.Second, true)
+		assert.NilError(t, err)
+		assert.Assert(t, got == "ok" && !silent)
+	}
+	assert.Equal(t, conns.Load(), int64(1))
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	p := script(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = c.Close() // though it did not say so
+	})
+	for range 3 {
+		_, err, _ := exchange(t, p, "body", time.Second, true)
+		assert.NilError(t, err)
+		time.Sleep(5 * time.Millisecond) // the close arrives
+	}
+}
+
+func TestRefusedDispatchSendsNothing(t *testing.T) {
+	var got atomic.Int64
+	p := script(t, func(_ net.Conn, r *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, r)
+		got.Add(n)
+	})
+	_, err, _ := exchange(t, p, "body", time.Second, false)
+	assert.ErrorIs(t, err, NotAllowed)
+	assert.Equal(t, got.Load(), int64(0))
+}
+
+// TestSilentUpstream: the token comes back after deadline and margin, as silent,
+// if the upstream does not close its side; at once if it does.
+func TestSilentUpstream(t *testing.T) {
+	silentPool := script(t, func(net.Conn, *bufio.Reader) {})
+	start := time.Now()
+	_, err, silent := exchange(t, silentPool, "body", 100*time.Millisecond, true)
+	assert.Assert(t, err != nil && silent)
+	assert.Assert(t, time.Since(start) >= 100*time.Millisecond+Margin)
+	closing := script(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = io.Copy(io.Discard, r) // until the half close
+		_ = c.Close()
+	})
+	start = time.Now()
+	_, err, silent = exchange(t, closing, "body", 100*time.Millisecond, true)
+	assert.Assert(t, err != nil && !silent)
+	assert.Assert(t, time.Since(start) < 100*time.Millisecond+Margin)
+}
--- a/conn/report.go
+++ b/conn/report.go
@@ -44,5 +44,26 @@
 	if res.StatusCode != http.StatusOK {
 		return rep, errors.Errorf("probe of %s: status %d", address, res.StatusCode)
 	}
-	return rep, errors.Trace(json.NewDecoder(io.LimitReader(res.Body, maxReport)).Decode(&rep))
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxReport))
+	if err != nil {
+		return rep, errors.Annotatef(err, "probe of %s", address)
+	}
+	return ParseReport(b)
+}
+
+// maxBoot bounds the id of an upstream's start, in bytes.
+const maxBoot = 64
+
+// ParseReport reads a load report. It refuses one with an unknown state, with
+// numbers below zero, or with a boot id that is too long to be passed on.
+func ParseReport(b []byte) (Report, error) {
+	var rep Report
+	if err := json.Unmarshal(b, &rep); err != nil {
+		return Report{}, errors.Annotate(err, "load report")
+	}
+	known := rep.State == StateReady || rep.State == StateCold || rep.State == StateLeaving
+	if !known || rep.InFlight < 0 || rep.Slots < 0 || len(rep.Boot) > maxBoot {
+		return Report{}, errors.Errorf("load report out of range: %.100q", b)
+	}
+	return rep, nil
 }
