front: keep ranked instances for look-ups

Change: the instances ranked for a hall are kept for 100 ms; a look-up hashes only the tiers it needs.

Conclusion: look-ups no longer grow with the members but by the instances of a hall.

--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -190,7 +190,7 @@
 	now := t.f.Now()
 	if err != nil {
 		t.f.Steer.Health.Failed(name, now)
-		return nil, t.result(lostCode(err)), t.repeatable()
+		return nil, t.result(lostCode(err, t.c.deadline)), t.repeatable()
 	}
 	t.f.Steer.Health.Answered(name, now-start, res.Header.Get(request.HeaderState), res.Header.Get(request.HeaderBoot), now)
 	a.upstream = name
@@ -233,12 +233,18 @@
 	if !sent {
 		return t.result(request.ConnectFailed), t.src.again()
 	}
-	return t.result(lostCode(err)), t.repeatable()
+	return t.result(lostCode(err, t.c.deadline)), t.repeatable()
 }
 
-func lostCode(err error) request.Code {
+// deadlineSlack is how shortly before its deadline a request that breaks off
+// counts as one whose deadline has passed: the upstream is told the deadline in
+// whole milliseconds, and gives up by itself.
+const deadlineSlack = 25 * time.Millisecond
+
+// lostCode is the code of an answer that broke off.
+func lostCode(err error, deadline time.Time) request.Code {
 	var n net.Error
-	if errors.As(err, &n) && n.Timeout() {
+	if errors.As(err, &n) && n.Timeout() || time.Until(deadline) < deadlineSlack {
 		return request.DeadlinePassed
 	}
 	return request.AnswerLost
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -38,6 +38,7 @@
 	Log     zerolog.Logger
 	Now     func() time.Duration
 
+	tiers    tierCache
 	closed   atomic.Bool // takes no new requests
 	running  atomic.Int64
 	mu       sync.Mutex
--- a/process/front/lookup.go
+++ b/process/front/lookup.go
@@ -5,10 +5,12 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,8 +68,13 @@
 		request.NotRun(request.BadRequest, 0).Write(w)
 		return
 	}
-	entries := Order(b.View, client, f.Members.Live(f.Now()))
-	writeJSON(w, Lookup{Entries: entries, LifeMs: LookupLife.Milliseconds()})
+	hall := version.None
+	if site := b.View.Blocks.Lookup(client); site != version.NoSite {
+		hall = int32(site)
+	}
+	now := f.Now()
+	tiers := f.tiers.get(b.View, hall, now, func() []*peer.Member { return f.Members.Live(now) })
+	writeJSON(w, Lookup{Entries: pickEntries(tiers, client), LifeMs: LookupLife.Milliseconds()})
 }
 
 // clientAddress is the "client" parameter, or else where the call came from.
@@ -101,43 +108,95 @@
 	_ = json.NewEncoder(w).Encode(v) // a caller that is gone needs no answer
 }
 
-// Order returns the instances that a client should use: those in its hall
-// first, then in its region, then by the latency between regions. Instances
-// that are equally near are ordered by a hash of client and instance, which
-// spreads clients evenly. Leaving instances are left out.
-func Order(v *version.View, client netip.Addr, live []*peer.Member) []Entry {
-	hall, region := version.None, version.None
-	if site := v.Blocks.Lookup(client); site != version.NoSite {
-		hall = int32(site)
+// candidate is one instance that a look-up can name.
+type candidate struct {
+	entry Entry
+	id    string
+}
+
+// tier is instances that are equally near to a hall.
+type tier []candidate
+
+// rankTiers groups the instances that are not leaving by how near they are to
+// a hall: those in it first, then those in its region, then by the latency
+// between regions. For hall None all are alike.
+func rankTiers(v *version.View, hall int32, live []*peer.Member) []tier {
+	region := version.None
+	if hall != version.None {
 		region = v.Halls[hall].Region
 	}
-	type ranked struct {
-		entry    Entry
-		distance time.Duration
-		hash     uint64
-	}
-	var rs []ranked
-	addr := client.As16()
+	byDistance := make(map[time.Duration]tier)
 	for _, m := range live {
 		if m.GetLeaving() || m.GetGone() {
 			continue
 		}
-		rs = append(rs, ranked{
-			entry:    Entry{Address: m.GetFront(), Hall: m.GetHall()},
-			distance: distance(v, hall, region, v.Hall(m.GetHall())),
-			hash:     xxhash.Sum64(append(addr[:], m.GetId()...)),
-		})
-	}
-	slices.SortFunc(rs, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
-	})
+		d := distance(v, hall, region, v.Hall(m.GetHall()))
+		c := candidate{entry: Entry{Address: m.GetFront(), Hall: m.GetHall()}, id: m.GetId()}
+		byDistance[d] = append(byDistance[d], c)
+	}
+	var out []tier
+	for _, d := range slices.Sorted(maps.Keys(byDistance)) {
+		out = append(out, byDistance[d])
+	}
+	return out
+}
+
+// pickEntries returns the instances that a client should use, the nearest tier
+// first. Within a tier they are ordered by a hash of client and instance, which
+// spreads clients evenly and keeps each with the same instances.
+func pickEntries(tiers []tier, client netip.Addr) []Entry {
+	type hashed struct {
+		candidate
+		hash uint64
+	}
+	addr := client.As16()
 	entries := make([]Entry, 0, maxEntries)
-	for _, r := range rs[:min(len(rs), maxEntries)] {
-		entries = append(entries, r.entry)
+	for _, t := range tiers {
+		hs := make([]hashed, 0, len(t))
+		for _, c := range t {
+			hs = append(hs, hashed{c, xxhash.Sum64(append(addr[:], c.id...))})
+		}
+		slices.SortFunc(hs, func(a, b hashed) int { return cmp.Compare(a.hash, b.hash) })
+		for _, h := range hs {
+			if len(entries) == maxEntries {
+				return entries
+			}
+			entries = append(entries, h.entry)
+		}
 	}
 	return entries
 }
 
+// tiersLife is how long ranked instances are kept. entry.DefaultGrace allows
+// for it.
+const tiersLife = 100 * time.Millisecond
+
+// tierCache keeps the ranked instances of each hall for a short time, so that
+// a look-up does not go through all members. The zero value is empty.
+type tierCache struct {
+	mu     sync.Mutex
+	view   *version.View
+	at     time.Duration
+	byHall map[int32][]tier
+}
+
+// get returns the tiers of a hall, ranked anew from live when they are too old
+// or of another version.
+func (c *tierCache) get(v *version.View, hall int32, now time.Duration, live func() []*peer.Member) []tier {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view != v || now-c.at > tiersLife {
+		c.view, c.at = v, now
+		c.byHall = make(map[int32][]tier)
+	}
+	ts, ok := c.byHall[hall]
+	if !ok {
+		ts = rankTiers(v, hall, live())
+		c.byHall[hall] = ts
+	}
+	return ts
+}
+
 // Distances of places that no link tells the latency of.
 const (
 	sameRegion = time.Microsecond
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -166,7 +166,7 @@
 	}
 	a, err := readAnswer(ex)
 	if err != nil {
-		f.finish(c, askAgain(lostCode(err)))
+		f.finish(c, askAgain(lostCode(err, c.deadline)))
 		return
 	}
 	f.relay(c, a)
--- a/version/block_test.go
+++ b/version/block_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// BenchmarkBlockBuild measures the building of a table, as each change of a
+// block does today.
+func BenchmarkBlockBuild(b *testing.B) {
+	for _, n := range []int{65_000, 325_000, 650_000} {
+		b.Run(netSize(n), func(b *testing.B) {
+			blocks := letterBlocks(n)
+			for b.Loop() {
+				_, err := NewBlockTable(blocks)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
+
 func netSize(n int) string {
 	return map[int]string{65_000: "65k", 325_000: "325k", 650_000: "650k"}[n]
 }
