auth: operators by tokens, instances by certificates

Cause: whoever reached the admin or peer address could change the configuration or take tokens.

Change: calls of operators carry a token of their team, whose hash is compared in constant time; a team changes only its services and what belongs to them. Instances and the admin listener use certificates of one authority. The files are read again when they change. Without them an entry starts on loopback only. Result codes 66 to 69 tell missing, wrong and expired tokens and resources of other teams.

Ruled out: a token of an instance in its member row, since whoever reads the table would have it; hiding which part of a token is wrong by delay.

Conclusion: wrong, expired and missing credentials each have a code and a test.

--- a/cmd/shalewick/operator.go
+++ b/cmd/shalewick/operator.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -22,9 +25,41 @@
 	"shalewick/version"
 )
 
-// adminFlag adds the flag that every operators' command has.
-func adminFlag(cmd *cobra.Command) *[]string {
-	return cmd.Flags().StringSlice("admin", []string{"127.0.0.1:8002"}, "admin addresses of instances, tried in turn")
+// access is how an operators' command reaches the admin API.
+type access struct {
+	addresses []string
+	token     string
+	authority string
+}
+
+// accessFlags adds the flags that every operators' command has.
+func accessFlags(cmd *cobra.Command) *access {
+	var a access
+	f := cmd.Flags()
+	f.StringSliceVar(&a.addresses, "admin", []string{"127.0.0.1:8002"}, "admin addresses of instances, tried in turn")
+	f.StringVar(&a.token, "token", "", "token of the team; better given by the environment")
+	f.StringVar(&a.authority, "authority", "", "PEM file of the instances' authority; with it calls go over TLS")
+	return &a
+}
+
+// client returns the client that the flags describe.
+func (a *access) client() (*operator.Client, error) {
+	c := operator.New(a.addresses)
+	c.Token = a.token
+	if a.authority == "" {
+		return c, nil
+	}
+	pem, err := os.ReadFile(a.authority)
+	if err != nil {
+		return nil, errors.Annotate(err, "--authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("--authority: no certificate in %s", a.authority)
+	}
+	c.TLS = true
+	c.HTTP.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	return c, nil
 }
 
 func operatorCommands() []*cobra.Command {
@@ -36,7 +71,7 @@
 func applyCommand() *cobra.Command {
 	var file string
 	cmd := &cobra.Command{Use: "apply -f FILE", Short: "Write resources from YAML or JSON documents", Args: cobra.NoArgs}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	cmd.Flags().StringVarP(&file, "file", "f", "", "file to read, - for standard input")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		if file == "" {
@@ -50,7 +85,11 @@
 		if err != nil {
 			return err
 		}
-		return applyAndTell(cmd, operator.New(*addresses), rs)
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
+		return applyAndTell(cmd, c, rs)
 	}
 	return cmd
 }
@@ -87,9 +126,12 @@
 
 func getCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "get [KIND[/NAME]]", Short: "Print resources as YAML documents", Args: cobra.MaximumNArgs(1)}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		c := operator.New(*addresses)
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
 		if len(args) == 1 && strings.Contains(args[0], "/") {
 			k, err := parseKey(args)
 			if err != nil {
@@ -125,14 +167,17 @@
 
 func deleteCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "delete KIND/NAME", Short: "Remove a resource", Args: cobra.ExactArgs(1)}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	at := cmd.Flags().Int64("version", 0, "version that the deletion is made against; 0: the present one")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		k, err := parseKey(args)
 		if err != nil {
 			return err
 		}
-		c := operator.New(*addresses)
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
 		if *at == 0 {
 			r, err := c.Get(cmd.Context(), k)
 			if err != nil {
@@ -152,11 +197,15 @@
 
 func watchCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "watch", Short: "Print changes as they are taken up, a JSON line each", Args: cobra.NoArgs}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	from := cmd.Flags().Int64("from", 0, "print changes above this version")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		enc := json.NewEncoder(cmd.OutOrStdout())
-		err := operator.New(*addresses).Watch(cmd.Context(), *from, func(ch version.Change) error { return enc.Encode(ch) })
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
+		err = c.Watch(cmd.Context(), *from, func(ch version.Change) error { return enc.Encode(ch) })
 		if cmd.Context().Err() != nil {
 			return nil // ended by the user
 		}
@@ -170,12 +219,15 @@
 	var at int64
 	var timeout time.Duration
 	cmd := &cobra.Command{Use: "status", Short: "Show what is in force at each instance", Args: cobra.NoArgs}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	cmd.Flags().BoolVar(&wait, "wait", false, "return once the version is in force everywhere, or say who is missing")
 	cmd.Flags().Int64Var(&at, "version", 0, "version to wait for; 0: the present one")
 	cmd.Flags().DurationVar(&timeout, "timeout", 13*time.Second, "how long to wait")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		c := operator.New(*addresses)
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
 		st, err := c.Status(cmd.Context())
 		if err == nil && wait {
 			if at == 0 {
@@ -240,14 +292,17 @@
 	cmd := &cobra.Command{
 		Use: "drain upstream/NAME|hall/NAME|region/NAME", Short: "Take a place out of use, or with --undo into use", Args: cobra.ExactArgs(1),
 	}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	cmd.Flags().BoolVar(&undo, "undo", false, "end the drain")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		k, err := parseKey(args)
 		if err != nil {
 			return err
 		}
-		c := operator.New(*addresses)
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
 		r := version.Resource{Key: version.Key{Kind: version.KindDrain, Name: string(k.Kind) + "-" + k.Name}, Drain: &version.Drain{}}
 		if undo {
 			present, err := c.Get(cmd.Context(), r.Key)
@@ -276,7 +331,7 @@
 	var s version.Shift
 	var ramp time.Duration
 	cmd := &cobra.Command{Use: "shift", Short: "Move a share of a service's requests from one region to another", Args: cobra.NoArgs}
-	addresses := adminFlag(cmd)
+	reach := accessFlags(cmd)
 	f := cmd.Flags()
 	f.StringVar(&s.Service, "service", "", "service")
 	f.StringVar(&s.From, "from", "", "region to move requests from")
@@ -290,7 +345,10 @@
 			return errors.New("--service, --from and --to: must be set")
 		}
 		s.Ramp = version.Duration(ramp)
-		c := operator.New(*addresses)
+		c, err := reach.client()
+		if err != nil {
+			return err
+		}
 		r := version.Resource{Key: version.Key{Kind: version.KindShift, Name: s.Service + "-" + s.From}, Shift: &s}
 		present, err := c.Get(cmd.Context(), r.Key)
 		var refused *operator.RefusedError
--- a/cmd/shalewick/standin.go
+++ b/cmd/shalewick/standin.go
@@ -51,6 +51,7 @@
 	var listen, name, journal string
 	var count, slots int
 	var work time.Duration
+	var queue bool
 	cmd := &cobra.Command{
 		Use:   "upstream",
 		Short: "Run stand-ins of upstreams on adjoining ports",
@@ -74,7 +75,7 @@
 			var addresses []string
 			var handlers []http.Handler
 			for i := range count {
-				s := &upstream.Server{Name: name + strconv.Itoa(i), Slots: slots, Work: work, Journal: out}
+				s := &upstream.Server{Name: name + strconv.Itoa(i), Slots: slots, Work: work, Queue: queue, Journal: out}
 				addresses = append(addresses, netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String())
 				handlers = append(handlers, s.Handler())
 			}
@@ -84,6 +85,7 @@
 	f := cmd.Flags()
 	f.StringVar(&listen, "listen", "127.0.0.1:9000", "address of the first to listen on")
 	f.StringVar(&name, "name", "upstream-", "beginning of their names in records")
+	f.BoolVar(&queue, "queue", false, "let requests beyond the slots wait, and shed when too many wait")
 	f.StringVar(&journal, "journal", "", "file to append records to, which outlives a kill")
 	f.IntVar(&count, "count", 1, "how many")
 	f.IntVar(&slots, "slots", 4, "requests that each serves at once")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -25,6 +25,25 @@
 type Client struct {
 	Addresses []string // admin addresses of instances
 	HTTP      *http.Client
+	Token     string // of the team; "" where none is needed
+	TLS       bool   // call over TLS, with HTTP's settings
+}
+
+// url returns the URL of a path at an instance.
+func (c *Client) url(address, path string) string {
+	if c.TLS {
+		return "https://" + address + path
+	}
+	return "http://" + address + path
+}
+
+// request returns a request that carries the token.
+func (c *Client) request(ctx context.Context, method, url string, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err == nil && c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	return req, err
 }
 
 // New returns a client.
@@ -166,7 +185,7 @@
 )
 
 func (c *Client) watchOne(ctx context.Context, address string, from *int64, f func(version.Change) error) (stop bool, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/watch?from="+strconv.FormatInt(*from, 10), nil)
+	req, err := c.request(ctx, http.MethodGet, c.url(address, "/v1/watch?from="+strconv.FormatInt(*from, 10)), nil)
 	if err != nil {
 		return true, errors.Trace(err)
 	}
@@ -217,7 +236,7 @@
 func (c *Client) callOne(ctx context.Context, address, method, path, operation string, body []byte, v any) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	req, err := c.request(ctx, method, c.url(address, path), bytes.NewReader(body))
 	if err != nil {
 		return true, errors.Trace(err)
 	}
--- a/process/admin/admin.go
+++ b/process/admin/admin.go
@@ -16,6 +16,7 @@
 	"github.com/kataras/iris/v12"
 	"github.com/rs/zerolog"
 
+	"shalewick/process/auth"
 	"shalewick/process/config"
 	"shalewick/process/metric"
 	"shalewick/process/platform"
@@ -31,6 +32,7 @@
 	Metrics *metric.Set
 	Status  func(context.Context) []EntryStatus
 	Ready   func() bool
+	Teams   *auth.Teams // nil: calls carry no token
 }
 
 // EntryStatus is what one instance has in force.
@@ -87,6 +89,9 @@
 func (a *Admin) Handler() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
+	app.Get("/healthz", func(c iris.Context) { _, _ = c.WriteString("ok\n") })
+	app.Get("/readyz", a.ready)
+	app.Use(a.authenticate) // for all routes below
 	app.Post("/v1/apply", a.apply)
 	app.Get("/v1/resources", a.list)
 	app.Get("/v1/resources/{kind}", a.list)
@@ -95,8 +100,6 @@
 	app.Get("/v1/watch", a.watch)
 	app.Get("/v1/status", a.status)
 	app.Get("/metrics", func(c iris.Context) { _ = a.Metrics.Write(c.ResponseWriter()) })
-	app.Get("/healthz", func(c iris.Context) { _, _ = c.WriteString("ok\n") })
-	app.Get("/readyz", a.ready)
 	if err := app.Build(); err != nil {
 		return nil, errors.Annotate(err, "build admin routes")
 	}
@@ -151,7 +154,12 @@
 	// A caller that goes away does not leave a change half known.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), commitTimeout)
 	defer cancel()
-	seq, err := a.Log.Commit(ctx, ch)
+	check := func(*version.Config, *version.Change) error { return nil }
+	if team, ok := c.Values().Get(teamKey).(auth.Team); ok {
+		ch.Author = team.Name
+		check = team.Allowed
+	}
+	seq, err := a.Log.Commit(ctx, ch, check)
 	if err != nil {
 		a.refuse(c, codeOf(err), err)
 		return
@@ -170,6 +178,8 @@
 		return request.Conflict
 	case errors.As(err, &field):
 		return request.Invalid
+	case errors.Is(err, config.NotAllowed):
+		return request.Forbidden
 	case errors.Is(err, platform.Unknown):
 		return request.CommitUnknown
 	}
--- /dev/null
+++ b/process/auth/auth_test.go
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: MIT
+
+package auth
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/auth/authtest"
+	"shalewick/version"
+)
+
+func hash(token string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(token))) }
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+}
+
+func TestTokens(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "teams")
+	write(t, path, "teams:\n- {name: a, hash: "+hash("secret")+"}\n- {name: b, hash: "+hash("old")+", expires: 2020-01-01T00:00:00Z}\n")
+	teams, err := Open(path)
+	assert.NilError(t, err)
+	now := time.Now()
+	team, err := teams.Find("secret", now)
+	assert.NilError(t, err)
+	assert.Equal(t, team.Name, "a")
+	for token, want := range map[string]error{"": Missing, "secre": Wrong, "old": Expired} {
+		_, err := teams.Find(token, now)
+		assert.ErrorIs(t, err, want)
+	}
+	// A file that is spoilt leaves what was read before; a new one counts.
+	write(t, path, "teams: 5")
+	teams.file.looked = time.Time{}
+	_, err = teams.Find("secret", now)
+	assert.NilError(t, err)
+	write(t, path, "teams:\n- {name: c, hash: "+hash("new")+"}\n")
+	teams.file.looked, teams.file.times = time.Time{}, nil
+	_, err = teams.Find("secret", now)
+	assert.ErrorIs(t, err, Wrong)
+}
+
+func TestBadTokensFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "teams")
+	_, err := Open(path)
+	assert.ErrorContains(t, err, "no such file")
+	write(t, path, "teams:\n- {name: a, hash: abc}\n")
+	_, err = Open(path)
+	assert.ErrorContains(t, err, "SHA-256")
+	write(t, path, "teams:\n- {name: a, token: abc}\n")
+	_, err = Open(path)
+	assert.ErrorContains(t, err, "unknown field")
+}
+
+func TestTeamChangesOnlyItsOwn(t *testing.T) {
+	rs, err := version.Parse([]byte(`
+kind: region
+name: r
+spec: {}
+---
+kind: hall
+name: h
+spec: {region: r}
+---
+kind: service
+name: mine
+spec: {team: a, routes: [{prefix: /, class: read, deadline: 1s}]}
+---
+kind: service
+name: theirs
+spec: {team: b, routes: [{prefix: /, class: read, deadline: 1s}]}
+---
+kind: upstream
+name: u
+spec: {service: theirs, hall: h, address: "127.0.0.1:1", slots: 1}
+`))
+	assert.NilError(t, err)
+	c := (&version.Config{}).Apply(version.Change{Seq: 1, Puts: rs})
+	upstream := func(name, service string) version.Resource {
+		return version.Resource{Key: version.Key{Kind: version.KindUpstream, Name: name}, Upstream: &version.Upstream{Service: service}}
+	}
+	drain := func(d version.Drain) version.Resource {
+		return version.Resource{Key: version.Key{Kind: version.KindDrain, Name: "d"}, Drain: &d}
+	}
+	team, admin := Team{Name: "a"}, Team{Name: "x", Admin: true}
+	for name, tc := range map[string]struct {
+		ch version.Change
+		ok bool
+	}{
+		"own upstream":                    {version.Change{Puts: []version.Resource{upstream("new", "mine")}}, true},
+		"upstream of another":             {version.Change{Puts: []version.Resource{upstream("new", "theirs")}}, false},
+		"taking an upstream of another":   {version.Change{Puts: []version.Resource{upstream("u", "mine")}}, false},
+		"deleting another's":              {version.Change{Deletes: []version.Ref{{Key: rs[4].Key}}}, false},
+		"draining another's":              {version.Change{Puts: []version.Resource{drain(version.Drain{Upstream: "u"})}}, false},
+		"draining a region":               {version.Change{Puts: []version.Resource{drain(version.Drain{Region: "r"})}}, false},
+		"a region":                        {version.Change{Puts: rs[:1]}, false},
+		"deleting the own service":        {version.Change{Deletes: []version.Ref{{Key: rs[2].Key}}}, true},
+		"giving itself another's service": {version.Change{Puts: []version.Resource{{Key: rs[3].Key, Service: &version.Service{Team: "a"}}}}, false},
+	} {
+		tc.ch.Seq = 2
+		assert.Equal(t, team.Allowed(c, &tc.ch) == nil, tc.ok, name)
+		assert.NilError(t, admin.Allowed(c, &tc.ch), name)
+	}
+}
+
+// shake makes one mutual handshake and returns the error that the client or
+// the server saw.
+func shake(t *testing.T, server, client *Identity) error {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server.Server(true))
+	assert.NilError(t, err)
+	defer l.Close()
+	seen := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			err = c.(*tls.Conn).Handshake()
+			_ = c.Close()
+		}
+		seen <- err
+	}()
+	cfg, err := client.Client()
+	assert.NilError(t, err)
+	cfg.ServerName = "127.0.0.1"
+	raw, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	c := tls.Client(raw, cfg)
+	defer c.Close()
+	if err := c.Handshake(); err != nil {
+		return err
+	}
+	return <-seen
+}
+
+func TestInstancesKnowEachOther(t *testing.T) {
+	dir := t.TempDir()
+	ours, others := authtest.NewAuthority(t), authtest.NewAuthority(t)
+	open := func(a *authtest.Authority, name string, life time.Duration) *Identity {
+		cert, key, authority := a.Write(t, filepath.Join(dir, name), life)
+		i, err := OpenIdentity(cert, key, authority)
+		assert.NilError(t, err)
+		return i
+	}
+	a, b := open(ours, "a", time.Hour), open(ours, "b", time.Hour)
+	assert.NilError(t, shake(t, a, b))
+	assert.Assert(t, shake(t, a, open(others, "c", time.Hour)) != nil, "another authority")
+	assert.Assert(t, shake(t, a, open(ours, "d", -time.Minute)) != nil, "expired")
+	// A new certificate is taken up without a restart.
+	e := open(ours, "e", -time.Minute)
+	assert.Assert(t, shake(t, a, e) != nil)
+	ours.Write(t, filepath.Join(dir, "e"), time.Hour)
+	e.file.looked, e.file.times = time.Time{}, nil
+	assert.NilError(t, shake(t, a, e))
+}
--- a/process/config/commit.go
+++ b/process/config/commit.go
@@ -119,6 +119,9 @@
 	return nil
 }
 
+// NotAllowed is the error of a change that the caller may not make.
+const NotAllowed = errors.ConstError("the change is not allowed")
+
 // commitTries bounds how often a change is tried again after another change
 // came first, or an answer was lost.
 const commitTries = 8
@@ -128,7 +131,10 @@
 // *version.ConflictError, a *version.FieldError, platform.Unavailable (nothing
 // was written) and platform.Unknown (ask again with the same operation id). A
 // change whose operation was accepted before is not made twice.
-func (l *Log) Commit(ctx context.Context, ch version.Change) (seq int64, err error) {
+//
+// Allowed is asked whether the caller may make the change to the configuration
+// that it is about to be made to; its refusal is returned as NotAllowed.
+func (l *Log) Commit(ctx context.Context, ch version.Change, allowed func(*version.Config, *version.Change) error) (seq int64, err error) {
 	unknown := false
 	for try := range commitTries {
 		if try > 0 {
@@ -144,6 +150,9 @@
 		if l.Store.Config().Seq != h.Seq {
 			continue // a peer told of a later change meanwhile
 		}
+		if err := allowed(l.Store.Config(), &ch); err != nil {
+			return 0, errors.WithType(err, NotAllowed)
+		}
 		next, numbered, err := l.Store.Config().Propose(ch)
 		if err != nil {
 			return 0, err
--- a/process/config/commit_test.go
+++ b/process/config/commit_test.go
@@ -16,6 +16,9 @@
 	"shalewick/version"
 )
 
+// anything allows every change.
+func anything(*version.Config, *version.Change) error { return nil }
+
 // newLog returns a log on a stand-in's platform.
 func newLog(t *testing.T, url string) *Log {
 	t.Helper()
@@ -41,11 +44,11 @@
 	s, url := serve(t)
 	l := newLog(t, url)
 	s.SetFault(standin.Fault{LoseAnswers: 1})
-	seq, err := l.Commit(context.Background(), region("a", "x", 0))
+	seq, err := l.Commit(context.Background(), region("a", "x", 0), anything)
 	assert.NilError(t, err)
 	assert.Equal(t, seq, int64(1))
 	s.SetFault(standin.Fault{})
-	seq, err = newLog(t, url).Commit(context.Background(), region("a", "x", 0)) // the operator asks again elsewhere
+	seq, err = newLog(t, url).Commit(context.Background(), region("a", "x", 0), anything) // the operator asks again elsewhere
 	assert.NilError(t, err)
 	assert.Equal(t, seq, int64(1))
 }
@@ -53,9 +56,9 @@
 func TestOneOfTwoOperatorsIsToldOfTheOther(t *testing.T) {
 	_, url := serve(t)
 	a, b := newLog(t, url), newLog(t, url)
-	_, err := a.Commit(context.Background(), region("a", "x", 0))
+	_, err := a.Commit(context.Background(), region("a", "x", 0), anything)
 	assert.NilError(t, err)
-	_, err = b.Commit(context.Background(), region("a", "y", 0))
+	_, err = b.Commit(context.Background(), region("a", "y", 0), anything)
 	var conflict *version.ConflictError
 	assert.Assert(t, errors.As(err, &conflict))
 	assert.Equal(t, conflict.Present.Region.Description, "x")
@@ -65,7 +68,7 @@
 	s, url := serve(t)
 	l := newLog(t, url)
 	s.SetFault(standin.Fault{Down: true})
-	_, err := l.Commit(context.Background(), region("a", "x", 0))
+	_, err := l.Commit(context.Background(), region("a", "x", 0), anything)
 	assert.ErrorIs(t, err, platform.Unavailable)
 	assert.Assert(t, !errors.Is(err, platform.Unknown))
 }
@@ -75,7 +78,7 @@
 	l := newLog(t, url)
 	const n = 2*snapshotEvery + 7
 	for i := range int64(n) {
-		_, err := l.Commit(context.Background(), region("a", time.Duration(i).String(), i))
+		_, err := l.Commit(context.Background(), region("a", time.Duration(i).String(), i), anything)
 		assert.NilError(t, err)
 	}
 	l.snapshot(l.Store.Config()) // also written on the way, beside the commits
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"shalewick/process/admin"
+	"shalewick/process/auth"
 	"shalewick/process/config"
 	"shalewick/process/front"
 	"shalewick/process/health"
@@ -47,6 +48,8 @@
 	front    *front.Front
 	peers    *peerConns
 	splitter splitter
+	teams    *auth.Teams    // nil: operators carry no token
+	identity *auth.Identity // nil: instances have no certificate
 
 	short  chan struct{} // a request lacks a token
 	push   chan struct{} // there is something new to tell all peers
@@ -86,6 +89,9 @@
 		probes:   &http.Client{Timeout: probeTimeout},
 	}
 	e.assemble()
+	if err := e.openCredentials(); err != nil {
+		return nil, err
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -126,6 +132,27 @@
 	}
 }
 
+// openCredentials reads the files that operators and instances prove with who
+// they are.
+func (e *Entry) openCredentials() (err error) {
+	if e.settings.TeamTokens != "" {
+		if e.teams, err = auth.Open(e.settings.TeamTokens); err != nil {
+			return errors.Annotate(err, "--team-tokens")
+		}
+	}
+	if e.settings.Cert != "" {
+		e.identity, err = auth.OpenIdentity(e.settings.Cert, e.settings.Key, e.settings.Authority)
+		if err != nil {
+			return errors.Annotate(err, "--cert, --key, --authority")
+		}
+		e.peers.identity = e.identity
+	}
+	if !e.settings.secure() {
+		e.log.Warn().Msg("loopback-only: without --team-tokens and --cert nobody has to prove who they are")
+	}
+	return nil
+}
+
 // region returns the own region in a view.
 func (e *Entry) region(v *version.View) int32 {
 	if h := v.Hall(e.settings.Hall); h != version.None {
@@ -230,6 +257,7 @@
 		Metrics: e.metrics,
 		Status:  e.allStatus,
 		Ready:   e.Ready,
+		Teams:   e.teams,
 	}
 	return a.Handler()
 }
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -11,8 +11,10 @@
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"shalewick/process/auth"
 	"shalewick/process/health"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
@@ -32,7 +34,8 @@
 
 // peerConns keeps one connection to each peer, and what it last said it had.
 type peerConns struct {
-	traffic *traffic
+	traffic  *traffic
+	identity *auth.Identity // nil: without TLS
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -68,7 +71,11 @@
 	c := p.conns[address]
 	if c == nil {
 		var err error
-		c, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		var creds credentials.TransportCredentials
+		if creds, err = p.credentials(); err != nil {
+			return nil, err
+		}
+		c, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(creds),
 			grpc.WithConnectParams(quickReconnect), grpc.WithStatsHandler(p.traffic))
 		if err != nil {
 			return nil, errors.Annotatef(err, "connect to peer %s", address)
@@ -78,6 +85,14 @@
 	return peer.NewPeerClient(c), nil
 }
 
+func (p *peerConns) credentials() (credentials.TransportCredentials, error) {
+	if p.identity == nil {
+		return insecure.NewCredentials(), nil
+	}
+	c, err := p.identity.Client()
+	return credentials.NewTLS(c), err
+}
+
 // retain closes the connections to addresses that are no longer used.
 func (p *peerConns) retain(addresses map[string]bool) {
 	p.mu.Lock()
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -3,12 +3,14 @@
 package entry
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"shalewick/process/peer"
 )
@@ -50,7 +52,12 @@
 		}
 		return err
 	}
-	e.grpc = grpc.NewServer(grpc.StatsHandler(e.peers.traffic))
+	options := []grpc.ServerOption{grpc.StatsHandler(e.peers.traffic)}
+	if e.identity != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(e.identity.Server(true))))
+		adminL = tls.NewListener(adminL, e.identity.Server(false))
+	}
+	e.grpc = grpc.NewServer(options...)
 	peer.RegisterPeerServer(e.grpc, &peerServer{e: e})
 	go func() { _ = e.grpc.Serve(peerL) }() // ends when the entry stops
 	e.serveHTTP(frontL, e.front)
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -27,8 +27,17 @@
 	// look-ups run out first.
 	Grace    time.Duration
 	LogLevel string
+
+	// TeamTokens is the file of the teams' tokens, see package auth.
+	TeamTokens string
+	// Cert, Key and Authority are PEM files: this instance's certificate and
+	// key, and the authority of all instances.
+	Cert, Key, Authority string
 }
 
+// secure reports whether operators and instances must prove who they are.
+func (s *Settings) secure() bool { return s.TeamTokens != "" && s.Cert != "" }
+
 // DefaultGrace is the least time after which no caller has a cached look-up.
 const DefaultGrace = front.LookupLife + time.Second/2
 
@@ -45,6 +54,9 @@
 			return err
 		}
 	}
+	if err := s.checkSecurity(); err != nil {
+		return err
+	}
 	if u, err := url.Parse(s.Platform); err != nil || u.Scheme != "http" || u.Host == "" {
 		return errors.Errorf("--platform: %q is not a URL like http://127.0.0.1:7000", s.Platform)
 	}
@@ -61,3 +73,20 @@
 	}
 	return nil
 }
+
+// checkSecurity lets an entry leave loopback only when operators and instances
+// must prove who they are.
+func (s *Settings) checkSecurity() error {
+	if (s.Cert == "") != (s.Key == "") || (s.Cert == "") != (s.Authority == "") {
+		return errors.New("--cert, --key and --authority: all or none must be set")
+	}
+	if s.secure() {
+		return nil
+	}
+	for _, a := range []struct{ flag, value string }{{"front", s.Front}, {"peer", s.Peer}, {"admin", s.Admin}} {
+		if ap, err := netip.ParseAddrPort(a.value); err == nil && !ap.Addr().IsLoopback() {
+			return errors.Errorf("--%s: %s is not loopback, which needs --team-tokens, --cert, --key and --authority", a.flag, a.value)
+		}
+	}
+	return nil
+}
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -40,6 +40,7 @@
 	listed    []platform.Instance
 	op        *operator.Client
 	grace     time.Duration
+	queue     bool
 	journal   string
 	ports     fleet.Ports
 }
@@ -70,13 +71,14 @@
 	// through, if set, returns the address to configure for an upstream.
 	through func(netip.AddrPort) netip.AddrPort
 	grace   time.Duration
+	queue   bool // upstreams queue what is beyond their slots
 }
 
 const halls = 6
 
 func newCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
-	c := &cluster{t: t, size: s.size, grace: s.grace, journal: filepath.Join(t.TempDir(), "journal")}
+	c := &cluster{t: t, size: s.size, grace: s.grace, queue: s.queue, journal: filepath.Join(t.TempDir(), "journal")}
 	listen := c.take(1)[0]
 	c.base = "http://" + listen.String()
 	c.platform = run(t, "platform", "standin", "platform", "--listen", listen.String())
@@ -136,7 +138,7 @@
 func (c *cluster) runUpstreams(region int, work time.Duration) {
 	ns := c.numbers(region)
 	c.regions[region] = run(c.t, "upstreams-"+c.size.Regions[region], "standin", "upstream",
-		"--listen", c.upstreams[ns[0]].real.String(), "--name", c.size.Regions[region]+"/",
+		"--queue="+strconv.FormatBool(c.queue), "--listen", c.upstreams[ns[0]].real.String(), "--name", c.size.Regions[region]+"/",
 		"--count", strconv.Itoa(len(ns)), "--slots", strconv.Itoa(c.size.Slots), "--work", work.String(),
 		"--journal", c.journal)
 }
--- /dev/null
+++ b/proof/policy_test.go
@@ -0,0 +1,229 @@
+// SPDX-License-Identifier: MIT
+
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"shalewick/conn"
+	"shalewick/request"
+	"shalewick/standin/fleet"
+	"shalewick/standin/upstream"
+)
+
+// The policy bench sends the same arrivals through this project's entries and
+// through entries with simpler policies, to the same upstreams, old and new,
+// which queue what is beyond their slots and shed when too many wait.
+
+const (
+	policyWork     = 40 * time.Millisecond  // mean of a new upstream
+	policyOld      = 120 * time.Millisecond // added by an old one
+	policyDeadline = 2 * time.Second
+	policyTime     = 8 * time.Second
+	policyEntries  = 6
+)
+
+// candidate is an upstream as a baseline sees it.
+type candidate struct {
+	pool     *conn.Pool
+	mine     atomic.Int64 // requests of this entry at it
+	reported atomic.Int64 // by its last load report
+}
+
+// chooser picks an upstream.
+type chooser func(bs []*candidate, turn uint64) *candidate
+
+func roundRobin(bs []*candidate, turn uint64) *candidate { return bs[turn%uint64(len(bs))] }
+
+// leastReported takes the least loaded by report, a random one of equals.
+func leastReported(bs []*candidate, _ uint64) *candidate {
+	start := rand.IntN(len(bs))
+	best := bs[start]
+	for i := range bs {
+		if b := bs[(start+i)%len(bs)]; b.reported.Load() < best.reported.Load() {
+			best = b
+		}
+	}
+	return best
+}
+
+// twoChoices takes the less loaded of two random ones, by probe and own count.
+func twoChoices(bs []*candidate, _ uint64) *candidate {
+	a, b := bs[rand.IntN(len(bs))], bs[rand.IntN(len(bs))]
+	if a.mine.Load()+a.reported.Load() <= b.mine.Load()+b.reported.Load() {
+		return a
+	}
+	return b
+}
+
+// baseline is an entry with a simple policy.
+type baseline struct {
+	choose     chooser
+	candidates []*candidate
+	turn       atomic.Uint64
+}
+
+func (e *baseline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b := e.choose(e.candidates, e.turn.Add(1))
+	b.mine.Add(1)
+	defer b.mine.Add(-1)
+	out := &http.Request{Method: r.Method, URL: r.URL, Host: r.Host, Header: r.Header.Clone()}
+	out.Header.Set(request.HeaderDeadline, strconv.FormatInt(policyDeadline.Milliseconds(), 10))
+	ex, err := b.pool.Dispatch(r.Context(), out, conn.Options{
+		Deadline: time.Now().Add(policyDeadline), Allowed: func() bool { return true }, Release: func(bool) {},
+	})
+	if err != nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	defer ex.Close()
+	w.WriteHeader(ex.Response.StatusCode)
+	_, _ = io.Copy(w, ex.Response.Body)
+}
+
+// probe keeps the load reports up to date until the context ends.
+func (e *baseline) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, b := range e.candidates {
+			if rep, err := conn.Probe(ctx, http.DefaultClient, b.pool.Address); err == nil {
+				b.reported.Store(int64(rep.InFlight))
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// baselineEntries starts entries with a policy over the readers' upstreams.
+func (c *cluster) baselineEntries(b *testing.B, choose chooser) []string {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	var out []string
+	for range policyEntries {
+		e := &baseline{choose: choose}
+		for _, u := range c.upstreams[:c.size.ReadN] {
+			e.candidates = append(e.candidates, &candidate{pool: &conn.Pool{Address: u.real.String()}})
+		}
+		go e.probe(ctx)
+		srv := httptest.NewServer(e)
+		b.Cleanup(srv.Close)
+		out = append(out, srv.Listener.Addr().String())
+	}
+	return out
+}
+
+// tally is what the callers saw.
+type tally struct {
+	mu       sync.Mutex
+	answered *hdrhistogram.Histogram // microseconds
+	refused  *hdrhistogram.Histogram
+	sent     int
+}
+
+// sendPlain sends reads at a rate, to the entries in turn, without trying
+// again. The seed makes the arrivals the same for each policy.
+func (c *cluster) sendPlain(entries []string, rate float64, seed uint64) *tally {
+	ta := &tally{answered: hdrhistogram.New(1, 1e8, 3), refused: hdrhistogram.New(1, 1e8, 3)}
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1024, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	var all sync.WaitGroup
+	start := time.Now()
+	for due := time.Duration(0); due < policyTime; due += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second)) {
+		time.Sleep(time.Until(start.Add(due)))
+		at := start.Add(due)
+		entry := entries[rnd.IntN(len(entries))]
+		ta.sent++
+		all.Go(func() { ta.note(at, c.getPlain(client, entry)) })
+	}
+	all.Wait()
+	return ta
+}
+
+func (c *cluster) getPlain(client *http.Client, entry string) bool {
+	req, err := http.NewRequest(http.MethodGet, "http://"+entry+"/lots?size=500", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set(request.HeaderService, c.size.Read)
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err == nil && res.StatusCode == http.StatusOK
+}
+
+func (ta *tally) note(due time.Time, ok bool) {
+	took := time.Since(due)
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	h := ta.refused
+	if ok && took <= policyDeadline {
+		h = ta.answered
+	}
+	_ = h.RecordValue(took.Microseconds())
+}
+
+// BenchmarkPolicies compares the policies at several loads, as shares of what
+// the slots can serve. Run it with -benchtime 1x.
+func BenchmarkPolicies(b *testing.B) {
+	size := fleet.Caroni()
+	size.LinkCap = 200 // the baselines know no caps
+	c := newCluster(b, shape{size: size, entries: policyEntries, work: policyWork, queue: true})
+	capacity := 0.0
+	for i := range size.ReadN {
+		mean := policyWork
+		if i%2 == 1 {
+			mean += policyOld
+			c.upstreamFault(i, upstream.Fault{SlowMs: int(policyOld.Milliseconds())})
+		}
+		capacity += float64(size.Slots) / mean.Seconds()
+	}
+	var own []string
+	for _, e := range c.entries {
+		own = append(own, e.front)
+	}
+	for _, share := range []float64{0.5, 0.8, 1.0, 1.2, 1.5} {
+		for _, p := range []struct {
+			name    string
+			entries []string
+		}{
+			{"shalewick", own},
+			{"round-robin", c.baselineEntries(b, roundRobin)},
+			{"least-reported", c.baselineEntries(b, leastReported)},
+			{"two-choices", c.baselineEntries(b, twoChoices)},
+		} {
+			b.Run(fmt.Sprintf("load=%.1f/%s", share, p.name), func(b *testing.B) {
+				for range b.N {
+					ta := c.sendPlain(p.entries, share*capacity, 7)
+					ideal := math.Min(float64(ta.sent), capacity*policyTime.Seconds())
+					ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+					b.ReportMetric(ms(ta.answered, 50), "p50-ms")
+					b.ReportMetric(ms(ta.answered, 99), "p99-ms")
+					b.ReportMetric(float64(ta.answered.TotalCount())/ideal, "goodput")
+					b.ReportMetric(ms(ta.refused, 50), "refused-p50-ms")
+				}
+			})
+			time.Sleep(time.Second) // lets the queues run empty
+		}
+	}
+	assert.Assert(b, capacity > 0)
+}
--- a/request/result.go
+++ b/request/result.go
@@ -52,6 +52,10 @@
 	PlatformDown  Code = 63
 	CommitUnknown Code = 64
 	NotInForce    Code = 65
+	TokenMissing  Code = 66
+	TokenWrong    Code = 67
+	TokenExpired  Code = 68
+	Forbidden     Code = 69
 )
 
 // Ran says whether an upstream ran a request.
@@ -100,6 +104,10 @@
 	NotFound:        {"NOT_FOUND", http.StatusNotFound, "no such resource"},
 	PlatformDown:    {"PLATFORM_DOWN", http.StatusServiceUnavailable, "the platform did not answer; nothing was written"},
 	CommitUnknown:   {"COMMIT_UNKNOWN", http.StatusServiceUnavailable, "the platform's answer was lost; ask again with the same operation id"},
+	TokenMissing:    {"TOKEN_MISSING", http.StatusUnauthorized, "the call carries no token"},
+	TokenWrong:      {"TOKEN_WRONG", http.StatusUnauthorized, "no team has the token"},
+	TokenExpired:    {"TOKEN_EXPIRED", http.StatusUnauthorized, "the token has expired"},
+	Forbidden:       {"FORBIDDEN", http.StatusForbidden, "the resource belongs to another team"},
 	NotInForce:      {"NOT_IN_FORCE", http.StatusGatewayTimeout, "not every instance has the version in force"},
 }
 
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -62,10 +62,14 @@
 	Name  string
 	Slots int
 	Work  time.Duration // mean time of work for one request
+	// Queue makes requests beyond the slots wait, as a real upstream does,
+	// up to maxWaiting for each slot; more are shed. Without it they run.
+	Queue bool
 	// Journal, if set, gets each record as a JSON line when the request
 	// begins and again when it ends, so that records outlive a kill.
 	Journal io.Writer
 
+	slots    chan struct{} // taken slots, with Queue
 	mu       sync.Mutex
 	boot     string
 	fault    Fault
@@ -98,6 +102,7 @@
 // Handler returns the HTTP form.
 func (s *Server) Handler() http.Handler {
 	s.boot = strconv.FormatUint(rand.Uint64(), 36)
+	s.slots = make(chan struct{}, s.Slots)
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /standin/fault", func(w http.ResponseWriter, r *http.Request) {
 		var f Fault
@@ -151,7 +156,7 @@
 	h.Set(request.HeaderState, f.state())
 	h.Set(request.HeaderBoot, s.boot)
 	h.Set(request.HeaderID, r.Header.Get(request.HeaderID))
-	if rand.Float64() < f.Shed {
+	if rand.Float64() < f.Shed || s.tooMany() {
 		h.Set(request.HeaderNotRun, "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -174,6 +179,15 @@
 	s.answer(w, r, tag, rand.Float64() < f.Cut)
 }
 
+// maxWaiting is how many requests wait for each slot at most.
+const maxWaiting = 8
+
+func (s *Server) tooMany() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Queue && s.inFlight >= s.Slots*(1+maxWaiting)
+}
+
 // begin takes a slot and opens a record; it returns the record's place.
 func (s *Server) begin(r *http.Request) (at int, cold bool) {
 	s.mu.Lock()
@@ -222,6 +236,14 @@
 	if _, err := io.Copy(d, r.Body); err != nil {
 		return 0, false
 	}
+	if s.Queue {
+		select {
+		case s.slots <- struct{}{}:
+			defer func() { <-s.slots }()
+		case <-ctx.Done():
+			return 0, false
+		}
+	}
 	s.mu.Lock()
 	work := time.Duration(float64(s.Work)*(0.5+rand.Float64())) + time.Duration(s.fault.SlowMs)*time.Millisecond
 	if cold {
