entry, operator: stop sooner, show the status on one screen

Cause: a planned stop took 6.1 s with a grace of 3.5 s. An entry that leaves lent all it could, so that tokens were out on new leases when it wanted to hand them over, and it waited for them for as long as it ever does.

Ruled out: requests in flight (none were), lost returns (the tokens came back when they lapsed).

Change: nothing more is lent from a lease and a little before the end of the grace on. The status adds up slots by service and region, shows shifts against their caps, links in use, and what is draining with what still runs there.

--- a/cmd/shalewick/operator.go
+++ b/cmd/shalewick/operator.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,7 +19,6 @@
 	"sigs.k8s.io/yaml"
 
 	"shalewick/operator"
-	"shalewick/process/admin"
 	"shalewick/request"
 	"shalewick/version"
 )
@@ -235,58 +233,16 @@
 			}
 			st, err = c.WaitInForce(cmd.Context(), at, timeout)
 		}
-		printStatus(cmd.OutOrStdout(), &st)
+		rs, listErr := c.List(cmd.Context(), "")
+		if listErr != nil {
+			return listErr
+		}
+		operator.PrintSummary(cmd.OutOrStdout(), &st, rs)
 		return err
 	}
 	return cmd
 }
 
-// printStatus writes one line for each instance and one for each limit.
-func printStatus(w io.Writer, st *admin.Status) {
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(t, "version %d, in force everywhere: %v\n", st.Version, st.InForce)
-	fmt.Fprintln(t, "INSTANCE\tHALL\tVERSION\tSINCE\tCONFIRMED\tEPOCH\tSTATE")
-	for _, e := range st.Entries {
-		state := "live"
-		if e.Leaving {
-			state = "leaving"
-		}
-		if e.Missing != "" {
-			fmt.Fprintf(t, "%s\t%s\t-\t-\t-\t-\tmissing: %s\n", e.Instance, e.Hall, e.Missing)
-			continue
-		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%dms\t%d\t%s\n", e.Instance, e.Hall, e.Version,
-			e.Since.Format("15:04:05.000"), e.ConfirmedMs, e.Epoch, state)
-	}
-	fmt.Fprintln(t, "LIMIT\tSIZE\tHOME\tFREE\tBUSY\tLENT")
-	for _, p := range sumPools(st.Entries) {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", p.Pool, p.Size, p.Home, p.Free, p.Busy, p.Lent)
-	}
-	_ = t.Flush() // a closed standard output has nobody to tell
-}
-
-// sumPools adds up what the instances hold of each limit.
-func sumPools(entries []admin.EntryStatus) []admin.PoolStatus {
-	var out []admin.PoolStatus
-	place := make(map[string]int)
-	for _, e := range entries {
-		for _, p := range e.Pools {
-			i, ok := place[p.Pool]
-			if !ok {
-				i = len(out)
-				place[p.Pool] = i
-				out = append(out, admin.PoolStatus{Pool: p.Pool, Size: p.Size})
-			}
-			out[i].Home += p.Home
-			out[i].Free += p.Free
-			out[i].Busy += p.Busy
-			out[i].Lent += p.Lent
-			out[i].Borrowed += p.Borrowed
-		}
-	}
-	return out
-}
-
 func drainCommand() *cobra.Command {
 	var undo bool
 	cmd := &cobra.Command{
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -224,6 +224,9 @@
 		return nil, err
 	}
 	last := w.lastStart(1, start)
+	if err := w.show(ctx, op); err != nil {
+		return nil, err
+	}
 	drained = append(drained, fmt.Sprintf("upstream drained: in force everywhere after %d ms, last work began %d ms after the call",
 		time.Since(start).Milliseconds(), max(0, last.Sub(start).Milliseconds())))
 	time.Sleep(2 * time.Second)
@@ -242,6 +245,22 @@
 	return drained, nil
 }
 
+// show prints the status as operators see it.
+func (w *world) show(ctx context.Context, op *operator.Client) error {
+	st, err := op.Status(ctx)
+	if err != nil {
+		return err
+	}
+	rs, err := op.List(ctx, "")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(w.out)
+	operator.PrintSummary(w.out, &st, rs)
+	fmt.Fprintln(w.out)
+	return nil
+}
+
 // lastStart returns when an upstream last began work, at least since.
 func (w *world) lastStart(i int, since time.Time) time.Time {
 	last := since
--- /dev/null
+++ b/operator/summary.go
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+
+package operator
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"shalewick/process/admin"
+	"shalewick/version"
+)
+
+// limitKey names a line of the summary: the slots of a service in a region, or
+// one link or shift.
+type limitKey struct {
+	kind string
+	name string
+}
+
+// limits adds up tokens of all instances.
+type limits struct {
+	order []limitKey
+	sums  map[limitKey]*admin.PoolStatus
+}
+
+func (l *limits) add(k limitKey, p *admin.PoolStatus, size int32) {
+	s := l.sums[k]
+	if s == nil {
+		s = &admin.PoolStatus{}
+		l.sums[k] = s
+		l.order = append(l.order, k)
+	}
+	s.Size += size
+	s.Home += p.Home
+	s.Free += p.Free
+	s.Busy += p.Busy
+	s.Lent += p.Lent
+}
+
+// PrintSummary writes a status on one screen: what is in force where, the
+// limits and how much of them is held, used and lent, and what is draining.
+func PrintSummary(w io.Writer, st *admin.Status, resources []version.Resource) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "version %d, in force everywhere: %v\n", st.Version, st.InForce)
+	printEntries(t, st.Entries)
+	byKey := make(map[string]version.Resource, len(resources))
+	for _, r := range resources {
+		byKey[r.Key.String()] = r
+	}
+	printLimits(t, st.Entries, byKey)
+	printDraining(t, st.Entries, byKey)
+	_ = t.Flush() // a closed output has nobody to tell
+}
+
+func printEntries(w io.Writer, entries []admin.EntryStatus) {
+	fmt.Fprintln(w, "INSTANCE\tHALL\tVERSION\tSINCE\tCONFIRMED\tEPOCH\tSTATE")
+	for _, e := range entries {
+		state := "live"
+		if e.Leaving {
+			state = "leaving"
+		}
+		if e.Missing != "" {
+			fmt.Fprintf(w, "%s\t%s\t-\t-\t-\t-\tmissing: %s\n", e.Instance, e.Hall, e.Missing)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%dms\t%d\t%s\n", e.Instance, e.Hall, e.Version,
+			e.Since.Format("15:04:05.000"), e.ConfirmedMs, e.Epoch, state)
+	}
+}
+
+// printLimits writes a line for the slots of each service in each region, and
+// for each link and shift that is in use.
+func printLimits(w io.Writer, entries []admin.EntryStatus, byKey map[string]version.Resource) {
+	l := limits{sums: make(map[limitKey]*admin.PoolStatus)}
+	counted := make(map[string]bool)
+	for _, e := range entries {
+		for i := range e.Pools {
+			p := &e.Pools[i]
+			size := p.Size
+			if counted[p.Pool] {
+				size = 0
+			}
+			counted[p.Pool] = true
+			l.add(limitOf(p.Pool, byKey), p, size)
+		}
+	}
+	fmt.Fprintln(w, "LIMIT\tNAME\tSIZE\tHELD\tFREE\tBUSY\tLENT")
+	for _, k := range l.order {
+		s := l.sums[k]
+		if k.kind == "link" && s.Busy == 0 {
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", k.kind, k.name, s.Size, s.Home, s.Free, s.Busy, s.Lent)
+	}
+}
+
+func limitOf(pool string, byKey map[string]version.Resource) limitKey {
+	kind, name, _ := strings.Cut(pool, "/")
+	u := byKey[pool].Upstream
+	if u == nil {
+		return limitKey{kind, name}
+	}
+	hall := byKey[version.Key{Kind: version.KindHall, Name: u.Hall}.String()]
+	region := "?"
+	if hall.Hall != nil {
+		region = hall.Hall.Region
+	}
+	return limitKey{"slots", u.Service + "@" + region}
+}
+
+// printDraining writes a line for each upstream that is drained or said itself
+// that it is leaving, with what still runs there and for how long at most.
+func printDraining(w io.Writer, entries []admin.EntryStatus, byKey map[string]version.Resource) {
+	busy, said := make(map[string]int32), make(map[string]bool)
+	for _, e := range entries {
+		for _, p := range e.Pools {
+			busy[p.Pool] += p.Busy
+		}
+		for _, name := range e.UpstreamsLeaving {
+			said[name] = true
+		}
+	}
+	fmt.Fprintln(w, "DRAINING\tRUNNING\tAT MOST")
+	for _, r := range sortedResources(byKey, version.KindUpstream) {
+		if !said[r.Name] && !drained(&r, byKey) {
+			continue
+		}
+		left := "done"
+		if n := busy[r.Key.String()]; n > 0 {
+			left = longest(byKey[version.Key{Kind: version.KindService, Name: r.Upstream.Service}.String()].Service).String()
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\n", r.Name, busy[r.Key.String()], left)
+	}
+}
+
+func sortedResources(byKey map[string]version.Resource, kind version.Kind) []version.Resource {
+	c := version.Config{Resources: make(map[version.Key]version.Resource, len(byKey))}
+	for _, r := range byKey {
+		c.Resources[r.Key] = r
+	}
+	return c.List(kind)
+}
+
+func drained(r *version.Resource, byKey map[string]version.Resource) bool {
+	hall := byKey[version.Key{Kind: version.KindHall, Name: r.Upstream.Hall}.String()].Hall
+	for _, d := range byKey {
+		if d.Drain == nil {
+			continue
+		}
+		inRegion := hall != nil && d.Drain.Region == hall.Region
+		if d.Drain.Upstream == r.Name || d.Drain.Hall == r.Upstream.Hall || inRegion {
+			return true
+		}
+	}
+	return false
+}
+
+// longest returns the longest deadline of a service's routes: a request that
+// runs now ends by then.
+func longest(s *version.Service) time.Duration {
+	var d time.Duration
+	if s == nil {
+		return 0
+	}
+	for _, r := range s.Routes {
+		d = max(d, time.Duration(r.Deadline))
+	}
+	return d
+}
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -18,7 +18,10 @@
 
 // Times of a planned stop.
 const (
-	stopPoll    = 20 * time.Millisecond
+	stopPoll = 20 * time.Millisecond
+	// keepBefore is how long before the end of the grace nothing more is
+	// lent: a lease, and the time in which holders return what has lapsed.
+	keepBefore  = slots.LeaseTime + 2*upkeepTime + balanceTime
 	lentWait    = slots.LeaseTime + time.Second
 	inheritTime = 2 * time.Second
 	lastWords   = 2 * time.Second
@@ -33,7 +36,9 @@
 	e.slots.Leave()
 	e.log.Info().Msg("stopping")
 	e.pushAll(ctx)
-	sleep(ctx, e.settings.Grace)
+	sleep(ctx, e.settings.Grace-keepBefore)
+	e.slots.Keep()
+	sleep(ctx, min(e.settings.Grace, keepBefore))
 	e.front.Close()
 	e.awaitRunning(ctx)
 	e.handOverTickets(ctx)
--- a/process/slots/lease.go
+++ b/process/slots/lease.go
@@ -32,7 +32,7 @@
 func (t *Table) Lend(holder string, w Want, now time.Duration) []Lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.view == nil || holder == t.Self {
+	if t.view == nil || t.keeping || holder == t.Self {
 		return nil
 	}
 	if w.Pool != "" {
@@ -358,6 +358,14 @@
 	t.leaving = true
 }
 
+// Keep makes the member lend nothing more, so that all that it lent is back
+// after a lease.
+func (t *Table) Keep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keeping = true
+}
+
 // Outstanding reports whether tokens are lent out, borrowed or in use.
 func (t *Table) Outstanding() bool {
 	t.mu.Lock()
--- a/process/slots/table.go
+++ b/process/slots/table.go
@@ -26,7 +26,8 @@
 	bound    []*pool // by index in the view's pools
 	groups   map[groupKey]*group
 	leases   uint64
-	leaving  bool
+	leaving  bool // lends and returns all it can
+	keeping  bool // lends nothing more
 }
 
 type groupKey struct {
