--- a/proof/policy_test.go
+++ b/proof/policy_test.go
@@ -153,6 +153,7 @@
 		all.Go(func() { ta.note(at, c.getPlain(client, entry)) })
 	}
 	all.Wait()
+	client.CloseIdleConnections()
 	return ta
 }
 
