entry: read the split before a ceding is undone

Cause: found by reading. After a lost answer a member rewrites the split's row to rule out that its write lands late. If it landed just before, the rewriting ended in a conflict, and the tokens, by then another's, were made usable again without the row being read.

Change: the row is read before anything that was ceded is used again. The test has a platform whose lost write lands in between: before, 4 tokens usable with 2 given by the row; after, never more than the row gives.

Conclusion: no token is used on the strength of an old reading.

--- a/process/entry/split.go
+++ b/process/entry/split.go
@@ -29,11 +29,11 @@
 
 // splitter is the state of the splitting at one member.
 type splitter struct {
-	work sync.Mutex // held for a whole round; guards what is below revision
+	mu       sync.Mutex // guards revision and rows
+	revision int64      // of the split's row, as last read
+	rows     []string   // ids of the members' rows, as last read
 
-	mu       sync.Mutex
-	revision int64    // of the split's row, as last read
-	rows     []string // ids of the members' rows, as last read
+	work sync.Mutex // held for a whole round; guards the rest
 	// ceding are tokens taken off this member for a transaction whose end
 	// is not known. They stay so until the row has another revision than
 	// the one that the transaction was bound to.
@@ -203,19 +203,18 @@
 	if len(s.ceding) == 0 {
 		return true
 	}
-	if s.boundTo >= 0 {
-		if err := e.readSplit(ctx); err != nil {
-			return false
-		}
-		s.mu.Lock()
-		revision := s.revision
-		s.mu.Unlock()
-		if revision == s.boundTo {
-			same := *e.slots.Split()
-			same.Epoch++
-			e.writeSplit(ctx, &same, revision)
-			return false
-		}
+	// Whatever became of the write, the row is read before a token is used.
+	if err := e.readSplit(ctx); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	revision := s.revision
+	s.mu.Unlock()
+	if revision == s.boundTo {
+		same := *e.slots.Split()
+		same.Epoch++
+		e.writeSplit(ctx, &same, revision)
+		return false
 	}
 	e.slots.Uncede(s.ceding, e.now())
 	s.ceding = nil
