slots, entry: drop what a lessor no longer has

Cause: found by reading. An instance whose own view was not confirmed renewed leases, and a holder kept borrowed tokens although its split named another home. Two instances in touch with each other only could have gone on so past the fence.

Change: a renewal needs a confirmed view, as a lease does; a newer split drops borrowed tokens that are no longer their lessor's.

Ruled out: that the simulation finds it, since its members can always reach the platform.

Conclusion: one way less to use a token twice under a wrong list of instances; a whole group that is cut off together is still not proved.

--- a/process/entry/server.go
+++ b/process/entry/server.go
@@ -72,10 +72,10 @@
 	e := p.e
 	now := e.now()
 	out := &peer.LeaseReply{}
-	out.Renewed = toTokens(e.slots.Renew(in.GetHolder(), fromTokens(in.GetRenew()), now))
 	if !e.steer.Fresh() {
 		return out, nil // what is held may have a new home already
 	}
+	out.Renewed = toTokens(e.slots.Renew(in.GetHolder(), fromTokens(in.GetRenew()), now))
 	for _, w := range in.GetWants() {
 		want := slots.Want{Pool: w.GetPool(), Service: w.GetService(), Region: w.GetRegion(), Tokens: int(w.GetTokens())}
 		out.Granted = append(out.Granted, toTokens(e.slots.Lend(in.GetHolder(), want, now))...)
--- a/process/slots/table.go
+++ b/process/slots/table.go
@@ -3,6 +3,7 @@
 package slots
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -131,17 +132,19 @@
 		return
 	}
 	for name, p := range t.pools {
-		t.loseHomes(name, p)
+		t.loseTokens(name, p)
 		if p.place >= 0 {
 			t.gainHomes(name, p, now)
 		}
 	}
 }
 
-func (t *Table) loseHomes(name string, p *pool) {
+// loseTokens drops the tokens that have another home now: own ones, and
+// borrowed ones that are no longer their lessor's.
+func (t *Table) loseTokens(name string, p *pool) {
 	for i := len(p.tokens) - 1; i >= 0; i-- {
 		k := p.tokens[i]
-		if k.lessor != "" || t.split.Home(name, k.index) == t.Self {
+		if t.split.Home(name, k.index) == cmp.Or(k.lessor, t.Self) {
 			continue
 		}
 		if k.state == stateBusy {
