entry: let the last refusals of a stopping entry be sent whole

Cause: found by reading. An entry that stopped closed its connections at once after the hand-over, also one on which a refusal was being written.

Change: the callers' server is shut down, for a second at most, before the rest is closed; the others know by then who has the tickets.

Ruled out: waiting in the same way for operators, whose watches do not end.

Conclusion: a caller that comes late gets LEAVING whole.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -58,11 +58,12 @@
 	synced chan struct{} // closed once a version is in force and confirmed
 	once   sync.Once
 
-	servers []*http.Server
-	grpc    *grpc.Server
-	cancel  context.CancelFunc
-	loops   sync.WaitGroup
-	probes  *http.Client
+	servers     []*http.Server
+	frontServer *http.Server // one of servers
+	grpc        *grpc.Server
+	cancel      context.CancelFunc
+	loops       sync.WaitGroup
+	probes      *http.Client
 }
 
 // Start checks the settings, opens the listeners and starts the loops. It
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -60,12 +60,12 @@
 	e.grpc = grpc.NewServer(options...)
 	peer.RegisterPeerServer(e.grpc, &peerServer{e: e})
 	go func() { _ = e.grpc.Serve(peerL) }() // ends when the entry stops
-	e.serveHTTP(frontL, e.front)
+	e.frontServer = e.serveHTTP(frontL, e.front)
 	e.serveHTTP(adminL, adminHandler)
 	return nil
 }
 
-func (e *Entry) serveHTTP(l net.Listener, h http.Handler) {
+func (e *Entry) serveHTTP(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
@@ -74,4 +74,5 @@
 	}
 	e.servers = append(e.servers, s)
 	go func() { _ = s.Serve(l) }() // ends when the entry stops
+	return s
 }
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -25,7 +25,7 @@
 	keepBefore  = slots.LeaseTime + 2*upkeepTime + balanceTime
 	lentWait    = slots.LeaseTime + time.Second
 	inheritTime = 2 * time.Second
-	lastWords   = 2 * time.Second
+	lastWords   = time.Second
 )
 
 // Stop ends the entry as planned. New work goes elsewhere first; requests in
@@ -47,10 +47,20 @@
 	e.members.UpdateSelf(func(m *peer.Member) { m.Gone = true })
 	e.pushAll(ctx)
 	e.deleteRow(ctx)
+	e.closeFront(ctx)
 	e.Kill()
 	e.log.Info().Dur("took", e.now()-begun).Msg("stopped")
 }
 
+// closeFront lets the last refusals to callers be sent whole.
+func (e *Entry) closeFront(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastWords)
+	defer cancel()
+	if err := e.frontServer.Shutdown(ctx); err != nil {
+		e.log.Info().Err(err).Msg("front-not-idle")
+	}
+}
+
 // Kill ends the entry at once, as the death of its process would.
 func (e *Entry) Kill() {
 	e.cancel()
