conn: keep a connection whose answer came before the sender was done

An answer to a request with a body can be whole a moment before the goroutine that sent the body has said so; the exchange then took the body for unfinished, gave the connection up and held the token until the upstream closed its side.

Ruled out: the upstream's closing (it answered and waited), and an error in sending (none was reported).

Conclusion: a small body no longer costs a connection and a slot now and then.

--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -154,26 +154,49 @@
 		<-ex.broken
 	}
 	sent := ex.written != nil || ex.link.sent > 0
-	if ex.written != nil && ex.whole {
-		select {
-		case err := <-ex.written:
-			ex.whole = err == nil
-			ex.written = nil
-		default: // answered before the body's end
-			ex.whole = false
-		}
-	}
 	if !sent {
 		_ = ex.link.Conn.Close() // nothing left on it
 		ex.opts.Release(false)
 		return
 	}
-	if ex.whole && undisturbed && !ex.Response.Close && ex.link.SetDeadline(time.Time{}) == nil {
-		ex.pool.put(ex.link)
-		ex.opts.Release(false)
+	keep := ex.whole && undisturbed && !ex.Response.Close
+	if keep && ex.written == nil {
+		ex.keep()
+		return
+	}
+	go ex.settle(keep)
+}
+
+// keep gives the connection back for the next request.
+func (ex *Exchange) keep() {
+	if ex.link.SetDeadline(time.Time{}) != nil {
+		ex.letGo()
 		return
 	}
-	go ex.letGo()
+	ex.pool.put(ex.link)
+	ex.opts.Release(false)
+}
+
+// settle ends an exchange whose body may still be on its way, or that was
+// broken off. The answer can be whole a moment before the sender of the body
+// has said that it is done; an upstream can also answer before the body's end.
+func (ex *Exchange) settle(keep bool) {
+	if !keep {
+		ex.letGo()
+		return
+	}
+	t := time.NewTimer(Margin)
+	defer t.Stop()
+	select {
+	case err := <-ex.written:
+		ex.written = nil
+		if err == nil {
+			ex.keep()
+			return
+		}
+	case <-t.C: // answered before the body's end
+	}
+	ex.letGo()
 }
 
 // letGo tells the upstream that the request is given up, by closing the
