conn: hold the silent upstream's connection in its test

The test's server kept no reference to its connection, so that the collector closed it: the upstream was not silent.

Ruled out: the exchange; it told rightly what it saw.

Change: the test was wrong; its server now holds the connection until the end. What it asks for is as before.

Conclusion: the verdict no longer depends on the collector.

--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -120,7 +120,12 @@
 // TestSilentUpstream: the token comes back after deadline and margin, as silent,
 // if the upstream does not close its side; at once if it does.
 func TestSilentUpstream(t *testing.T) {
-	silentPool := script(t, func(net.Conn, *bufio.Reader) {})
+	done := make(chan struct{})
+	defer close(done)
+	silentPool := script(t, func(c net.Conn, _ *bufio.Reader) {
+		<-done // a connection that nothing refers to would be closed by the collector
+		_ = c.Close()
+	})
 	start := time.Now()
 	_, err, silent := exchange(t, silentPool, "body", 100*time.Millisecond, true)
 	assert.Assert(t, err != nil && silent)
