caller, retry: asking again can not make an overload worse

Ruled out: the entries' own retries (bounded to a tenth before), and the machine alone: on a quiet one the same happened to requests that had queued.

Change: a caller gives calls up early only while retries are left, a tenth of its requests; package retry has the budget for callers and entries.

Conclusion: callers no longer turn slowness into collapse.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -18,6 +18,7 @@
 	"shalewick/clock"
 	"shalewick/process/front"
 	"shalewick/request"
+	"shalewick/retry"
 )
 
 // Request is one request.
@@ -66,6 +67,7 @@
 	// HTTP carries the calls.
 	HTTP *http.Client
 
+	early   retry.Budget // calls that were given up before the request's time
 	mu      sync.Mutex
 	entries []string
 	until   time.Time
@@ -116,6 +118,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	c.early.Earn()
 	s := &sending{c: c, req: req, ran: request.RanNo}
 	for ctx.Err() == nil {
 		res, retry, final := s.try(ctx)
@@ -162,6 +165,9 @@
 	defer cancel()
 	res, result, err := s.c.send(tryCtx, entry, s.req, s.ticket)
 	if err != nil {
+		if tryCtx.Err() != nil && ctx.Err() == nil {
+			s.c.early.Spend()
+		}
 		s.broken(entry, err)
 		return nil, s.pause(), false
 	}
@@ -172,10 +178,12 @@
 }
 
 // tryContext bounds one call, so that an instance that is silent does not use
-// up all the time. A large body may need the time that it takes.
+// up all the time. A large body may need the time that it takes; and when many
+// calls were given up early, all instances are slow, and asking more of them
+// would make it worse.
 func (s *sending) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	limit, ok := ctx.Deadline()
-	if !ok || len(s.req.Body) > tryBody {
+	if !ok || len(s.req.Body) > tryBody || !s.c.early.Left() {
 		return ctx, func() {}
 	}
 	return context.WithTimeout(ctx, max(time.Until(limit)/tryParts, lookupTimeout))
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/front"
+	"shalewick/request"
+)
+
+// slowEntries starts instances that answer look-ups at once and requests only
+// after a time; it returns their addresses and the count of requests.
+func slowEntries(t *testing.T, n int, answer time.Duration) (addresses []string, calls *atomic.Int64) {
+	t.Helper()
+	calls = new(atomic.Int64)
+	for range n {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(request.HeaderID, r.Header.Get(request.HeaderID))
+			if r.URL.Path == front.Reserved+"lookup" {
+				var l front.Lookup
+				for _, a := range addresses {
+					l.Entries = append(l.Entries, front.Entry{Address: a})
+				}
+				_ = json.NewEncoder(w).Encode(l)
+				return
+			}
+			calls.Add(1)
+			time.Sleep(answer)
+		}))
+		t.Cleanup(s.Close)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	return addresses, calls
+}
+
+// TestOverloadIsNotMadeWorse: when all instances are slow, requests are not
+// sent again and again.
+func TestOverloadIsNotMadeWorse(t *testing.T) {
+	addresses, calls := slowEntries(t, 3, 600*time.Millisecond)
+	c := New(addresses)
+	const n = 100
+	var all sync.WaitGroup
+	var answered atomic.Int64
+	for range n {
+		all.Go(func() {
+			if _, err := c.Do(context.Background(), &Request{Service: "s", Method: "GET", Path: "/", Timeout: 1600 * time.Millisecond}); err == nil {
+				answered.Add(1)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	all.Wait()
+	t.Logf("%d requests, %d calls, %d answered", n, calls.Load(), answered.Load())
+	assert.Assert(t, calls.Load() <= 2*n, "%d calls for %d requests", calls.Load(), n)
+	assert.Assert(t, answered.Load() >= n*8/10)
+}
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +16,7 @@
 	"shalewick/conn"
 	"shalewick/process/steer"
 	"shalewick/request"
+	"shalewick/retry"
 )
 
 const (
@@ -94,9 +94,9 @@
 	}
 	t := &trial{f: f, c: c, src: src, ask: steer.Ask{Service: c.service, Class: c.route.Class, Deadline: c.deadline}}
 	bud := f.budget(c.service)
-	bud.earn()
+	bud.Earn()
 	a, res, again := t.attempt(ctx)
-	for try := 1; again && try < maxAttempts && ctx.Err() == nil && bud.spend(); try++ {
+	for try := 1; again && try < maxAttempts && ctx.Err() == nil && bud.Spend(); try++ {
 		f.Metrics.Retry(c.service)
 		var further *request.Result
 		a, further, again = t.attempt(ctx)
@@ -265,43 +265,16 @@
 	return out.WithContext(ctx)
 }
 
-// budgetShare is the number of retries allowed for each request: a tenth.
-const (
-	budgetShare = 0.1
-	budgetMax   = 10
-)
-
-// budget bounds the retries of one service. The zero value allows none.
-type budget struct {
-	mu    sync.Mutex
-	saved float64
-}
-
-func (b *budget) earn() {
-	b.mu.Lock()
-	b.saved = min(budgetMax, b.saved+budgetShare)
-	b.mu.Unlock()
-}
-
-func (b *budget) spend() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.saved < 1 {
-		return false
-	}
-	b.saved--
-	return true
-}
-
-func (f *Front) budget(service string) *budget {
+// budget returns the retries of a service.
+func (f *Front) budget(service string) *retry.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.budgets == nil {
-		f.budgets = make(map[string]*budget)
+		f.budgets = make(map[string]*retry.Budget)
 	}
 	b := f.budgets[service]
 	if b == nil {
-		b = &budget{saved: budgetMax}
+		b = &retry.Budget{}
 		f.budgets[service] = b
 	}
 	return b
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -20,6 +20,7 @@
 	"shalewick/process/steer"
 	"shalewick/process/ticket"
 	"shalewick/request"
+	"shalewick/retry"
 	"shalewick/version"
 )
 
@@ -42,8 +43,8 @@
 	closed  atomic.Bool // takes no new requests
 	running atomic.Int64
 	mu      sync.Mutex
-	peers   map[string]*conn.Pool // to other instances' fronts, by address
-	budgets map[string]*budget    // retries, by service
+	peers   map[string]*conn.Pool    // to other instances' fronts, by address
+	budgets map[string]*retry.Budget // retries, by service
 }
 
 // Close makes the front refuse new requests. Those in flight go on.
