all: name what is known red

Cause: TestNoUpstreamAboveSlots saw 5 requests at once on 4 slots in 2 of 3 suites that ran at once, and on a saturated machine it answers too little.

Ruled out: nothing for certain.

--- a/proof/promise_test.go
+++ b/proof/promise_test.go
@@ -84,10 +84,12 @@
 	}
 	o := load.Options{Clients: c.callers(), Rate: 1300, Duration: 14 * time.Second, Mix: c.reads()}
 	o.Mix[0].Timeout = 3 * time.Second
+	var thawed time.Time
 	rep, _ := c.underLoad(o, func() {
 		time.Sleep(2 * time.Second)
 		c.regions[2].freeze()
 		time.Sleep(5 * time.Second)
+		thawed = time.Now()
 		c.regions[2].thaw()
 		time.Sleep(2 * time.Second)
 		c.regions[2].kill()
@@ -95,6 +97,11 @@
 		c.runUpstreams(2, work)
 	})
 	assert.Equal(t, rep.Faults(), 0)
+	for _, r := range c.records() {
+		if r.AtOnce > c.size.Slots {
+			t.Logf("%d at once at %s, %v after the region was thawed", r.AtOnce, r.Upstream, r.Start.Sub(thawed))
+		}
+	}
 	assert.Assert(t, c.peak() == c.size.Slots, "most at once %d of %d", c.peak(), c.size.Slots)
 	assert.Assert(t, rep.Lines[0].Answered > rep.Lines[0].Sent/3)
 }
