--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -24,6 +24,10 @@
 	// and Margin have passed: an upstream that runs has let go by then, but
 	// one that is frozen may still hold it.
 	Release func(silent bool)
+	// CloseAtOnce closes the connection of a request that is given up, for an
+	// upstream that drops a request then. Otherwise the upstream is asked by a
+	// half close, and its answer waited for.
+	CloseAtOnce bool
 }
 
 // past is a deadline that ends all waiting.
@@ -101,6 +105,28 @@
 	return ex, nil
 }
 
+// Skip drops the present answer, which belongs to another request, and reads
+// the next one on the same connection. On error the exchange has to be closed.
+func (ex *Exchange) Skip(req *http.Request) error {
+	if _, err := io.CopyN(io.Discard, ex.Response.Body, maxSkipped); err != io.EOF {
+		return errors.New("an answer to another request is too long")
+	}
+	ex.whole = false
+	if ex.Response.Close {
+		return errors.New("the connection ends with an answer to another request")
+	}
+	res, err := http.ReadResponse(ex.link.r, req)
+	if err != nil {
+		return errors.Annotate(err, "read answer after one to another request")
+	}
+	ex.Response = res
+	res.Body = &body{ReadCloser: res.Body, ex: ex}
+	return nil
+}
+
+// maxSkipped bounds an answer to another request that is dropped, in bytes.
+const maxSkipped = 1 << 20
+
 // send writes the request. One without a body is written at once; a body is
 // sent beside the reading of the answer, which may come before its end.
 func (ex *Exchange) send(req *http.Request) error {
@@ -173,6 +199,7 @@
 		ex.letGo()
 		return
 	}
+	ex.link.idle = keptIdle(ex.pool.idleTime(), ex.Response.Header.Get("Keep-Alive"))
 	ex.pool.put(ex.link)
 	ex.opts.Release(false)
 }
@@ -211,6 +238,10 @@
 func (ex *Exchange) awaitEnd() (silent bool) {
 	c := ex.link.Conn
 	defer c.Close()
+	if ex.opts.CloseAtOnce {
+		_ = c.Close()
+		return false
+	}
 	limit := ex.opts.Deadline.Add(Margin)
 	if ex.written != nil {
 		_ = c.SetWriteDeadline(past) // stops a body still being sent
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -4,8 +4,11 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,9 +26,14 @@
 	DialTimeout = time.Second
 )
 
-// Pool keeps connections to one upstream. Address is set before use.
+// Pool keeps connections to one upstream. The fields are set before use.
 type Pool struct {
 	Address string
+	// Dialer opens connections; nil: one with DialTimeout.
+	Dialer *net.Dialer
+	// IdleTime is how long an idle connection is kept, unless the upstream
+	// says that it keeps it for less. Zero means the constant IdleTime.
+	IdleTime time.Duration
 
 	mu   sync.Mutex
 	idle []*link // most recently used last
@@ -37,7 +45,8 @@
 	r     *bufio.Reader
 	w     *bufio.Writer
 	since time.Time // idle since
-	sent  int64     // bytes handed to the kernel for the present request
+	idle  time.Duration
+	sent  int64 // bytes handed to the kernel for the present request
 	// allowed is asked right before each first write of a request, so that a
 	// process that was frozen in between does not send what it no longer may.
 	allowed func() bool
@@ -66,12 +75,15 @@
 		if l == nil {
 			break
 		}
-		if time.Since(l.since) < IdleTime && quiet(l.Conn) {
+		if time.Since(l.since) < l.idle && quiet(l.Conn) {
 			return l, nil
 		}
 		_ = l.Conn.Close() // it is of no more use
 	}
-	d := net.Dialer{Timeout: DialTimeout}
+	d := p.Dialer
+	if d == nil {
+		d = &net.Dialer{Timeout: DialTimeout}
+	}
 	c, err := d.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "open connection to %s", p.Address)
@@ -81,6 +93,29 @@
 	return l, nil
 }
 
+func (p *Pool) idleTime() time.Duration {
+	return cmp.Or(p.IdleTime, IdleTime)
+}
+
+// idleMargin is how long before the upstream would close an idle connection it
+// is no longer used.
+const idleMargin = time.Second
+
+// keptIdle bounds the time that an idle connection is kept by what a
+// Keep-Alive header says.
+func keptIdle(own time.Duration, header string) time.Duration {
+	for field := range strings.SplitSeq(header, ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		if s, err := strconv.Atoi(text); err == nil && s >= 0 {
+			own = min(own, time.Duration(s)*time.Second-idleMargin)
+		}
+	}
+	return own
+}
+
 func (p *Pool) popIdle() *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/process/balance/table.go
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"shalewick/conn"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// Table is the upstreams of one process. The fields are set before use.
+type Table struct {
+	Now func() time.Duration
+	// Instances returns the number of instances that share what must be
+	// shared, this one included.
+	Instances func() int
+	// Region is the name of the region of this instance.
+	Region string
+	// NewPool returns connections to an address.
+	NewPool func(address string) *conn.Pool
+
+	mu      sync.Mutex
+	routing *version.Routing
+	region  int32
+	states  []*upstream // by index in the routing
+	byName  map[string]*upstream
+	splits  map[string][]float64 // credit of each part, by route
+}
+
+// Install makes a routing the one that is decided on.
+func (t *Table) Install(r *version.Routing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Now()
+	byName := make(map[string]*upstream, len(r.Upstreams))
+	states := make([]*upstream, len(r.Upstreams))
+	for i := range r.Upstreams {
+		v := &r.Upstreams[i]
+		u := t.byName[v.Name]
+		if u == nil || u.address != v.Address {
+			u = &upstream{pool: t.NewPool(v.Address), address: v.Address}
+		}
+		u.install(v, now)
+		byName[v.Name] = u
+		states[i] = u
+	}
+	for name, u := range t.byName {
+		if byName[name] != u {
+			u.pool.CloseIdle()
+		}
+	}
+	t.routing, t.states, t.byName = r, states, byName
+	t.region = r.Region(t.Region)
+	if t.splits == nil {
+		t.splits = make(map[string][]float64)
+	}
+}
+
+func (u *upstream) install(v *version.RoutedUpstream, now time.Duration) {
+	if v.Cold != u.cold {
+		u.cold = v.Cold
+		u.coldUntil = 0
+		if v.Cold > 0 {
+			u.coldUntil = now + v.Cold + coldSlack
+		}
+	}
+	if u.drained && !v.Drained {
+		u.coldUntil = max(u.coldUntil, now+afterDrain)
+	}
+	u.drained = v.Drained
+	if v.Closed {
+		u.pool.CloseIdle()
+	}
+}
+
+// Routing returns the routing that is decided on, or nil.
+func (t *Table) Routing() *version.Routing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.routing
+}
+
+// Query is what one decision is about.
+type Query struct {
+	Route *version.RouteView
+	// Part is the service, as Split returned it.
+	Service int32
+	// Object identifies the object that the request concerns; zero: none.
+	Object uint64
+	// Tried are the names of the upstreams that had the request already.
+	Tried []string
+	// Left is the time until the request's deadline.
+	Left time.Duration
+	// Elapsed is the time since the request came.
+	Elapsed time.Duration
+}
+
+// Pick is an upstream that was chosen for a request. Done must be called once.
+type Pick struct {
+	Name    string
+	Address string
+	Region  string
+	Pool    *conn.Pool
+	// Rank is the place of the upstream in the object's order, 0 the first.
+	Rank int
+	// Wait is the estimated time until it begins with the request.
+	Wait time.Duration
+
+	table   *Table
+	u       *upstream
+	started time.Duration
+}
+
+// Refusal says why nothing was chosen.
+type Refusal struct {
+	Code request.Code
+	// Retry is when to come back.
+	Retry time.Duration
+}
+
+// Split chooses the service of a request by the weights of its route, so that
+// the shares hold after every few requests.
+func (t *Table) Split(v *version.RouteView) int32 {
+	if len(v.Parts) == 1 {
+		return v.Parts[0].Service
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	credits := t.splits[v.Name]
+	if len(credits) != len(v.Parts) {
+		credits = make([]float64, len(v.Parts))
+		for i := range credits {
+			credits[i] = rand.Float64() // instances do not all begin with the same part
+		}
+		t.splits[v.Name] = credits
+	}
+	total, best := 0.0, 0
+	for i, p := range v.Parts {
+		credits[i] += p.Weight
+		total += p.Weight
+		if p.Weight > 0 && (v.Parts[best].Weight == 0 || credits[i] > credits[best]) {
+			best = i
+		}
+	}
+	credits[best] -= total
+	return v.Parts[best].Service
+}
--- /dev/null
+++ b/process/balance/upstream.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"time"
+
+	"shalewick/conn"
+)
+
+// Times of suspension and of estimates.
+const (
+	suspendLeast = 400 * time.Millisecond
+	suspendMost  = 4 * time.Second
+	// reportLife is the time in which a load report loses most of its worth.
+	reportLife = 1500 * time.Millisecond
+	// workGain is the weight of a new answer in the mean time of work.
+	workGain = 0.1
+	// firstWork is the assumed time of work before any answer.
+	firstWork = 250 * time.Millisecond
+	// afterDrain is how long an upstream counts as cold after its place is no
+	// longer drained, unless it says more itself.
+	afterDrain = 1500 * time.Millisecond
+	// coldSlack lengthens the time for which an upstream says it is cold.
+	coldSlack = 300 * time.Millisecond
+)
+
+// upstream is what one process knows of one upstream, over all versions. It is
+// guarded by the table's mutex.
+type upstream struct {
+	pool     *conn.Pool
+	address  string
+	inFlight int
+	drained  bool
+	cold     time.Duration // as declared
+	// coldUntil is when it stops being cold, nextCold the earliest moment
+	// for the next request until then.
+	coldUntil, nextCold time.Duration
+	// failures counts those in a row. Until suspended it gets nothing, and
+	// then one request at a time until one is answered.
+	failures  int
+	suspended time.Duration
+	// reported is the last load report, as of reportedAt, when this
+	// instance had ownAtReport requests there.
+	reported    float64
+	reportedAt  time.Duration
+	ownAtReport int
+	answeredAt  time.Duration
+	work        time.Duration // mean time of an answer, without waiting
+}
+
+// load estimates the requests that run or wait at the upstream.
+func (u *upstream) load(now time.Duration) float64 {
+	own := float64(u.inFlight)
+	age := now - u.reportedAt
+	if u.reportedAt == 0 || age > 4*reportLife {
+		return own
+	}
+	decay := float64(reportLife) / float64(reportLife+age)
+	estimate := u.reported*decay + float64(u.inFlight-u.ownAtReport)
+	return max(own, estimate)
+}
+
+// wait estimates how long a new request would wait for a slot.
+func (u *upstream) wait(now time.Duration, slots int) time.Duration {
+	ahead := u.load(now) + 1 - float64(slots)
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead / float64(slots) * float64(u.meanWork()))
+}
+
+func (u *upstream) meanWork() time.Duration {
+	if u.work == 0 {
+		return firstWork
+	}
+	return u.work
+}
+
+func (u *upstream) failed(now time.Duration) {
+	u.failures++
+	pause := suspendLeast << min(u.failures-1, 5)
+	u.suspended = now + min(pause, suspendMost)
+}
+
+// usable reports whether a request may be sent.
+func (u *upstream) usable(now time.Duration) bool {
+	if u.failures == 0 {
+		return true
+	}
+	return now >= u.suspended && u.inFlight == 0
+}
+
+// Report is an upstream's word on its load.
+type Report struct {
+	Running, Waiting, Slots int
+}
+
+func (u *upstream) report(r Report, now time.Duration) {
+	u.reported = float64(r.Running + r.Waiting)
+	u.reportedAt = now
+	u.ownAtReport = u.inFlight
+}
--- /dev/null
+++ b/process/cluster/members.go
@@ -0,0 +1,207 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one start of an instance.
+type Member struct {
+	Name string `json:"n"`
+	// Incarnation rises with each start of the instance.
+	Incarnation int64  `json:"i"`
+	Front       string `json:"f"` // address for clients
+	Peer        string `json:"p"` // address for other instances, TCP and UDP
+	Zone        string `json:"z"`
+	Region      string `json:"r"`
+	Leaving     bool   `json:"l,omitempty"`
+}
+
+// Times of liveness.
+const (
+	// Beat is the pause between two datagrams to one instance.
+	Beat = 500 * time.Millisecond
+	// aliveFor is how long an instance of the own region counts as alive after
+	// it was heard.
+	aliveFor = 1800 * time.Millisecond
+	// grace is how long an instance counts as alive that was only read of.
+	grace = 2 * time.Second
+	// forgetAfter is how long an instance is kept that was not heard.
+	forgetAfter = time.Minute
+)
+
+// Members are the instances that one knows of. Use NewMembers.
+type Members struct {
+	mu     sync.Mutex
+	self   Member
+	others map[string]*known
+	now    func() time.Duration
+}
+
+type known struct {
+	Member
+	heard   time.Duration // zero: never
+	learned time.Duration
+	failed  time.Duration // when a call to it last failed; zero: never
+}
+
+// NewMembers returns the members that an instance knows of at its start.
+func NewMembers(self Member, now func() time.Duration) *Members {
+	return &Members{self: self, others: make(map[string]*known), now: now}
+}
+
+// Self returns the instance itself.
+func (m *Members) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self
+}
+
+// Leave marks the instance itself as leaving.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Leaving = true
+}
+
+// Learn takes up what is said of other instances; heard is true when an
+// instance said it of itself just now.
+func (m *Members) Learn(heard bool, list ...Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	for _, x := range list {
+		if x.Name == "" || x.Name == m.self.Name {
+			continue
+		}
+		k := m.others[x.Name]
+		if k == nil || k.Incarnation < x.Incarnation || heard && k.Incarnation != x.Incarnation && now-k.heard > aliveFor {
+			// A lower incarnation that speaks while the higher one is silent
+			// was started after a step of the clock.
+			k = &known{Member: x, learned: now}
+			m.others[x.Name] = k
+		}
+		if k.Incarnation > x.Incarnation {
+			continue
+		}
+		k.Leaving = k.Leaving || x.Leaving
+		if heard {
+			k.heard = now
+		}
+	}
+	m.forget(now)
+}
+
+func (m *Members) forget(now time.Duration) {
+	for name, k := range m.others {
+		if now-max(k.heard, k.learned) > forgetAfter {
+			delete(m.others, name)
+		}
+	}
+}
+
+// alive reports whether an instance counts as alive. One of another region is
+// heard seldom, so it does until a call to it fails.
+func (k *known) alive(region string, now time.Duration) bool {
+	if k.Leaving {
+		return false
+	}
+	if k.failed > k.heard && k.failed != 0 {
+		return false
+	}
+	if k.Region != region {
+		return true
+	}
+	return now-k.heard <= aliveFor && k.heard != 0 || k.heard == 0 && now-k.learned <= grace
+}
+
+// Live returns the instances that are alive, the own one included unless it is
+// leaving, ordered by name.
+func (m *Members) Live() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	var out []Member
+	if !m.self.Leaving {
+		out = append(out, m.self)
+	}
+	for _, k := range m.others {
+		if k.alive(m.self.Region, now) {
+			out = append(out, k.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Count returns the number of instances that may be at work: all but those
+// known to be leaving. It is at least 1.
+func (m *Members) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for _, k := range m.others {
+		if !k.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// All returns all other instances.
+func (m *Members) All() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Member, 0, len(m.others))
+	for _, k := range m.others {
+		out = append(out, k.Member)
+	}
+	return out
+}
+
+// Called notes whether a call to an instance was answered.
+func (m *Members) Called(name string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := m.others[name]
+	if k == nil {
+		return
+	}
+	if ok {
+		k.heard = m.now()
+		return
+	}
+	k.failed = m.now()
+}
+
+// Relays returns the relay of each region, that of the own region first, then
+// in an order that differs by instance. The own instance may be among them.
+func (m *Members) Relays() []Member {
+	live := m.Live()
+	self := m.Self()
+	best := make(map[string]Member)
+	for _, x := range live {
+		b, ok := best[x.Region]
+		if !ok || xxhash.Sum64String(x.Name) < xxhash.Sum64String(b.Name) {
+			best[x.Region] = x
+		}
+	}
+	out := make([]Member, 0, len(best))
+	for _, x := range best {
+		out = append(out, x)
+	}
+	order := func(x Member) uint64 {
+		if x.Region == self.Region {
+			return 0
+		}
+		return xxhash.Sum64String(self.Name+x.Region) | 1
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(order(a), order(b)) })
+	return out
+}
--- /dev/null
+++ b/process/edge/directory.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"shalewick/process/cluster"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+const (
+	// directoryLife is how long a client may keep an answer.
+	directoryLife = 2 * time.Second
+	// maxAddresses bounds the addresses in an answer.
+	maxAddresses = 64
+	// enoughInZone is the number of instances from which those of a client's
+	// zone are named alone.
+	enoughInZone = 2
+)
+
+// serveDirectory tells a client which instances to use.
+func (e *Edge) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	routing := e.table.Routing()
+	if routing == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	q := e.deployment.ReadQuestion(r.URL.Query())
+	named := nearest(e.members.Live(), q, homeRegions(routing, q.Host))
+	if len(named) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	addresses := make([]string, 0, len(named))
+	for _, m := range named[:min(len(named), maxAddresses)] {
+		addresses = append(addresses, m.Front)
+	}
+	e.deployment.WriteAddresses(w, addresses, directoryLife)
+}
+
+// homeRegions returns the names of the regions that may serve all routes of a
+// host, or nil when all may.
+func homeRegions(r *version.Routing, host string) map[string]bool {
+	homes := r.HostHomes(host)
+	if homes == nil {
+		return nil
+	}
+	out := make(map[string]bool)
+	for i, home := range homes {
+		if home {
+			out[r.Regions[i]] = true
+		}
+	}
+	return out
+}
+
+// nearest returns the live instances that a client should use: those of its
+// zone if there are enough, else those of its region, else those of the
+// regions that may serve the host, else all.
+func nearest(live []cluster.Member, q Question, homes map[string]bool) []cluster.Member {
+	zone := filter(live, func(m cluster.Member) bool { return m.Zone == q.Zone })
+	if len(zone) >= enoughInZone {
+		return zone
+	}
+	region := filter(live, func(m cluster.Member) bool { return m.Region == q.Region })
+	if len(region) > 0 {
+		return region
+	}
+	home := filter(live, func(m cluster.Member) bool { return homes == nil || homes[m.Region] })
+	if len(home) > 0 {
+		return home
+	}
+	return live
+}
+
+func filter(ms []cluster.Member, keep func(cluster.Member) bool) []cluster.Member {
+	var out []cluster.Member
+	for _, m := range ms {
+		if keep(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// serveReady says whether clients may come.
+func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() || e.table.Routing() == nil {
+		w.Header().Set(request.HeaderResult, request.Leaving.String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveMetrics prints the metrics.
+func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	e.gauges()
+	_ = e.metrics.Write(w) // a reader that is gone needs no metrics
+}
--- /dev/null
+++ b/process/edge/doc.go
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: MIT
+
+/*
+Package edge is the process of an instance that finds its configuration in a
+store of tables: it follows the tables (state), knows the other instances
+(cluster), decides (balance), serves requests (proxy), and tells clients which
+instances to use (directory.go).
+
+Nothing outlasts the process. What the store must have for it is one row that
+says where it is.
+
+A planned stop: not ready at once, gone from the answers to clients at once,
+each answer the last on its connection; after Settings.Linger the listeners
+close; it ends when no request is in flight, at the latest after
+Settings.Grace.
+*/
+package edge
--- /dev/null
+++ b/process/edge/edge.go
@@ -0,0 +1,314 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"shalewick/clock"
+	"shalewick/conn"
+	"shalewick/process/balance"
+	"shalewick/process/cluster"
+	"shalewick/process/logging"
+	"shalewick/process/metric"
+	"shalewick/process/proxy"
+	"shalewick/process/state"
+	"shalewick/retry"
+	"shalewick/version"
+)
+
+// Times of connections and of upkeep.
+const (
+	dialTimeout     = 400 * time.Millisecond
+	upstreamSilence = 700 * time.Millisecond
+	peerSilence     = time.Second
+	upstreamIdle    = 8 * time.Second
+	clientIdle      = 60 * time.Second
+	headerTimeout   = 10 * time.Second
+	writeTimeout    = 2 * time.Second
+	rereadInstances = 15 * time.Second
+	firstPause      = 100 * time.Millisecond
+	longestPause    = 2 * time.Second
+	stopPoll        = 10 * time.Millisecond
+)
+
+// Edge is one running instance.
+type Edge struct {
+	settings   Settings
+	deployment Deployment
+	log        zerolog.Logger
+	started    time.Time
+	members    *cluster.Members
+	beats      *cluster.Beats
+	peers      *cluster.Peers
+	follower   *state.Follower
+	table      *balance.Table
+	proxy      *proxy.Proxy
+	metrics    *metric.Set
+	leaving    atomic.Bool
+	front      *http.Server
+	servers    []*http.Server
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
+}
+
+// Start starts an instance. Logs go to logTo.
+func Start(s Settings, d Deployment, logTo io.Writer) (*Edge, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	level, _ := zerolog.ParseLevel(s.LogLevel) // checked
+	e := &Edge{
+		settings: s, deployment: d, started: time.Now(), metrics: metric.NewSet(),
+		log: logging.New(logTo).Level(level).With().Str("instance", s.Instance).Logger(),
+	}
+	e.members = cluster.NewMembers(cluster.Member{
+		Name: s.Instance, Incarnation: e.started.UnixNano(), Front: s.Front, Peer: s.Peer, Zone: s.Zone, Region: s.Region,
+	}, e.now)
+	var err error
+	if e.beats, err = cluster.Listen(e.members); err != nil {
+		return nil, err
+	}
+	e.build()
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.run()
+	e.log.Info().Str("front", s.Front).Str("zone", s.Zone).Msg("started")
+	return e, nil
+}
+
+func (e *Edge) now() time.Duration { return time.Since(e.started) + time.Hour }
+
+// build makes the parts of the process.
+func (e *Edge) build() {
+	e.peers = cluster.NewPeers(e.members, conn.NewDialer(dialTimeout, peerSilence).DialContext)
+	e.follower = &state.Follower{
+		Store: e.deployment.Store, Peers: e.peers, Log: e.log, Now: e.now,
+		Tables: map[string]*state.Table{
+			e.deployment.OperatorTable: state.NewTable(), e.deployment.UpstreamTable: state.NewTable(),
+		},
+	}
+	e.peers.Follower = e.follower
+	dialer := conn.NewDialer(dialTimeout, upstreamSilence)
+	e.table = &balance.Table{
+		Now: e.now, Instances: e.members.Count, Region: e.settings.Region,
+		NewPool: func(address string) *conn.Pool {
+			return &conn.Pool{Address: address, Dialer: dialer, IdleTime: upstreamIdle}
+		},
+	}
+	e.proxy = &proxy.Proxy{
+		Names: e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now,
+		Retries: &retry.Window{
+			Span: e.settings.RetrySpan, Ratio: e.settings.RetryRatio, Fixed: e.settings.RetryFixed, Instances: e.members.Count,
+		},
+	}
+}
+
+// listen opens the listeners and serves them.
+func (e *Edge) listen() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+e.deployment.ReadyPath, e.serveReady)
+	mux.HandleFunc("GET "+e.deployment.DirectoryPath, e.serveDirectory)
+	control := http.NewServeMux()
+	control.Handle("/peer/", e.peers.Handler())
+	control.HandleFunc("GET /metrics", e.serveMetrics)
+	for _, x := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.settings.Front, e.proxy}, {e.settings.Ready, mux}, {e.settings.Directory, mux},
+		{e.settings.Control, control}, {e.settings.Peer, control},
+	} {
+		l, err := net.Listen("tcp4", x.address)
+		if err != nil {
+			return errors.Annotatef(err, "listen on %s", x.address)
+		}
+		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdle, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
+		if e.front == nil {
+			e.front = s
+		}
+		e.servers = append(e.servers, s)
+		go func() { _ = s.Serve(l) }() // ends when the server is closed
+	}
+	return nil
+}
+
+// run starts the loops.
+func (e *Edge) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	for _, loop := range []func(context.Context){
+		e.follower.Run, e.beats.Run, e.takeUp, e.announce, e.meet, e.askSeeds,
+	} {
+		e.loops.Go(func() { loop(ctx) })
+	}
+}
+
+// takeUp compiles what the tables say whenever they change.
+func (e *Edge) takeUp(ctx context.Context) {
+	operator := e.follower.Tables[e.deployment.OperatorTable]
+	upstreams := e.follower.Tables[e.deployment.UpstreamTable]
+	for ctx.Err() == nil {
+		operatorChanged, upstreamsChanged := operator.Changed(), upstreams.Changed()
+		_, operatorKnown := operator.Version()
+		_, upstreamsKnown := upstreams.Version()
+		if operatorKnown && upstreamsKnown {
+			e.compile(operator.Rows(), upstreams.Rows())
+		}
+		select {
+		case <-operatorChanged:
+		case <-upstreamsChanged:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// compile puts what the rows say in force. What can't be read leaves the last
+// good version in force.
+func (e *Edge) compile(operator, upstreams []state.Row) {
+	c, problems := e.deployment.Configuration(operator, upstreams)
+	for _, p := range problems {
+		e.log.Warn().Err(p).Msg("row-skipped")
+	}
+	if c == nil {
+		return
+	}
+	old := e.table.Routing()
+	if old != nil && c.Seq < old.Seq {
+		e.log.Warn().Int64("version", c.Seq).Int64("inForce", old.Seq).Msg("older-version-skipped")
+		return
+	}
+	r := version.CompileRouting(c)
+	e.table.Install(r)
+	if old == nil || old.Seq != r.Seq {
+		e.log.Info().Int64("version", r.Seq).Int("upstreams", len(r.Upstreams)).Msg("version-in-force")
+	}
+}
+
+// announce writes the own row until the store has it.
+func (e *Edge) announce(ctx context.Context) {
+	value, err := json.Marshal(e.members.Self())
+	if err != nil {
+		return
+	}
+	e.untilDone(ctx, func(ctx context.Context) error {
+		return e.deployment.Store.Put(ctx, e.deployment.InstanceTable, e.settings.Instance, value)
+	})
+}
+
+// meet reads the rows of the other instances, at the start and now and then.
+func (e *Edge) meet(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.untilDone(ctx, func(ctx context.Context) error {
+			d, err := e.deployment.Store.Read(ctx, e.deployment.InstanceTable)
+			if err != nil {
+				return err
+			}
+			for _, r := range d.Rows {
+				var m cluster.Member
+				if json.Unmarshal(r.Value, &m) == nil {
+					e.members.Learn(false, m)
+				}
+			}
+			e.beats.SendAll()
+			return nil
+		})
+		clock.Sleep(ctx, rereadInstances)
+	}
+}
+
+// untilDone tries a call of the store until it is answered.
+func (e *Edge) untilDone(ctx context.Context, f func(context.Context) error) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := f(call)
+		cancel()
+		if err == nil {
+			return
+		}
+		e.log.Debug().Err(err).Msg("store-call-failed")
+		clock.Sleep(ctx, pause)
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// askSeeds learns other instances from the seeds until there is a
+// configuration.
+func (e *Edge) askSeeds(ctx context.Context) {
+	for ctx.Err() == nil && e.table.Routing() == nil {
+		if !clock.Sleep(ctx, 3*firstPause) {
+			return
+		}
+		for _, seed := range e.settings.Seeds {
+			if seed == e.settings.Control || e.table.Routing() != nil {
+				continue
+			}
+			call, cancel := context.WithTimeout(ctx, dialTimeout)
+			err := e.peers.Fetch(call, seed)
+			cancel()
+			if err == nil {
+				e.beats.SendAll()
+			}
+		}
+	}
+}
+
+// gauges sets the metrics that are read when asked for.
+func (e *Edge) gauges() {
+	if r := e.table.Routing(); r != nil {
+		e.metrics.Gauge("version").Update(r.Seq)
+		e.metrics.Gauge("upstreams").Update(int64(len(r.Upstreams)))
+	}
+	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
+	e.metrics.Gauge("requests.running").Update(e.proxy.Running())
+}
+
+// Stop ends the instance as planned.
+func (e *Edge) Stop() {
+	begun := time.Now()
+	e.leaving.Store(true)
+	e.members.Leave()
+	e.proxy.Leave()
+	e.beats.SendAll()
+	e.log.Info().Int64("running", e.proxy.Running()).Msg("stopping")
+	go e.deleteRow()
+	time.Sleep(e.settings.Linger)
+	e.beats.SendAll()
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.Grace))
+	defer cancel()
+	_ = e.front.Shutdown(ctx) // what is in flight after the grace is cut off
+	for e.proxy.Running() > 0 && ctx.Err() == nil {
+		time.Sleep(stopPoll)
+	}
+	e.Kill()
+	e.log.Info().Int64("running", e.proxy.Running()).Dur("took", time.Since(begun)).Msg("stopped")
+}
+
+// Kill ends the instance at once.
+func (e *Edge) Kill() {
+	e.cancel()
+	for _, s := range e.servers {
+		_ = s.Close() // nothing more can be done about a failure
+	}
+	e.loops.Wait()
+}
+
+func (e *Edge) deleteRow() {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := e.deployment.Store.Delete(ctx, e.deployment.InstanceTable, e.settings.Instance); err != nil {
+		e.log.Info().Err(err).Msg("row-not-deleted")
+	}
+}
--- /dev/null
+++ b/process/edge/settings.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"shalewick/process/state"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	Instance string
+	Zone     string
+	Region   string
+
+	// Addresses that the process serves, IP number and port.
+	Front     string // requests of clients
+	Ready     string // whether it is ready
+	Directory string // clients that ask where to go
+	Control   string // other instances' first question, and metrics
+	Peer      string // other instances, TCP and UDP
+
+	// Seeds are Control addresses of some instances, for a start without the
+	// store.
+	Seeds []string
+
+	// Linger is how long a stopping instance goes on accepting, Grace the time
+	// after which it ends whatever is in flight.
+	Linger, Grace time.Duration
+	// RetryRatio, RetryFixed and RetrySpan bound the retries of all instances
+	// for one service, see retry.Window.
+	RetryRatio, RetryFixed float64
+	RetrySpan              time.Duration
+	// LogLevel is the least level of log lines.
+	LogLevel string
+}
+
+// Check returns an error for the first bad setting.
+func (s *Settings) Check() error {
+	for _, x := range []struct{ name, value string }{{"instance", s.Instance}, {"zone", s.Zone}, {"region", s.Region}} {
+		if x.value == "" {
+			return errors.Errorf("%s: must be set", x.name)
+		}
+	}
+	for _, a := range []struct{ name, value string }{
+		{"front", s.Front}, {"ready", s.Ready}, {"directory", s.Directory}, {"control", s.Control}, {"peer", s.Peer},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return errors.Errorf("%s: %q is not an IP number and port", a.name, a.value)
+		}
+	}
+	if s.Linger < 0 || s.Grace < s.Linger {
+		return errors.Errorf("grace: %s must be at least linger %s", s.Grace, s.Linger)
+	}
+	if s.RetryRatio < 0 || s.RetryFixed < 0 || s.RetrySpan <= 0 {
+		return errors.New("retry ratio and fixed: must not be negative, and the span above 0")
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		return errors.Errorf("log-level: %q is not one of debug, info, warn, error", s.LogLevel)
+	}
+	return nil
+}
+
+// Store is the store of tables.
+type Store interface {
+	state.Store
+	// Put writes a row, whatever it was.
+	Put(ctx context.Context, table, key string, value []byte) error
+	// Delete removes a row.
+	Delete(ctx context.Context, table, key string) error
+}
+
+// Question is a client's question where to go.
+type Question struct {
+	Host, Region, Zone string
+}
+
+// Deployment is what an adapter tells of the place that the process runs in.
+type Deployment struct {
+	Store Store
+	// Names of the tables that operators write, that upstreams write, and that
+	// the instances write.
+	OperatorTable, UpstreamTable, InstanceTable string
+	// Headers are the names of the headers of requests.
+	Headers request.Names
+	// Configuration translates rows. The errors tell of rows that were
+	// skipped; without a configuration nothing is taken up.
+	Configuration func(operator, upstreams []state.Row) (*version.Config, []error)
+	// ReadyPath and DirectoryPath are the paths of the calls that come.
+	ReadyPath, DirectoryPath string
+	// ReadQuestion reads the query of a directory call.
+	ReadQuestion func(url.Values) Question
+	// WriteAddresses answers a directory call.
+	WriteAddresses func(w http.ResponseWriter, addresses []string, life time.Duration)
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"shalewick/process/config"
 	"shalewick/process/front"
 	"shalewick/process/health"
+	"shalewick/process/logging"
 	"shalewick/process/member"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
@@ -79,7 +80,7 @@
 	metrics := metric.NewSet()
 	e := &Entry{
 		settings: s,
-		log:      NewLogger(logTo).Level(level).With().Str("instance", s.Instance).Logger(),
+		log:      logging.New(logTo).Level(level).With().Str("instance", s.Instance).Logger(),
 		started:  time.Now(),
 		platform: platform.NewClient(s.Platform),
 		metrics:  metrics,
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"shalewick/process/logging"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
 	"shalewick/process/platform"
@@ -51,7 +52,7 @@
 
 func TestLogIsOneLineOfPairs(t *testing.T) {
 	var b bytes.Buffer
-	l := NewLogger(&b)
+	l := logging.New(&b)
 	l.Info().Str("upstream", "u 1").Int("code", 20).Msg("refused")
 	assert.Equal(t, strings.Count(b.String(), "\n"), 1)
 	for _, pair := range []string{"time=", "level=info", "event=refused", "code=20", `upstream="u 1"`} {
@@ -63,7 +64,7 @@
 func bare() *Entry {
 	metrics := metric.NewSet()
 	e := &Entry{
-		settings: good(), log: NewLogger(io.Discard), started: time.Now(), platform: platform.NewClient("http://127.0.0.1:1"),
+		settings: good(), log: logging.New(io.Discard), started: time.Now(), platform: platform.NewClient("http://127.0.0.1:1"),
 		metrics: metrics, peers: newPeerConns(metrics), short: make(chan struct{}, 1),
 		push: make(chan struct{}, 1), split: make(chan struct{}, 1), synced: make(chan struct{}),
 	}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -59,7 +59,7 @@
 	r        *http.Request
 	id       string
 	service  string
-	route    *version.Route
+	route    *version.ServiceRoute
 	deadline time.Time
 	once     bool
 	started  time.Time
--- a/process/entry/log.go
+++ b/process/logging/logging.go
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 
-package entry
+// Package logging writes logs of one line of key=value pairs for each event.
+package logging
 
 import (
 	"fmt"
@@ -10,9 +11,9 @@
 	"github.com/rs/zerolog"
 )
 
-// NewLogger returns a logger that writes one line of key=value pairs for each
+// New returns a logger that writes one line of key=value pairs for each
 // event.
-func NewLogger(w io.Writer) zerolog.Logger {
+func New(w io.Writer) zerolog.Logger {
 	pair := func(key string) zerolog.Formatter {
 		return func(v any) string {
 			if v == nil {
--- /dev/null
+++ b/process/proxy/answer.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"shalewick/request"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = [...]string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwardable returns a copy of the headers that go on to the other side.
+func forwardable(in http.Header) http.Header {
+	out := make(http.Header, len(in)+4)
+	for k, vs := range in {
+		out[k] = vs
+	}
+	for _, line := range in["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, k := range hopHeaders {
+		delete(out, k)
+	}
+	return out
+}
+
+// relay passes an answer on. One that is cut short breaks the caller's
+// connection off, so that it never looks whole.
+func (p *Proxy) relay(c *call, a *answer) {
+	h := c.w.Header()
+	for k, vs := range forwardable(a.res.Header) {
+		h[k] = vs
+	}
+	if a.ex == nil && bodyAllowed(c.r.Method, a.res.StatusCode) {
+		h.Set("Content-Length", strconv.Itoa(len(a.whole)))
+	}
+	if p.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	c.w.WriteHeader(a.res.StatusCode)
+	_, err := c.w.Write(a.whole)
+	if a.ex != nil {
+		if err == nil {
+			_, err = io.Copy(c.w, a.ex.Response.Body)
+		}
+		a.ex.Close()
+	}
+	code := request.OK
+	if err != nil {
+		code = request.AnswerLost
+	}
+	p.Metrics.Request(c.service, c.route.Class, code, time.Since(c.began))
+	if err != nil && a.ex != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// bodyAllowed reports whether an answer can have a body.
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status/100 != 1 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// finish answers with a result. What may have run never gets a status that
+// promises that it has not.
+func (p *Proxy) finish(c *call, res *request.Result) {
+	class := request.ClassInvalid
+	if c.route != nil {
+		class = c.route.Class
+	}
+	took := time.Since(c.began)
+	p.Metrics.Request(c.service, class, res.Code, took)
+	p.Log.Info().Str("id", c.id).Str("service", c.service).Str("class", class.String()).Int("code", int(res.Code)).
+		Str("result", res.Code.Info().Name).Str("ran", string(res.Ran)).Dur("retry", res.Retry).Dur("took", took).Msg("refused")
+	status := res.Code.Info().Status
+	if res.Ran == request.RanUnknown && status == http.StatusServiceUnavailable {
+		status = http.StatusBadGateway
+	}
+	if res.Ran == request.RanNo && status >= http.StatusInternalServerError {
+		status = http.StatusServiceUnavailable
+	}
+	h := c.w.Header()
+	h.Set(request.HeaderResult, res.Code.String())
+	h.Set(request.HeaderRan, string(res.Ran))
+	if res.Retry > 0 && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", fmt.Sprintf("%.3f", res.Retry.Seconds()))
+	}
+	h.Set("Content-Length", "0")
+	c.w.WriteHeader(status)
+}
--- /dev/null
+++ b/process/proxy/attempt.go
@@ -0,0 +1,255 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"shalewick/conn"
+	"shalewick/process/balance"
+	"shalewick/request"
+)
+
+// answer is an upstream's answer. Either whole has all of the body, or the
+// rest is still to be read from the exchange.
+type answer struct {
+	upstream string
+	res      *http.Response
+	whole    []byte
+	ex       *conn.Exchange // nil when whole has all
+}
+
+// trial is the course of the attempts at one request.
+type trial struct {
+	p     *Proxy
+	c     *call
+	query balance.Query
+	// mayHaveRun is set once a byte has left for an upstream that has not said
+	// that it did not run the request.
+	mayHaveRun bool
+	sent       int // attempts of which a byte may have left
+}
+
+// run makes attempts until one has an answer or no further one is safe.
+func (p *Proxy) run(ctx context.Context, c *call) (*answer, *request.Result) {
+	routing := p.Table.Routing()
+	service := p.Table.Split(c.route)
+	if int(service) >= len(routing.Services) {
+		return nil, refuse(request.NoUpstream, minRetry)
+	}
+	c.service = routing.Services[service].Name
+	t := &trial{p: p, c: c, query: balance.Query{Route: c.route, Service: service, Object: p.object(c)}}
+	p.Retries.Request(c.service, p.Now())
+	a, res := t.attempt(ctx)
+	for t.another(ctx, a, res) {
+		p.Metrics.Retry(c.service)
+		further, ended := t.attempt(ctx)
+		if further != nil {
+			return further, nil
+		}
+		if !ended.Code.NoPlace() {
+			res = ended // else the end of the attempt before tells more
+		}
+	}
+	return a, res
+}
+
+// another reports whether a further attempt is safe, allowed and of use.
+func (t *trial) another(ctx context.Context, a *answer, res *request.Result) bool {
+	if a != nil || res.Code.NoPlace() || res.Code == request.TooLarge || res.Code == request.CallerGone {
+		return false
+	}
+	if ctx.Err() != nil || time.Until(t.c.deadline) < leastAttempt {
+		return false
+	}
+	if t.mayHaveRun && !t.c.route.Repeatable || !t.c.body.again() {
+		return false
+	}
+	if len(t.query.Tried) >= maxTries || t.sent >= t.c.route.Attempts {
+		return false
+	}
+	return t.sent == 0 || t.p.Retries.Retry(t.c.service, t.p.Now())
+}
+
+const (
+	// leastAttempt is the time below which no further attempt is made.
+	leastAttempt = 30 * time.Millisecond
+	// maxTries bounds the upstreams that are tried, connections that could not
+	// be opened included.
+	maxTries = 4
+	minRetry = 150 * time.Millisecond
+)
+
+// attempt makes one attempt.
+func (t *trial) attempt(ctx context.Context) (*answer, *request.Result) {
+	t.query.Left = time.Until(t.c.deadline)
+	t.query.Elapsed = time.Since(t.c.began)
+	pick, refusal := t.p.Table.Pick(&t.query)
+	if pick == nil {
+		return nil, t.result(refusal.Code, refusal.Retry)
+	}
+	t.query.Tried = append(t.query.Tried, pick.Name)
+	ex, err := pick.Pool.Dispatch(ctx, t.request(ctx, pick), conn.Options{
+		Deadline: t.c.deadline, CloseAtOnce: true,
+		Allowed: func() bool { return true }, Release: func(bool) {},
+	})
+	if err != nil {
+		return nil, t.failed(ctx, pick, err)
+	}
+	t.sent++
+	return t.read(ctx, ex, pick)
+}
+
+// read takes in the answer to an attempt.
+func (t *trial) read(ctx context.Context, ex *conn.Exchange, pick *balance.Pick) (*answer, *request.Result) {
+	names := &t.p.Names
+	for range maxForeign {
+		if ex.Response.Header.Get(names.ID) == t.c.id {
+			break
+		}
+		if err := ex.Skip(t.c.r); err != nil {
+			ex.Close()
+			return nil, t.lost(ctx, pick, err)
+		}
+	}
+	h := ex.Response.Header
+	if h.Get(names.ID) != t.c.id && ex.Response.StatusCode != http.StatusMisdirectedRequest {
+		ex.Response.Close = true
+		ex.Close()
+		return nil, t.lost(ctx, pick, errors.New("answers to other requests"))
+	}
+	if h.Get(names.NotRun) != "" || ex.Response.StatusCode == http.StatusMisdirectedRequest {
+		return nil, t.refused(ex, pick)
+	}
+	a, err := readAnswer(ex)
+	if err != nil {
+		return nil, t.lost(ctx, pick, err)
+	}
+	a.upstream = pick.Name
+	pick.Done(balance.Answered, t.report(h))
+	return a, nil
+}
+
+// maxForeign bounds the answers to other requests that are skipped.
+const maxForeign = 2
+
+// refused notes that the upstream did not run the request.
+func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick) *request.Result {
+	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
+	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxHeldAnswer) // so that the connection can be kept
+	report := t.report(ex.Response.Header)
+	ex.Close()
+	pick.Done(balance.Refused, report)
+	if misdirected {
+		pick.Gone()
+		pick.Pool.CloseIdle()
+	}
+	return t.result(request.UpstreamRefused, minRetry)
+}
+
+// readAnswer takes in an answer, whole unless it is large.
+func readAnswer(ex *conn.Exchange) (*answer, error) {
+	a := &answer{res: ex.Response, ex: ex}
+	var err error
+	a.whole, err = io.ReadAll(io.LimitReader(ex.Response.Body, maxHeldAnswer+1))
+	if err != nil {
+		ex.Close()
+		return nil, err
+	}
+	if len(a.whole) <= maxHeldAnswer {
+		a.ex = nil
+		ex.Close()
+	}
+	return a, nil
+}
+
+// report reads an upstream's word on its load.
+func (t *trial) report(h http.Header) *balance.Report {
+	fields := strings.Split(h.Get(t.p.Names.Load), ",")
+	if len(fields) != 3 {
+		return nil
+	}
+	var n [3]int
+	for i, f := range fields {
+		v, err := strconv.Atoi(strings.TrimSpace(f))
+		if err != nil || v < 0 {
+			return nil
+		}
+		n[i] = v
+	}
+	return &balance.Report{Running: n[0], Waiting: n[1], Slots: n[2]}
+}
+
+// failed classifies a dispatch that got no answer.
+func (t *trial) failed(ctx context.Context, pick *balance.Pick, err error) *request.Result {
+	var d *conn.DispatchError
+	if !errors.As(err, &d) || d.Sent {
+		t.sent++
+		return t.lost(ctx, pick, err)
+	}
+	if t.c.r.Context().Err() != nil {
+		pick.Done(balance.Abandoned, nil)
+		return t.result(request.CallerGone, 0)
+	}
+	pick.Done(balance.Failed, nil)
+	return t.result(request.ConnectFailed, minRetry)
+}
+
+// lost classifies an exchange that was sent and got no whole answer.
+func (t *trial) lost(ctx context.Context, pick *balance.Pick, err error) *request.Result {
+	t.mayHaveRun = true
+	if t.c.r.Context().Err() != nil {
+		pick.Done(balance.Abandoned, nil)
+		return t.result(request.CallerGone, 0)
+	}
+	pick.Done(balance.Failed, nil)
+	var n net.Error
+	code := request.AnswerLost
+	if ctx.Err() != nil || errors.As(err, &n) && n.Timeout() {
+		code = request.DeadlinePassed
+	}
+	t.p.Log.Info().Str("id", t.c.id).Str("upstream", pick.Name).Err(err).Msg("answer-lost")
+	return t.result(code, 0)
+}
+
+// result is a result with what is known of whether the request ran.
+func (t *trial) result(code request.Code, retry time.Duration) *request.Result {
+	if t.mayHaveRun {
+		r := request.Unknown(code)
+		return &r
+	}
+	return refuse(code, retry)
+}
+
+// request builds the request for one attempt.
+func (t *trial) request(ctx context.Context, pick *balance.Pick) *http.Request {
+	in := t.c.r
+	out := &http.Request{
+		Method: in.Method, URL: target(in), Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: forwardable(in.Header), Body: t.c.body.reader(), ContentLength: t.c.body.length,
+	}
+	h := out.Header
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // else one is added
+	}
+	h.Set(t.p.Names.Target, pick.Name)
+	h.Set(t.p.Names.Deadline, strconv.FormatInt(max(1, time.Until(t.c.deadline).Milliseconds()), 10))
+	return out.WithContext(ctx)
+}
+
+// target returns a URL that is written exactly as the caller sent it.
+func target(in *http.Request) *url.URL {
+	if strings.HasPrefix(in.RequestURI, "/") && !strings.HasPrefix(in.RequestURI, "//") {
+		return &url.URL{Scheme: "http", Host: in.Host, Opaque: in.RequestURI}
+	}
+	return in.URL
+}
--- /dev/null
+++ b/process/proxy/proxy.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"shalewick/process/balance"
+	"shalewick/process/metric"
+	"shalewick/request"
+	"shalewick/retry"
+	"shalewick/version"
+)
+
+// Proxy is the http.Handler of callers. The fields are set before use.
+type Proxy struct {
+	Names   request.Names
+	Table   *balance.Table
+	Retries *retry.Window
+	Metrics *metric.Set
+	Log     zerolog.Logger
+	Now     func() time.Duration
+
+	leaving atomic.Bool
+	running atomic.Int64
+}
+
+// Leave makes each further answer the last one on its connection.
+func (p *Proxy) Leave() { p.leaving.Store(true) }
+
+// Running returns the number of requests in flight.
+func (p *Proxy) Running() int64 { return p.running.Load() }
+
+// Bounds of what is held in memory, in bytes.
+const (
+	// maxHeldBody is the size up to which a request's body is held whole, so
+	// that it can be sent again.
+	maxHeldBody = 1 << 20
+	// maxHeldAnswer is the size up to which an answer is held whole.
+	maxHeldAnswer = 1 << 20
+)
+
+// answerMargin is how long before its deadline a request is answered, so that
+// the answer arrives in time.
+const answerMargin = 5 * time.Millisecond
+
+// call is one request on its way.
+type call struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	route    *version.RouteView
+	service  string
+	deadline time.Time
+	began    time.Time
+	body     *body
+}
+
+// ServeHTTP serves one request.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.running.Add(1)
+	defer p.running.Add(-1)
+	if p.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{w: w, r: r, id: r.Header.Get(p.Names.ID), began: time.Now()}
+	if c.id != "" {
+		w.Header().Set(p.Names.ID, c.id)
+	}
+	if res := p.classify(c); res != nil {
+		p.finish(c, res)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if res := p.readBody(c); res != nil {
+		p.finish(c, res)
+		return
+	}
+	a, res := p.run(ctx, c)
+	if res != nil {
+		p.finish(c, res)
+		return
+	}
+	p.relay(c, a)
+}
+
+// classify finds route and deadline, or a refusal.
+func (p *Proxy) classify(c *call) *request.Result {
+	routing := p.Table.Routing()
+	if routing == nil {
+		return refuse(request.NoVersion, time.Second)
+	}
+	c.route = routing.Route(c.r.Host, c.r.URL.Path)
+	if c.route == nil {
+		return refuse(request.UnknownRoute, 0)
+	}
+	l := routing.Limits
+	if l.MaxHeader > 0 && headerSize(c.r) > l.MaxHeader {
+		return refuse(request.HeaderTooLarge, 0)
+	}
+	if l.MaxBody > 0 && c.r.ContentLength > l.MaxBody {
+		return refuse(request.TooLarge, 0)
+	}
+	if l.MaxBody > 0 {
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, l.MaxBody)
+	}
+	if c.r.Header.Get("Upgrade") != "" || c.r.Method == http.MethodConnect {
+		return refuse(request.BadRequest, 0)
+	}
+	c.deadline = c.began.Add(time.Duration(c.route.Timeout))
+	if ms, err := strconv.ParseInt(c.r.Header.Get(p.Names.Deadline), 10, 64); err == nil && ms >= 0 {
+		if d := c.began.Add(time.Duration(ms) * time.Millisecond); d.Before(c.deadline) {
+			c.deadline = d
+		}
+	}
+	c.deadline = c.deadline.Add(-answerMargin)
+	return nil
+}
+
+func headerSize(r *http.Request) int64 {
+	n := len(r.RequestURI) + len(r.Method) + len(r.Host)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return int64(n)
+}
+
+func refuse(code request.Code, retry time.Duration) *request.Result {
+	r := request.NotRun(code, retry)
+	return &r
+}
+
+// body is a request's body: whole, or a beginning and a rest.
+type body struct {
+	whole  []byte
+	rest   io.Reader // nil when whole is all of it
+	length int64     // -1 when not known
+	used   bool      // rest was given to an attempt
+}
+
+// again reports whether the body can be sent once more.
+func (b *body) again() bool { return b.rest == nil || !b.used }
+
+// reader returns the body for one attempt.
+func (b *body) reader() io.ReadCloser {
+	if b.rest == nil && len(b.whole) == 0 {
+		return http.NoBody
+	}
+	whole := bytes.NewReader(b.whole)
+	if b.rest == nil {
+		return io.NopCloser(whole)
+	}
+	b.used = true
+	return io.NopCloser(io.MultiReader(whole, b.rest))
+}
+
+// readBody reads the body up to maxHeldBody.
+func (p *Proxy) readBody(c *call) *request.Result {
+	c.body = &body{}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline)
+	whole, err := io.ReadAll(io.LimitReader(c.r.Body, maxHeldBody+1))
+	c.body.whole = whole
+	if err != nil {
+		return bodyResult(err)
+	}
+	c.body.length = int64(len(whole))
+	if len(whole) > maxHeldBody {
+		c.body.rest = c.r.Body
+		c.body.length = c.r.ContentLength
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	return nil
+}
+
+// bodyResult is the end of a request whose body could not be read.
+func bodyResult(err error) *request.Result {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return refuse(request.TooLarge, 0)
+	}
+	return refuse(request.CallerGone, 0)
+}
+
+// object returns the hash of the object that a request concerns, or zero. It
+// is of the service too, since objects of two services are not the same.
+func (p *Proxy) object(c *call) uint64 {
+	key := c.r.Header.Get(p.Names.Affinity)
+	if key == "" {
+		return 0
+	}
+	return xxhash.Sum64String(c.service + "\x00" + key)
+}
--- a/process/slots/sim_test.go
+++ b/process/slots/sim_test.go
@@ -97,7 +97,7 @@
 	rs := []version.Resource{
 		region("a"), region("b"),
 		{Key: version.Key{Kind: version.KindHall, Name: "ha"}, Hall: &version.Hall{Region: "a"}},
-		{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{Routes: []version.Route{
+		{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{Routes: []version.ServiceRoute{
 			{Prefix: "/", Class: request.ClassRead, Deadline: version.Duration(deadline)},
 		}}},
 		{Key: version.Key{Kind: version.KindUpstream, Name: "u"}, Upstream: &version.Upstream{
--- /dev/null
+++ b/process/state/doc.go
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: MIT
+
+/*
+Package state holds what an instance knows of the tables that decide how it
+steers, and keeps it new.
+
+A Table is a set of rows, each with the version of the transaction that last
+wrote it. A Table only ever moves forward: a row is replaced by a row of a
+higher version, never by a lower one, and what is older than the table as a
+whole is not taken up. So it does not matter from whom a row is learned.
+
+A Source is where rows come from: a store, or another instance. Both are
+asked the same question, "what has changed after this version", and both
+answer with a Delta, which says how old it is.
+
+A Follower keeps the tables of one process new. Few instances (relays) ask the
+store; the others ask two relays. An instance that no source has confirmed
+for a while asks the store itself, so that it depends on no other instance,
+and an instance that the store does not answer learns from the others.
+*/
+package state
--- /dev/null
+++ b/process/state/follower.go
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: MIT
+
+package state
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"shalewick/clock"
+)
+
+// Compacted is the error of a source that no longer has the history that was
+// asked for.
+const Compacted = errors.ConstError("history is gone")
+
+// Store is the source of all rows. Its methods return an error when the call
+// was not answered or was refused.
+type Store interface {
+	// Read returns all rows of a table.
+	Read(ctx context.Context, table string) (Delta, error)
+	// Changes returns what changed after a version, as soon as something did
+	// or wait is over. It returns Compacted when it no longer knows.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Delta, error)
+}
+
+// Peers is how a follower learns from other instances.
+type Peers interface {
+	// Changes asks the i-th relay for what changed in the tables after the
+	// given versions, waiting for at most wait. Ok is false when there is no
+	// such relay.
+	Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (d map[string]Delta, ok bool, err error)
+	// Relay reports whether this instance asks the store for others.
+	Relay() bool
+}
+
+// Times of following.
+const (
+	// storeWait is how long the store may hold a question.
+	storeWait = 2 * time.Second
+	// peerWait is how long a relay may hold a question.
+	peerWait = time.Second
+	// answerSlack is how long after its wait an answer is given up.
+	answerSlack = 700 * time.Millisecond
+	// staleAfter is the age from which an instance asks the store itself.
+	staleAfter = 2700 * time.Millisecond
+	// gather is how long a follower lets changes gather before it asks again.
+	gather = 60 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed question.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// relayQuestions is the number of relays that an instance asks.
+	relayQuestions = 2
+)
+
+// Follower keeps tables new. The fields are set before Run.
+type Follower struct {
+	Store  Store
+	Peers  Peers
+	Tables map[string]*Table
+	Log    zerolog.Logger
+	Now    func() time.Duration
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for name, t := range f.Tables {
+		all.Go(func() { f.followStore(ctx, name, t) })
+	}
+	for i := range relayQuestions {
+		all.Go(func() { f.followPeer(ctx, i) })
+	}
+	all.Wait()
+}
+
+// Stale reports whether no source has confirmed some table lately.
+func (f *Follower) Stale() bool {
+	limit := f.Now() - staleAfter
+	for _, t := range f.Tables {
+		if _, known := t.Version(); !known || t.Confirmed() < limit {
+			return true
+		}
+	}
+	return false
+}
+
+func retryPause() time.Duration {
+	return retryLeast + rand.N(retryMost-retryLeast)
+}
+
+// followStore asks the store while this instance is a relay, or stale.
+func (f *Follower) followStore(ctx context.Context, name string, t *Table) {
+	answered := true
+	for ctx.Err() == nil {
+		if !f.Peers.Relay() && !f.Stale() {
+			clock.Sleep(ctx, retryLeast)
+			continue
+		}
+		changed, err := f.askStore(ctx, name, t)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != answered {
+			answered = err == nil
+			f.Log.Info().Str("table", name).Bool("answered", answered).AnErr("error", err).Msg("store")
+		}
+		switch {
+		case err != nil:
+			clock.Sleep(ctx, retryPause())
+		case changed:
+			clock.Sleep(ctx, gather)
+		}
+	}
+}
+
+// askStore asks one question. The first one, and one after the history is
+// gone, reads the table whole.
+func (f *Follower) askStore(ctx context.Context, name string, t *Table) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeWait+answerSlack)
+	defer cancel()
+	asked := f.Now()
+	after, known := t.Version()
+	var d Delta
+	if known {
+		d, err = f.Store.Changes(ctx, name, after, storeWait)
+	}
+	if !known || errors.Is(err, Compacted) {
+		asked = f.Now()
+		d, err = f.Store.Read(ctx, name)
+		d.Whole = true
+	}
+	if err != nil {
+		return false, err
+	}
+	if d.Whole && d.Version < after {
+		return false, errors.Errorf("table %s read at %d, which is behind %d", name, d.Version, after)
+	}
+	now := f.Now()
+	if !d.Whole {
+		asked = now // the answer was made when a row changed or the wait was over
+	}
+	d.Age = now - asked
+	return t.Apply(d, now), nil
+}
+
+// followPeer asks the i-th relay.
+func (f *Follower) followPeer(ctx context.Context, i int) {
+	for ctx.Err() == nil {
+		after := make(map[string]int64, len(f.Tables))
+		for name, t := range f.Tables {
+			v, known := t.Version()
+			if known {
+				after[name] = v
+			}
+		}
+		asked, cancel := context.WithTimeout(ctx, peerWait+answerSlack)
+		d, ok, err := f.Peers.Changes(asked, i, after, peerWait)
+		cancel()
+		if !ok || err != nil {
+			clock.Sleep(ctx, retryPause())
+			continue
+		}
+		now := f.Now()
+		for name, delta := range d {
+			if t := f.Tables[name]; t != nil {
+				t.Apply(delta, now)
+			}
+		}
+		clock.Sleep(ctx, gather)
+	}
+}
+
+// Answer answers another instance's question.
+func (f *Follower) Answer(ctx context.Context, after map[string]int64, wait time.Duration) map[string]Delta {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	f.awaitAny(ctx, after)
+	out := make(map[string]Delta)
+	now := f.Now()
+	for name, t := range f.Tables {
+		if _, known := t.Version(); known {
+			out[name] = t.Since(after[name], now)
+		}
+	}
+	return out
+}
+
+// awaitAny waits until a table is newer than the asker's, or the context ends.
+func (f *Follower) awaitAny(ctx context.Context, after map[string]int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for name, t := range f.Tables {
+		go func() {
+			t.Await(ctx, after[name])
+			cancel()
+		}()
+	}
+	<-ctx.Done()
+}
--- /dev/null
+++ b/process/state/table.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: MIT
+
+package state
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Row is one row of a table.
+type Row struct {
+	Key   string `json:"k"`
+	Value []byte `json:"v,omitempty"`
+	// Version is that of the transaction that wrote or removed the row.
+	Version int64 `json:"n"`
+	// Gone marks a row that was removed.
+	Gone bool `json:"g,omitempty"`
+}
+
+// Delta is what changed in a table after some version.
+type Delta struct {
+	Rows []Row `json:"rows,omitempty"`
+	// Version is the one up to which the delta is complete.
+	Version int64 `json:"version"`
+	// Whole says that Rows are all the rows of the table.
+	Whole bool `json:"whole,omitempty"`
+	// Age is how long ago the store said so.
+	Age time.Duration `json:"age,omitempty"`
+}
+
+// goneKept is how long a removed row is remembered, for the deltas of others.
+const goneKept = time.Minute
+
+// Table is the rows that an instance knows of one table. Use NewTable.
+type Table struct {
+	mu        sync.Mutex
+	rows      map[string]Row // those gone as well, for goneKept
+	goneAt    map[string]time.Duration
+	floor     int64 // removals up to this version may be forgotten
+	version   int64
+	confirmed time.Duration // when the store last said that version is the newest
+	known     bool
+	changed   chan struct{} // closed at the next change
+}
+
+// NewTable returns a table of which nothing is known.
+func NewTable() *Table {
+	return &Table{rows: make(map[string]Row), goneAt: make(map[string]time.Duration), changed: make(chan struct{})}
+}
+
+// Apply takes a delta up that was received at a moment, both on the process's
+// clock. It reports whether a row changed.
+func (t *Table) Apply(d Delta, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d.Whole && d.Version < t.version {
+		return false // read from a replica that is behind
+	}
+	changed := false
+	for _, r := range d.Rows {
+		changed = t.applyRow(r, now) || changed
+	}
+	if d.Whole {
+		changed = t.dropOthers(d, now) || changed
+	}
+	advanced := d.Version > t.version
+	t.version = max(t.version, d.Version)
+	t.known = t.known || d.Whole
+	if d.Version >= t.version {
+		t.confirmed = max(t.confirmed, now-d.Age)
+	}
+	t.forget(now)
+	if changed || advanced {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	return changed
+}
+
+func (t *Table) applyRow(r Row, now time.Duration) bool {
+	old, ok := t.rows[r.Key]
+	if ok && old.Version >= r.Version {
+		return false
+	}
+	if !ok && r.Gone && r.Version <= t.floor {
+		return false
+	}
+	t.rows[r.Key] = r
+	delete(t.goneAt, r.Key)
+	if r.Gone {
+		t.goneAt[r.Key] = now
+	}
+	return true
+}
+
+// dropOthers removes the rows that a whole delta does not have.
+func (t *Table) dropOthers(d Delta, now time.Duration) bool {
+	present := make(map[string]bool, len(d.Rows))
+	for _, r := range d.Rows {
+		present[r.Key] = true
+	}
+	changed := false
+	for key, r := range t.rows {
+		if present[key] || r.Gone || r.Version > d.Version {
+			continue
+		}
+		t.rows[key] = Row{Key: key, Version: d.Version, Gone: true}
+		t.goneAt[key] = now
+		changed = true
+	}
+	return changed
+}
+
+// forget drops removed rows that were kept long enough.
+func (t *Table) forget(now time.Duration) {
+	for key, at := range t.goneAt {
+		if now-at > goneKept {
+			t.floor = max(t.floor, t.rows[key].Version)
+			delete(t.rows, key)
+			delete(t.goneAt, key)
+		}
+	}
+}
+
+// Since returns what changed after a version. Now sets its age.
+func (t *Table) Since(after int64, now time.Duration) Delta {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := Delta{Version: t.version, Age: now - t.confirmed, Whole: after < t.floor || after == 0}
+	for _, r := range t.rows {
+		if d.Whole && !r.Gone || !d.Whole && r.Version > after {
+			d.Rows = append(d.Rows, r)
+		}
+	}
+	return d
+}
+
+// Rows returns the rows that are there.
+func (t *Table) Rows() []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Row, 0, len(t.rows))
+	for _, r := range t.rows {
+		if !r.Gone {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Version returns the version up to which the table is complete, and whether
+// it was ever read whole.
+func (t *Table) Version() (int64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, t.known
+}
+
+// Confirmed returns when the store last confirmed the table, on the process's
+// clock.
+func (t *Table) Confirmed() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmed
+}
+
+// Changed returns a channel that is closed when the table's version rises.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Await waits until the version is above after, or until the context ends.
+func (t *Table) Await(ctx context.Context, after int64) {
+	for {
+		t.mu.Lock()
+		version, changed := t.version, t.changed
+		t.mu.Unlock()
+		if version > after {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -113,13 +113,13 @@
 
 func (s *Size) services() []version.Resource {
 	d := version.Duration(s.Deadline)
-	read := version.Route{Prefix: "/", Methods: []string{"GET", "HEAD"}, Class: request.ClassRead, Repeatable: true, Deadline: d}
-	commit := version.Route{Prefix: "/", Methods: []string{"POST"}, Class: request.ClassCommit, Deadline: d}
-	upload := version.Route{
+	read := version.ServiceRoute{Prefix: "/", Methods: []string{"GET", "HEAD"}, Class: request.ClassRead, Repeatable: true, Deadline: d}
+	commit := version.ServiceRoute{Prefix: "/", Methods: []string{"POST"}, Class: request.ClassCommit, Deadline: d}
+	upload := version.ServiceRoute{
 		Prefix: "/", Methods: []string{"POST", "PUT"}, Class: request.ClassUpload, Repeatable: true,
 		Deadline: version.Duration(UploadDeadline), MaxBody: MaxUpload,
 	}
-	service := func(name string, routes ...version.Route) version.Resource {
+	service := func(name string, routes ...version.ServiceRoute) version.Resource {
 		return version.Resource{
 			Key:     version.Key{Kind: version.KindService, Name: name},
 			Service: &version.Service{Hosts: []string{name + ".example"}, Routes: routes},
--- a/version/check.go
+++ b/version/check.go
@@ -73,11 +73,17 @@
 		k.shift(r.Shift)
 	case KindDrain:
 		k.drain(r.Drain)
+	case KindRoute:
+		k.route(r.Route)
+	case KindLimits:
+		k.limits(r.Limits)
 	}
 }
 
 func (k *checker) service(s *Service) {
-	k.that(len(s.Routes) > 0, "spec.routes", "must have at least one route")
+	k.that(len(s.Routes) > 0 || k.c.routed(k.key.Name), "spec.routes", "must have at least one route, unless a route resource names the service")
+	k.warming(s.Warming)
+	k.that(s.MaxConnections >= 0, "spec.maxConnections", "must not be negative")
 	k.that(s.Queue >= 0 && s.Queue <= 1<<16, "spec.queue", "must be 0 to 65536")
 	for i, rt := range s.Routes {
 		f := fmt.Sprintf("spec.routes[%d].", i)
@@ -92,6 +98,7 @@
 	k.exists("spec.service", KindService, u.Service)
 	k.exists("spec.hall", KindHall, u.Hall)
 	k.that(u.Address.IsValid() && u.Address.Port() != 0, "spec.address", "must be an IP number and a port")
+	k.that(u.Cold >= 0, "spec.cold", "must not be negative")
 	k.that(u.Slots >= 1 && u.Slots <= MaxSlots, "spec.slots", "must be 1 to 4096")
 }
 
@@ -171,6 +178,10 @@
 		return f(r, "spec.to", "link from "+r.Link.From+" to "+r.Link.To)
 	case KindShift:
 		return f(r, "spec.to", "shift of "+r.Shift.Service+" from "+r.Shift.From)
+	case KindRoute:
+		return f(r, "spec.prefix", r.Route.Host+r.Route.Prefix)
+	case KindLimits:
+		return f(r, "kind", "the kind limits")
 	case KindService:
 		for _, h := range r.Service.Hosts {
 			if err := f(r, "spec.hosts", h); err != nil {
@@ -186,3 +197,31 @@
 	}
 	return nil
 }
+
+// CheckRoutes applies the rules of services, route resources and limits.
+// Services that no route names are allowed.
+func (c *Config) CheckRoutes() error {
+	for _, kind := range []Kind{KindRoute, KindLimits} {
+		for _, r := range c.List(kind) {
+			if err := c.CheckReferences(r.Key); err != nil {
+				return err
+			}
+		}
+	}
+	for _, r := range c.List(KindService) {
+		k := checker{c: c, key: r.Key}
+		k.warming(r.Service.Warming)
+		if k.err != nil {
+			return k.err
+		}
+	}
+	return c.checkUnique()
+}
+
+// CheckReferences applies the rules of one resource but that of its name.
+func (c *Config) CheckReferences(key Key) error {
+	r := c.Resources[key]
+	k := checker{c: c, key: key}
+	k.resource(&r)
+	return k.err
+}
--- a/version/decide_test.go
+++ b/version/decide_test.go
@@ -65,8 +65,8 @@
 		add(version.KindRegion, name, func(r *version.Resource) { r.Region = &version.Region{} })
 		add(version.KindHall, "h"+name, func(r *version.Resource) { r.Hall = &version.Hall{Region: regions[i]} })
 	}
-	route := version.Route{Prefix: "/", Class: 2, Repeatable: true, Deadline: version.Duration(time.Second)}
-	add(version.KindService, "s", func(r *version.Resource) { r.Service = &version.Service{Routes: []version.Route{route}} })
+	route := version.ServiceRoute{Prefix: "/", Class: 2, Repeatable: true, Deadline: version.Duration(time.Second)}
+	add(version.KindService, "s", func(r *version.Resource) { r.Service = &version.Service{Routes: []version.ServiceRoute{route}} })
 	for i := range rapid.IntRange(0, 6).Draw(t, "upstreams") {
 		region := rapid.SampledFrom(regions).Draw(t, "region")
 		name := "u" + string(rune('a'+i))
--- a/version/resource.go
+++ b/version/resource.go
@@ -26,10 +26,12 @@
 	KindLink     Kind = "link"
 	KindShift    Kind = "shift"
 	KindDrain    Kind = "drain"
+	KindRoute    Kind = "route"
+	KindLimits   Kind = "limits"
 )
 
 // Kinds lists every kind in the order in which they refer to each other.
-var Kinds = [...]Kind{KindRegion, KindHall, KindService, KindUpstream, KindLink, KindShift, KindDrain}
+var Kinds = [...]Kind{KindRegion, KindHall, KindService, KindUpstream, KindLink, KindShift, KindDrain, KindRoute, KindLimits}
 
 // Key identifies a resource.
 type Key struct {
@@ -58,6 +60,8 @@
 	Link     *Link
 	Shift    *Shift
 	Drain    *Drain
+	Route    *Route
+	Limits   *Limits
 }
 
 // Service is a named set of routes served by one group of upstreams.
@@ -67,14 +71,19 @@
 	// Hosts are the values of the Host header that select the service.
 	Hosts []string `json:"hosts,omitempty"`
 	// Routes are tried in order; the first match holds.
-	Routes []Route `json:"routes"`
+	Routes []ServiceRoute `json:"routes,omitempty"`
 	// Queue bounds the requests that wait for a slot at one instance.
 	// Zero means DefaultQueue.
 	Queue int `json:"queue,omitempty"`
+	// Warming bounds what an upstream is given after its start.
+	Warming *Warming `json:"warming,omitempty"`
+	// MaxConnections bounds the connections to one upstream over all
+	// instances. Zero means no bound.
+	MaxConnections int `json:"maxConnections,omitempty"`
 }
 
-// Route says how the requests below a path are to be treated.
-type Route struct {
+// ServiceRoute says how the requests below a path are to be treated.
+type ServiceRoute struct {
 	Prefix     string        `json:"prefix"`
 	Methods    []string      `json:"methods,omitempty"` // empty: all
 	Class      request.Class `json:"class"`
@@ -104,6 +113,10 @@
 	Address netip.AddrPort `json:"address"`
 	// Slots is the number of requests that it can serve at once.
 	Slots int `json:"slots"`
+	// Leaving says that it gets no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Cold is how long it stays cold, counted from when it was declared.
+	Cold Duration `json:"cold,omitempty"`
 }
 
 // Link allows requests to cross from one region to another.
@@ -194,6 +207,10 @@
 		return specOf(&r.Shift, create)
 	case KindDrain:
 		return specOf(&r.Drain, create)
+	case KindRoute:
+		return specOf(&r.Route, create)
+	case KindLimits:
+		return specOf(&r.Limits, create)
 	}
 	return nil
 }
@@ -226,7 +243,7 @@
 	*r = Resource{Key: Key{Kind: d.Kind, Name: d.Name}, Version: d.Version}
 	spec := r.spec(true)
 	if spec == nil {
-		return &FieldError{Key: r.Key, Field: "kind", Rule: "must be one of region, hall, service, upstream, link, shift, drain"}
+		return &FieldError{Key: r.Key, Field: "kind", Rule: "must be one of region, hall, service, upstream, link, shift, drain, route, limits"}
 	}
 	if len(d.Spec) == 0 {
 		return &FieldError{Key: r.Key, Field: "spec", Rule: "must be present"}
--- /dev/null
+++ b/version/route.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"shalewick/request"
+)
+
+// Route directs the requests of one host below a path prefix to one or more
+// services. It is a resource of its own; a ServiceRoute, by contrast, is part
+// of a service.
+type Route struct {
+	// Host is the value of the Host header, without a port.
+	Host string `json:"host"`
+	// Prefix begins and ends with a slash. Of the routes of a host the one
+	// with the longest prefix that begins the path is used.
+	Prefix string `json:"prefix"`
+	// Class orders requests when there is not room for all.
+	Class request.Class `json:"class"`
+	// Repeatable allows a request to run more than once.
+	Repeatable bool `json:"repeatable"`
+	// Timeout is the longest that a request is held.
+	Timeout Duration `json:"timeout"`
+	// Objective is the time within which an answer is of full worth. Zero
+	// means the timeout.
+	Objective Duration `json:"objective,omitempty"`
+	// Attempts bounds the upstreams that one request is sent to. Zero means 1.
+	Attempts int `json:"attempts,omitempty"`
+	// Priority is the rank among the routes of a service, 0 the most urgent.
+	Priority int `json:"priority,omitempty"`
+	// Sticky sends the requests for one object to the same upstream, which
+	// then works faster.
+	Sticky bool `json:"sticky,omitempty"`
+	// Homes are the only regions in which requests may be served. Empty
+	// means all.
+	Homes []string `json:"homes,omitempty"`
+	// Split divides the requests among services by weight.
+	Split []Weighted `json:"split"`
+}
+
+// Weighted is one part of a route's split.
+type Weighted struct {
+	Service string `json:"service"`
+	// Weight is the share of the requests relative to the other parts.
+	Weight float64 `json:"weight"`
+}
+
+// Limits bounds what callers may send. There is at most one.
+type Limits struct {
+	MaxHeader int64    `json:"maxHeader,omitempty"` // bytes, zero: no bound
+	MaxBody   int64    `json:"maxBody,omitempty"`   // bytes, zero: no bound
+	Header    Duration `json:"header,omitempty"`    // to send the headers in
+	Idle      Duration `json:"idle,omitempty"`      // between requests
+}
+
+// Warming says how much an upstream bears right after its start.
+type Warming struct {
+	// Time is how long an upstream stays cold.
+	Time Duration `json:"time"`
+	// Rate is the number of requests a second that a cold upstream bears,
+	// over all instances. Zero means no bound.
+	Rate float64 `json:"rate"`
+}
+
+// MaxRouteAttempts bounds Route.Attempts.
+const MaxRouteAttempts = 8
+
+func (k *checker) route(r *Route) {
+	k.that(r.Host != "", "spec.host", "must be set")
+	k.that(strings.HasPrefix(r.Prefix, "/") && strings.HasSuffix(r.Prefix, "/"), "spec.prefix", "must begin and end with '/'")
+	k.that(r.Class.Valid(), "spec.class", "must be one of "+strings.Join(request.ClassNames(), ", "))
+	k.that(r.Timeout > 0 && time.Duration(r.Timeout) <= MaxDeadline, "spec.timeout", "must be above 0 and at most 10m")
+	k.that(r.Objective >= 0, "spec.objective", "must not be negative")
+	k.that(r.Attempts >= 0 && r.Attempts <= MaxRouteAttempts, "spec.attempts", "must be 0 to 8")
+	k.that(r.Priority >= 0, "spec.priority", "must not be negative")
+	k.that(len(r.Split) > 0, "spec.split", "must have at least one part")
+	total := 0.0
+	for i, w := range r.Split {
+		field := fmt.Sprintf("spec.split[%d]", i)
+		k.exists(field+".service", KindService, w.Service)
+		k.that(w.Weight >= 0, field+".weight", "must not be negative")
+		total += w.Weight
+	}
+	k.that(total > 0, "spec.split", "must have a weight above 0")
+	for i, h := range r.Homes {
+		k.exists(fmt.Sprintf("spec.homes[%d]", i), KindRegion, h)
+	}
+}
+
+func (k *checker) limits(l *Limits) {
+	k.that(l.MaxHeader >= 0, "spec.maxHeader", "must not be negative")
+	k.that(l.MaxBody >= 0, "spec.maxBody", "must not be negative")
+	k.that(l.Header >= 0, "spec.header", "must not be negative")
+	k.that(l.Idle >= 0, "spec.idle", "must not be negative")
+}
+
+func (k *checker) warming(w *Warming) {
+	if w == nil {
+		return
+	}
+	k.that(w.Time >= 0, "spec.warming.time", "must not be negative")
+	k.that(w.Rate >= 0, "spec.warming.rate", "must not be negative")
+}
+
+// routed reports whether a route resource names the service.
+func (c *Config) routed(service string) bool {
+	for _, r := range c.Resources {
+		if r.Route == nil {
+			continue
+		}
+		for _, w := range r.Route.Split {
+			if w.Service == service {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/version/view.go
+++ b/version/view.go
@@ -72,7 +72,7 @@
 // ServiceView is a service with its upstreams grouped by region.
 type ServiceView struct {
 	Name     string
-	Routes   []Route
+	Routes   []ServiceRoute
 	Queue    int
 	Deadline time.Duration // the longest of its routes
 	ByRegion [][]int32     // upstreams by region
@@ -117,7 +117,7 @@
 }
 
 // Route returns the first route of a service that matches, or nil.
-func (s *ServiceView) Route(method, path string) *Route {
+func (s *ServiceView) Route(method, path string) *ServiceRoute {
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		if !strings.HasPrefix(path, r.Prefix) {
