balance: keep each object at few upstreams, near ones first

The time of work was learned from answers that had waited, which made waits look longer still.

Ruled out: memory of objects that fades with time (an object seen 16 s ago is still quick on the calm service); objects shared by regions (216 of 217 are asked for in one region only); a second request for an object that is being worked on (quick from the moment the first one has begun).

Change: an object has four upstreams: two in an order weighted by region, so that a region's requests stay in it as far as its share of the capacity allows, and two in an order equal everywhere. The cheapest by wait and by whether it has seen the object is taken; beyond the patience of the objective the request is refused with a time to come back. Usual work is learned fast downwards, slowly upwards.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -3,6 +3,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,45 +18,74 @@
 	coldShare = 1.2
 )
 
+// Bounds of the choice.
+const (
+	// nearChoices and farChoices are the numbers of upstreams that an object's
+	// requests may go to: the first in the order by region, and the first in
+	// an order that is the same for all regions. Others would have to warm up
+	// for an object that seldom comes to them.
+	nearChoices = 2
+	farChoices  = 2
+	// unseenCost is what an upstream that has not seen the object costs more,
+	// relative to its usual work.
+	unseenCost = 2.0
+	// placeCost keeps an object where it is while others are not clearly better.
+	placeCost = 20 * time.Millisecond
+)
+
 // Pick chooses an upstream, or says why there is none.
 func (t *Table) Pick(q *Query) (*Pick, Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	s := &t.routing.Services[q.Service]
-	c := t.candidates(q, s, now)
-	if len(c) == 0 {
-		return nil, Refusal{Code: request.NoUpstream, Retry: t.comeBack(request.NoUpstream)}
-	}
-	slices.SortFunc(c, func(a, b candidate) int {
-		if a.rank > b.rank {
-			return -1
-		}
-		return 1
-	})
-	best, ok := t.best(q, s, c, now)
+	part := q.part(t.routing)
+	if part == nil {
+		return nil, Refusal{Code: request.NoUpstream, Retry: t.comeBack(request.NoUpstream, 0)}
+	}
+	s := &t.routing.Services[part.Service]
+	object := q.Object
+	if object == 0 || !q.Route.Sticky {
+		object = rand.Uint64()
+	}
+	c := t.candidates(q, part, s, object, now)
+	best, ok := t.best(s, c, now)
 	if !ok {
-		return nil, Refusal{Code: request.QueueFull, Retry: t.comeBack(request.QueueFull)}
+		return nil, Refusal{Code: request.NoUpstream, Retry: t.comeBack(request.NoUpstream, 0)}
+	}
+	if over := best.wait - t.patience(q, best); over > 0 {
+		return nil, Refusal{Code: request.QueueFull, Retry: t.comeBack(request.QueueFull, over)}
+	}
+	return t.take(q, best, s, now), Refusal{}
+}
+
+// part returns the part of the query's route; nil when the routing has
+// changed so that it is not there any more.
+func (q *Query) part(r *version.Routing) *version.RoutePart {
+	if r == nil || q.Part >= len(q.Route.Parts) {
+		return nil
+	}
+	p := &q.Route.Parts[q.Part]
+	if int(p.Service) >= len(r.Services) || r.Services[p.Service].Name != q.Route.Split[q.Part].Service {
+		return nil
 	}
-	return t.take(best, s, now), Refusal{}
+	return p
 }
 
 // candidate is an upstream that may get the request.
 type candidate struct {
-	index int32
-	rank  uint64
-	place int // in the order of ranks
-	wait  time.Duration
+	index     int32
+	near, far float64 // distances in the two orders
+	place     int     // in the order of choices
+	wait      time.Duration
+	cost      time.Duration
 }
 
-// candidates lists the upstreams that may get the request now.
-func (t *Table) candidates(q *Query, s *version.RoutedService, now time.Duration) []candidate {
+// candidates lists the upstreams that may get the request now, the first
+// choices of its object only.
+func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, now time.Duration) []candidate {
 	c := make([]candidate, 0, len(s.Upstreams))
-	object := q.Object
-	if object == 0 || !q.Route.Sticky {
-		object = rand.Uint64()
-	}
-	for _, i := range s.Upstreams {
+	weights := t.weights(part, s)
+	for k, i := range s.Upstreams {
 		v := &t.routing.Upstreams[i]
 		u := t.states[i]
 		if v.Closed || q.Route.Home != nil && !q.Route.Home[v.Region] {
@@ -64,37 +94,66 @@
 		if !u.usable(now) || slices.Contains(q.Tried, v.Name) {
 			continue
 		}
-		c = append(c, candidate{index: i, rank: v.Rank(object), wait: u.wait(now, v.Slots)})
+		c = append(c, candidate{index: i, near: v.Distance(object, weights(k)), far: v.Distance(object, float64(v.Slots))})
+	}
+	c = firstChoices(c)
+	for k := range c {
+		x := &c[k]
+		v := &t.routing.Upstreams[x.index]
+		u := t.states[x.index]
+		x.place = k
+		x.wait = u.wait(now, v.Slots)
+		x.cost = x.wait + time.Duration(k)*placeCost
+		if k > 0 && q.Route.Sticky && !t.seen.has(object, v.Hash, now) {
+			x.cost += time.Duration(unseenCost * float64(u.usualWork()))
+		}
 	}
 	return c
 }
 
-// best returns the first in rank that can answer in time; if there is none, the
-// one with the shortest wait that is not beyond the request's deadline.
-func (t *Table) best(q *Query, s *version.RoutedService, c []candidate, now time.Duration) (candidate, bool) {
-	patience := t.patience(q)
-	least := -1
+// weights returns the weight of the k-th upstream for requests of this region.
+func (t *Table) weights(part *version.RoutePart, s *version.RoutedService) func(k int) float64 {
+	if t.region == version.None || len(part.Weights) <= int(t.region) || len(part.Weights[t.region]) != len(s.Upstreams) {
+		return func(int) float64 { return 1 }
+	}
+	w := part.Weights[t.region]
+	return func(k int) float64 { return w[k] }
+}
+
+// firstChoices keeps the first of the near order and then the first others of
+// the far order.
+func firstChoices(c []candidate) []candidate {
+	slices.SortFunc(c, func(a, b candidate) int { return cmp.Compare(a.near, b.near) })
+	if len(c) <= nearChoices {
+		return c
+	}
+	rest := c[nearChoices:]
+	slices.SortFunc(rest, func(a, b candidate) int { return cmp.Compare(a.far, b.far) })
+	return c[:min(len(c), nearChoices+farChoices)]
+}
+
+// best returns the candidate of the lowest cost.
+func (t *Table) best(s *version.RoutedService, c []candidate, now time.Duration) (candidate, bool) {
+	best := -1
 	for i := range c {
-		c[i].place = i
 		if !t.warmEnough(s, c[i].index, now) {
 			continue
 		}
-		if c[i].wait <= patience {
-			return c[i], true
-		}
-		if least < 0 || c[i].wait < c[least].wait {
-			least = i
+		if best < 0 || c[i].cost < c[best].cost {
+			best = i
 		}
 	}
-	if least < 0 || c[least].wait > q.Left/2 {
+	if best < 0 {
 		return candidate{}, false
 	}
-	return c[least], true
+	return c[best], true
 }
 
-// patience is the wait up to which the first in rank is preferred.
-func (t *Table) patience(q *Query) time.Duration {
-	return max(0, time.Duration(q.Route.Objective)/3-q.Elapsed)
+// patience is the wait beyond which a request is refused: it could not be
+// answered within its objective.
+func (t *Table) patience(q *Query, c candidate) time.Duration {
+	work := t.states[c.index].usualWork()
+	return max(0, min(time.Duration(q.Route.Objective)-q.Elapsed, q.Left)-work)
 }
 
 // warmEnough reports whether the upstream's warming leaves room for a request.
@@ -104,7 +163,7 @@
 }
 
 // take notes that a request goes to an upstream.
-func (t *Table) take(c candidate, s *version.RoutedService, now time.Duration) *Pick {
+func (t *Table) take(q *Query, c candidate, s *version.RoutedService, now time.Duration) *Pick {
 	v := &t.routing.Upstreams[c.index]
 	u := t.states[c.index]
 	u.inFlight++
@@ -112,21 +171,35 @@
 		pause := float64(t.Instances()) / (s.Warming.Rate * coldShare)
 		u.nextCold = now + time.Duration(pause*float64(time.Second))
 	}
+	object := uint64(0)
+	if q.Route.Sticky {
+		object = q.Object
+	}
 	return &Pick{
-		Name: v.Name, Address: v.Address, Region: t.routing.Regions[v.Region], Pool: u.pool,
-		Rank: c.place, Wait: c.wait, table: t, u: u, started: now,
+		object: object,
+		Name:   v.Name, Address: v.Address, Region: t.routing.Regions[v.Region], Pool: u.pool,
+		Rank: c.place, Wait: c.wait, table: t, u: u, hash: v.Hash, started: now,
 	}
 }
 
-// comeBack returns when a refused request should be tried again.
-func (t *Table) comeBack(code request.Code) time.Duration {
-	least := 150 * time.Millisecond
+// comeBack returns when a refused request should be tried again, spread so
+// that those refused together do not come back together.
+func (t *Table) comeBack(code request.Code, over time.Duration) time.Duration {
+	least := leastComeBack
 	if code == request.NoUpstream {
-		least = 400 * time.Millisecond
+		least = noneComeBack
 	}
+	least += min(over, mostOver)
 	return least + rand.N(least)
 }
 
+// Times after which a refused request should come back.
+const (
+	leastComeBack = 100 * time.Millisecond
+	noneComeBack  = 300 * time.Millisecond
+	mostOver      = 300 * time.Millisecond
+)
+
 // Outcome is what came of a request at an upstream.
 type Outcome uint8
 
@@ -159,6 +232,7 @@
 		u.failures = 0
 		u.answeredAt = now
 		u.learn(now - p.started)
+		t.seen.note(p.object, p.hash, now)
 	case Refused:
 		u.answeredAt = now
 		u.failures = 0
@@ -175,11 +249,11 @@
 
 // learn notes how long an answer took.
 func (u *upstream) learn(took time.Duration) {
-	if u.work == 0 {
-		u.work = min(took, firstWork)
-		return
+	gain := quickGain
+	if took > u.usualWork() {
+		gain = slowGain
 	}
-	u.work += time.Duration(workGain * float64(took-u.work))
+	u.work = u.usualWork() + time.Duration(gain*float64(took-u.usualWork()))
 }
 
 // Gone notes that an upstream is no longer at its address.
--- /dev/null
+++ b/process/balance/seen.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import "time"
+
+const (
+	// seenFor is how long an upstream is taken to remember an object.
+	seenFor = 20 * time.Second
+	// maxSeen bounds the pairs of object and upstream that are kept.
+	maxSeen = 1 << 16
+)
+
+// seenObjects are the objects that upstreams have worked on for this instance.
+// The zero value is empty.
+type seenObjects struct {
+	at map[uint64]time.Duration // by pair
+}
+
+func pair(object, upstream uint64) uint64 { return object*0x9e3779b97f4a7c15 ^ upstream }
+
+// note takes down that an upstream worked on an object. Object zero is none.
+func (s *seenObjects) note(object, upstream uint64, now time.Duration) {
+	if object == 0 {
+		return
+	}
+	if s.at == nil || len(s.at) >= maxSeen {
+		s.at = make(map[uint64]time.Duration) // learned again soon
+	}
+	s.at[pair(object, upstream)] = now
+}
+
+// has reports whether an upstream worked on an object lately.
+func (s *seenObjects) has(object, upstream uint64, now time.Duration) bool {
+	at, ok := s.at[pair(object, upstream)]
+	return ok && now-at < seenFor
+}
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -29,6 +29,7 @@
 	states  []*upstream // by index in the routing
 	byName  map[string]*upstream
 	splits  map[string][]float64 // credit of each part, by route
+	seen    seenObjects
 }
 
 // Install makes a routing the one that is decided on.
@@ -87,8 +88,8 @@
 // Query is what one decision is about.
 type Query struct {
 	Route *version.RouteView
-	// Part is the service, as Split returned it.
-	Service int32
+	// Part is the index of the route's part, as Split returned it.
+	Part int
 	// Object identifies the object that the request concerns; zero: none.
 	Object uint64
 	// Tried are the names of the upstreams that had the request already.
@@ -112,6 +113,8 @@
 
 	table   *Table
 	u       *upstream
+	object  uint64 // zero: none
+	hash    uint64 // of the upstream
 	started time.Duration
 }
 
@@ -122,11 +125,11 @@
 	Retry time.Duration
 }
 
-// Split chooses the service of a request by the weights of its route, so that
+// Split chooses the part of a route for a request by the weights of its route, so that
 // the shares hold after every few requests.
-func (t *Table) Split(v *version.RouteView) int32 {
+func (t *Table) Split(v *version.RouteView) int {
 	if len(v.Parts) == 1 {
-		return v.Parts[0].Service
+		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -147,5 +150,5 @@
 		}
 	}
 	credits[best] -= total
-	return v.Parts[best].Service
+	return best
 }
--- a/process/balance/upstream.go
+++ b/process/balance/upstream.go
@@ -14,10 +14,14 @@
 	suspendMost  = 4 * time.Second
 	// reportLife is the time in which a load report loses most of its worth.
 	reportLife = 1500 * time.Millisecond
-	// workGain is the weight of a new answer in the mean time of work.
-	workGain = 0.1
+	// quickGain and slowGain are the weights of a new answer in the usual time
+	// of work, when it came sooner than usual and when it came later. They
+	// differ since an answer's time may contain waiting, or work on an object
+	// that the upstream had not seen.
+	quickGain = 0.2
+	slowGain  = 0.02
 	// firstWork is the assumed time of work before any answer.
-	firstWork = 250 * time.Millisecond
+	firstWork = 200 * time.Millisecond
 	// afterDrain is how long an upstream counts as cold after its place is no
 	// longer drained, unless it says more itself.
 	afterDrain = 1500 * time.Millisecond
@@ -46,7 +50,7 @@
 	reportedAt  time.Duration
 	ownAtReport int
 	answeredAt  time.Duration
-	work        time.Duration // mean time of an answer, without waiting
+	work        time.Duration // usual time of an answer, without waiting
 }
 
 // load estimates the requests that run or wait at the upstream.
@@ -67,10 +71,10 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(ahead / float64(slots) * float64(u.meanWork()))
+	return time.Duration(ahead / float64(slots) * float64(u.usualWork()))
 }
 
-func (u *upstream) meanWork() time.Duration {
+func (u *upstream) usualWork() time.Duration {
 	if u.work == 0 {
 		return firstWork
 	}
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -41,13 +41,9 @@
 
 // run makes attempts until one has an answer or no further one is safe.
 func (p *Proxy) run(ctx context.Context, c *call) (*answer, *request.Result) {
-	routing := p.Table.Routing()
-	service := p.Table.Split(c.route)
-	if int(service) >= len(routing.Services) {
-		return nil, refuse(request.NoUpstream, minRetry)
-	}
-	c.service = routing.Services[service].Name
-	t := &trial{p: p, c: c, query: balance.Query{Route: c.route, Service: service, Object: p.object(c)}}
+	part := p.Table.Split(c.route)
+	c.service = c.route.Split[part].Service
+	t := &trial{p: p, c: c, query: balance.Query{Route: c.route, Part: part, Object: p.object(c)}}
 	p.Retries.Request(c.service, p.Now())
 	a, res := t.attempt(ctx)
 	for t.another(ctx, a, res) {
@@ -136,6 +132,9 @@
 	}
 	a.upstream = pick.Name
 	pick.Done(balance.Answered, t.report(h))
+	t.p.Log.Debug().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
+		Str("upstream", pick.Name).Int("rank", pick.Rank).Dur("wait", pick.Wait).Str("load", h.Get(names.Load)).
+		Int("status", a.res.StatusCode).Dur("took", time.Since(t.c.began)).Msg("answered")
 	return a, nil
 }
 
--- a/version/routing.go
+++ b/version/routing.go
@@ -39,6 +39,9 @@
 type RoutePart struct {
 	Service int32
 	Weight  float64
+	// Weights of the service's upstreams, by the region that a request comes
+	// from and the index in RoutedService.Upstreams.
+	Weights [][]float64
 }
 
 // RoutedService is a service with its upstreams.
@@ -139,6 +142,9 @@
 			v.Home[r.regions[h]] = true
 		}
 	}
+	for i := range v.Parts {
+		r.weigh(&v.Parts[i], v.Home)
+	}
 	routes := append(r.hosts[v.Host], v)
 	slices.SortStableFunc(routes, func(a, b *RouteView) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	r.hosts[v.Host] = routes
@@ -178,16 +184,3 @@
 
 // Region returns the index of a region, or None.
 func (r *Routing) Region(name string) int32 { return find(r.regions, name) }
-
-// Rank returns the weight of an upstream for an object: the upstream with the
-// highest weight is the first choice (rendezvous hashing). It is the same at
-// every instance.
-func (u *RoutedUpstream) Rank(object uint64) uint64 {
-	x := object ^ u.Hash
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
--- /dev/null
+++ b/version/weight.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import "math"
+
+// leastWeight is the weight of an upstream in a region that should get nothing
+// of another region's requests: it comes last in every order.
+const leastWeight = 1e-6
+
+// regionShares divides the requests of each region among the regions, first
+// index from, second to. Regions are assumed to send equally much. A region
+// keeps what its own share of the capacity allows; what is left goes to the
+// regions with room to spare, in proportion to it. So all upstreams are used
+// alike while as little as possible leaves its region.
+func regionShares(capacity []float64) [][]float64 {
+	total := 0.0
+	for _, c := range capacity {
+		total += c
+	}
+	even := total / float64(len(capacity))
+	shares := make([][]float64, len(capacity))
+	spare := make([]float64, len(capacity))
+	allSpare := 0.0
+	for i, c := range capacity {
+		shares[i] = make([]float64, len(capacity))
+		if total == 0 {
+			continue
+		}
+		shares[i][i] = min(1, c/even)
+		spare[i] = max(0, c-even)
+		allSpare += spare[i]
+	}
+	for i := range shares {
+		for j := range shares {
+			if allSpare > 0 {
+				shares[i][j] += (1 - shares[i][i]) * spare[j] / allSpare * notSelf(i, j)
+			}
+		}
+	}
+	return shares
+}
+
+func notSelf(i, j int) float64 {
+	if i == j {
+		return 0
+	}
+	return 1
+}
+
+// weigh sets the weights of a part: for each region that requests come from,
+// those of the service's upstreams, in the order of RoutedService.Upstreams.
+func (r *Routing) weigh(p *RoutePart, home []bool) {
+	s := &r.Services[p.Service]
+	capacity := make([]float64, len(r.Regions))
+	for _, i := range s.Upstreams {
+		u := &r.Upstreams[i]
+		if !u.Closed && (home == nil || home[u.Region]) {
+			capacity[u.Region] += float64(u.Slots)
+		}
+	}
+	shares := regionShares(capacity)
+	p.Weights = make([][]float64, len(r.Regions))
+	for from := range p.Weights {
+		weights := make([]float64, len(s.Upstreams))
+		for k, i := range s.Upstreams {
+			u := &r.Upstreams[i]
+			weights[k] = leastWeight
+			if c := capacity[u.Region]; c > 0 {
+				weights[k] = max(leastWeight, shares[from][u.Region]*float64(u.Slots)/c)
+			}
+		}
+		p.Weights[from] = weights
+	}
+}
+
+// Distance returns the place of an upstream in an object's order: the upstream
+// with the lowest distance is the first choice, and the share of objects for
+// which it is grows with its weight (weighted rendezvous hashing). It is the
+// same at every instance.
+func (u *RoutedUpstream) Distance(object uint64, weight float64) float64 {
+	x := object ^ u.Hash
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	const bits = 1 << 53
+	uniform := (float64(x>>11) + 0.5) / bits
+	return -math.Log(uniform) / weight
+}
