--- /dev/null
+++ b/process/balance/balance_test.go
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/conn"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// place is a table with a clock that the test moves.
+type place struct {
+	*Table
+	now       time.Duration
+	place, of int
+	config    *version.Config
+}
+
+func newPlace(instances int) *place {
+	p := &place{now: time.Hour, of: instances, config: &version.Config{Seq: 1, Resources: map[version.Key]version.Resource{}}}
+	p.Table = &Table{
+		Now: func() time.Duration { return p.now }, Place: func() (int, int) { return p.place, p.of }, Region: "r0",
+		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a} },
+	}
+	for i := range 3 {
+		region := fmt.Sprintf("r%d", i)
+		p.put(version.Resource{Key: version.Key{Kind: version.KindRegion, Name: region}, Region: &version.Region{}})
+		p.put(version.Resource{Key: version.Key{Kind: version.KindHall, Name: "h" + region}, Hall: &version.Hall{Region: region}})
+	}
+	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{
+		Warming: &version.Warming{Time: version.Duration(3 * time.Second), Rate: 9},
+	}})
+	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "t"}, Service: &version.Service{}})
+	p.route(version.Weighted{Service: "s", Weight: 1})
+	return p
+}
+
+func (p *place) put(r version.Resource) { p.config.Resources[r.Key] = r }
+
+func (p *place) route(split ...version.Weighted) {
+	p.put(version.Resource{Key: version.Key{Kind: version.KindRoute, Name: "r"}, Route: &version.Route{
+		Host: "a", Prefix: "/", Class: request.ClassRead, Repeatable: true, Sticky: true, Split: split,
+		Timeout: version.Duration(time.Second), Objective: version.Duration(400 * time.Millisecond), Attempts: 2,
+	}})
+}
+
+func (p *place) upstream(name string, region int, change func(*version.Upstream)) {
+	u := &version.Upstream{Service: "s", Hall: fmt.Sprintf("hr%d", region), Slots: 6}
+	if change != nil {
+		change(u)
+	}
+	p.put(version.Resource{Key: version.Key{Kind: version.KindUpstream, Name: name}, Upstream: u})
+}
+
+func (p *place) install() { p.Install(version.CompileRouting(p.config)) }
+
+func (p *place) query(object uint64) *Query {
+	return &Query{Route: p.Routing().Route("a", "/"), Object: object, Left: time.Second}
+}
+
+func (p *place) pick(t *testing.T, object uint64) *Pick {
+	t.Helper()
+	k, refusal := p.Pick(p.query(object))
+	assert.Assert(t, k != nil, "refused: %v", refusal)
+	return k
+}
+
+func TestObjectStaysAtItsUpstream(t *testing.T) {
+	p := newPlace(12)
+	for i := range 12 {
+		p.upstream(fmt.Sprintf("u%d", i), i%3, nil)
+	}
+	p.install()
+	for object := range uint64(50) {
+		first := p.pick(t, object+1)
+		for range 5 {
+			again := p.pick(t, object+1)
+			assert.Equal(t, again.Name, first.Name)
+			assert.Equal(t, again.Region, "r0", "capacity is even, so nothing leaves the region")
+			again.Done(Answered, &Report{Running: 1, Slots: 6})
+		}
+		first.Done(Answered, &Report{Running: 1, Slots: 6})
+	}
+}
+
+// TestOverloadKeepsObjectsAtFewUpstreams is the bench's day scale-1: a burst
+// must not spread the objects over all upstreams, where each is worked on as
+// unseen.
+func TestOverloadKeepsObjectsAtFewUpstreams(t *testing.T) {
+	p := newPlace(1)
+	for i := range 20 {
+		p.upstream(fmt.Sprintf("u%d", i), i%3, nil)
+	}
+	p.install()
+	places := make(map[uint64]map[string]bool)
+	refused := 0
+	for i := range 2000 {
+		object := uint64(i%70 + 1)
+		k, refusal := p.Pick(p.query(object))
+		if k == nil {
+			assert.Equal(t, refusal.Code, request.QueueFull)
+			assert.Assert(t, refusal.Retry > 0)
+			refused++
+			continue
+		}
+		if places[object] == nil {
+			places[object] = make(map[string]bool)
+		}
+		places[object][k.Name] = true
+	}
+	assert.Assert(t, refused > 0)
+	for object, at := range places {
+		assert.Assert(t, len(at) <= nearChoices+farChoices, "object %d at %v", object, at)
+	}
+}
+
+// TestColdUpstreamGetsItsRateOverAllInstances plays many instances that learn
+// of a cold upstream at the same moment.
+func TestColdUpstreamGetsItsRateOverAllInstances(t *testing.T) {
+	const rate, overage, slack = 9, 1.5, 5
+	for _, instances := range []int{1, 3, 12, 89} {
+		var sent []time.Duration
+		for i := range instances {
+			p := newPlace(instances)
+			p.place = i
+			p.upstream("cold", 0, func(u *version.Upstream) { u.Cold = version.Duration(3 * time.Second) })
+			p.install()
+			for step := range 300 {
+				p.now = time.Hour + time.Duration(step)*10*time.Millisecond
+				for object := range uint64(3) {
+					if k, _ := p.Pick(p.query(object + 1)); k != nil {
+						sent = append(sent, p.now)
+						k.Done(Answered, &Report{Running: 1, Slots: 6})
+					}
+				}
+			}
+		}
+		most := mostInASecond(sent)
+		assert.Assert(t, float64(most) <= rate*overage+slack, "%d instances: %d in one second", instances, most)
+		assert.Assert(t, len(sent) > rate, "%d instances: only %d in three seconds", instances, len(sent))
+	}
+}
+
+func mostInASecond(at []time.Duration) int {
+	sort.Slice(at, func(i, j int) bool { return at[i] < at[j] })
+	most, from := 0, 0
+	for i := range at {
+		for at[i]-at[from] >= time.Second {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+func TestUpstreamIsColdAfterADrain(t *testing.T) {
+	p := newPlace(12)
+	p.upstream("u", 0, nil)
+	drain := version.Resource{Key: version.Key{Kind: version.KindDrain, Name: "d"}, Drain: &version.Drain{Hall: "hr0"}}
+	p.put(drain)
+	p.install()
+	k, refusal := p.Pick(p.query(1))
+	assert.Assert(t, k == nil)
+	assert.Equal(t, refusal.Code, request.NoUpstream)
+	delete(p.config.Resources, drain.Key)
+	p.install()
+	sent := 0
+	for object := range uint64(40) {
+		if k, _ := p.Pick(p.query(object + 1)); k != nil {
+			sent++
+			k.Done(Answered, &Report{Running: 1, Slots: 6})
+		}
+	}
+	assert.Assert(t, sent <= 1, "%d at once", sent)
+	p.now += afterDrain
+	p.pick(t, 1)
+}
+
+func TestFailedUpstreamIsSuspendedAndTriedAgain(t *testing.T) {
+	p := newPlace(1)
+	p.upstream("a", 0, nil)
+	p.install()
+	p.pick(t, 1).Done(Failed, nil)
+	k, _ := p.Pick(p.query(1))
+	assert.Assert(t, k == nil, "suspended")
+	p.now += suspendLeast
+	trial := p.pick(t, 1)
+	k, _ = p.Pick(p.query(2))
+	assert.Assert(t, k == nil, "one trial at a time")
+	trial.Done(Answered, nil)
+	p.pick(t, 2)
+}
+
+// TestAnswerMeanwhileExcusesAFailure checks that a request that failed does
+// not suspend an upstream that answered another one since.
+func TestAnswerMeanwhileExcusesAFailure(t *testing.T) {
+	p := newPlace(1)
+	p.upstream("a", 0, nil)
+	p.install()
+	lost, other := p.pick(t, 1), p.pick(t, 2)
+	p.now += time.Second
+	other.Done(Answered, nil)
+	lost.Done(Failed, nil)
+	p.pick(t, 3)
+}
+
+func TestTriedAndForeignUpstreamsAreLeftOut(t *testing.T) {
+	p := newPlace(1)
+	p.upstream("a", 0, nil)
+	p.upstream("b", 1, nil)
+	p.install()
+	q := p.query(1)
+	q.Tried = []string{"a"}
+	k, _ := p.Pick(q)
+	assert.Equal(t, k.Name, "b")
+	q = p.query(1)
+	home := *q.Route
+	home.Home = []bool{false, true, false}
+	q.Route = &home
+	k, _ = p.Pick(q)
+	assert.Equal(t, k.Name, "b")
+}
+
+func TestSplitHoldsAfterEveryFewRequests(t *testing.T) {
+	p := newPlace(1)
+	p.route(version.Weighted{Service: "s", Weight: 90}, version.Weighted{Service: "t", Weight: 10})
+	p.install()
+	v := p.Routing().Route("a", "/")
+	counts := make([]float64, 2)
+	for range 300 {
+		counts[p.Split(v)]++
+	}
+	assert.Assert(t, math.Abs(counts[1]-30) <= 1, "%v", counts)
+	p.route(version.Weighted{Service: "s", Weight: 0}, version.Weighted{Service: "t", Weight: 1})
+	p.install()
+	for range 10 {
+		assert.Equal(t, p.Split(p.Routing().Route("a", "/")), 1, "weight 0 gets nothing")
+	}
+}
+
+// TestQueryOfAnOlderRoutingIsSafe checks that a request that began before its
+// service went away is refused.
+func TestQueryOfAnOlderRoutingIsSafe(t *testing.T) {
+	p := newPlace(1)
+	p.upstream("a", 0, nil)
+	p.install()
+	q := p.query(1)
+	delete(p.config.Resources, version.Key{Kind: version.KindService, Name: "s"})
+	delete(p.config.Resources, version.Key{Kind: version.KindUpstream, Name: "a"})
+	p.route(version.Weighted{Service: "t", Weight: 1})
+	p.install()
+	k, refusal := p.Pick(q)
+	assert.Assert(t, k == nil)
+	assert.Equal(t, refusal.Code, request.NoUpstream)
+}
+
+func BenchmarkPick(b *testing.B) {
+	p := newPlace(12)
+	for i := range 46 {
+		p.upstream(fmt.Sprintf("u%d", i), i%3, nil)
+	}
+	p.install()
+	q := p.query(7)
+	b.ReportAllocs()
+	for b.Loop() {
+		k, _ := p.Pick(q)
+		k.Done(Answered, nil)
+	}
+}
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -12,12 +12,6 @@
 	"shalewick/version"
 )
 
-// Shares of bounds that hold over all instances.
-const (
-	// coldShare is the part of a warming rate that all instances together use.
-	coldShare = 1.2
-)
-
 // Bounds of the choice.
 const (
 	// nearChoices and farChoices are the numbers of upstreams that an object's
@@ -159,7 +153,7 @@
 // warmEnough reports whether the upstream's warming leaves room for a request.
 func (t *Table) warmEnough(s *version.RoutedService, index int32, now time.Duration) bool {
 	u := t.states[index]
-	return s.Warming.Rate == 0 || now >= u.coldUntil || now >= u.nextCold
+	return s.Warming.Rate == 0 || now >= u.coldUntil || u.turns.open(now)
 }
 
 // take notes that a request goes to an upstream.
@@ -168,8 +162,7 @@
 	u := t.states[c.index]
 	u.inFlight++
 	if s.Warming.Rate > 0 && now < u.coldUntil {
-		pause := float64(t.Instances()) / (s.Warming.Rate * coldShare)
-		u.nextCold = now + time.Duration(pause*float64(time.Second))
+		u.turns.use(now)
 	}
 	object := uint64(0)
 	if q.Route.Sticky {
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -15,9 +15,9 @@
 // Table is the upstreams of one process. The fields are set before use.
 type Table struct {
 	Now func() time.Duration
-	// Instances returns the number of instances that share what must be
-	// shared, this one included.
-	Instances func() int
+	// Place returns the place of this instance, from 0, among those that share
+	// what must be shared, and their number.
+	Place func() (place, of int)
 	// Region is the name of the region of this instance.
 	Region string
 	// NewPool returns connections to an address.
@@ -45,7 +45,9 @@
 		if u == nil || u.address != v.Address {
 			u = &upstream{pool: t.NewPool(v.Address), address: v.Address}
 		}
-		u.install(v, now)
+		if u.install(v, now) {
+			u.turns = t.turnsFrom(now, &r.Services[v.Service])
+		}
 		byName[v.Name] = u
 		states[i] = u
 	}
@@ -61,7 +63,10 @@
 	}
 }
 
-func (u *upstream) install(v *version.RoutedUpstream, now time.Duration) {
+// install takes up what a routing says, and reports whether the upstream has
+// become cold by it.
+func (u *upstream) install(v *version.RoutedUpstream, now time.Duration) bool {
+	before := u.coldUntil
 	if v.Cold != u.cold {
 		u.cold = v.Cold
 		u.coldUntil = 0
@@ -76,6 +81,7 @@
 	if v.Closed {
 		u.pool.CloseIdle()
 	}
+	return u.coldUntil > before && u.coldUntil > now
 }
 
 // Routing returns the routing that is decided on, or nil.
--- a/process/balance/upstream.go
+++ b/process/balance/upstream.go
@@ -32,14 +32,13 @@
 // upstream is what one process knows of one upstream, over all versions. It is
 // guarded by the table's mutex.
 type upstream struct {
-	pool     *conn.Pool
-	address  string
-	inFlight int
-	drained  bool
-	cold     time.Duration // as declared
-	// coldUntil is when it stops being cold, nextCold the earliest moment
-	// for the next request until then.
-	coldUntil, nextCold time.Duration
+	pool      *conn.Pool
+	address   string
+	inFlight  int
+	drained   bool
+	cold      time.Duration // as declared
+	coldUntil time.Duration // when it stops being cold
+	turns     turns         // of this instance until then
 	// failures counts those in a row. Until suspended it gets nothing, and
 	// then one request at a time until one is answered.
 	failures  int
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -140,18 +140,28 @@
 	return out
 }
 
-// Count returns the number of instances that may be at work: all but those
-// known to be leaving. It is at least 1.
+// Count returns the number of instances that may be at work, this one included.
 func (m *Members) Count() int {
+	_, of := m.Place()
+	return of
+}
+
+// Place returns the place of this instance in the order of the names of all
+// that may be at work, from 0, and their number.
+func (m *Members) Place() (place, of int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 1
+	of = 1
 	for _, k := range m.others {
-		if !k.Leaving {
-			n++
+		if k.Leaving {
+			continue
+		}
+		of++
+		if k.Name < m.self.Name {
+			place++
 		}
 	}
-	return n
+	return place, of
 }
 
 // All returns all other instances.
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -40,6 +40,7 @@
 	firstPause      = 100 * time.Millisecond
 	longestPause    = 2 * time.Second
 	stopPoll        = 10 * time.Millisecond
+	idleTime        = 150 * time.Millisecond
 )
 
 // Edge is one running instance.
@@ -102,7 +103,7 @@
 	e.peers.Follower = e.follower
 	dialer := conn.NewDialer(dialTimeout, upstreamSilence)
 	e.table = &balance.Table{
-		Now: e.now, Instances: e.members.Count, Region: e.settings.Region,
+		Now: e.now, Place: e.members.Place, Region: e.settings.Region,
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTime: upstreamIdle}
 		},
@@ -288,14 +289,25 @@
 	e.beats.SendAll()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.Grace))
 	defer cancel()
-	_ = e.front.Shutdown(ctx) // what is in flight after the grace is cut off
-	for e.proxy.Running() > 0 && ctx.Err() == nil {
-		time.Sleep(stopPoll)
-	}
+	go func() { _ = e.front.Shutdown(ctx) }() // what is in flight after the grace is cut off
+	e.awaitIdle(ctx)
 	e.Kill()
 	e.log.Info().Int64("running", e.proxy.Running()).Dur("took", time.Since(begun)).Msg("stopped")
 }
 
+// awaitIdle waits until no request has been in flight for a moment, in which
+// requests that were under way to a closing listener arrive.
+func (e *Edge) awaitIdle(ctx context.Context) {
+	idle := time.Duration(0)
+	for idle < idleTime && ctx.Err() == nil {
+		time.Sleep(stopPoll)
+		idle += stopPoll
+		if e.proxy.Running() > 0 {
+			idle = 0
+		}
+	}
+}
+
 // Kill ends the instance at once.
 func (e *Edge) Kill() {
 	e.cancel()
--- /dev/null
+++ b/process/edge/edge_test.go
@@ -0,0 +1,328 @@
+// SPDX-License-Identifier: MIT
+
+package edge_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"shalewick/platform"
+	"shalewick/process/edge"
+	"shalewick/standin/server"
+	"shalewick/standin/tablestore"
+)
+
+// site is a store, upstreams and instances, in one process over loopback. Each
+// instance has an IP number of its own.
+type site struct {
+	t         *testing.T
+	store     *tablestore.Store
+	instances []*edge.Edge
+	settings  []*platform.Settings
+	upstreams []*server.Server
+	version   int
+}
+
+var siteZones = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}
+
+func newSite(t *testing.T, instances, upstreams int) *site {
+	t.Helper()
+	s := &site{t: t, store: tablestore.Start()}
+	t.Cleanup(s.store.Close)
+	for i := range upstreams {
+		u := &server.Server{Name: fmt.Sprintf("i-%d", i), Names: platform.Names, Slots: 6, Work: 5 * time.Millisecond, First: 10 * time.Millisecond}
+		assert.NilError(t, u.Start())
+		t.Cleanup(u.Close)
+		s.upstreams = append(s.upstreams, u)
+		s.announce(i, "ready")
+	}
+	s.configure("first")
+	for i := range instances {
+		s.start(i)
+	}
+	t.Cleanup(func() {
+		for _, e := range s.instances {
+			e.Kill()
+		}
+	})
+	for i := range instances {
+		s.until(func() bool { return s.ready(i) })
+	}
+	return s
+}
+
+func (s *site) zone(i int) string { return []string{"north-a", "north-b", "south-a"}[i%3] }
+
+func (s *site) announce(i int, state string) {
+	u := s.upstreams[i]
+	s.store.Put(platform.TableUpstreams, u.Name, fmt.Sprintf(
+		`{"address":%q,"info":{"service":"s","zone":%q,"slots":6},"status":{"state":%q,"sequence":1,"coldRemainingS":0}}`, u.Address(), s.zone(i), state))
+}
+
+// configure accepts a new version in which the path below /v/ is the only one.
+func (s *site) configure(path string) int {
+	s.version += 3
+	s.store.Put(platform.TableConfig, "config", fmt.Sprintf(
+		`{"version":"%08x","routes":{"r":{"host":"a.example","pathPrefix":"/%s/","kind":"non_idempotent","timeoutS":1,"targetLatencyS":0.4,"service":"s","maxAttempts":2,"sticky":true}},"services":{"s":{"coldPerS":9}},"limits":{}}`, s.version, path))
+	return s.version
+}
+
+func (s *site) free(ip string) string {
+	l, err := net.Listen("tcp4", ip+":0")
+	assert.NilError(s.t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) start(i int) { s.startSeeded(i) }
+
+func (s *site) startSeeded(i int, seeds ...string) {
+	ip := fmt.Sprintf("127.0.0.%d", 10+i)
+	_, port, err := net.SplitHostPort(s.free(ip))
+	assert.NilError(s.t, err)
+	zone := s.zone(i)
+	text, err := json.Marshal(map[string]any{
+		"nodeName": fmt.Sprintf("edge-%d", i), "ip": ip, "zone": zone, "region": siteZones[zone], "zones": siteZones,
+		"listen":    map[string]string{"front": s.free(ip), "ready": s.free(ip), "control": s.free(ip), "directory": s.free(ip)},
+		"portRange": []json.Number{json.Number(port), json.Number(port)},
+		"seeds":     seeds, "platform": map[string]string{"address": s.store.Address()}, "bounds": []string{"graceS=2"},
+	})
+	assert.NilError(s.t, err)
+	settings, err := platform.ParseSettings(text)
+	assert.NilError(s.t, err)
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	e, err := edge.Start(settings.Edge(), settings.Deployment(dialer.DialContext), io.Discard)
+	assert.NilError(s.t, err)
+	s.instances = append(s.instances, e)
+	s.settings = append(s.settings, settings)
+}
+
+func (s *site) until(f func() bool) {
+	s.t.Helper()
+	for range 800 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatal("not reached in 8 s")
+}
+
+func (s *site) ready(i int) bool {
+	res, err := http.Get("http://" + s.settings[i].Listen.Ready + platform.PathReady)
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// addresses asks an instance where to go.
+func (s *site) addresses(i int, region, zone string) []string {
+	res, err := http.Get("http://" + s.settings[i].Listen.Directory + platform.PathResolve + "?name=a.example&region=" + region + "&zone=" + zone)
+	if err != nil {
+		return nil
+	}
+	defer res.Body.Close()
+	var a struct {
+		Addresses []string `json:"addresses"`
+	}
+	_ = json.NewDecoder(res.Body).Decode(&a)
+	return a.Addresses
+}
+
+func (s *site) send(i int, id, path string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.settings[i].Listen.Front+"/"+path+"/1", strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "a.example"
+	req.Header.Set(platform.Names.ID, id)
+	req.Header.Set(platform.Names.Affinity, id)
+	req.Header.Set(platform.Names.Deadline, "2000")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+func (s *site) ran() map[string]int {
+	out := make(map[string]int)
+	for _, u := range s.upstreams {
+		for _, r := range u.Runs() {
+			out[r.ID]++
+		}
+	}
+	return out
+}
+
+func TestWholePathOnTheUsersPlatform(t *testing.T) {
+	s := newSite(t, 4, 4)
+	for i := range 40 {
+		id := fmt.Sprintf("x%d", i)
+		status, body, err := s.send(i%4, id, "first")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, server.Body(id))
+	}
+	for id, n := range s.ran() {
+		assert.Equal(t, n, 1, id)
+	}
+	s.until(func() bool { return len(s.addresses(0, "north", "north-a")) == 2 })
+	assert.Equal(t, len(s.addresses(0, "south", "south-a")), 1)
+	_, found := s.store.Value(platform.TableInstances, "edge-0")
+	assert.Assert(t, found)
+}
+
+// TestVersionsInForceAreLinearizable changes the configuration while clients
+// send to four instances, one of which the store turns away, and checks each
+// answer against the history of versions: after the bound, none but the newest.
+func TestVersionsInForceAreLinearizable(t *testing.T) {
+	s := newSite(t, 4, 2)
+	const bound = 1500 * time.Millisecond
+	s.store.Set(tablestore.Trouble{Status: http.StatusServiceUnavailable, Only: []string{"127.0.0.11"}})
+	var events []porcupine.Operation
+	begun := time.Now()
+	clock := func() int64 { return time.Since(begun).Nanoseconds() }
+	for v := 1; v <= 4; v++ {
+		call := clock()
+		s.configure(fmt.Sprintf("v%d", v))
+		time.Sleep(bound)
+		events = append(events, porcupine.Operation{ClientId: 9, Input: v, Call: call, Output: v, Return: clock()})
+		for i := range 4 {
+			call := clock()
+			got := 0
+			for w := range v + 1 {
+				if status, _, err := s.send(i, fmt.Sprintf("%d-%d-%d", v, i, w), fmt.Sprintf("v%d", w)); err == nil && status == http.StatusOK {
+					got = w
+				}
+			}
+			events = append(events, porcupine.Operation{ClientId: i, Input: 0, Call: call, Output: got, Return: clock()})
+		}
+	}
+	register := porcupine.Model{
+		Init: func() any { return 0 },
+		Step: func(state, input, output any) (bool, any) {
+			if input.(int) != 0 {
+				return true, input
+			}
+			return output.(int) == state.(int), state
+		},
+	}
+	assert.Assert(t, porcupine.CheckOperations(register, events), "%v", events)
+}
+
+// TestLeavingUpstreamGetsNothing checks both ways in which an upstream leaves.
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	s := newSite(t, 3, 3)
+	s.announce(0, "draining")
+	s.store.Drop(platform.TableUpstreams, s.upstreams[1].Name)
+	time.Sleep(time.Second)
+	for i := range 30 {
+		status, _, err := s.send(i%3, fmt.Sprintf("x%d", i), "first")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, len(s.upstreams[0].Runs())+len(s.upstreams[1].Runs()), 0)
+	s.store.Put(platform.TableConfig, "evacuate/south-a", "{}")
+	time.Sleep(time.Second)
+	status, _, err := s.send(0, "refused", "first")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
+// TestInstancesServeWhileTheStoreIsDown takes the store away in three ways, and
+// checks that a change is in force soon after it is back.
+func TestInstancesServeWhileTheStoreIsDown(t *testing.T) {
+	for name, trouble := range map[string]tablestore.Trouble{
+		"busy": {Status: http.StatusServiceUnavailable}, "silent": {Silent: true}, "reset": {Reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 3, 2)
+			s.store.Set(trouble)
+			until := time.Now().Add(3500 * time.Millisecond)
+			for i := 0; time.Now().Before(until); i++ {
+				status, _, err := s.send(i%3, fmt.Sprintf("x%d", i), "first")
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			s.store.Set(tablestore.Trouble{})
+			s.configure("second")
+			time.Sleep(4 * time.Second)
+			for i := range 3 {
+				status, _, err := s.send(i, fmt.Sprintf("y%d", i), "second")
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusOK)
+			}
+		})
+	}
+}
+
+// TestPlannedStopCutsNothing stops an instance while clients send to it.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t, 3, 3)
+	s.until(func() bool { return len(s.addresses(1, "north", "north-b")) == 2 })
+	for _, u := range s.upstreams {
+		u.SetWork(60 * time.Millisecond)
+	}
+	var stopped atomic.Bool
+	var all sync.WaitGroup
+	for c := range 8 {
+		all.Go(func() {
+			for i := 0; !stopped.Load(); i++ {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				status, _, err := s.send(0, id, "first")
+				if err != nil && strings.Contains(err.Error(), "refused") {
+					return // the listener is closed
+				}
+				assert.Check(t, err == nil && status == http.StatusOK, "%s: %d %v", id, status, err)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		s.instances[0].Stop()
+		close(done)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, !s.ready(0))
+	left := s.settings[0].Listen.Front
+	for i := range 3 {
+		for _, a := range s.addresses(i, "north", "north-a") {
+			assert.Assert(t, a != left, "instance %d names the one that leaves", i)
+		}
+	}
+	<-done
+	stopped.Store(true)
+	all.Wait()
+	_, found := s.store.Value(platform.TableInstances, "edge-0")
+	assert.Assert(t, !found)
+}
+
+// TestStartWhileTheStoreTurnsItAway starts an instance that only others can
+// tell what is in force.
+func TestStartWhileTheStoreTurnsItAway(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.store.Set(tablestore.Trouble{Status: http.StatusTooManyRequests, Only: []string{"127.0.0.12"}})
+	s.startSeeded(2, s.settings[0].Listen.Control)
+	s.until(func() bool { return s.ready(2) })
+	status, _, err := s.send(2, "x", "first")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/process/logging/logging.go
+++ b/process/logging/logging.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,6 +30,9 @@
 		FormatLevel:     pair("level"),
 		FormatMessage:   pair("event"),
 	}
-	zerolog.TimeFieldFormat = time.RFC3339Nano
+	setTimeFormat()
 	return zerolog.New(out).With().Timestamp().Logger()
 }
+
+// setTimeFormat sets zerolog's own format, which all loggers share, once.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
--- /dev/null
+++ b/process/proxy/proxy_test.go
@@ -0,0 +1,345 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"shalewick/conn"
+	"shalewick/process/balance"
+	"shalewick/process/metric"
+	"shalewick/request"
+	"shalewick/retry"
+	"shalewick/standin/server"
+	"shalewick/version"
+)
+
+// fixture is a proxy before some upstreams, in one process.
+type fixture struct {
+	t         *testing.T
+	proxy     *Proxy
+	table     *balance.Table
+	front     *httptest.Server
+	upstreams []*server.Server
+	config    *version.Config
+}
+
+func newFixture(t *testing.T, upstreams int) *fixture {
+	t.Helper()
+	f := &fixture{t: t, config: &version.Config{Seq: 1, Resources: map[version.Key]version.Resource{}}}
+	begun := time.Now()
+	now := func() time.Duration { return time.Since(begun) + time.Hour }
+	one := func() int { return 1 }
+	f.table = &balance.Table{
+		Now: now, Place: func() (int, int) { return 0, 1 }, Region: "north",
+		NewPool: func(a string) *conn.Pool {
+			return &conn.Pool{Address: a, Dialer: conn.NewDialer(200*time.Millisecond, time.Second)}
+		},
+	}
+	f.proxy = &Proxy{
+		Names: request.OwnNames, Table: f.table, Metrics: metric.NewSet(), Log: zerolog.Nop(), Now: now,
+		Retries: &retry.Window{Span: 10 * time.Second, Ratio: 0.2, Fixed: 20, Instances: one},
+	}
+	f.put(version.Resource{Key: version.Key{Kind: version.KindRegion, Name: "north"}, Region: &version.Region{}})
+	f.put(version.Resource{Key: version.Key{Kind: version.KindHall, Name: "n1"}, Hall: &version.Hall{Region: "north"}})
+	f.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{}})
+	f.put(version.Resource{Key: version.Key{Kind: version.KindLimits, Name: "l"}, Limits: &version.Limits{MaxHeader: 4096, MaxBody: 3 << 20}})
+	f.route("reads", "/reads/", request.ClassRead, true)
+	f.route("bids", "/bids/", request.ClassCommit, false)
+	for i := range upstreams {
+		s := &server.Server{Name: fmt.Sprintf("u%d", i), Names: request.OwnNames, Slots: 4, Work: 2 * time.Millisecond}
+		assert.NilError(t, s.Start())
+		t.Cleanup(s.Close)
+		f.upstreams = append(f.upstreams, s)
+		f.upstream(s.Name, s.Address())
+	}
+	f.install()
+	f.front = httptest.NewServer(f.proxy)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+func (f *fixture) put(r version.Resource) { f.config.Resources[r.Key] = r }
+
+func (f *fixture) install() { f.table.Install(version.CompileRouting(f.config)) }
+
+func (f *fixture) upstream(name, address string) {
+	f.put(version.Resource{Key: version.Key{Kind: version.KindUpstream, Name: name}, Upstream: &version.Upstream{
+		Service: "s", Hall: "n1", Address: netip.MustParseAddrPort(address), Slots: 4,
+	}})
+}
+
+func (f *fixture) route(name, prefix string, class request.Class, repeatable bool) {
+	f.put(version.Resource{Key: version.Key{Kind: version.KindRoute, Name: name}, Route: &version.Route{
+		Host: "a.example", Prefix: prefix, Class: class, Repeatable: repeatable, Attempts: 2, Sticky: true,
+		Timeout: version.Duration(600 * time.Millisecond), Objective: version.Duration(300 * time.Millisecond),
+		Split: []version.Weighted{{Service: "s", Weight: 1}},
+	}})
+}
+
+// firstFails sets the fault of the upstream that is asked first, which has run
+// one request then.
+func (f *fixture) firstFails(fault server.Fault) {
+	f.t.Helper()
+	f.own(f.send("first", "/reads/1", ""), "first")
+	for _, s := range f.upstreams {
+		if len(s.Runs()) == 1 {
+			s.Next(fault)
+		}
+	}
+}
+
+// allShed makes all upstreams refuse.
+func (f *fixture) allShed() {
+	for _, s := range f.upstreams {
+		s.Next(server.Shed, server.Shed, server.Shed)
+	}
+}
+
+func (f *fixture) runs() []server.Run {
+	var out []server.Run
+	for _, s := range f.upstreams {
+		out = append(out, s.Runs()...)
+	}
+	return out
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	took   time.Duration
+}
+
+func (f *fixture) send(id, path, body string) reply {
+	f.t.Helper()
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequest(method, f.front.URL+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Host = "a.example"
+	req.Header.Set(request.OwnNames.ID, id)
+	req.Header.Set(request.OwnNames.Affinity, "7")
+	begun := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err, took: time.Since(begun)}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(b), err: err, took: time.Since(begun)}
+}
+
+func (f *fixture) own(r reply, id string) {
+	f.t.Helper()
+	assert.NilError(f.t, r.err)
+	assert.Equal(f.t, r.status, http.StatusOK)
+	assert.Equal(f.t, r.body, server.Body(id))
+	assert.Equal(f.t, r.header.Get(request.OwnNames.Seal), "seal-"+id)
+}
+
+func TestRequestArrivesUnaltered(t *testing.T) {
+	f := newFixture(t, 1)
+	f.own(f.send("x1", "/bids/a%2Fb/%7Ec?q=1&r=%20", "two lots"), "x1")
+	runs := f.runs()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Path, "/bids/a%2Fb/%7Ec?q=1&r=%20")
+	assert.Equal(t, runs[0].Body, "two lots")
+	assert.Equal(t, runs[0].Header.Get(request.OwnNames.Target), "u0")
+	left, err := strconv.Atoi(runs[0].Header.Get(request.OwnNames.Deadline))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 0 && left <= 600, "%d", left)
+}
+
+// TestFaultsOfUpstreams checks, for each way in which an upstream misbehaves,
+// what the client gets and how often the request ran.
+func TestFaultsOfUpstreams(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		fault       server.Fault
+		reads, bids int // status; 200 is the client's own whole answer
+		bidRuns     int
+	}{
+		{"cut", server.Cut, 200, 502, 1},
+		{"lost", server.Lost, 200, 502, 1},
+		{"silent", server.Silent, 504, 504, 1},
+		{"no answer", server.NotAnswer, 200, 502, 1},
+		{"unframed", server.Unframed, 200, 200, 1},
+		{"unframed and reset", server.UnframedCut, 200, 502, 1},
+		{"surplus before", server.Surplus, 200, 200, 1},
+		{"surplus after", server.SurplusAfter, 200, 200, 1},
+		{"shed", server.Shed, 200, 200, 1},
+		{"moved", server.Moved, 200, 200, 1},
+		{"early", server.Early, 200, 200, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.firstFails(x.fault)
+			read := f.send("r1", "/reads/1", "")
+			f.expect(read, x.reads, "r1")
+			f = newFixture(t, 2)
+			f.firstFails(x.fault)
+			bid := f.send("b1", "/bids/1", "an offer")
+			f.expect(bid, x.bids, "b1")
+			assert.Equal(t, len(f.runs()), 1+x.bidRuns)
+			f.own(f.send("b2", "/bids/1", "next"), "b2")
+		})
+	}
+}
+
+func (f *fixture) expect(r reply, status int, id string) {
+	f.t.Helper()
+	if status == http.StatusOK {
+		f.own(r, id)
+		return
+	}
+	assert.NilError(f.t, r.err)
+	assert.Equal(f.t, r.status, status)
+	assert.Equal(f.t, r.header.Get(request.OwnNames.Seal), "", "no seal on an answer of our own")
+	assert.Equal(f.t, r.header.Get(request.HeaderRan), string(request.RanUnknown))
+	assert.Equal(f.t, r.header.Get("Retry-After"), "")
+}
+
+// TestRefusalIsAtOnceAndSaysWhenToComeBack checks that a request for which
+// there is no upstream is not held.
+func TestRefusalIsAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	f := newFixture(t, 2)
+	f.allShed()
+	r := f.send("b1", "/bids/1", "an offer")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.header.Get(request.HeaderRan), string(request.RanNo))
+	after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 0 && after < 1, "%v", after)
+	assert.Assert(t, r.took < 200*time.Millisecond, "%s", r.took)
+	assert.Equal(t, len(f.runs()), 0)
+}
+
+func TestDeadUpstreamIsLeftForAnother(t *testing.T) {
+	f := newFixture(t, 2)
+	for i := range 20 {
+		if i == 5 {
+			f.upstreams[0].Close()
+		}
+		id := fmt.Sprintf("x%d", i)
+		r := f.send(id, fmt.Sprintf("/reads/%d", i), "")
+		f.own(r, id)
+	}
+}
+
+func TestUnknownRouteAndNoVersion(t *testing.T) {
+	f := newFixture(t, 1)
+	assert.Equal(t, f.send("x", "/none/1", "").status, http.StatusNotFound)
+	empty := &Proxy{Names: request.OwnNames, Table: &balance.Table{}, Metrics: metric.NewSet(), Log: zerolog.Nop()}
+	rec := httptest.NewRecorder()
+	empty.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/reads/1", nil))
+	assert.Equal(t, rec.Code, http.StatusServiceUnavailable, "404 only with a configuration")
+}
+
+func TestTimeoutOfTheRouteIsKept(t *testing.T) {
+	f := newFixture(t, 1)
+	f.upstreams[0].Work = 3 * time.Second
+	r := f.send("x", "/bids/1", "b")
+	assert.Equal(t, r.status, http.StatusGatewayTimeout)
+	assert.Assert(t, r.took > 500*time.Millisecond && r.took < 800*time.Millisecond, "%s", r.took)
+}
+
+// TestClientThatLeavesEndsItsRequest checks that an upstream sees within half a
+// second that the client left.
+func TestClientThatLeavesEndsItsRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	f.upstreams[0].Work = 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.front.URL+"/reads/1", nil)
+	assert.NilError(t, err)
+	req.Host = "a.example"
+	req.Header.Set(request.OwnNames.ID, "x")
+	_, err = http.DefaultClient.Do(req)
+	assert.Assert(t, err != nil)
+	for range 40 {
+		if f.upstreams[0].Left() == 1 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the upstream still works")
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	f := newFixture(t, 1)
+	for i := range 10 {
+		id := fmt.Sprintf("x%d", i)
+		f.own(f.send(id, "/bids/1", "offer"), id)
+	}
+	assert.Assert(t, f.upstreams[0].Connections() <= 2, "%d", f.upstreams[0].Connections())
+}
+
+func TestLimitsAndLargeBodies(t *testing.T) {
+	f := newFixture(t, 1)
+	large := strings.Repeat("v", 2<<20)
+	f.own(f.send("big", "/bids/1", large), "big")
+	assert.Equal(t, f.runs()[0].Body, large)
+	assert.Equal(t, f.send("more", "/bids/1", strings.Repeat("v", 3<<20+1)).status, http.StatusRequestEntityTooLarge)
+	req, err := http.NewRequest(http.MethodGet, f.front.URL+"/reads/1", nil)
+	assert.NilError(t, err)
+	req.Host = "a.example"
+	req.Header.Set("X-Long", strings.Repeat("h", 5000))
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	res.Body.Close()
+	assert.Equal(t, res.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+}
+
+func TestLeavingProxyAnswersAndCloses(t *testing.T) {
+	f := newFixture(t, 1)
+	f.proxy.Leave()
+	c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprintf(c, "GET /reads/1 HTTP/1.1\r\nHost: a.example\r\n%s: x\r\n\r\n", request.OwnNames.ID)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	assert.Assert(t, res.Close)
+}
+
+// TestHalfSentRequestsRunNothing sends bodies that end early, in both framings,
+// and a smuggled length.
+func TestHalfSentRequestsRunNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	for _, text := range []string{
+		"POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 50\r\n\r\nhalf",
+		"POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n20\r\nhalf",
+		"POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
+		"POST /bids/1 HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+		"GET /reads/1 HTTP/1.1\r\nHost: a.example\r\nX: a\r\n b\x00c\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, text)
+		assert.NilError(t, err)
+		assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+		_, _ = io.ReadAll(c)
+		c.Close()
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(f.runs()), 0)
+}
--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: MIT
+
+/*
+Package server is a stand-in of the users' upstreams: slots and a queue, a seal
+on each answer, refusals that say that nothing ran, work that is quicker for
+objects seen lately. It misbehaves on demand. It keeps a journal of what ran. It
+is for tests.
+*/
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"shalewick/request"
+)
+
+// Fault says how the next answers misbehave.
+type Fault int
+
+// The faults.
+const (
+	None         Fault = iota
+	Cut                // the answer ends in the middle
+	Unframed           // the answer has no length and ends with its connection
+	UnframedCut        // the same, but the connection is reset
+	Surplus            // an answer to another request comes first
+	SurplusAfter       // a second answer comes after the whole one
+	Lost               // the request runs and the connection is reset
+	Silent             // the request runs and no answer comes
+	Early              // refused before the body is in
+	NotAnswer          // bytes that are no answer
+	Shed               // refused without running it
+	Moved              // another upstream has the address
+)
+
+// Run is one request that ran.
+type Run struct {
+	ID, Method, Path, Body, Object string
+	Header                         http.Header
+}
+
+// Server is one upstream. The fields up to Work are set before Start.
+type Server struct {
+	Name  string
+	Names request.Names
+	Slots int
+	Work  time.Duration // for an object that was seen
+	First time.Duration // for one that was not
+
+	listener net.Listener
+	mu       sync.Mutex
+	faults   []Fault
+	runs     []Run
+	seen     map[string]bool
+	running  int
+	most     int
+	closed   int // connections whose client left before the answer
+	opened   int
+}
+
+// Start starts the upstream on loopback.
+func (s *Server) Start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.listener = l
+	s.seen = make(map[string]bool)
+	go s.accept()
+	return nil
+}
+
+// Address is where the upstream listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the upstream.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+// Next sets the faults of the next requests, one each.
+func (s *Server) Next(f ...Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetWork sets the time of work from now on.
+func (s *Server) SetWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Work = d
+}
+
+// Runs returns what ran.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// Left returns how many clients left before their answer.
+func (s *Server) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// Connections returns how many connections were opened.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.opened++
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if !s.answer(c, r, req) {
+			return
+		}
+	}
+}
+
+// begin takes a fault and, unless it means that nothing runs, a slot.
+func (s *Server) begin(req *http.Request) (f Fault, load string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) > 0 {
+		f, s.faults = s.faults[0], s.faults[1:]
+	}
+	load = fmt.Sprintf("%d,0,%d", s.running, s.Slots)
+	if want := req.Header.Get(s.Names.Target); want != "" && want != s.Name {
+		return Moved, load, false
+	}
+	if f == Shed || f == Moved || f == Early {
+		return f, load, false
+	}
+	if s.running >= s.Slots {
+		return Shed, load, false
+	}
+	s.running++
+	s.most = max(s.most, s.running)
+	return f, load, true
+}
+
+func (s *Server) work(object string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if object == "" || s.seen[object] {
+		return s.Work
+	}
+	s.seen[object] = true
+	return max(s.First, s.Work)
+}
+
+// answer serves one request and reports whether the connection goes on.
+func (s *Server) answer(c net.Conn, r *bufio.Reader, req *http.Request) bool {
+	id := req.Header.Get(s.Names.ID)
+	f, load, ok := s.begin(req)
+	if !ok {
+		if f != Early {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		status := "503 Service Unavailable"
+		if f == Moved {
+			status = "421 Misdirected Request"
+		}
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load)
+		_, err := io.Copy(io.Discard, req.Body)
+		return err == nil
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.end()
+		return false
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{
+		ID: id, Method: req.Method, Path: req.RequestURI, Body: string(body),
+		Object: req.Header.Get(s.Names.Affinity), Header: req.Header,
+	})
+	s.mu.Unlock()
+	left := s.wait(c, r, s.work(req.Header.Get(s.Names.Affinity)))
+	s.end()
+	if left {
+		return false
+	}
+	return s.write(c, f, id, load)
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// wait works for a time, and reports whether the client left meanwhile.
+func (s *Server) wait(c net.Conn, r *bufio.Reader, d time.Duration) bool {
+	_ = c.SetReadDeadline(time.Now().Add(d))
+	_, err := r.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	if n, ok := err.(net.Error); err == nil || ok && n.Timeout() {
+		return false
+	}
+	s.mu.Lock()
+	s.closed++
+	s.mu.Unlock()
+	return true
+}
+
+// Body is the body of the answer to a request.
+func Body(id string) string { return "answer to " + id }
+
+func (s *Server) write(c net.Conn, f Fault, id, load string) bool {
+	text := s.text(id, load)
+	switch f {
+	case Cut:
+		_, _ = io.WriteString(c, text[:len(text)-3])
+		return false
+	case Unframed, UnframedCut:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\n\r\n%s", s.Names.ID, id, s.Names.Seal, id, Body(id))
+		if tcp, ok := c.(*net.TCPConn); ok && f == UnframedCut {
+			time.Sleep(20 * time.Millisecond) // so that what was written arrives
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	case Surplus:
+		_, _ = io.WriteString(c, s.text("of-another", load)+text)
+		return true
+	case SurplusAfter:
+		_, _ = io.WriteString(c, text+s.text("of-another", load))
+		return true
+	case Lost:
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	case Silent:
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case NotAnswer:
+		_, _ = io.WriteString(c, "this is no answer\r\n\r\n")
+		return false
+	}
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+func (s *Server) text(id, load string) string {
+	body := Body(id)
+	return "HTTP/1.1 200 OK\r\n" + s.Names.ID + ": " + id + "\r\n" + s.Names.Seal + ": seal-" + id + "\r\n" +
+		s.Names.Load + ": " + load + "\r\nKeep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
--- /dev/null
+++ b/standin/tablestore/store.go
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: MIT
+
+/*
+Package tablestore is a stand-in of the store of the users' platform: rows in
+tables under a version that rises with each transaction, and a feed of what
+changed. It misbehaves on demand: refuses, resets, is silent, is slow, loses
+answers of writes, forgets its history, reads behind, and turns some callers
+away. It is for tests.
+*/
+package tablestore
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Row is a row as the store writes it.
+type Row struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Key   string `json:"privateKey"`
+	Value []byte `json:"value,omitempty"`
+	Ver   int64  `json:"ver"`
+	Gone  bool   `json:"gone,omitempty"`
+}
+
+// Trouble says how the store misbehaves. The zero value is a well one.
+type Trouble struct {
+	Status int           // answers this to everything, if not zero
+	Silent bool          // answers nothing
+	Reset  bool          // breaks each call off
+	Delay  time.Duration // before each answer
+	Lose   bool          // carries writes out and breaks the call off
+	// Hold hides changes from feeds.
+	Hold bool
+	// Behind is the number of versions that reads are behind.
+	Behind int64
+	// Only lists the callers, by IP number, that Trouble strikes; empty: all.
+	Only []string
+}
+
+// Store is the stand-in.
+type Store struct {
+	mu       sync.Mutex
+	version  int64
+	floor    int64 // the history up to here is forgotten
+	log      []Row
+	trouble  Trouble
+	changed  chan struct{}
+	calls    map[string]int
+	server   *httptest.Server
+	released chan struct{}
+}
+
+// Start starts a store on loopback.
+func Start() *Store {
+	s := &Store{changed: make(chan struct{}), calls: make(map[string]int), released: make(chan struct{})}
+	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
+	return s
+}
+
+// Address is where the store listens.
+func (s *Store) Address() string { return s.server.Listener.Addr().String() }
+
+// Close ends the store.
+func (s *Store) Close() {
+	close(s.released)
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// Set makes the store misbehave, or well again.
+func (s *Store) Set(t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble = t
+	s.wake()
+}
+
+// Put writes a row, as the operator or an upstream would.
+func (s *Store) Put(table, key string, value string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.append(Row{Table: table, Key: key, Value: []byte(value), Ver: s.version})
+	return s.version
+}
+
+// Drop removes a row.
+func (s *Store) Drop(table, key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.append(Row{Table: table, Key: key, Ver: s.version, Gone: true})
+	return s.version
+}
+
+// Compact forgets the history: feeds that are behind get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floor = s.version
+	s.wake()
+}
+
+// Calls returns the number of calls of a path.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Value returns the value of a row, and whether it is there.
+func (s *Store) Value(table, key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rows(table, s.version) {
+		if r.Key == key {
+			return r.Value, true
+		}
+	}
+	return nil, false
+}
+
+func (s *Store) append(r Row) {
+	s.log = append(s.log, r)
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// rows returns the rows of a table as of a version, by rising key.
+func (s *Store) rows(table string, at int64) []Row {
+	last := make(map[string]Row)
+	for _, r := range s.log {
+		if r.Table == table && r.Ver <= at {
+			last[r.Key] = r
+		}
+	}
+	var out []Row
+	for _, r := range last {
+		if !r.Gone {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+// struck returns the trouble for a caller.
+func (s *Store) struck(r *http.Request) Trouble {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[r.URL.Path]++
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	if len(s.trouble.Only) > 0 && !slices.Contains(s.trouble.Only, host) {
+		return Trouble{}
+	}
+	return s.trouble
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	t := s.struck(r)
+	if t.Delay > 0 {
+		time.Sleep(t.Delay)
+	}
+	switch {
+	case t.Silent:
+		select {
+		case <-r.Context().Done():
+		case <-s.released:
+		}
+		panic(http.ErrAbortHandler)
+	case t.Reset:
+		panic(http.ErrAbortHandler)
+	case t.Status != 0:
+		w.WriteHeader(t.Status)
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/rows-get":
+		s.serveGet(w, r, t)
+	case "/v1/rows-feed":
+		s.serveFeed(w, r)
+	case "/v1/rows-tx":
+		s.serveTransaction(w, r, t)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, t Trouble) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	at := max(0, s.version-t.Behind)
+	rows := s.rows(q.Get("table"), at)
+	s.mu.Unlock()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit <= 0 {
+		limit = 500
+	}
+	from := q.Get("from")
+	rows = slices.DeleteFunc(rows, func(r Row) bool { return r.Key < from })
+	more := len(rows) > limit
+	answer(w, map[string]any{"rows": rows[:min(limit, len(rows))], "more": more, "ver": at, "now_s": 1.0})
+}
+
+func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		changed, version, floor, hold := s.changed, s.version, s.floor, s.trouble.Hold
+		rows := []Row{}
+		for _, x := range s.log {
+			if x.Table == q.Get("table") && x.Ver > after && !hold {
+				rows = append(rows, x)
+			}
+		}
+		s.mu.Unlock()
+		if after < floor {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": 1.0})
+			return
+		}
+		select {
+		case <-changed:
+		case <-over:
+			if hold {
+				version = after
+			}
+			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": 1.0})
+			return
+		case <-r.Context().Done():
+			return
+		case <-s.released:
+			return
+		}
+	}
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, t Trouble) {
+	var tx struct {
+		Expected []Row `json:"expectedRevision"`
+		Put      []Row `json:"put"`
+		Delete   []Row `json:"delete"`
+	}
+	if json.NewDecoder(r.Body).Decode(&tx) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	for _, e := range tx.Expected {
+		present := int64(0)
+		for _, x := range s.rows(e.Table, s.version) {
+			if x.Key == e.Key {
+				present = x.Ver
+			}
+		}
+		if present != e.Ver {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.version++
+	for _, x := range tx.Put {
+		x.Ver = s.version
+		s.append(x)
+	}
+	for _, x := range tx.Delete {
+		x.Ver, x.Gone = s.version, true
+		s.append(x)
+	}
+	version := s.version
+	s.mu.Unlock()
+	if t.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, map[string]any{"ver": version, "now_s": 1.0})
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a caller that is gone needs no answer
+}
--- /dev/null
+++ b/version/routing_test.go
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const routedPlaces = `
+kind: region
+name: north
+spec: {}
+---
+kind: region
+name: south
+spec: {}
+---
+kind: hall
+name: north-1
+spec: {region: north}
+---
+kind: hall
+name: south-1
+spec: {region: south}
+---
+kind: service
+name: ledger
+spec: {warming: {time: 3s, rate: 9}, maxConnections: 100}
+---
+kind: service
+name: intake
+spec: {}
+`
+
+const routedRoutes = `
+---
+kind: route
+name: bids
+spec:
+  host: a.example
+  prefix: /bids/
+  class: commit
+  timeout: 1s
+  objective: 400ms
+  attempts: 2
+  sticky: true
+  homes: [north]
+  split: [{service: ledger, weight: 90}, {service: intake, weight: 10}]
+---
+kind: route
+name: all
+spec: {host: a.example, prefix: /, class: read, repeatable: true, timeout: 1s, split: [{service: intake, weight: 1}]}
+---
+kind: limits
+name: limits
+spec: {maxBody: 1000, idle: 15s}
+`
+
+func propose(t *testing.T, docs string) (*Config, error) {
+	t.Helper()
+	rs, err := Parse([]byte(docs))
+	if err != nil {
+		return nil, err
+	}
+	c, _, err := (&Config{}).Propose(Change{Operation: "o", Puts: rs})
+	return c, err
+}
+
+func upstreamDoc(name, hall string, port int, more string) string {
+	return fmt.Sprintf("---\nkind: upstream\nname: %s\nspec: {service: ledger, hall: %s, address: \"10.0.0.1:%d\", slots: 6%s}\n", name, hall, port, more)
+}
+
+func TestRouteOfLongestPrefix(t *testing.T) {
+	c, err := propose(t, routedPlaces+routedRoutes)
+	assert.NilError(t, err)
+	r := CompileRouting(c)
+	for _, x := range []struct{ host, path, want string }{
+		{"a.example", "/bids/7", "bids"}, {"a.example:80", "/bids/7", "bids"}, {"a.example", "/bidsX/7", "all"},
+		{"a.example", "/", "all"}, {"b.example", "/bids/7", ""}, {"", "/", ""},
+	} {
+		v := r.Route(x.host, x.path)
+		got := ""
+		if v != nil {
+			got = v.Name
+		}
+		assert.Equal(t, got, x.want, "%s%s", x.host, x.path)
+	}
+	assert.DeepEqual(t, r.HostHomes("a.example"), []bool{true, false})
+	assert.Equal(t, r.Limits.MaxBody, int64(1000))
+}
+
+func TestRouteRulesAreChecked(t *testing.T) {
+	for _, x := range []struct{ name, route, want string }{
+		{"prefix", "{host: a, prefix: /x, class: read, timeout: 1s, split: [{service: intake, weight: 1}]}", "spec.prefix"},
+		{"host", "{prefix: /x/, class: read, timeout: 1s, split: [{service: intake, weight: 1}]}", "spec.host"},
+		{"timeout", "{host: a, prefix: /x/, class: read, split: [{service: intake, weight: 1}]}", "spec.timeout"},
+		{"service", "{host: a, prefix: /x/, class: read, timeout: 1s, split: [{service: none, weight: 1}]}", "does not exist"},
+		{"weights", "{host: a, prefix: /x/, class: read, timeout: 1s, split: [{service: intake, weight: 0}]}", "spec.split"},
+		{"no split", "{host: a, prefix: /x/, class: read, timeout: 1s, split: []}", "spec.split"},
+		{"homes", "{host: a, prefix: /x/, class: read, timeout: 1s, homes: [moon], split: [{service: intake, weight: 1}]}", "does not exist"},
+		{"attempts", "{host: a, prefix: /x/, class: read, timeout: 1s, attempts: 99, split: [{service: intake, weight: 1}]}", "spec.attempts"},
+		{"unknown field", "{host: a, prefix: /x/, what: 1}", "what"},
+	} {
+		_, err := propose(t, routedPlaces+routedRoutes+"---\nkind: route\nname: r\nspec: "+x.route+"\n")
+		assert.ErrorContains(t, err, x.want, x.name)
+	}
+	_, err := propose(t, routedPlaces)
+	assert.ErrorContains(t, err, "must have at least one route", "a service that no route names")
+}
+
+func TestDrainedAndLeavingUpstreamsAreClosed(t *testing.T) {
+	docs := routedPlaces + routedRoutes + upstreamDoc("u1", "north-1", 1, "") + upstreamDoc("u2", "north-1", 2, ", leaving: true") +
+		upstreamDoc("u3", "south-1", 3, ", cold: 2s") + "---\nkind: drain\nname: d\nspec: {hall: south-1}\n"
+	c, err := propose(t, docs)
+	assert.NilError(t, err)
+	r := CompileRouting(c)
+	closed := []bool{r.Upstreams[0].Closed, r.Upstreams[1].Closed, r.Upstreams[2].Closed}
+	assert.DeepEqual(t, closed, []bool{false, true, true})
+	assert.Equal(t, r.Upstreams[2].Cold, 2*time.Second)
+}
+
+// TestRegionSharesUseCapacityAlike checks that each region's requests are
+// divided whole, that all capacity is used alike, and that nothing leaves a
+// region that has room.
+func TestRegionSharesUseCapacityAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.SliceOfN(rapid.Float64Range(0, 50), 1, 6).Draw(t, "capacity")
+		total := 0.0
+		for _, c := range capacity {
+			total += c
+		}
+		if total == 0 {
+			return
+		}
+		even := total / float64(len(capacity))
+		shares := regionShares(capacity)
+		load := make([]float64, len(capacity))
+		for i, row := range shares {
+			sum := 0.0
+			for j, s := range row {
+				sum += s
+				load[j] += s * even
+			}
+			if math.Abs(sum-1) > 1e-6 {
+				t.Fatalf("region %d divides %f of its requests", i, sum)
+			}
+			if capacity[i] >= even && row[i] < 1-1e-9 {
+				t.Fatalf("region %d has room and keeps %f", i, row[i])
+			}
+		}
+		for j, l := range load {
+			if math.Abs(l-capacity[j]) > 1e-6*total {
+				t.Fatalf("region %d of capacity %f gets %f", j, capacity[j], l)
+			}
+		}
+	})
+}
+
+func TestDistanceFollowsWeights(t *testing.T) {
+	ups := []RoutedUpstream{{Hash: 11}, {Hash: 222}, {Hash: 3333}}
+	weights := []float64{1, 2, 5}
+	first := make([]float64, len(ups))
+	const objects = 40000
+	for o := range objects {
+		best := 0
+		for i := range ups {
+			if ups[i].Distance(uint64(o)*0x9e3779b97f4a7c15, weights[i]) < ups[best].Distance(uint64(o)*0x9e3779b97f4a7c15, weights[best]) {
+				best = i
+			}
+		}
+		first[best]++
+	}
+	for i, w := range weights {
+		want := w / 8
+		assert.Assert(t, math.Abs(first[i]/objects-want) < 0.02, "%d: %f of %f", i, first[i]/objects, want)
+	}
+}
+
+// TestLossMovesOnlyItsObjects checks that a lost upstream's objects move and
+// hardly any others do.
+func TestLossMovesOnlyItsObjects(t *testing.T) {
+	docs := routedPlaces + routedRoutes
+	for i := range 10 {
+		docs += upstreamDoc(fmt.Sprintf("u%d", i), []string{"north-1", "south-1"}[i%2], i+1, "")
+	}
+	before, err := propose(t, docs)
+	assert.NilError(t, err)
+	after, err := propose(t, docs)
+	assert.NilError(t, err)
+	delete(after.Resources, Key{KindUpstream, "u4"})
+	first := func(r *Routing, object uint64) string {
+		s := &r.Services[r.Route("a.example", "/bids/").Parts[0].Service]
+		w := r.Route("a.example", "/bids/").Parts[0].Weights[r.Region("north")]
+		best := slices.MinFunc(s.Upstreams, func(a, b int32) int {
+			x, y := r.Upstreams[a].Distance(object, w[slices.Index(s.Upstreams, a)]), r.Upstreams[b].Distance(object, w[slices.Index(s.Upstreams, b)])
+			if x < y {
+				return -1
+			}
+			return 1
+		})
+		return r.Upstreams[best].Name
+	}
+	a, b := CompileRouting(before), CompileRouting(after)
+	moved, of := 0, 0
+	for o := range uint64(2000) {
+		object := o * 0x9e3779b97f4a7c15
+		if x := first(a, object); x != "u4" {
+			of++
+			if first(b, object) != x {
+				moved++
+			}
+		}
+	}
+	assert.Assert(t, moved*20 < of, "%d of %d moved", moved, of)
+}
