platform, cmd: take up changed settings while running

Cause: the settings file may change with a signal or without; the process ignored both, so a new zone or a moved store needed a restart.

Change: the command looks at the file on SIGHUP and every 2 s; zones and the store's address hold from then on; a wrong file leaves the settings and says so once.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -27,6 +27,9 @@
 	storeSilence = time.Second
 )
 
+// lookPause is the time between two looks at whether the settings file changed.
+const lookPause = 2 * time.Second
+
 func main() {
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
@@ -60,25 +63,41 @@
 }
 
 func run(path, level string) error {
-	s, err := platform.ReadSettings(path)
+	live, err := platform.ReadLive(path)
 	if err != nil {
 		return err
 	}
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close()
-	settings := s.Edge()
+	settings := live.Settings().Edge()
 	settings.LogLevel = level
-	e, err := edge.Start(settings, s.Deployment(conn.NewDialer(storeDial, storeSilence).DialContext), out)
+	e, err := edge.Start(settings, live.Deployment(conn.NewDialer(storeDial, storeSilence).DialContext), out)
 	if err != nil {
 		return err
 	}
+	awaitEnd(live, e)
+	e.Stop()
+	return nil
+}
+
+// awaitEnd waits for the signal to end, and takes up changed settings
+// meanwhile, which may come with a signal or without.
+func awaitEnd(live *platform.Live, e *edge.Edge) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	look := time.NewTicker(lookPause)
+	defer look.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			e.Reloaded(live.Reload())
+		case <-look.C:
+			if live.Changed() {
+				e.Reloaded(live.Reload())
+			}
 		}
 	}
-	e.Stop()
-	return nil
 }
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -57,6 +57,7 @@
 	proxy      *proxy.Proxy
 	metrics    *metric.Set
 	leaving    atomic.Bool
+	compiling  sync.Mutex
 	front      *http.Server
 	servers    []*http.Server
 	cancel     context.CancelFunc
@@ -162,11 +163,7 @@
 	upstreams := e.follower.Tables[e.deployment.UpstreamTable]
 	for ctx.Err() == nil {
 		operatorChanged, upstreamsChanged := operator.Changed(), upstreams.Changed()
-		_, operatorKnown := operator.Version()
-		_, upstreamsKnown := upstreams.Version()
-		if operatorKnown && upstreamsKnown {
-			e.compile(operator.Rows(), upstreams.Rows())
-		}
+		e.recompile()
 		select {
 		case <-operatorChanged:
 		case <-upstreamsChanged:
@@ -175,6 +172,20 @@
 	}
 }
 
+// recompile puts in force what the tables say, once both are known.
+func (e *Edge) recompile() {
+	operator := e.follower.Tables[e.deployment.OperatorTable]
+	upstreams := e.follower.Tables[e.deployment.UpstreamTable]
+	_, operatorKnown := operator.Version()
+	_, upstreamsKnown := upstreams.Version()
+	if !operatorKnown || !upstreamsKnown {
+		return
+	}
+	e.compiling.Lock()
+	defer e.compiling.Unlock()
+	e.compile(operator.Rows(), upstreams.Rows())
+}
+
 // compile puts what the rows say in force. What can't be read leaves the last
 // good version in force.
 func (e *Edge) compile(operator, upstreams []state.Row) {
@@ -266,6 +277,17 @@
 	}
 }
 
+// Reloaded is told when the adapter has read its settings again, or why it
+// could not.
+func (e *Edge) Reloaded(err error) {
+	if err != nil {
+		e.log.Warn().Err(err).Msg("settings-kept")
+		return
+	}
+	e.log.Info().Msg("settings-reloaded")
+	e.recompile()
+}
+
 // gauges sets the metrics that are read when asked for.
 func (e *Edge) gauges() {
 	if r := e.table.Routing(); r != nil {
--- a/process/edge/edge_test.go
+++ b/process/edge/edge_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -99,10 +101,13 @@
 		"seeds":     seeds, "platform": map[string]string{"address": s.store.Address()}, "bounds": []string{"graceS=2"},
 	})
 	assert.NilError(s.t, err)
-	settings, err := platform.ParseSettings(text)
+	path := filepath.Join(s.t.TempDir(), "boot.json")
+	assert.NilError(s.t, os.WriteFile(path, text, 0o600))
+	live, err := platform.ReadLive(path)
 	assert.NilError(s.t, err)
+	settings := live.Settings()
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
-	e, err := edge.Start(settings.Edge(), settings.Deployment(dialer.DialContext), io.Discard)
+	e, err := edge.Start(settings.Edge(), live.Deployment(dialer.DialContext), io.Discard)
 	assert.NilError(s.t, err)
 	s.instances = append(s.instances, e)
 	s.settings = append(s.settings, settings)
