conn: leave an answer's headers to the caller

An entry had died: "concurrent map read and map write".

Change: the header is read when the answer's head is taken in.

Conclusion: a crash that only some runs showed; it was traced, not rerun.

--- a/conn/conn_test.go
+++ b/conn/conn_test.go
@@ -139,3 +139,43 @@
 	assert.Assert(t, err != nil && !silent)
 	assert.Assert(t, time.Since(start) < 100*time.Millisecond+Margin)
 }
+
+// TestHeadersBelongToTheCaller checks, with the race detector, that nothing
+// reads an answer's headers once the exchange is closed: the caller changes
+// them. It is the crash that TestOutageWithDeaths saw.
+func TestHeadersBelongToTheCaller(t *testing.T) {
+	p := script(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	for range 50 {
+		released := make(chan bool, 1)
+		req, err := http.NewRequest(http.MethodPost, "http://x/", strings.NewReader("body"))
+		assert.NilError(t, err)
+		ex, err := p.Dispatch(context.Background(), req, Options{
+			Deadline: time.Now().Add(time.Second), Allowed: func() bool { return true },
+			Release: func(silent bool) { released <- silent },
+		})
+		assert.NilError(t, err)
+		_, err = io.ReadAll(ex.Response.Body)
+		assert.NilError(t, err)
+		ex.Close()
+		ex.Response.Header.Set("X", "mine")
+		<-released
+	}
+}
+
+func TestKeepAliveBoundsIdleTime(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"": 30 * time.Second, "timeout=7": 6 * time.Second, "max=5, timeout=3": 2 * time.Second,
+		"timeout=x": 30 * time.Second, "timeout=600": 30 * time.Second, "timeout=0": -time.Second,
+	} {
+		assert.Equal(t, keptIdle(30*time.Second, header), want, header)
+	}
+}
--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -100,8 +100,7 @@
 		ex.Close()
 		return nil, &DispatchError{Sent: true, Err: errors.Annotate(err, "read answer")}
 	}
-	ex.Response = res
-	res.Body = &body{ReadCloser: res.Body, ex: ex}
+	ex.take(res)
 	return ex, nil
 }
 
@@ -119,11 +118,17 @@
 	if err != nil {
 		return errors.Annotate(err, "read answer after one to another request")
 	}
-	ex.Response = res
-	res.Body = &body{ReadCloser: res.Body, ex: ex}
+	ex.take(res)
 	return nil
 }
 
+// take makes res the answer. Its headers are the caller's from then on.
+func (ex *Exchange) take(res *http.Response) {
+	ex.link.idle = keptIdle(ex.pool.idleTime(), res.Header.Get("Keep-Alive"))
+	res.Body = &body{ReadCloser: res.Body, ex: ex}
+	ex.Response = res
+}
+
 // maxSkipped bounds an answer to another request that is dropped, in bytes.
 const maxSkipped = 1 << 20
 
@@ -199,7 +204,6 @@
 		ex.letGo()
 		return
 	}
-	ex.link.idle = keptIdle(ex.pool.idleTime(), ex.Response.Header.Get("Keep-Alive"))
 	ex.pool.put(ex.link)
 	ex.opts.Release(false)
 }
