slots, entry: time alone frees no slot token

Cause: TestNoUpstreamAboveSlots, known red: 5 requests at once on 4 slots while a region is frozen. A lessor took a lent token back, and the new home of a dead member's token used it, once the time was over, though the frozen upstream may still hold the borrower's request.

Change: when the time of a slot token is over it awaits the upstream's word: an answer to something sent later (health.AwaitWord, as for requests that were given up at a silent upstream). A token that is returned is free at once.

--- a/process/slots/lease.go
+++ b/process/slots/lease.go
@@ -120,7 +120,7 @@
 	var out []Lease
 	for _, l := range leases {
 		p, k := t.lent(holder, l)
-		if k == nil || k.index >= p.size() || t.wantedBack(p) {
+		if k == nil || k.state != stateLent || k.index >= p.size() || t.wantedBack(p) {
 			continue
 		}
 		k.until = now + Lifetime(&p.spec)
@@ -139,7 +139,8 @@
 		return nil, nil
 	}
 	k := p.find(func(k *token) bool {
-		return k.lessor == "" && k.state == stateLent && k.index == l.Index && k.lease == l.Number && k.holder == holder
+		out := k.state == stateLent || k.state == stateAwaiting
+		return k.lessor == "" && out && k.index == l.Index && k.lease == l.Number && k.holder == holder
 	})
 	return p, k
 }
--- a/process/slots/table.go
+++ b/process/slots/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,10 @@
 	// OnFree is called without a lock held when tokens of a service became
 	// free; None stands for any service.
 	OnFree func(service int32)
+	// AwaitWord calls then, without a lock of its own held, once an upstream
+	// has answered something that was sent at since or later. Nil means that
+	// time alone frees slot tokens.
+	AwaitWord func(upstream string, since time.Duration, then func())
 
 	mu       sync.Mutex
 	view     *version.View
@@ -283,27 +288,62 @@
 func (t *Table) Tick(now time.Duration) (soon bool) {
 	t.mu.Lock()
 	freed := false
+	var awaited []*awaitedToken
 	for _, p := range t.pools {
 		before := p.usable(now)
 		for _, k := range p.tokens {
 			over := k.state == stateResting || k.state == stateLent
 			soon = soon || k.state == stateResting && p.spec.Kind == version.PoolRate
-			if over && now >= k.until {
-				k.state = stateFree
-				k.holder = ""
+			if !over || now < k.until {
+				continue
 			}
+			if p.spec.Kind == version.PoolSlots && t.AwaitWord != nil {
+				k.state = stateAwaiting
+				awaited = append(awaited, &awaitedToken{table: t, pool: p, token: k, lease: k.lease})
+				continue
+			}
+			k.state = stateFree
+			k.holder = ""
 		}
 		after := p.usable(now)
 		freed = freed || after > before || t.published(p) < after
 		t.publish(p, now)
 	}
 	t.mu.Unlock()
+	for _, a := range awaited {
+		t.AwaitWord(strings.TrimPrefix(a.pool.spec.Name, string(version.KindUpstream)+"/"), now, a.heard)
+	}
 	if freed {
 		t.OnFree(version.None)
 	}
 	return soon
 }
 
+// awaitedToken is a slot token whose time is over while its upstream may still
+// hold the request.
+type awaitedToken struct {
+	table *Table
+	pool  *pool
+	token *token
+	lease uint64
+}
+
+// heard frees the token, unless it has been returned and lent anew.
+func (a *awaitedToken) heard() {
+	t := a.table
+	t.mu.Lock()
+	free := a.token.state == stateAwaiting && a.token.lease == a.lease
+	if free {
+		a.token.state = stateFree
+		a.token.holder = ""
+		t.publish(a.pool, a.token.until)
+	}
+	t.mu.Unlock()
+	if free {
+		t.OnFree(version.None)
+	}
+}
+
 // Decay lowers the remembered demand by half. It is called every second.
 func (t *Table) Decay() {
 	t.mu.Lock()
@@ -397,7 +437,7 @@
 			switch {
 			case k.lessor != "":
 				s.Borrowed++
-			case k.state == stateLent:
+			case k.state == stateLent || k.state == stateAwaiting:
 				s.Lent++
 				s.Home++
 			default:
--- a/process/slots/token.go
+++ b/process/slots/token.go
@@ -40,6 +40,9 @@
 	stateResting       // free at until
 	stateLent          // another member has it; back at until at the latest
 	stateCeding        // taken off, while its transaction runs
+	// stateAwaiting is a slot token whose time is over. It is free once its
+	// upstream was heard from, which may be frozen with the request in hand.
+	stateAwaiting
 )
 
 // token is one token that is at home here or borrowed. The Table's lock guards it.
