--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -151,7 +151,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
-		e.follower.Run, e.beats.Run, e.takeUp, e.announce, e.meet, e.askSeeds,
+		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.askSeeds,
 	} {
 		e.loops.Go(func() { loop(ctx) })
 	}
@@ -208,52 +208,59 @@
 	}
 }
 
-// announce writes the own row until the store has it.
-func (e *Edge) announce(ctx context.Context) {
+// introduce writes the own row, and then reads those of the others, so that of
+// two instances that start together at least one finds the other. Rows are read
+// again now and then.
+func (e *Edge) introduce(ctx context.Context) {
+	written := false
+	pause := firstPause
+	for ctx.Err() == nil {
+		if !written {
+			written = e.storeCall(ctx, e.writeRow) == nil
+		}
+		read := e.storeCall(ctx, e.readRows) == nil
+		if written && read {
+			pause = firstPause
+			clock.Sleep(ctx, rereadInstances)
+			continue
+		}
+		clock.Sleep(ctx, pause)
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (e *Edge) writeRow(ctx context.Context) error {
 	value, err := json.Marshal(e.members.Self())
 	if err != nil {
-		return
+		return errors.Trace(err)
 	}
-	e.untilDone(ctx, func(ctx context.Context) error {
-		return e.deployment.Store.Put(ctx, e.deployment.InstanceTable, e.settings.Instance, value)
-	})
+	return e.deployment.Store.Put(ctx, e.deployment.InstanceTable, e.settings.Instance, value)
 }
 
-// meet reads the rows of the other instances, at the start and now and then.
-func (e *Edge) meet(ctx context.Context) {
-	for ctx.Err() == nil {
-		e.untilDone(ctx, func(ctx context.Context) error {
-			d, err := e.deployment.Store.Read(ctx, e.deployment.InstanceTable)
-			if err != nil {
-				return err
-			}
-			for _, r := range d.Rows {
-				var m cluster.Member
-				if json.Unmarshal(r.Value, &m) == nil {
-					e.members.Learn(false, m)
-				}
-			}
-			e.beats.SendAll()
-			return nil
-		})
-		clock.Sleep(ctx, rereadInstances)
+func (e *Edge) readRows(ctx context.Context) error {
+	d, err := e.deployment.Store.Read(ctx, e.deployment.InstanceTable)
+	if err != nil {
+		return err
 	}
+	for _, r := range d.Rows {
+		var m cluster.Member
+		if json.Unmarshal(r.Value, &m) == nil {
+			e.members.Learn(false, m)
+		}
+	}
+	e.beats.SendAll()
+	return nil
 }
 
-// untilDone tries a call of the store until it is answered.
-func (e *Edge) untilDone(ctx context.Context, f func(context.Context) error) {
-	pause := firstPause
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := f(call)
-		cancel()
-		if err == nil {
-			return
-		}
+// storeCall makes one call of the store within a bounded time.
+func (e *Edge) storeCall(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := f(ctx)
+	if err != nil {
 		e.log.Debug().Err(err).Msg("store-call-failed")
-		clock.Sleep(ctx, pause)
-		pause = min(2*pause, longestPause)
 	}
+	return err
 }
 
 // askSeeds learns other instances from the seeds until there is a
@@ -340,9 +347,10 @@
 }
 
 func (e *Edge) deleteRow() {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	if err := e.deployment.Store.Delete(ctx, e.deployment.InstanceTable, e.settings.Instance); err != nil {
+	err := e.storeCall(context.Background(), func(ctx context.Context) error {
+		return e.deployment.Store.Delete(ctx, e.deployment.InstanceTable, e.settings.Instance)
+	})
+	if err != nil {
 		e.log.Info().Err(err).Msg("row-not-deleted")
 	}
 }
--- a/process/edge/edge_test.go
+++ b/process/edge/edge_test.go
@@ -193,6 +193,21 @@
 	assert.Assert(t, found)
 }
 
+// TestInstancesThatStartTogetherMeet starts instances at once, on a store whose
+// writes are slower than its reads: each must find all the others soon.
+func TestInstancesThatStartTogetherMeet(t *testing.T) {
+	s := newSite(t, 0, 1)
+	s.store.Set(tablestore.Trouble{WriteDelay: 200 * time.Millisecond})
+	for i := range 4 {
+		s.start(i)
+	}
+	deadline := time.Now().Add(3 * time.Second)
+	s.until(func() bool {
+		return len(s.addresses(0, "north", "north-a")) == 2 && len(s.addresses(3, "north", "north-a")) == 2
+	})
+	assert.Assert(t, time.Now().Before(deadline))
+}
+
 // TestVersionsInForceAreLinearizable changes the configuration while clients
 // send to four instances, one of which the store turns away, and checks each
 // answer against the history of versions: after the bound, none but the newest.
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -50,9 +50,13 @@
 	staleAfter = 2700 * time.Millisecond
 	// gather is how long a follower lets changes gather before it asks again.
 	gather = 60 * time.Millisecond
-	// retryLeast and retryMost bound the pause after a failed question.
+	// retryLeast and retryMost bound the pause after a failed question, which
+	// doubles with each further one.
 	retryLeast = 100 * time.Millisecond
-	retryMost  = 400 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// standbyPause is the pause after the first failed question of an instance
+	// that asks the store only because nobody else answers.
+	standbyPause = 400 * time.Millisecond
 	// relayQuestions is the number of relays that an instance asks.
 	relayQuestions = 2
 )
@@ -89,13 +93,15 @@
 	return false
 }
 
-func retryPause() time.Duration {
-	return retryLeast + rand.N(retryMost-retryLeast)
+// retryPause returns the pause after so many failed questions in a row.
+func retryPause(first time.Duration, failures int) time.Duration {
+	pause := min(first<<min(failures-1, 4), retryMost)
+	return pause/2 + rand.N(pause)
 }
 
 // followStore asks the store while this instance is a relay, or stale.
 func (f *Follower) followStore(ctx context.Context, name string, t *Table) {
-	answered := true
+	failures := 0
 	for ctx.Err() == nil {
 		if !f.Peers.Relay() && !f.Stale() {
 			clock.Sleep(ctx, retryLeast)
@@ -105,16 +111,22 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if (err == nil) != answered {
-			answered = err == nil
-			f.Log.Info().Str("table", name).Bool("answered", answered).AnErr("error", err).Msg("store")
+		if (err == nil) != (failures == 0) {
+			f.Log.Info().Str("table", name).Bool("answered", err == nil).AnErr("error", err).Msg("store")
 		}
-		switch {
-		case err != nil:
-			clock.Sleep(ctx, retryPause())
-		case changed:
-			clock.Sleep(ctx, gather)
+		if err == nil {
+			failures = 0
+			if changed {
+				clock.Sleep(ctx, gather)
+			}
+			continue
+		}
+		failures++
+		first := standbyPause
+		if f.Peers.Relay() {
+			first = retryLeast
 		}
+		clock.Sleep(ctx, retryPause(first, failures))
 	}
 }
 
@@ -150,6 +162,7 @@
 
 // followPeer asks the i-th relay.
 func (f *Follower) followPeer(ctx context.Context, i int) {
+	failures := 0
 	for ctx.Err() == nil {
 		after := make(map[string]int64, len(f.Tables))
 		for name, t := range f.Tables {
@@ -162,9 +175,11 @@
 		d, ok, err := f.Peers.Changes(asked, i, after, peerWait)
 		cancel()
 		if !ok || err != nil {
-			clock.Sleep(ctx, retryPause())
+			failures++
+			clock.Sleep(ctx, retryPause(retryLeast, failures))
 			continue
 		}
+		failures = 0
 		now := f.Now()
 		for name, delta := range d {
 			if t := f.Tables[name]; t != nil {
--- a/process/state/state_test.go
+++ b/process/state/state_test.go
@@ -236,6 +236,23 @@
 	assert.Assert(t, compacting.asked)
 }
 
+// TestOutageCostsFewCalls checks that a store that refuses is asked seldom,
+// since refused calls are paid for as well, and soon enough once it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	f, store, peers := follow(t)
+	peers.set(func(s *script) { s.noPeers = true })
+	reaches(t, f, 1, time.Second)
+	store.set(func(s *script) { s.err = fmt.Errorf("busy") })
+	time.Sleep(staleAfter)
+	before := store.count()
+	time.Sleep(4 * time.Second)
+	asked := store.count() - before
+	assert.Assert(t, asked >= 3 && asked <= 10, "%d questions in 4 s", asked)
+	store.set(func(s *script) { s.err = nil })
+	store.write(2)
+	reaches(t, f, 2, 3*retryMost/2)
+}
+
 // compactOnce has no history.
 type compactOnce struct {
 	*script
--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -37,7 +37,9 @@
 	Silent bool          // answers nothing
 	Reset  bool          // breaks each call off
 	Delay  time.Duration // before each answer
-	Lose   bool          // carries writes out and breaks the call off
+	// WriteDelay is how long writes take to be carried out.
+	WriteDelay time.Duration
+	Lose       bool // carries writes out and breaks the call off
 	// Hold hides changes from feeds.
 	Hold bool
 	// Behind is the number of versions that reads are behind.
@@ -264,6 +266,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(t.WriteDelay)
 	s.mu.Lock()
 	for _, e := range tx.Expected {
 		present := int64(0)
