--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -255,7 +255,7 @@
 	in := t.c.r
 	out := &http.Request{
 		Method: in.Method, URL: in.URL, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: forwardable(in.Header), Body: t.src.body(), ContentLength: t.src.length,
+		Header: request.Forwardable(in.Header), Body: t.src.body(), ContentLength: t.src.length,
 	}
 	h := out.Header
 	h.Del(request.HeaderTicket)
--- a/process/front/relay.go
+++ b/process/front/relay.go
@@ -5,41 +5,16 @@
 import (
 	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 
 	"shalewick/request"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = [...]string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// forwardable returns a copy of the headers that go on to the other side.
-func forwardable(in http.Header) http.Header {
-	out := make(http.Header, len(in)+4)
-	for k, vs := range in {
-		out[k] = vs
-	}
-	for _, line := range in["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, k := range hopHeaders {
-		delete(out, k)
-	}
-	return out
-}
-
 // relay passes an answer on. An answer that is cut short breaks the caller's
 // connection off, so that it never looks whole.
 func (f *Front) relay(c *call, a *answer) {
 	h := c.w.Header()
-	for k, vs := range forwardable(a.header) {
+	for k, vs := range request.Forwardable(a.header) {
 		if k != request.HeaderID {
 			h[k] = vs
 		}
@@ -48,7 +23,7 @@
 		h.Set(request.HeaderUpstream, a.upstream)
 		h.Set(request.HeaderRan, string(request.RanYes))
 	}
-	if a.ex == nil && bodyAllowed(c.r.Method, a.status) {
+	if a.ex == nil && request.BodyAllowed(c.r.Method, a.status) {
 		h.Set("Content-Length", strconv.Itoa(len(a.whole)))
 	}
 	c.w.WriteHeader(a.status)
@@ -65,8 +40,3 @@
 	}
 	f.count(c, request.OK)
 }
-
-// bodyAllowed reports whether an answer can have a body.
-func bodyAllowed(method string, status int) bool {
-	return method != http.MethodHead && status/100 != 1 && status != http.StatusNoContent && status != http.StatusNotModified
-}
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -6,45 +6,20 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 	"time"
 
 	"shalewick/request"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = [...]string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// forwardable returns a copy of the headers that go on to the other side.
-func forwardable(in http.Header) http.Header {
-	out := make(http.Header, len(in)+4)
-	for k, vs := range in {
-		out[k] = vs
-	}
-	for _, line := range in["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
-		}
-	}
-	for _, k := range hopHeaders {
-		delete(out, k)
-	}
-	return out
-}
-
 // relay passes an answer on. One that is cut short breaks the caller's
 // connection off, so that it never looks whole.
 func (p *Proxy) relay(c *call, a *answer) {
 	h := c.w.Header()
-	for k, vs := range forwardable(a.res.Header) {
+	for k, vs := range request.Forwardable(a.res.Header) {
 		h[k] = vs
 	}
-	if a.ex == nil && bodyAllowed(c.r.Method, a.res.StatusCode) {
+	if a.ex == nil && request.BodyAllowed(c.r.Method, a.res.StatusCode) {
 		h.Set("Content-Length", strconv.Itoa(len(a.whole)))
 	}
 	if p.leaving.Load() {
@@ -68,11 +43,6 @@
 	}
 }
 
-// bodyAllowed reports whether an answer can have a body.
-func bodyAllowed(method string, status int) bool {
-	return method != http.MethodHead && status/100 != 1 && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // finish answers with a result. What may have run never gets a status that
 // promises that it has not.
 func (p *Proxy) finish(c *call, res *request.Result) {
