proof: a randomized soak of the programs on the users' platform

Change: TestSoak runs six processes of shalewick-edge on loopback IP numbers of their own, before a store and eight upstreams, with links between them that are slow, silent, one way, refused or cut; kills, pauses, stops, SIGHUP, the store busy, silent, resetting, slow, losing and forgetting, spoilt answers, changes of the configuration; three injectors at once. Checks: whose answer it is, at most once, refusals that did not run, versions that never go back, stops within 6 s, the last version in force everywhere, 95 of 100 served afterwards, nothing for an upstream that leaves. Processes may not end with "fatal error". Its first form failed once at the start: a port that was free was taken by an outgoing connection; ports below those of the kernel are used now, also in process/edge's tests.

--- a/process/edge/edge_test.go
+++ b/process/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,6 +22,7 @@
 
 	"shalewick/platform"
 	"shalewick/process/edge"
+	"shalewick/standin/fleet"
 	"shalewick/standin/server"
 	"shalewick/standin/tablestore"
 )
@@ -34,6 +36,7 @@
 	settings  []*platform.Settings
 	upstreams []*server.Server
 	version   int
+	ports     fleet.Ports
 }
 
 var siteZones = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -80,24 +83,18 @@
 	return s.version
 }
 
-func (s *site) free(ip string) string {
-	l, err := net.Listen("tcp4", ip+":0")
-	assert.NilError(s.t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (s *site) start(i int) { s.startSeeded(i) }
 
 func (s *site) startSeeded(i int, seeds ...string) {
 	ip := fmt.Sprintf("127.0.0.%d", 10+i)
-	_, port, err := net.SplitHostPort(s.free(ip))
+	at, err := s.ports.TakeAt(netip.MustParseAddr(ip), 5)
 	assert.NilError(s.t, err)
+	port := at[4].Port()
 	zone := s.zone(i)
 	text, err := json.Marshal(map[string]any{
 		"nodeName": fmt.Sprintf("edge-%d", i), "ip": ip, "zone": zone, "region": siteZones[zone], "zones": siteZones,
-		"listen":    map[string]string{"front": s.free(ip), "ready": s.free(ip), "control": s.free(ip), "directory": s.free(ip)},
-		"portRange": []json.Number{json.Number(port), json.Number(port)},
+		"listen":    map[string]string{"front": at[0].String(), "ready": at[1].String(), "control": at[2].String(), "directory": at[3].String()},
+		"portRange": []uint16{port, port},
 		"seeds":     seeds, "platform": map[string]string{"address": s.store.Address()}, "bounds": []string{"graceS=2"},
 	})
 	assert.NilError(s.t, err)
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -16,8 +16,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// binary is the command under test, built once.
-var binary string
+// binary and edgeBinary are the commands under test, built once.
+var binary, edgeBinary string
 
 // commandRace builds the command with the race detector, which makes it
 // several times slower.
@@ -30,11 +30,12 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "shalewick")
-	build := []string{"build", "-o", binary}
+	edgeBinary = filepath.Join(dir, "shalewick-edge")
+	build := []string{"build", "-o", dir}
 	if *commandRace {
 		build = append(build, "-race")
 	}
-	out, err := exec.Command("go", append(build, "shalewick/cmd/shalewick")...).CombinedOutput()
+	out, err := exec.Command("go", append(build, "shalewick/cmd/...")...).CombinedOutput()
 	if err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -53,7 +54,13 @@
 // run starts the command; it is killed when the test ends.
 func run(t testing.TB, name string, args ...string) *process {
 	t.Helper()
-	p := &process{cmd: exec.Command(binary, args...), log: filepath.Join(t.TempDir(), name+".log"), done: make(chan struct{})}
+	return runProgram(t, binary, name, args...)
+}
+
+// runProgram starts one of the commands; it is killed when the test ends.
+func runProgram(t testing.TB, program, name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(program, args...), log: filepath.Join(t.TempDir(), name+".log"), done: make(chan struct{})}
 	f, err := os.Create(p.log)
 	assert.NilError(t, err)
 	p.cmd.Stderr, p.cmd.Stdout = f, f
@@ -67,7 +74,7 @@
 		p.kill()
 		b, err := os.ReadFile(p.log)
 		assert.Check(t, err)
-		assert.Check(t, !bytes.Contains(b, []byte("DATA RACE")) && !bytes.Contains(b, []byte("panic:")), "see the log of %s", name)
+		assert.Check(t, !bytes.Contains(b, []byte("DATA RACE")) && !bytes.Contains(b, []byte("panic:")) && !bytes.Contains(b, []byte("fatal error:")), "see the log of %s", name)
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, b[max(0, len(b)-4000):])
 		}
--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -24,8 +24,14 @@
 	next int
 }
 
+// loopback is the usual loopback address.
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
 // Take returns n adjoining loopback addresses that nothing listens on.
-func (p *Ports) Take(n int) ([]netip.AddrPort, error) {
+func (p *Ports) Take(n int) ([]netip.AddrPort, error) { return p.TakeAt(loopback, n) }
+
+// TakeAt returns n adjoining ports of an IP number that nothing listens on.
+func (p *Ports) TakeAt(ip netip.Addr, n int) ([]netip.AddrPort, error) {
 	if p.next == 0 {
 		p.next = firstPort + rand.IntN(lastPort-firstPort)
 	}
@@ -35,7 +41,7 @@
 		}
 		addresses := make([]netip.AddrPort, n)
 		for i := range addresses {
-			addresses[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(p.next+i))
+			addresses[i] = netip.AddrPortFrom(ip, uint16(p.next+i))
 		}
 		p.next += n
 		if allFree(addresses) {
--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: MIT
+
+/*
+Package link is a loopback proxy that stands in for the network between two
+processes. It passes bytes on, late, not at all, or one way only, and cuts or
+refuses connections. It is for tests.
+*/
+package link
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode says what the link does.
+type Mode int
+
+// The modes. What is held in Silent and OneWay is passed on once the mode ends.
+const (
+	Pass   Mode = iota
+	Slow        // each piece is late by SlowBy
+	Silent      // nothing is passed on
+	OneWay      // nothing is passed back
+	Refuse      // new connections are reset
+)
+
+// SlowBy is how late a slow link passes bytes on.
+const SlowBy = 80 * time.Millisecond
+
+// Link is one proxy. Use Start.
+type Link struct {
+	target   string
+	listener net.Listener
+	mu       sync.Mutex
+	mode     Mode
+	changed  chan struct{}
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+// Start starts a link from listen, an IP number and port, to target.
+func Start(listen, target string) (*Link, error) {
+	l, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	k := &Link{target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	go k.accept()
+	return k, nil
+}
+
+// Address is where the link listens.
+func (k *Link) Address() string { return k.listener.Addr().String() }
+
+// Set changes the mode.
+func (k *Link) Set(m Mode) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.mode = m
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// Cut resets all connections.
+func (k *Link) Cut() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		reset(c)
+	}
+}
+
+// Close ends the link.
+func (k *Link) Close() {
+	_ = k.listener.Close()
+	k.mu.Lock()
+	k.closed = true
+	k.mu.Unlock()
+	k.Set(Pass)
+	k.Cut()
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (k *Link) accept() {
+	for {
+		in, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		k.mu.Lock()
+		refuse := k.mode == Refuse
+		k.mu.Unlock()
+		if refuse {
+			reset(in)
+			continue
+		}
+		out, err := net.Dial("tcp4", k.target)
+		if err != nil {
+			reset(in)
+			continue
+		}
+		k.hold(in, out)
+		go k.pass(out, in, false)
+		go k.pass(in, out, true)
+	}
+}
+
+func (k *Link) hold(cs ...net.Conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range cs {
+		k.conns[c] = true
+	}
+}
+
+// await waits until bytes may go on, back or forth.
+func (k *Link) await(back bool) {
+	for {
+		k.mu.Lock()
+		mode, changed, closed := k.mode, k.changed, k.closed
+		k.mu.Unlock()
+		held := mode == Silent || mode == OneWay && back
+		if mode == Slow {
+			time.Sleep(SlowBy)
+		}
+		if !held || closed {
+			return
+		}
+		<-changed
+	}
+}
+
+// pass copies from one side to the other until one of them ends.
+func (k *Link) pass(to, from net.Conn, back bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			k.await(back)
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err == nil {
+			continue
+		}
+		k.await(back)
+		if err == io.EOF {
+			_ = to.(*net.TCPConn).CloseWrite() // the other direction goes on
+		} else {
+			reset(to)
+			reset(from)
+		}
+		k.mu.Lock()
+		delete(k.conns, from)
+		k.mu.Unlock()
+		return
+	}
+}
