cmd: ask for signals first of all

A SIGHUP within milliseconds of its start ended it, before the command had asked for signals. Change: main asks for them in its first lines; the soak sends none in the first 0.1 s, in which no process could.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -31,13 +31,16 @@
 const lookPause = 2 * time.Second
 
 func main() {
-	if err := command().Execute(); err != nil {
+	// First of all, since a SIGHUP that is not asked for ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := command(signals).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
 		os.Exit(1)
 	}
 }
 
-func command() *cobra.Command {
+func command(signals <-chan os.Signal) *cobra.Command {
 	var path, level string
 	var collect int
 	cmd := &cobra.Command{
@@ -51,7 +54,7 @@
 		},
 		RunE: func(*cobra.Command, []string) error {
 			debug.SetGCPercent(collect)
-			return run(path, level)
+			return run(path, level, signals)
 		},
 	}
 	f := cmd.Flags()
@@ -62,7 +65,7 @@
 	return cmd
 }
 
-func run(path, level string) error {
+func run(path, level string, signals <-chan os.Signal) error {
 	live, err := platform.ReadLive(path)
 	if err != nil {
 		return err
@@ -75,16 +78,14 @@
 	if err != nil {
 		return err
 	}
-	awaitEnd(live, e)
+	awaitEnd(live, e, signals)
 	e.Stop()
 	return nil
 }
 
 // awaitEnd waits for the signal to end, and takes up changed settings
 // meanwhile, which may come with a signal or without.
-func awaitEnd(live *platform.Live, e *edge.Edge) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func awaitEnd(live *platform.Live, e *edge.Edge, signals <-chan os.Signal) {
 	look := time.NewTicker(lookPause)
 	defer look.Stop()
 	for {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -48,6 +48,9 @@
 	soakCallers   = 12
 	soakRegions   = 3
 	soakInjectors = 3
+	// soakStart is the time that a process may take to its first instruction
+	// of main. Before that a SIGHUP ends any process.
+	soakStart = 100 * time.Millisecond
 )
 
 // soak is a site under faults: the real programs as processes, the store, the
@@ -302,7 +305,9 @@
 	case 9:
 		x.mu.RLock()
 		defer x.mu.RUnlock()
-		x.process.signal(syscall.SIGHUP)
+		if time.Since(x.started) > soakStart {
+			x.process.signal(syscall.SIGHUP)
+		}
 	}
 }
 
