balance: share the connections that an upstream accepts

Cause: maxConnections of a service was read and checked, and nothing acted on it. Change: an instance has at most its share of them under way at one upstream.

--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -212,6 +212,20 @@
 	p.pick(t, 3)
 }
 
+// TestConnectionsAreShared checks that an instance takes no more than its share
+// of the connections that an upstream accepts.
+func TestConnectionsAreShared(t *testing.T) {
+	p := newPlace(12)
+	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{MaxConnections: 36}})
+	p.upstream("u", 0, func(u *version.Upstream) { u.Slots = 100 })
+	p.install()
+	for object := range uint64(3) {
+		p.pick(t, object+1)
+	}
+	k, _ := p.Pick(p.query(9))
+	assert.Assert(t, k == nil)
+}
+
 func TestTriedAndForeignUpstreamsAreLeftOut(t *testing.T) {
 	p := newPlace(1)
 	p.upstream("a", 0, nil)
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -79,13 +80,14 @@
 func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, now time.Duration) []candidate {
 	c := make([]candidate, 0, len(s.Upstreams))
 	weights := t.weights(part, s)
+	bound := t.connections(s)
 	for k, i := range s.Upstreams {
 		v := &t.routing.Upstreams[i]
 		u := t.states[i]
 		if v.Closed || q.Route.Home != nil && !q.Route.Home[v.Region] {
 			continue
 		}
-		if !u.usable(now) || slices.Contains(q.Tried, v.Name) {
+		if !u.usable(now) || u.inFlight >= bound || slices.Contains(q.Tried, v.Name) {
 			continue
 		}
 		c = append(c, candidate{index: i, near: v.Distance(object, weights(k)), far: v.Distance(object, float64(v.Slots))})
@@ -105,6 +107,16 @@
 	return c
 }
 
+// connections returns this instance's share of the connections that an upstream
+// of a service accepts from all instances; each request takes one.
+func (t *Table) connections(s *version.RoutedService) int {
+	if s.MaxConnections == 0 {
+		return math.MaxInt
+	}
+	_, of := t.Place()
+	return max(1, s.MaxConnections/of)
+}
+
 // weights returns the weight of the k-th upstream for requests of this region.
 func (t *Table) weights(part *version.RoutePart, s *version.RoutedService) func(k int) float64 {
 	if t.region == version.None || len(part.Weights) <= int(t.region) || len(part.Weights[t.region]) != len(s.Upstreams) {
