edge: read the instances' rows once a minute

Change: every minute. Since an instance writes its row before it reads the others', and tells its region by datagrams twice a second, the reading again only serves instances that lost each other.

--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -36,7 +36,7 @@
 	clientIdle      = 60 * time.Second
 	headerTimeout   = 10 * time.Second
 	writeTimeout    = 2 * time.Second
-	rereadInstances = 15 * time.Second
+	rereadInstances = time.Minute
 	firstPause      = 100 * time.Millisecond
 	longestPause    = 2 * time.Second
 	stopPoll        = 10 * time.Millisecond
