edge: a planned stop ends by its grace whatever its loops wait for

Cause: soak: a stop took 6.0 s in place of 3.5. What it waited for is open (docs/FINDINGS.md); after its last request only the process's own loops are left to wait for.

Ruled out: requests in flight (none at the end), a pause of that process (no such fault struck it). Not ruled out: a call that does not end when it is cancelled.

Change: the stop waits 0.2 s for its loops and then ends. The soak makes a process whose stop is late print its stacks; the seed is kept.

Conclusion: the effect is bounded, the cause is open.

--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -41,6 +41,7 @@
 	longestPause    = 2 * time.Second
 	stopPoll        = 10 * time.Millisecond
 	idleTime        = 150 * time.Millisecond
+	loopTime        = 200 * time.Millisecond
 )
 
 // Edge is one running instance.
@@ -320,7 +321,16 @@
 	defer cancel()
 	go func() { _ = e.front.Shutdown(ctx) }() // what is in flight after the grace is cut off
 	e.awaitIdle(ctx)
-	e.Kill()
+	ended := make(chan struct{})
+	go func() {
+		e.Kill()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(loopTime): // a call that does not end must not hold the process up
+		e.log.Warn().Msg("loops-left")
+	}
 	e.log.Info().Int64("running", e.proxy.Running()).Dur("took", time.Since(begun)).Msg("stopped")
 }
 
--- a/process/edge/edge_test.go
+++ b/process/edge/edge_test.go
@@ -3,6 +3,7 @@
 package edge_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 
 	"shalewick/platform"
 	"shalewick/process/edge"
+	"shalewick/process/state"
 	"shalewick/standin/fleet"
 	"shalewick/standin/server"
 	"shalewick/standin/tablestore"
@@ -34,6 +36,7 @@
 	store     *tablestore.Store
 	instances []*edge.Edge
 	settings  []*platform.Settings
+	live      []*platform.Live
 	upstreams []*server.Server
 	version   int
 	ports     fleet.Ports
@@ -108,6 +111,7 @@
 	assert.NilError(s.t, err)
 	s.instances = append(s.instances, e)
 	s.settings = append(s.settings, settings)
+	s.live = append(s.live, live)
 }
 
 func (s *site) until(f func() bool) {
@@ -332,6 +336,38 @@
 	assert.Assert(t, !found)
 }
 
+// deafStore does not end a call before its time, whatever its context says.
+type deafStore struct {
+	edge.Store
+	hold time.Duration
+}
+
+func (d deafStore) Changes(ctx context.Context, table string, after int64, wait time.Duration) (state.Delta, error) {
+	time.Sleep(d.hold)
+	return d.Store.Changes(ctx, table, after, wait)
+}
+
+// TestStopEndsByTheGrace checks that nothing that the process waits for holds a
+// planned stop up.
+func TestStopEndsByTheGrace(t *testing.T) {
+	s := newSite(t, 1, 1)
+	settings := s.settings[0].Edge()
+	d := s.live[0].Deployment((&net.Dialer{}).DialContext)
+	d.Store = deafStore{d.Store, 6 * time.Second}
+	for _, a := range []*string{&settings.Front, &settings.Ready, &settings.Directory, &settings.Control, &settings.Peer} {
+		at, err := s.ports.Take(1)
+		assert.NilError(t, err)
+		*a = at[0].String()
+	}
+	settings.Instance = "deaf"
+	e, err := edge.Start(settings, d, io.Discard)
+	assert.NilError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	begun := time.Now()
+	e.Stop()
+	assert.Assert(t, time.Since(begun) < settings.Grace+time.Second, "%s", time.Since(begun))
+}
+
 // TestStartWhileTheStoreTurnsItAway starts an instance that only others can
 // tell what is in force.
 func TestStartWhileTheStoreTurnsItAway(t *testing.T) {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -38,7 +38,8 @@
 // keptSeeds are the seeds that TestSoak always plays: one for each failure that
 // a soak ever found, with its cause, and one for good measure.
 var keptSeeds = []uint64{
-	1, // never failed
+	1,          // never failed
+	3474628570, // once a planned stop took 6.0 s, its cause is open: docs/FINDINGS.md
 }
 
 // Sizes of a soak.
@@ -338,7 +339,8 @@
 	case <-p.done:
 	case <-time.After(6 * time.Second):
 		assert.Check(x.s.t, false, "a planned stop of instance %d took over 6 s", x.index)
-		p.kill()
+		p.signal(syscall.SIGQUIT) // its log tells what it waits for
+		<-p.done
 	}
 	x.start()
 }
