platform, edge, version: the adapter decides nothing; its tests stand beside it

Tests of process/edge and proof imported the adapter.

Ruled out: keeping the check of imports to code alone; then tests could know the platform's names anywhere.

Change: process/edge/margin.go has the margins, Settings takes the bounds as the platform states them (KillAfter, RetryRatio, RetryFixed); CompileRouting leaves out upstreams whose address a newer one took, by the version of their resource.

--- a/process/edge/doc.go
+++ b/process/edge/doc.go
@@ -10,8 +10,8 @@
 says where it is.
 
 A planned stop: not ready at once, gone from the answers to clients at once,
-each answer the last on its connection; after Settings.Linger the listeners
-close; it ends when no request is in flight, at the latest after
-Settings.Grace.
+each answer the last on its connection; after a while in which clients learn of
+it the listeners close; it ends when no request is in flight, at the latest
+shortly before Settings.KillAfter.
 */
 package edge
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -113,7 +113,8 @@
 	e.proxy = &proxy.Proxy{
 		Names: e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now,
 		Retries: &retry.Window{
-			Span: e.settings.RetrySpan, Ratio: e.settings.RetryRatio, Fixed: e.settings.RetryFixed, Instances: e.members.Count,
+			Span: e.settings.RetrySpan, Ratio: e.settings.RetryRatio * retryRatioShare,
+			Fixed: e.settings.RetryFixed * retryFixedShare, Instances: e.members.Count,
 		},
 	}
 }
@@ -315,9 +316,9 @@
 	e.beats.SendAll()
 	e.log.Info().Int64("running", e.proxy.Running()).Msg("stopping")
 	go e.deleteRow()
-	time.Sleep(e.settings.Linger)
+	time.Sleep(e.settings.linger())
 	e.beats.SendAll()
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.Grace))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.grace()))
 	defer cancel()
 	go func() { _ = e.front.Shutdown(ctx) }() // what is in flight after the grace is cut off
 	e.awaitIdle(ctx)
--- /dev/null
+++ b/process/edge/margin_test.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestStopEndsBeforeTheKill checks that there is time to accept, to finish, and
+// to end before the process would be killed, however short that time is.
+func TestStopEndsBeforeTheKill(t *testing.T) {
+	for _, killAfter := range []time.Duration{leastKillAfter, 2 * time.Second, 6 * time.Second, time.Minute} {
+		s := Settings{KillAfter: killAfter}
+		assert.Assert(t, s.linger() > 0 && s.linger() <= longestLinger, "%s", killAfter)
+		assert.Assert(t, s.linger() < s.grace(), "%s", killAfter)
+		assert.Assert(t, s.grace() < killAfter, "%s", killAfter)
+	}
+}
+
+func TestBadSettingsAreNamed(t *testing.T) {
+	good := Settings{
+		Instance: "a", Zone: "z", Region: "r", Front: "127.0.0.1:1", Ready: "127.0.0.1:2", Directory: "127.0.0.1:3",
+		Control: "127.0.0.1:4", Peer: "127.0.0.1:5", KillAfter: time.Second, RetrySpan: time.Second, LogLevel: "info",
+	}
+	assert.NilError(t, good.Check())
+	for name, change := range map[string]func(*Settings){
+		"instance":   func(s *Settings) { s.Instance = "" },
+		"zone":       func(s *Settings) { s.Zone = "" },
+		"front":      func(s *Settings) { s.Front = "host:1" },
+		"peer":       func(s *Settings) { s.Peer = "127.0.0.1" },
+		"kill after": func(s *Settings) { s.KillAfter = leastKillAfter - 1 },
+		"retry":      func(s *Settings) { s.RetryFixed = -1 },
+		"log-level":  func(s *Settings) { s.LogLevel = "loud" },
+	} {
+		s := good
+		change(&s)
+		assert.ErrorContains(t, s.Check(), name)
+	}
+}
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -34,17 +34,20 @@
 	// store.
 	Seeds []string
 
-	// Linger is how long a stopping instance goes on accepting, Grace the time
-	// after which it ends whatever is in flight.
-	Linger, Grace time.Duration
-	// RetryRatio, RetryFixed and RetrySpan bound the retries of all instances
-	// for one service, see retry.Window.
+	// KillAfter is the time after which a process that was asked to stop is
+	// killed.
+	KillAfter time.Duration
+	// RetryRatio, RetryFixed and RetrySpan are what the retries of all
+	// instances for one service must not exceed, see retry.Window.
 	RetryRatio, RetryFixed float64
 	RetrySpan              time.Duration
 	// LogLevel is the least level of log lines.
 	LogLevel string
 }
 
+// leastKillAfter is the shortest time in which a planned stop can be made.
+const leastKillAfter = time.Second
+
 // Check returns an error for the first bad setting.
 func (s *Settings) Check() error {
 	for _, x := range []struct{ name, value string }{{"instance", s.Instance}, {"zone", s.Zone}, {"region", s.Region}} {
@@ -59,8 +62,8 @@
 			return errors.Errorf("%s: %q is not an IP number and port", a.name, a.value)
 		}
 	}
-	if s.Linger < 0 || s.Grace < s.Linger {
-		return errors.Errorf("grace: %s must be at least linger %s", s.Grace, s.Linger)
+	if s.KillAfter < leastKillAfter {
+		return errors.Errorf("kill after: %s must be at least %s", s.KillAfter, leastKillAfter)
 	}
 	if s.RetryRatio < 0 || s.RetryFixed < 0 || s.RetrySpan <= 0 {
 		return errors.New("retry ratio and fixed: must not be negative, and the span above 0")
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -24,6 +24,7 @@
 	"shalewick/process/platform"
 	"shalewick/standin/fleet"
 	standplatform "shalewick/standin/platform"
+	"shalewick/standin/program"
 	"shalewick/standin/upstream"
 	"shalewick/version"
 )
@@ -32,10 +33,10 @@
 type cluster struct {
 	t         testing.TB
 	size      fleet.Size
-	platform  *process
-	base      string       // URL of the platform
-	regions   [3]*process  // upstreams of each region
-	upstreams []serverInfo // by number
+	platform  *program.Process
+	base      string              // URL of the platform
+	regions   [3]*program.Process // upstreams of each region
+	upstreams []serverInfo        // by number
 	entries   []*instance
 	listed    []platform.Instance
 	op        *operator.Client
@@ -55,7 +56,7 @@
 
 // instance is one entry.
 type instance struct {
-	*process
+	*program.Process
 	name  string
 	hall  string
 	front string
@@ -86,7 +87,7 @@
 	for region := range c.regions {
 		c.startUpstreams(region, s.work, s.through)
 	}
-	eventually(t, 10*time.Second, "the platform listens", func() bool {
+	program.Eventually(t, 10*time.Second, "the platform listens", func() bool {
 		return put(c.base+"/standin/fault", standplatform.Fault{}) == nil
 	})
 	for i := range s.entries {
@@ -129,7 +130,7 @@
 		c.upstreams[n] = info
 	}
 	c.runUpstreams(region, work)
-	eventually(c.t, 10*time.Second, "the upstreams listen", func() bool {
+	program.Eventually(c.t, 10*time.Second, "the upstreams listen", func() bool {
 		return put("http://"+ps[len(ps)-1].String()+"/standin/fault", upstream.Fault{}) == nil
 	})
 }
@@ -192,7 +193,7 @@
 	if c.grace > 0 {
 		args = append(args, "--grace", c.grace.String())
 	}
-	e.process = run(c.t, e.name, args...)
+	e.Process = run(c.t, e.name, args...)
 }
 
 // list tells the platform the present list of instances.
@@ -222,7 +223,7 @@
 
 func (c *cluster) entryReady(e *instance) {
 	c.t.Helper()
-	eventually(c.t, 20*time.Second, e.name+" is ready", func() bool {
+	program.Eventually(c.t, 20*time.Second, e.name+" is ready", func() bool {
 		res, err := http.Get("http://" + e.admin + "/readyz")
 		if err != nil {
 			return false
@@ -245,7 +246,7 @@
 // settle waits until every token has a home.
 func (c *cluster) settle() {
 	c.t.Helper()
-	eventually(c.t, 20*time.Second, "every token has a home", func() bool {
+	program.Eventually(c.t, 20*time.Second, "every token has a home", func() bool {
 		st, err := c.op.Status(context.Background())
 		if err != nil {
 			return false
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -149,10 +149,10 @@
 		readers.Go(func() { readings[i] = readEntry(e, &stop) })
 	}
 	time.Sleep(2 * time.Second)
-	c.entries[4].freeze()
-	c.entries[6].kill()
+	c.entries[4].Freeze()
+	c.entries[6].Kill()
 	time.Sleep(3 * time.Second)
-	c.entries[4].thaw()
+	c.entries[4].Thaw()
 	c.platformFault(standplatform.Fault{Down: true})
 	time.Sleep(500 * time.Millisecond)
 	o.mu.Lock()
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -84,7 +84,7 @@
 	o := load.Options{Clients: c.callers(), Rate: rate, Duration: 5 * time.Second, Mix: c.mix()[1:2]}
 	rep, _ := c.underLoad(o, func() {
 		time.Sleep(2 * time.Second)
-		c.entries[0].kill()
+		c.entries[0].Kill()
 	})
 	assert.Equal(t, rep.Faults(), 0)
 	l := rep.Lines[0]
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -63,7 +63,7 @@
 		c.platformFault(standplatform.Fault{Down: true})
 		time.Sleep(*outage / 3)
 		for _, i := range []int{3, 8} {
-			c.entries[i].kill()
+			c.entries[i].Kill()
 			c.unlist(c.entries[i].name)
 		}
 		time.Sleep(*outage / 3)
--- a/proof/promise_test.go
+++ b/proof/promise_test.go
@@ -46,11 +46,11 @@
 	rep, _ := c.underLoad(o, func() {
 		time.Sleep(2 * time.Second)
 		c.platformFault(standplatform.Fault{Down: true})
-		c.entries[6].kill()
+		c.entries[6].Kill()
 		c.unlist(c.entries[6].name)
-		c.entries[7].freeze()
+		c.entries[7].Freeze()
 		time.Sleep(5 * time.Second)
-		c.entries[7].thaw()
+		c.entries[7].Thaw()
 		time.Sleep(time.Second)
 		c.platformFault(standplatform.Fault{})
 		shift(v, 4, 30)
@@ -87,12 +87,12 @@
 	var thawed time.Time
 	rep, _ := c.underLoad(o, func() {
 		time.Sleep(2 * time.Second)
-		c.regions[2].freeze()
+		c.regions[2].Freeze()
 		time.Sleep(5 * time.Second)
 		thawed = time.Now()
-		c.regions[2].thaw()
+		c.regions[2].Thaw()
 		time.Sleep(2 * time.Second)
-		c.regions[2].kill()
+		c.regions[2].Kill()
 		time.Sleep(time.Second)
 		c.runUpstreams(2, work)
 	})
@@ -123,16 +123,16 @@
 	o := load.Options{Clients: c.callers(), Rate: 300, Duration: 12 * time.Second, Mix: mix}
 	rep, _ := c.underLoad(o, func() {
 		time.Sleep(2 * time.Second)
-		c.entries[0].freeze()
-		c.entries[1].kill()
+		c.entries[0].Freeze()
+		c.entries[1].Kill()
 		time.Sleep(3 * time.Second)
-		c.entries[0].thaw()
-		c.regions[1].kill()
-		c.entries[2].freeze()
+		c.entries[0].Thaw()
+		c.regions[1].Kill()
+		c.entries[2].Freeze()
 		c.platformFault(standplatform.Fault{Down: true})
 		time.Sleep(time.Second)
 		c.runUpstreams(1, 10*time.Millisecond)
-		c.entries[2].kill() // frozen and then killed
+		c.entries[2].Kill() // frozen and then killed
 		time.Sleep(2 * time.Second)
 		c.platformFault(standplatform.Fault{LoseAnswers: 0.5, SlowMs: 50})
 	})
@@ -158,15 +158,15 @@
 	o := load.Options{Clients: c.callers(), Rate: 300, Duration: 12 * time.Second, Mix: commits}
 	rep, _ := c.underLoad(o, func() {
 		time.Sleep(time.Second)
-		c.entries[0].kill()
+		c.entries[0].Kill()
 		time.Sleep(time.Second)
-		c.entries[1].stop(t)
+		c.entries[1].Stop(t)
 		c.platformFault(standplatform.Fault{Down: true})
-		c.entries[2].kill()
-		c.entries[3].freeze()
+		c.entries[2].Kill()
+		c.entries[3].Freeze()
 		time.Sleep(2 * time.Second)
-		c.entries[3].thaw()
-		c.entries[4].stop(t)
+		c.entries[3].Thaw()
+		c.entries[4].Stop(t)
 		c.platformFault(standplatform.Fault{})
 	})
 	assert.Equal(t, rep.Faults(), 0)
@@ -207,14 +207,14 @@
 		leave(0, time.Second)
 		leave(3, time.Second)
 		c.platformFault(standplatform.Fault{Down: true})
-		c.entries[0].freeze()
-		c.entries[8].freeze()
+		c.entries[0].Freeze()
+		c.entries[8].Freeze()
 		time.Sleep(time.Second)
 		leave(6, 3*time.Second)
 		leave(8, 3*time.Second)
 		time.Sleep(4 * time.Second)
-		c.entries[0].thaw()
-		c.entries[8].thaw()
+		c.entries[0].Thaw()
+		c.entries[8].Thaw()
 	})
 	assert.Equal(t, rep.Faults(), 0)
 	during := 0
@@ -250,7 +250,7 @@
 			Drain: &version.Drain{Region: c.size.Regions[2]},
 		})
 		time.Sleep(5 * time.Second) // the uploads there take as long
-		c.regions[2].kill()         // a drained region has no work left
+		c.regions[2].Kill()         // a drained region has no work left
 		replaced := c.startEntry("entry-new", 0)
 		c.entryReady(replaced)
 		stop := make(chan struct{})
@@ -262,7 +262,7 @@
 		uploads := make(chan string)
 		for _, i := range []int{0, 7} {
 			go func() { uploads <- c.uploadLate(t, c.entries[i]) }()
-			t.Logf("entry stopped after %v", c.entries[i].stop(t))
+			t.Logf("entry stopped after %v", c.entries[i].Stop(t))
 			c.unlist(c.entries[i].name)
 			assert.Check(t, <-uploads == "whole")
 		}
@@ -362,7 +362,7 @@
 func TestTicketOfDeadEntryNeverRuns(t *testing.T) {
 	c := newCluster(t, shape{size: fleet.Caroni(), entries: 3, work: time.Millisecond})
 	ticket := c.takeTickets(t, c.entries[0], 1)[0]
-	c.entries[0].kill()
+	c.entries[0].Kill()
 	start := time.Now()
 	assert.Equal(t, c.postTicket(t, c.entries[1], ticket), request.TicketGone.String()+" unknown")
 	assert.Assert(t, time.Since(start) < time.Second)
--- a/version/routing.go
+++ b/version/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -111,7 +112,7 @@
 
 func (r *Routing) addUpstreams(c *Config, services map[string]int32) {
 	drains := c.List(KindDrain)
-	for i, x := range c.List(KindUpstream) {
+	for _, x := range newestByAddress(c.List(KindUpstream)) {
 		u := RoutedUpstream{
 			Name: x.Name, Address: x.Upstream.Address.String(), Service: services[x.Upstream.Service],
 			Hall: x.Upstream.Hall, Region: r.halls[x.Upstream.Hall], Slots: x.Upstream.Slots,
@@ -123,10 +124,30 @@
 				u.Closed = true
 			}
 		}
-		r.Upstreams = append(r.Upstreams, u)
 		s := &r.Services[u.Service]
-		s.Upstreams = append(s.Upstreams, int32(i))
+		s.Upstreams = append(s.Upstreams, int32(len(r.Upstreams)))
+		r.Upstreams = append(r.Upstreams, u)
+	}
+}
+
+// newestByAddress leaves out the upstreams whose address a newer one has taken.
+// The resource API accepts no two at one address, but upstreams that announce
+// themselves may follow each other there.
+func newestByAddress(all []Resource) []Resource {
+	newest := make(map[netip.AddrPort]Resource, len(all))
+	for _, x := range all {
+		address := x.Upstream.Address
+		if old, taken := newest[address]; !taken || old.Version < x.Version {
+			newest[address] = x
+		}
+	}
+	out := make([]Resource, 0, len(newest))
+	for _, x := range all {
+		if newest[x.Upstream.Address].Name == x.Name {
+			out = append(out, x)
+		}
 	}
+	return out
 }
 
 func (r *Routing) addRoute(x Resource, services map[string]int32) {
--- a/version/routing_test.go
+++ b/version/routing_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -129,6 +130,25 @@
 // TestRegionSharesUseCapacityAlike checks that each region's requests are
 // divided whole, that all capacity is used alike, and that nothing leaves a
 // region that has room.
+// TestNewestUpstreamHasTheAddress checks that of two upstreams that announced
+// the same address only the later one gets requests.
+func TestNewestUpstreamHasTheAddress(t *testing.T) {
+	c := &Config{Seq: 1, Resources: make(map[Key]Resource)}
+	put := func(r Resource) { c.Resources[r.Key] = r }
+	put(Resource{Key: Key{KindRegion, "north"}, Region: &Region{}})
+	put(Resource{Key: Key{KindHall, "a"}, Hall: &Hall{Region: "north"}})
+	put(Resource{Key: Key{KindService, "s"}, Service: &Service{}})
+	put(Resource{Key: Key{KindService, "t"}, Service: &Service{}})
+	at := netip.MustParseAddrPort("10.9.0.1:80")
+	put(Resource{Key: Key{KindUpstream, "z-old"}, Version: 3, Upstream: &Upstream{Service: "s", Hall: "a", Address: at, Slots: 1}})
+	put(Resource{Key: Key{KindUpstream, "a-new"}, Version: 5, Upstream: &Upstream{Service: "t", Hall: "a", Address: at, Slots: 1}})
+	r := CompileRouting(c)
+	assert.Equal(t, len(r.Upstreams), 1)
+	assert.Equal(t, r.Upstreams[0].Name, "a-new")
+	assert.DeepEqual(t, r.Services[1].Upstreams, []int32{0})
+	assert.Equal(t, len(r.Services[0].Upstreams), 0)
+}
+
 func TestRegionSharesUseCapacityAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		capacity := rapid.SliceOfN(rapid.Float64Range(0, 50), 1, 6).Draw(t, "capacity")
