edge: keep upstreams that lapsed while the store was away until they could write

Cause: upstreams whose heartbeats the store does not take lapse; on its return their rows are gone, and come again within about two seconds.

Ruled out: taking no row as gone for a time after any long silence of the store, by ignoring its deltas: announcements of leaving would be ignored too.

Change: state.Table notes when the store is heard of again after 2.7 s without a word (Returned). process/edge/lapse.go keeps the rows that go then for at most 2.2 s, and for 0.4 s less than the time after which an upstream that has left must get nothing; rows that say "leaving" count at once.

--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -59,6 +59,8 @@
 	metrics    *metric.Set
 	leaving    atomic.Bool
 	compiling  sync.Mutex
+	lapses     lapses      // guarded by compiling
+	lapseEnd   *time.Timer // compiles again when lapsed rows are given up; guarded by compiling
 	front      *http.Server
 	servers    []*http.Server
 	cancel     context.CancelFunc
@@ -103,6 +105,7 @@
 		},
 	}
 	e.peers.Follower = e.follower
+	e.lapses.keep = keepLapsed(e.settings.DrainWithin)
 	dialer := conn.NewDialer(dialTimeout, upstreamSilence)
 	e.table = &balance.Table{
 		Now: e.now, Place: e.members.Place, Region: e.settings.Region,
@@ -185,7 +188,15 @@
 	}
 	e.compiling.Lock()
 	defer e.compiling.Unlock()
-	e.compile(operator.Rows(), upstreams.Rows())
+	now := e.now()
+	rows, again := e.lapses.rows(upstreams.Rows(), upstreams.Returned(), now)
+	e.compile(operator.Rows(), rows)
+	if e.lapseEnd != nil {
+		e.lapseEnd.Stop()
+	}
+	if again != 0 {
+		e.lapseEnd = time.AfterFunc(again-now, e.recompile)
+	}
 }
 
 // compile puts what the rows say in force. What can't be read leaves the last
--- a/process/edge/margin_test.go
+++ b/process/edge/margin_test.go
@@ -23,7 +23,7 @@
 func TestBadSettingsAreNamed(t *testing.T) {
 	good := Settings{
 		Instance: "a", Zone: "z", Region: "r", Front: "127.0.0.1:1", Ready: "127.0.0.1:2", Directory: "127.0.0.1:3",
-		Control: "127.0.0.1:4", Peer: "127.0.0.1:5", KillAfter: time.Second, RetrySpan: time.Second, LogLevel: "info",
+		Control: "127.0.0.1:4", Peer: "127.0.0.1:5", KillAfter: time.Second, DrainWithin: time.Second, RetrySpan: time.Second, LogLevel: "info",
 	}
 	assert.NilError(t, good.Check())
 	for name, change := range map[string]func(*Settings){
@@ -32,6 +32,7 @@
 		"front":      func(s *Settings) { s.Front = "host:1" },
 		"peer":       func(s *Settings) { s.Peer = "127.0.0.1" },
 		"kill after": func(s *Settings) { s.KillAfter = leastKillAfter - 1 },
+		"drain":      func(s *Settings) { s.DrainWithin = 0 },
 		"retry":      func(s *Settings) { s.RetryFixed = -1 },
 		"log-level":  func(s *Settings) { s.LogLevel = "loud" },
 	} {
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -37,6 +37,9 @@
 	// KillAfter is the time after which a process that was asked to stop is
 	// killed.
 	KillAfter time.Duration
+	// DrainWithin is the time after which an upstream that has left gets
+	// nothing more.
+	DrainWithin time.Duration
 	// RetryRatio, RetryFixed and RetrySpan are what the retries of all
 	// instances for one service must not exceed, see retry.Window.
 	RetryRatio, RetryFixed float64
@@ -65,6 +68,9 @@
 	if s.KillAfter < leastKillAfter {
 		return errors.Errorf("kill after: %s must be at least %s", s.KillAfter, leastKillAfter)
 	}
+	if s.DrainWithin <= 0 {
+		return errors.Errorf("drain within: %s must be above 0", s.DrainWithin)
+	}
 	if s.RetryRatio < 0 || s.RetryFixed < 0 || s.RetrySpan <= 0 {
 		return errors.New("retry ratio and fixed: must not be negative, and the span above 0")
 	}
--- a/process/state/state_test.go
+++ b/process/state/state_test.go
@@ -38,6 +38,22 @@
 	assert.Assert(t, !d.Whole && len(d.Rows) == 1 && d.Rows[0].Gone, "a follower learns of the removal")
 }
 
+// TestReturnOfTheStoreIsNoticed checks that an answer after a long silence
+// counts as the store's return, and one after a usual wait does not.
+func TestReturnOfTheStoreIsNoticed(t *testing.T) {
+	x := NewTable()
+	now := time.Hour
+	x.Apply(Delta{Version: 1, Whole: true}, now)
+	now += storeWait
+	x.Apply(Delta{Version: 1}, now)
+	assert.Equal(t, x.Returned(), time.Duration(0))
+	now += awayAfter + time.Millisecond
+	x.Apply(Delta{Version: 1, Age: awayAfter + time.Millisecond}, now)
+	assert.Equal(t, x.Returned(), time.Duration(0), "a relay that knows no more")
+	x.Apply(Delta{Version: 2, Rows: []Row{{Key: "a", Version: 2, Gone: true}}}, now)
+	assert.Equal(t, x.Returned(), now)
+}
+
 // TestFollowersAgree applies random changes to one table, and lets another one
 // learn of them by deltas that are lost, repeated and out of order.
 func TestFollowersAgree(t *testing.T) {
--- a/process/state/table.go
+++ b/process/state/table.go
@@ -29,6 +29,11 @@
 	Age time.Duration `json:"age,omitempty"`
 }
 
+// awayAfter is the time without a word of the store from which it counts as
+// having been away. Questions are held for up to storeWait, so a store that
+// answers confirms a table more often than that.
+const awayAfter = staleAfter
+
 // goneKept is how long a removed row is remembered, for the deltas of others.
 const goneKept = time.Minute
 
@@ -40,6 +45,7 @@
 	floor     int64 // removals up to this version may be forgotten
 	version   int64
 	confirmed time.Duration // when the store last said that version is the newest
+	returned  time.Duration // when it last did so after it had been away; zero: never
 	known     bool
 	changed   chan struct{} // closed at the next change
 }
@@ -68,7 +74,7 @@
 	t.version = max(t.version, d.Version)
 	t.known = t.known || d.Whole
 	if d.Version >= t.version {
-		t.confirmed = max(t.confirmed, now-d.Age)
+		t.confirm(now, now-d.Age)
 	}
 	t.forget(now)
 	if changed || advanced {
@@ -78,6 +84,14 @@
 	return changed
 }
 
+// confirm notes that the store said at a moment that the version is the newest.
+func (t *Table) confirm(now, said time.Duration) {
+	if t.confirmed != 0 && said-t.confirmed > awayAfter {
+		t.returned = now
+	}
+	t.confirmed = max(t.confirmed, said)
+}
+
 func (t *Table) applyRow(r Row, now time.Duration) bool {
 	old, ok := t.rows[r.Key]
 	if ok && old.Version >= r.Version {
@@ -165,6 +179,14 @@
 	return t.confirmed
 }
 
+// Returned returns when the store was heard of again after it had been away, on
+// the process's clock; zero if that never was.
+func (t *Table) Returned() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.returned
+}
+
 // Changed returns a channel that is closed when the table's version rises.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
