--- a/cmd/shalewick/entry.go
+++ b/cmd/shalewick/entry.go
@@ -36,7 +36,7 @@
 	f.StringVar(&s.Platform, "platform", "http://127.0.0.1:7000", "URL of the platform")
 	f.StringSliceVar(&s.Peers, "peers", nil, "peer addresses of some other instances, for a start without the platform")
 	f.DurationVar(&s.Grace, "grace", entry.DefaultGrace, "how long a stopping instance goes on serving")
-	f.StringVar(&s.TeamTokens, "team-tokens", "", "file of the teams' tokens; without it the instance serves loopback only")
+	f.StringVar(&s.WorkspaceTokens, "workspace-tokens", "", "file of the workspaces' tokens; without it the instance serves loopback only")
 	f.StringVar(&s.Cert, "cert", "", "PEM file of this instance's certificate, which names its IP numbers")
 	f.StringVar(&s.Key, "key", "", "PEM file of the certificate's key")
 	f.StringVar(&s.Authority, "authority", "", "PEM file of the authority that signed all instances' certificates")
--- a/cmd/shalewick/operator.go
+++ b/cmd/shalewick/operator.go
@@ -35,7 +35,7 @@
 	var a access
 	f := cmd.Flags()
 	f.StringSliceVar(&a.addresses, "admin", []string{"127.0.0.1:8002"}, "admin addresses of instances, tried in turn")
-	f.StringVar(&a.token, "token", "", "token of the team; better given by the environment")
+	f.StringVar(&a.token, "token", "", "token of the workspace; better given by the environment")
 	f.StringVar(&a.authority, "authority", "", "PEM file of the instances' authority; with it calls go over TLS")
 	return &a
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -26,7 +26,7 @@
 type Client struct {
 	Addresses []string // admin addresses of instances
 	HTTP      *http.Client
-	Token     string // of the team; "" where none is needed
+	Token     string // of the workspace; "" where none is needed
 	TLS       bool   // call over TLS, with HTTP's settings
 }
 
--- a/process/admin/admin.go
+++ b/process/admin/admin.go
@@ -26,13 +26,13 @@
 
 // Admin serves operators. The fields are set before use.
 type Admin struct {
-	Log     *config.Log
-	Store   *config.Store
-	Logger  zerolog.Logger
-	Metrics *metric.Set
-	Status  func(context.Context) []EntryStatus
-	Ready   func() bool
-	Teams   *auth.Teams // nil: calls carry no token
+	Log        *config.Log
+	Store      *config.Store
+	Logger     zerolog.Logger
+	Metrics    *metric.Set
+	Status     func(context.Context) []EntryStatus
+	Ready      func() bool
+	Workspaces *auth.Workspaces // nil: calls carry no token
 }
 
 // EntryStatus is what one instance has in force.
@@ -155,9 +155,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), commitTimeout)
 	defer cancel()
 	check := func(*version.Config, *version.Change) error { return nil }
-	if team, ok := c.Values().Get(teamKey).(auth.Team); ok {
-		ch.Author = team.Name
-		check = team.Allowed
+	if workspace, ok := c.Values().Get(workspaceKey).(auth.Workspace); ok {
+		ch.Author = workspace.Name
+		check = workspace.Allowed
 	}
 	seq, err := a.Log.Commit(ctx, ch, check)
 	if err != nil {
--- a/process/admin/authenticate.go
+++ b/process/admin/authenticate.go
@@ -13,25 +13,25 @@
 	"shalewick/request"
 )
 
-// teamKey names the caller's team among a call's values.
-const teamKey = "team"
+// workspaceKey names the caller's workspace among a call's values.
+const workspaceKey = "workspace"
 
 const bearer = "Bearer "
 
-// authenticate finds the team of a call's token and refuses the call if there
+// authenticate finds the workspace of a call's token and refuses the call if there
 // is none.
 func (a *Admin) authenticate(c iris.Context) {
-	if a.Teams == nil {
+	if a.Workspaces == nil {
 		c.Next()
 		return
 	}
 	token, _ := strings.CutPrefix(c.GetHeader("Authorization"), bearer)
-	team, err := a.Teams.Find(token, time.Now())
+	workspace, err := a.Workspaces.Find(token, time.Now())
 	if err != nil {
 		a.refuse(c, tokenCode(err), err)
 		return
 	}
-	c.Values().Set(teamKey, team)
+	c.Values().Set(workspaceKey, workspace)
 	c.Next()
 }
 
--- a/process/auth/auth_test.go
+++ b/process/auth/auth_test.go
@@ -26,42 +26,42 @@
 }
 
 func TestTokens(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "teams")
-	write(t, path, "teams:\n- {name: a, hash: "+hash("secret")+"}\n- {name: b, hash: "+hash("old")+", expires: 2020-01-01T00:00:00Z}\n")
-	teams, err := Open(path)
+	path := filepath.Join(t.TempDir(), "workspaces")
+	write(t, path, "workspaces:\n- {name: a, hash: "+hash("secret")+"}\n- {name: b, hash: "+hash("old")+", expires: 2020-01-01T00:00:00Z}\n")
+	workspaces, err := Open(path)
 	assert.NilError(t, err)
 	now := time.Now()
-	team, err := teams.Find("secret", now)
+	workspace, err := workspaces.Find("secret", now)
 	assert.NilError(t, err)
-	assert.Equal(t, team.Name, "a")
+	assert.Equal(t, workspace.Name, "a")
 	for token, want := range map[string]error{"": Missing, "secre": Wrong, "old": Expired} {
-		_, err := teams.Find(token, now)
+		_, err := workspaces.Find(token, now)
 		assert.ErrorIs(t, err, want)
 	}
 	// A file that is spoilt leaves what was read before; a new one counts.
-	write(t, path, "teams: 5")
-	teams.file.looked = time.Time{}
-	_, err = teams.Find("secret", now)
+	write(t, path, "workspaces: 5")
+	workspaces.file.looked = time.Time{}
+	_, err = workspaces.Find("secret", now)
 	assert.NilError(t, err)
-	write(t, path, "teams:\n- {name: c, hash: "+hash("new")+"}\n")
-	teams.file.looked, teams.file.times = time.Time{}, nil
-	_, err = teams.Find("secret", now)
+	write(t, path, "workspaces:\n- {name: c, hash: "+hash("new")+"}\n")
+	workspaces.file.looked, workspaces.file.times = time.Time{}, nil
+	_, err = workspaces.Find("secret", now)
 	assert.ErrorIs(t, err, Wrong)
 }
 
 func TestBadTokensFile(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "teams")
+	path := filepath.Join(t.TempDir(), "workspaces")
 	_, err := Open(path)
 	assert.ErrorContains(t, err, "no such file")
-	write(t, path, "teams:\n- {name: a, hash: abc}\n")
+	write(t, path, "workspaces:\n- {name: a, hash: abc}\n")
 	_, err = Open(path)
 	assert.ErrorContains(t, err, "SHA-256")
-	write(t, path, "teams:\n- {name: a, token: abc}\n")
+	write(t, path, "workspaces:\n- {name: a, token: abc}\n")
 	_, err = Open(path)
 	assert.ErrorContains(t, err, "unknown field")
 }
 
-func TestTeamChangesOnlyItsOwn(t *testing.T) {
+func TestWorkspaceChangesOnlyItsOwn(t *testing.T) {
 	rs, err := version.Parse([]byte(`
 kind: region
 name: r
@@ -73,11 +73,11 @@
 ---
 kind: service
 name: mine
-spec: {team: a, routes: [{prefix: /, class: read, deadline: 1s}]}
+spec: {workspace: a, routes: [{prefix: /, class: read, deadline: 1s}]}
 ---
 kind: service
 name: theirs
-spec: {team: b, routes: [{prefix: /, class: read, deadline: 1s}]}
+spec: {workspace: b, routes: [{prefix: /, class: read, deadline: 1s}]}
 ---
 kind: upstream
 name: u
@@ -91,7 +91,7 @@
 	drain := func(d version.Drain) version.Resource {
 		return version.Resource{Key: version.Key{Kind: version.KindDrain, Name: "d"}, Drain: &d}
 	}
-	team, admin := Team{Name: "a"}, Team{Name: "x", Admin: true}
+	workspace, admin := Workspace{Name: "a"}, Workspace{Name: "x", Admin: true}
 	for name, tc := range map[string]struct {
 		ch version.Change
 		ok bool
@@ -104,10 +104,10 @@
 		"draining a region":               {version.Change{Puts: []version.Resource{drain(version.Drain{Region: "r"})}}, false},
 		"a region":                        {version.Change{Puts: rs[:1]}, false},
 		"deleting the own service":        {version.Change{Deletes: []version.Ref{{Key: rs[2].Key}}}, true},
-		"giving itself another's service": {version.Change{Puts: []version.Resource{{Key: rs[3].Key, Service: &version.Service{Team: "a"}}}}, false},
+		"giving itself another's service": {version.Change{Puts: []version.Resource{{Key: rs[3].Key, Service: &version.Service{Workspace: "a"}}}}, false},
 	} {
 		tc.ch.Seq = 2
-		assert.Equal(t, team.Allowed(c, &tc.ch) == nil, tc.ok, name)
+		assert.Equal(t, workspace.Allowed(c, &tc.ch) == nil, tc.ok, name)
 		assert.NilError(t, admin.Allowed(c, &tc.ch), name)
 	}
 }
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -20,7 +20,7 @@
 type fakeClock struct{ now time.Duration }
 
 func member(name, region string, incarnation int64) Member {
-	return Member{Name: name, Incarnation: incarnation, Front: name + ":1", Peer: name + ":2", Zone: region + "-a", Region: region}
+	return Member{Name: name, Incarnation: incarnation, Front: name + ":1", Peer: name + ":2", Hall: region + "-a", Region: region}
 }
 
 func newMembers() (*Members, *fakeClock) {
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -18,7 +18,7 @@
 	Incarnation int64  `json:"i"`
 	Front       string `json:"f"` // address for clients
 	Peer        string `json:"p"` // address for other instances, TCP and UDP
-	Zone        string `json:"z"`
+	Hall        string `json:"h"`
 	Region      string `json:"r"`
 	Leaving     bool   `json:"l,omitempty"`
 }
--- a/process/edge/directory.go
+++ b/process/edge/directory.go
@@ -16,9 +16,9 @@
 	directoryLife = 2 * time.Second
 	// maxAddresses bounds the addresses in an answer.
 	maxAddresses = 64
-	// enoughInZone is the number of instances from which those of a client's
-	// zone are named alone.
-	enoughInZone = 2
+	// enoughInHall is the number of instances from which those of a client's
+	// hall are named alone.
+	enoughInHall = 2
 )
 
 // serveDirectory tells a client which instances to use.
@@ -58,12 +58,12 @@
 }
 
 // nearest returns the live instances that a client should use: those of its
-// zone if there are enough, else those of its region, else those of the
+// hall if there are enough, else those of its region, else those of the
 // regions that may serve the host, else all.
 func nearest(live []cluster.Member, q Question, homes map[string]bool) []cluster.Member {
-	zone := filter(live, func(m cluster.Member) bool { return m.Zone == q.Zone })
-	if len(zone) >= enoughInZone {
-		return zone
+	hall := filter(live, func(m cluster.Member) bool { return m.Hall == q.Hall })
+	if len(hall) >= enoughInHall {
+		return hall
 	}
 	region := filter(live, func(m cluster.Member) bool { return m.Region == q.Region })
 	if len(region) > 0 {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -78,7 +78,7 @@
 		log: logging.New(logTo).Level(level).With().Str("instance", s.Instance).Logger(),
 	}
 	e.members = cluster.NewMembers(cluster.Member{
-		Name: s.Instance, Incarnation: e.started.UnixNano(), Front: s.Front, Peer: s.Peer, Zone: s.Zone, Region: s.Region,
+		Name: s.Instance, Incarnation: e.started.UnixNano(), Front: s.Front, Peer: s.Peer, Hall: s.Hall, Region: s.Region,
 	}, e.now)
 	var err error
 	if e.beats, err = cluster.Listen(e.members); err != nil {
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	e.run()
-	e.log.Info().Str("front", s.Front).Str("zone", s.Zone).Msg("started")
+	e.log.Info().Str("front", s.Front).Str("hall", s.Hall).Msg("started")
 	return e, nil
 }
 
--- a/process/edge/margin_test.go
+++ b/process/edge/margin_test.go
@@ -22,13 +22,13 @@
 
 func TestBadSettingsAreNamed(t *testing.T) {
 	good := Settings{
-		Instance: "a", Zone: "z", Region: "r", Front: "127.0.0.1:1", Ready: "127.0.0.1:2", Directory: "127.0.0.1:3",
+		Instance: "a", Hall: "z", Region: "r", Front: "127.0.0.1:1", Ready: "127.0.0.1:2", Directory: "127.0.0.1:3",
 		Control: "127.0.0.1:4", Peer: "127.0.0.1:5", KillAfter: time.Second, DrainWithin: time.Second, RetrySpan: time.Second, LogLevel: "info",
 	}
 	assert.NilError(t, good.Check())
 	for name, change := range map[string]func(*Settings){
 		"instance":   func(s *Settings) { s.Instance = "" },
-		"zone":       func(s *Settings) { s.Zone = "" },
+		"hall":       func(s *Settings) { s.Hall = "" },
 		"front":      func(s *Settings) { s.Front = "host:1" },
 		"peer":       func(s *Settings) { s.Peer = "127.0.0.1" },
 		"kill after": func(s *Settings) { s.KillAfter = leastKillAfter - 1 },
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -20,7 +20,7 @@
 // Settings are the settings of one instance.
 type Settings struct {
 	Instance string
-	Zone     string
+	Hall     string
 	Region   string
 
 	// Addresses that the process serves, IP number and port.
@@ -53,7 +53,7 @@
 
 // Check returns an error for the first bad setting.
 func (s *Settings) Check() error {
-	for _, x := range []struct{ name, value string }{{"instance", s.Instance}, {"zone", s.Zone}, {"region", s.Region}} {
+	for _, x := range []struct{ name, value string }{{"instance", s.Instance}, {"hall", s.Hall}, {"region", s.Region}} {
 		if x.value == "" {
 			return errors.Errorf("%s: must be set", x.name)
 		}
@@ -91,7 +91,7 @@
 
 // Question is a client's question where to go.
 type Question struct {
-	Host, Region, Zone string
+	Host, Region, Hall string
 }
 
 // Deployment is what an adapter tells of the place that the process runs in.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -38,20 +38,20 @@
 	log      zerolog.Logger
 	started  time.Time
 
-	platform platform.Platform
-	members  *member.Registry
-	store    *config.Store
-	changes  *config.Log
-	slots    *slots.Table
-	health   *health.Table
-	steer    *steer.Steerer
-	ledger   *ticket.Ledger
-	metrics  *metric.Set
-	front    *front.Front
-	peers    *peerConns
-	splitter splitter
-	teams    *auth.Teams    // nil: operators carry no token
-	identity *auth.Identity // nil: instances have no certificate
+	platform   platform.Platform
+	members    *member.Registry
+	store      *config.Store
+	changes    *config.Log
+	slots      *slots.Table
+	health     *health.Table
+	steer      *steer.Steerer
+	ledger     *ticket.Ledger
+	metrics    *metric.Set
+	front      *front.Front
+	peers      *peerConns
+	splitter   splitter
+	workspaces *auth.Workspaces // nil: operators carry no token
+	identity   *auth.Identity   // nil: instances have no certificate
 
 	short  chan struct{} // a request lacks a token
 	push   chan struct{} // there is something new to tell all peers
@@ -138,9 +138,9 @@
 // openCredentials reads the files that operators and instances prove with who
 // they are.
 func (e *Entry) openCredentials() (err error) {
-	if e.settings.TeamTokens != "" {
-		if e.teams, err = auth.Open(e.settings.TeamTokens); err != nil {
-			return errors.Annotate(err, "--team-tokens")
+	if e.settings.WorkspaceTokens != "" {
+		if e.workspaces, err = auth.Open(e.settings.WorkspaceTokens); err != nil {
+			return errors.Annotate(err, "--workspace-tokens")
 		}
 	}
 	if e.settings.Cert != "" {
@@ -151,7 +151,7 @@
 		e.peers.identity = e.identity
 	}
 	if !e.settings.secure() {
-		e.log.Warn().Str("reason", "no --team-tokens or no --cert").Msg("loopback-only")
+		e.log.Warn().Str("reason", "no --workspace-tokens or no --cert").Msg("loopback-only")
 	}
 	return nil
 }
@@ -254,13 +254,13 @@
 // adminServer returns the handler for operators.
 func (e *Entry) adminServer() (http.Handler, error) {
 	a := &admin.Admin{
-		Log:     e.changes,
-		Store:   e.store,
-		Logger:  e.log,
-		Metrics: e.metrics,
-		Status:  e.allStatus,
-		Ready:   e.Ready,
-		Teams:   e.teams,
+		Log:        e.changes,
+		Store:      e.store,
+		Logger:     e.log,
+		Metrics:    e.metrics,
+		Status:     e.allStatus,
+		Ready:      e.Ready,
+		Workspaces: e.workspaces,
 	}
 	return a.Handler()
 }
--- a/process/entry/secure_test.go
+++ b/process/entry/secure_test.go
@@ -32,11 +32,11 @@
 // tokens.
 func TestSecureEntries(t *testing.T) {
 	dir := t.TempDir()
-	tokens := filepath.Join(dir, "teams")
+	tokens := filepath.Join(dir, "workspaces")
 	line := func(name, token, more string) string {
 		return fmt.Sprintf("- {name: %s, hash: %x%s}\n", name, sha256.Sum256([]byte(token)), more)
 	}
-	text := "teams:\n" + line("root", "root", ", admin: true") + line("a", "a", "") + line("b", "b", ", expires: 2020-01-01T00:00:00Z")
+	text := "workspaces:\n" + line("root", "root", ", admin: true") + line("a", "a", "") + line("b", "b", ", expires: 2020-01-01T00:00:00Z")
 	assert.NilError(t, os.WriteFile(tokens, []byte(text), 0o600))
 	var p standin.Server
 	p.SetInstances([]platform.Instance{{Name: "one"}, {Name: "two"}})
@@ -49,7 +49,7 @@
 		assert.NilError(t, err)
 		s := Settings{
 			Instance: name, Hall: "h", Front: ps[0].String(), Peer: ps[1].String(), Admin: ps[2].String(),
-			Platform: srv.URL, LogLevel: "error", TeamTokens: tokens,
+			Platform: srv.URL, LogLevel: "error", WorkspaceTokens: tokens,
 		}
 		s.Cert, s.Key, s.Authority = a.Write(t, filepath.Join(dir, name), time.Hour)
 		e, err := Start(s, io.Discard)
@@ -104,7 +104,7 @@
 	s := good()
 	s.Front = "10.0.0.1:8000"
 	assert.ErrorContains(t, s.Check(), "--front: 10.0.0.1:8000 is not loopback")
-	s.TeamTokens = "f"
+	s.WorkspaceTokens = "f"
 	assert.ErrorContains(t, s.Check(), "is not loopback")
 	s.Cert = "c"
 	assert.ErrorContains(t, s.Check(), "all or none")
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -28,15 +28,15 @@
 	Grace    time.Duration
 	LogLevel string
 
-	// TeamTokens is the file of the teams' tokens, see package auth.
-	TeamTokens string
+	// WorkspaceTokens is the file of the workspaces' tokens, see package auth.
+	WorkspaceTokens string
 	// Cert, Key and Authority are PEM files: this instance's certificate and
 	// key, and the authority of all instances.
 	Cert, Key, Authority string
 }
 
 // secure reports whether operators and instances must prove who they are.
-func (s *Settings) secure() bool { return s.TeamTokens != "" && s.Cert != "" }
+func (s *Settings) secure() bool { return s.WorkspaceTokens != "" && s.Cert != "" }
 
 // DefaultGrace is the least time after which no caller has a cached look-up.
 const DefaultGrace = front.LookupLife + time.Second/2
@@ -85,7 +85,7 @@
 	}
 	for _, a := range []struct{ flag, value string }{{"front", s.Front}, {"peer", s.Peer}, {"admin", s.Admin}} {
 		if ap, err := netip.ParseAddrPort(a.value); err == nil && !ap.Addr().IsLoopback() {
-			return errors.Errorf("--%s: %s is not loopback, which needs --team-tokens, --cert, --key and --authority", a.flag, a.value)
+			return errors.Errorf("--%s: %s is not loopback, which needs --workspace-tokens, --cert, --key and --authority", a.flag, a.value)
 		}
 	}
 	return nil
--- a/request/result.go
+++ b/request/result.go
@@ -105,9 +105,9 @@
 	PlatformDown:    {"PLATFORM_DOWN", http.StatusServiceUnavailable, "the platform did not answer; nothing was written"},
 	CommitUnknown:   {"COMMIT_UNKNOWN", http.StatusServiceUnavailable, "the platform's answer was lost; ask again with the same operation id"},
 	TokenMissing:    {"TOKEN_MISSING", http.StatusUnauthorized, "the call carries no token"},
-	TokenWrong:      {"TOKEN_WRONG", http.StatusUnauthorized, "no team has the token"},
+	TokenWrong:      {"TOKEN_WRONG", http.StatusUnauthorized, "no workspace has the token"},
 	TokenExpired:    {"TOKEN_EXPIRED", http.StatusUnauthorized, "the token has expired"},
-	Forbidden:       {"FORBIDDEN", http.StatusForbidden, "the resource belongs to another team"},
+	Forbidden:       {"FORBIDDEN", http.StatusForbidden, "the resource belongs to another workspace"},
 	NotInForce:      {"NOT_IN_FORCE", http.StatusGatewayTimeout, "not every instance has the version in force"},
 }
 
--- a/version/resource.go
+++ b/version/resource.go
@@ -66,8 +66,8 @@
 
 // Service is a named set of routes served by one group of upstreams.
 type Service struct {
-	// Team is the team that may change the service; "": only an admin team.
-	Team string `json:"team,omitempty"`
+	// Workspace is the workspace that may change the service; "": only an admin workspace.
+	Workspace string `json:"workspace,omitempty"`
 	// Hosts are the values of the Host header that select the service.
 	Hosts []string `json:"hosts,omitempty"`
 	// Routes are tried in order; the first match holds.
