proxy, logging, balance: each refusal says what decided it, in bounded lines

Cause: whoever is on call has only logs. A refusal named its code, not what the choice saw; a further attempt, a refused connection and an upstream's refusal left no line; the volume of lines was bounded by the queue alone, so that a burst of successes could crowd failures out. A body that came too late ended with 499, which promises nothing.

Ruled out: sampling by zerolog's own samplers, which bound a logger as a whole, not a kind of event.

Change: logging.Limit bounds each kind of event (100 lines a second, 5 for answers) and the next line tells how many were left out. Refused lines carry version, age of its confirmation, attempts and what the choice saw (balance.Why: upstreams, closed, foreign, suspended, full, tried, cold, or the best one with wait and patience). New events: tried-again, connect-failed, upstream-refused; answered is no longer a debug line. New result 16 BODY_LATE with 408.

--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"sort"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	now       time.Duration
 	place, of int
 	config    *version.Config
+	ports     uint16 // taken by upstreams
 }
 
 func newPlace(instances int) *place {
@@ -53,7 +55,9 @@
 }
 
 func (p *place) upstream(name string, region int, change func(*version.Upstream)) {
-	u := &version.Upstream{Service: "s", Hall: fmt.Sprintf("hr%d", region), Slots: 6}
+	p.ports++
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, 1}), p.ports)
+	u := &version.Upstream{Service: "s", Hall: fmt.Sprintf("hr%d", region), Address: address, Slots: 6}
 	if change != nil {
 		change(u)
 	}
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -42,13 +42,16 @@
 	if object == 0 || !q.Route.Sticky {
 		object = rand.Uint64()
 	}
-	c := t.candidates(q, part, s, object, now)
+	c, why := t.candidates(q, part, s, object, now)
 	best, ok := t.best(s, c, now)
 	if !ok {
-		return nil, Refusal{Code: request.NoUpstream, Retry: t.comeBack(request.NoUpstream, 0)}
+		why.Cold = len(c)
+		return nil, Refusal{Code: request.NoUpstream, Retry: t.comeBack(request.NoUpstream, 0), Why: why}
 	}
-	if over := best.wait - t.patience(q, best); over > 0 {
-		return nil, Refusal{Code: request.QueueFull, Retry: t.comeBack(request.QueueFull, over)}
+	patience := t.patience(q, best)
+	if over := best.wait - patience; over > 0 {
+		why.Best, why.Wait, why.Patience = t.routing.Upstreams[best.index].Name, best.wait, patience
+		return nil, Refusal{Code: request.QueueFull, Retry: t.comeBack(request.QueueFull, over), Why: why}
 	}
 	return t.take(q, best, s, now), Refusal{}
 }
@@ -76,18 +79,30 @@
 }
 
 // candidates lists the upstreams that may get the request now, the first
-// choices of its object only.
-func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, now time.Duration) []candidate {
+// choices of its object only, and counts those that may not.
+func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, now time.Duration) ([]candidate, Why) {
+	why := Why{Upstreams: len(s.Upstreams)}
 	c := make([]candidate, 0, len(s.Upstreams))
 	weights := t.weights(part, s)
 	bound := t.connections(s)
 	for k, i := range s.Upstreams {
 		v := &t.routing.Upstreams[i]
 		u := t.states[i]
-		if v.Closed || q.Route.Home != nil && !q.Route.Home[v.Region] {
+		switch {
+		case v.Closed:
+			why.Closed++
 			continue
-		}
-		if !u.usable(now) || u.inFlight >= bound || slices.Contains(q.Tried, v.Name) {
+		case q.Route.Home != nil && !q.Route.Home[v.Region]:
+			why.Foreign++
+			continue
+		case !u.usable(now):
+			why.Suspended++
+			continue
+		case u.inFlight >= bound:
+			why.Full++
+			continue
+		case slices.Contains(q.Tried, v.Name):
+			why.Tried++
 			continue
 		}
 		c = append(c, candidate{index: i, near: v.Distance(object, weights(k)), far: v.Distance(object, float64(v.Slots))})
@@ -104,7 +119,7 @@
 			x.cost += time.Duration(unseenCost * float64(u.usualWork()))
 		}
 	}
-	return c
+	return c, why
 }
 
 // connections returns this instance's share of the connections that an upstream
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -129,6 +129,8 @@
 	Code request.Code
 	// Retry is when to come back.
 	Retry time.Duration
+	// Why is what the choice saw.
+	Why Why
 }
 
 // Split chooses the part of a route for a request by the weights of its route, so that
--- /dev/null
+++ b/process/balance/why.go
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Why is what a choice saw when it found no upstream: how many there are, and
+// how many of them could not be taken for each reason.
+type Why struct {
+	Upstreams int
+	Closed    int // leaving, or in a drained place
+	Foreign   int // in a region that is no home of the route
+	Suspended int // failed lately
+	Full      int // this instance's share of its connections is in use
+	Tried     int // had the request already
+	Cold      int // cold, and no turn is left
+	// Best is the upstream that would have answered first, Wait the time until
+	// it would have begun, and Patience the longest wait that leaves time to
+	// answer within the objective. All are zero unless there was one.
+	Best           string
+	Wait, Patience time.Duration
+}
+
+// MarshalZerologObject adds the fields that are not zero to a log line.
+func (w Why) MarshalZerologObject(e *zerolog.Event) {
+	for _, x := range []struct {
+		name  string
+		count int
+	}{
+		{"upstreams", w.Upstreams}, {"closed", w.Closed}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
+		{"full", w.Full}, {"tried", w.Tried}, {"cold", w.Cold},
+	} {
+		if x.count > 0 {
+			e.Int(x.name, x.count)
+		}
+	}
+	if w.Best != "" {
+		e.Str("best", w.Best).Dur("wait", w.Wait).Dur("patience", w.Patience)
+	}
+}
--- /dev/null
+++ b/process/logging/limit_test.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: MIT
+
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestLinesAreBoundedByKind writes many lines of one kind, and checks that
+// those of another are written, and that the lines left out are told.
+func TestLinesAreBoundedByKind(t *testing.T) {
+	var out bytes.Buffer
+	now := time.Unix(1000, 0)
+	limit := NewLimit(func() time.Time { return now })
+	log := New(&out).Hook(limit)
+	for range 10 * usualRate {
+		log.Info().Msg("refused")
+		log.Info().Msg("answered")
+	}
+	log.Info().Msg("stopping")
+	text := out.String()
+	assert.Equal(t, strings.Count(text, "event=refused"), usualRate)
+	assert.Equal(t, strings.Count(text, "event=answered"), successRate)
+	assert.Equal(t, strings.Count(text, "event=stopping"), 1)
+	assert.Equal(t, limit.LeftOut(), int64(20*usualRate-usualRate-successRate))
+	out.Reset()
+	now = now.Add(time.Second)
+	log.Info().Msg("refused")
+	assert.Assert(t, strings.Contains(out.String(), "leftOut=900"), "%s", out.String())
+	out.Reset()
+	log.Info().Msg("refused")
+	assert.Assert(t, !strings.Contains(out.String(), "leftOut"), "%s", out.String())
+}
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -52,8 +52,7 @@
 	}
 	took := time.Since(c.began)
 	p.Metrics.Request(c.service, class, res.Code, took)
-	p.Log.Info().Str("id", c.id).Str("service", c.service).Str("class", class.String()).Int("code", int(res.Code)).
-		Str("result", res.Code.Info().Name).Str("ran", string(res.Ran)).Dur("retry", res.Retry).Dur("took", took).Msg("refused")
+	p.logRefusal(c, res, class, took)
 	status := res.Code.Info().Status
 	if res.Ran == request.RanUnknown && status == http.StatusServiceUnavailable {
 		status = http.StatusBadGateway
@@ -70,3 +69,20 @@
 	h.Set("Content-Length", "0")
 	c.w.WriteHeader(status)
 }
+
+// logRefusal writes the line of a request that ends with an answer of our own.
+func (p *Proxy) logRefusal(c *call, res *request.Result, class request.Class, took time.Duration) {
+	e := p.Log.Info().Str("id", c.id).Str("service", c.service).Str("class", class.String()).Int("code", int(res.Code)).
+		Str("result", res.Code.Info().Name).Str("ran", string(res.Ran)).Int("attempts", c.attempts).
+		Int64("version", c.version).Dur("retry", res.Retry).Dur("took", took)
+	if p.Age != nil {
+		e.Dur("confirmed", p.Age())
+	}
+	if c.why != nil {
+		e.EmbedObject(*c.why)
+	}
+	if c.route == nil {
+		e.Str("host", c.r.Host).Str("path", c.r.URL.Path)
+	}
+	e.Msg("refused")
+}
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -36,7 +36,6 @@
 	// mayHaveRun is set once a byte has left for an upstream that has not said
 	// that it did not run the request.
 	mayHaveRun bool
-	sent       int // attempts of which a byte may have left
 }
 
 // run makes attempts until one has an answer or no further one is safe.
@@ -48,6 +47,8 @@
 	a, res := t.attempt(ctx)
 	for t.another(ctx, a, res) {
 		p.Metrics.Retry(c.service)
+		p.Log.Info().Str("id", c.id).Str("service", c.service).Strs("tried", t.query.Tried).Int("code", int(res.Code)).
+			Str("result", res.Code.Info().Name).Dur("took", time.Since(c.began)).Msg("tried-again")
 		further, ended := t.attempt(ctx)
 		if further != nil {
 			return further, nil
@@ -70,10 +71,10 @@
 	if t.mayHaveRun && !t.c.route.Repeatable || !t.c.body.again() {
 		return false
 	}
-	if len(t.query.Tried) >= maxTries || t.sent >= t.c.route.Attempts {
+	if len(t.query.Tried) >= maxTries || t.c.attempts >= t.c.route.Attempts {
 		return false
 	}
-	return t.sent == 0 || t.p.Retries.Retry(t.c.service, t.p.Now())
+	return t.c.attempts == 0 || t.p.Retries.Retry(t.c.service, t.p.Now())
 }
 
 const (
@@ -91,6 +92,7 @@
 	t.query.Elapsed = time.Since(t.c.began)
 	pick, refusal := t.p.Table.Pick(&t.query)
 	if pick == nil {
+		t.c.why = &refusal.Why
 		return nil, t.result(refusal.Code, refusal.Retry)
 	}
 	t.query.Tried = append(t.query.Tried, pick.Name)
@@ -101,7 +103,7 @@
 	if err != nil {
 		return nil, t.failed(ctx, pick, err)
 	}
-	t.sent++
+	t.c.attempts++
 	return t.read(ctx, ex, pick)
 }
 
@@ -132,12 +134,19 @@
 	}
 	a.upstream = pick.Name
 	pick.Done(balance.Answered, t.report(h))
-	t.p.Log.Debug().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
-		Str("upstream", pick.Name).Int("rank", pick.Rank).Dur("wait", pick.Wait).Str("load", h.Get(names.Load)).
-		Int("status", a.res.StatusCode).Dur("took", time.Since(t.c.began)).Msg("answered")
+	t.logAnswer(a, pick)
 	return a, nil
 }
 
+// logAnswer writes the line of an answer that is passed on.
+func (t *trial) logAnswer(a *answer, pick *balance.Pick) {
+	names := &t.p.Names
+	t.p.Log.Info().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
+		Str("upstream", pick.Name).Int("rank", pick.Rank).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
+		Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
+		Dur("took", time.Since(t.c.began)).Msg("answered")
+}
+
 // maxForeign bounds the answers to other requests that are skipped.
 const maxForeign = 2
 
@@ -148,6 +157,8 @@
 	report := t.report(ex.Response.Header)
 	ex.Close()
 	pick.Done(balance.Refused, report)
+	t.p.Log.Info().Str("id", t.c.id).Str("upstream", pick.Name).Int("status", ex.Response.StatusCode).
+		Str("load", ex.Response.Header.Get(t.p.Names.Load)).Msg("upstream-refused")
 	if misdirected {
 		pick.Gone()
 		pick.Pool.CloseIdle()
@@ -192,7 +203,7 @@
 func (t *trial) failed(ctx context.Context, pick *balance.Pick, err error) *request.Result {
 	var d *conn.DispatchError
 	if !errors.As(err, &d) || d.Sent {
-		t.sent++
+		t.c.attempts++
 		return t.lost(ctx, pick, err)
 	}
 	if t.c.r.Context().Err() != nil {
@@ -200,6 +211,7 @@
 		return t.result(request.CallerGone, 0)
 	}
 	pick.Done(balance.Failed, nil)
+	t.p.Log.Info().Str("id", t.c.id).Str("upstream", pick.Name).Err(err).Msg("connect-failed")
 	return t.result(request.ConnectFailed, minRetry)
 }
 
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	Metrics *metric.Set
 	Log     zerolog.Logger
 	Now     func() time.Duration
+	// Age returns how long ago the configuration in force was last confirmed.
+	Age func() time.Duration
 
 	leaving atomic.Bool
 	running atomic.Int64
@@ -61,9 +64,12 @@
 	id       string
 	route    *version.RouteView
 	service  string
+	version  int64 // of the configuration that decided; zero: none
 	deadline time.Time
 	began    time.Time
 	body     *body
+	why      *balance.Why // what the last choice saw, if it found no upstream
+	attempts int          // of which a byte may have left
 }
 
 // ServeHTTP serves one request.
@@ -101,6 +107,7 @@
 	if routing == nil {
 		return refuse(request.NoVersion, time.Second)
 	}
+	c.version = routing.Seq
 	c.route = routing.Route(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
 		return refuse(request.UnknownRoute, 0)
@@ -194,6 +201,9 @@
 	if errors.As(err, &large) {
 		return refuse(request.TooLarge, 0)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refuse(request.BodyLate, 0)
+	}
 	return refuse(request.CallerGone, 0)
 }
 
--- a/request/result.go
+++ b/request/result.go
@@ -26,6 +26,7 @@
 	TooLarge       Code = 13
 	CallerGone     Code = 14
 	HeaderTooLarge Code = 15
+	BodyLate       Code = 16
 
 	QueueFull    Code = 20
 	DeadlineNear Code = 21
@@ -83,6 +84,7 @@
 	UnknownRoute:    {"UNKNOWN_ROUTE", http.StatusNotFound, "the service has no route for this method and path"},
 	TooLarge:        {"TOO_LARGE", http.StatusRequestEntityTooLarge, "the body is larger than the route allows"},
 	HeaderTooLarge:  {"HEADER_TOO_LARGE", http.StatusRequestHeaderFieldsTooLarge, "the headers are larger than 64 KiB"},
+	BodyLate:        {"BODY_LATE", http.StatusRequestTimeout, "the body did not come before the request's deadline"},
 	CallerGone:      {"CALLER_GONE", 499, "the caller went away before the answer"},
 	QueueFull:       {"QUEUE_FULL", http.StatusServiceUnavailable, "too many requests wait for a slot"},
 	DeadlineNear:    {"DEADLINE_NEAR", http.StatusServiceUnavailable, "no slot can be had before the deadline"},
