entry, proxy: the entry serves what route resources direct

Ruled out: compiling them into the view that slot tokens bound: two semantics in one decision, and none of the promises of the users' platform would be tested twice; docs/DESIGN.md.

Change: process/entry/routes.go installs each version with route resources in a balance.Table and serves what matches by a proxy.Proxy, before the routes of services. proxy.Proxy gains Fresh (nobody confirmed the version: refused), NewID (a request without an id gets one; not on the users' platform) and OnAnswer (an upstream's word that it leaves).

Not given to route resources: caps of links and shifts, never more requests than slots.

--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -18,8 +18,10 @@
 	// Place returns the place of this instance, from 0, among those that share
 	// what must be shared, and their number.
 	Place func() (place, of int)
-	// Region is the name of the region of this instance.
+	// Region is the name of the region of this instance. If it is empty, Hall
+	// names its hall, whose region the configuration tells.
 	Region string
+	Hall   string
 	// OnSuspend, if set, is told when an upstream gets nothing for a while, with
 	// the number of failures in a row, and with 0 failures when it answers again.
 	// It must not call the table.
@@ -62,6 +64,9 @@
 	}
 	t.routing, t.states, t.byName = r, states, byName
 	t.region = r.Region(t.Region)
+	if t.Region == "" {
+		t.region = r.RegionOfHall(t.Hall)
+	}
 	if t.splits == nil {
 		t.splits = make(map[string][]float64)
 	}
--- a/process/config/commit_test.go
+++ b/process/config/commit_test.go
@@ -22,7 +22,7 @@
 // newLog returns a log on a stand-in's platform.
 func newLog(t *testing.T, url string) *Log {
 	t.Helper()
-	s := &Store{Now: func() time.Duration { return 0 }, OnInstall: func(*version.View) {}}
+	s := &Store{Now: func() time.Duration { return 0 }, OnInstall: func(*version.Config, *version.View) {}}
 	return &Log{Platform: platform.NewClient(url), Store: s}
 }
 
@@ -89,7 +89,7 @@
 
 func TestVersionOnlyRises(t *testing.T) {
 	var installed []int64
-	s := &Store{Now: func() time.Duration { return 0 }, OnInstall: func(v *version.View) { installed = append(installed, v.Seq) }}
+	s := &Store{Now: func() time.Duration { return 0 }, OnInstall: func(_ *version.Config, v *version.View) { installed = append(installed, v.Seq) }}
 	one, two, three := region("a", "1", 0), region("a", "2", 1), region("a", "3", 2)
 	one.Seq, two.Seq, three.Seq = 1, 2, 3
 	assert.NilError(t, s.Adopt(one, three)) // a gap: three waits
--- a/process/config/store.go
+++ b/process/config/store.go
@@ -19,8 +19,8 @@
 type Store struct {
 	// Now is the process's clock.
 	Now func() time.Duration
-	// OnInstall is called for each new view, in order, with a lock held.
-	OnInstall func(*version.View)
+	// OnInstall is called for each new version, in order, with a lock held.
+	OnInstall func(*version.Config, *version.View)
 
 	mu      sync.Mutex
 	config  *version.Config
@@ -100,7 +100,7 @@
 	}
 	s.config, s.view = c, v
 	s.since = s.Now()
-	s.OnInstall(v)
+	s.OnInstall(c, v)
 	if s.news != nil {
 		close(s.news)
 		s.news = nil
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -48,6 +48,7 @@
 	ledger     *ticket.Ledger
 	metrics    *metric.Set
 	front      *front.Front
+	routes     *routes
 	peers      *peerConns
 	splitter   splitter
 	workspaces *auth.Workspaces // nil: operators carry no token
@@ -133,6 +134,7 @@
 		Steer: e.steer, Ledger: e.ledger, Members: e.members,
 		Metrics: e.metrics, Log: e.log, Now: e.now,
 	}
+	e.routes = newRoutes(e)
 }
 
 // openCredentials reads the files that operators and instances prove with who
@@ -164,8 +166,9 @@
 	return version.None
 }
 
-func (e *Entry) onInstall(v *version.View) {
+func (e *Entry) onInstall(c *version.Config, v *version.View) {
 	e.steer.Install(v)
+	e.routes.install(c)
 	e.log.Info().Int64("version", v.Seq).Msg("in-force")
 	poke(e.push)
 	poke(e.split)
@@ -224,6 +227,7 @@
 		if now-health >= healthTime {
 			health = now
 			e.health.Tick(now)
+			e.routes.refresh()
 		}
 		if now-decay >= decayTime {
 			decay = now
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -60,7 +60,7 @@
 	e.grpc = grpc.NewServer(options...)
 	peer.RegisterPeerServer(e.grpc, &peerServer{e: e})
 	go func() { _ = e.grpc.Serve(peerL) }() // ends when the entry stops
-	e.frontServer = e.serveHTTP(frontL, e.front)
+	e.frontServer = e.serveHTTP(frontL, http.HandlerFunc(e.serveCaller))
 	e.serveHTTP(adminL, adminHandler)
 	return nil
 }
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -263,6 +263,14 @@
 	t.counters.Closed[place].Store(now < u.closed || t.isLeaving(name, u))
 }
 
+// Leaving reports whether an upstream has said that it takes no more work.
+func (t *Table) Leaving(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[name]
+	return u != nil && t.isLeaving(name, u)
+}
+
 // isLeaving reports whether the latest known start of an upstream is leaving.
 // A fact about a start that was never seen here counts until it is.
 func (t *Table) isLeaving(name string, u *upstream) bool {
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -96,6 +96,7 @@
 		return nil, t.result(refusal.Code, refusal.Retry)
 	}
 	t.query.Tried = append(t.query.Tried, pick.Name)
+	sent := time.Now()
 	ex, err := pick.Pool.Dispatch(ctx, t.request(ctx, pick), conn.Options{
 		Deadline: t.c.deadline, CloseAtOnce: true,
 		Allowed: func() bool { return true }, Release: func(bool) {},
@@ -104,11 +105,11 @@
 		return nil, t.failed(ctx, pick, err)
 	}
 	t.c.attempts++
-	return t.read(ctx, ex, pick)
+	return t.read(ctx, ex, pick, sent)
 }
 
-// read takes in the answer to an attempt.
-func (t *trial) read(ctx context.Context, ex *conn.Exchange, pick *balance.Pick) (*answer, *request.Result) {
+// read takes in the answer to an attempt that was sent at a time.
+func (t *trial) read(ctx context.Context, ex *conn.Exchange, pick *balance.Pick, sent time.Time) (*answer, *request.Result) {
 	names := &t.p.Names
 	for range maxForeign {
 		if ex.Response.Header.Get(names.ID) == t.c.id {
@@ -134,6 +135,9 @@
 	}
 	a.upstream = pick.Name
 	pick.Done(balance.Answered, t.report(h))
+	if t.p.OnAnswer != nil {
+		t.p.OnAnswer(pick.Name, h, time.Since(sent))
+	}
 	t.logAnswer(a, pick)
 	return a, nil
 }
@@ -252,6 +256,9 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // else one is added
 	}
+	if in.Header.Get(t.p.Names.ID) == "" && t.c.id != "" {
+		h.Set(t.p.Names.ID, t.c.id)
+	}
 	h.Set(t.p.Names.Target, pick.Name)
 	h.Set(t.p.Names.Deadline, strconv.FormatInt(max(1, time.Until(t.c.deadline).Milliseconds()), 10))
 	return out.WithContext(ctx)
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -31,6 +31,13 @@
 	Metrics *metric.Set
 	Log     zerolog.Logger
 	Now     func() time.Duration
+	// Fresh, if set, reports whether the configuration in force may be acted
+	// on; otherwise requests are refused.
+	Fresh func() bool
+	// NewID, if set, gives an id to requests that carry none.
+	NewID func() string
+	// OnAnswer, if set, is told of each answer of an upstream.
+	OnAnswer func(upstream string, h http.Header, took time.Duration)
 	// Age returns how long ago the configuration in force was last confirmed.
 	Age func() time.Duration
 
@@ -80,6 +87,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{w: w, r: r, id: r.Header.Get(p.Names.ID), began: time.Now()}
+	if c.id == "" && p.NewID != nil {
+		c.id = p.NewID()
+	}
 	if c.id != "" {
 		w.Header().Set(p.Names.ID, c.id)
 	}
@@ -108,6 +118,9 @@
 		return refuse(request.NoVersion, time.Second)
 	}
 	c.version = routing.Seq
+	if p.Fresh != nil && !p.Fresh() {
+		return refuse(request.Unconfirmed, minRetry)
+	}
 	c.route = routing.Route(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
 		return refuse(request.UnknownRoute, 0)
--- a/version/routing.go
+++ b/version/routing.go
@@ -203,5 +203,8 @@
 	return homes
 }
 
+// RegionOfHall returns the index of the region of a hall, or None.
+func (r *Routing) RegionOfHall(name string) int32 { return find(r.halls, name) }
+
 // Region returns the index of a region, or None.
 func (r *Routing) Region(name string) int32 { return find(r.regions, name) }
