proxy, state: nothing is tried on when there is no other upstream; relays notice sooner

Cause, first: the new lines of tried-again showed one request tried again over a hundred times within a millisecond. After an upstream could not be reached or refused, and no other could be taken, the loop of attempts kept the earlier result and asked the choice again, without a pause, until 30 ms before the deadline.

Ruled out: waiting until another upstream is usable: a request that is given up on gets its final answer at once.

Change: an attempt that finds no place ends the request with what the attempt before told. TestNothingIsTriedOnWhenThereIsNoOther fails without it (569 ms, and 100 retries in its metrics).

Change: a relay asks a store that did not answer with no wait (TestRelayNoticesSoonThatTheStoreIsBack fails without it).

--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -53,9 +53,10 @@
 		if further != nil {
 			return further, nil
 		}
-		if !ended.Code.NoPlace() {
-			res = ended // else the end of the attempt before tells more
+		if ended.Code.NoPlace() {
+			return nil, res // the end of the attempt before tells more
 		}
+		res = ended
 	}
 	return a, res
 }
--- a/process/proxy/proxy_test.go
+++ b/process/proxy/proxy_test.go
@@ -244,6 +244,26 @@
 	}
 }
 
+// TestNothingIsTriedOnWhenThereIsNoOther checks that a request whose only
+// upstream could not be reached, or refused it, gets its final answer at once
+// and takes one retry at most.
+func TestNothingIsTriedOnWhenThereIsNoOther(t *testing.T) {
+	for name, spoil := range map[string]func(f *fixture){
+		"dead":    func(f *fixture) { f.upstreams[0].Close() },
+		"refuses": func(f *fixture) { f.allShed() },
+	} {
+		f := newFixture(t, 1)
+		spoil(f)
+		r := f.send("x", "/reads/1", "")
+		assert.Equal(t, r.status, http.StatusServiceUnavailable, name)
+		assert.Assert(t, r.took < 250*time.Millisecond, "%s: after %s", name, r.took)
+		var metrics strings.Builder
+		assert.NilError(t, f.proxy.Metrics.Write(&metrics))
+		assert.Assert(t, !strings.Contains(metrics.String(), "retries_total") || strings.Contains(metrics.String(), `retries_total{service="s"} 1`),
+			"%s: %s", name, metrics.String())
+	}
+}
+
 func TestUnknownRouteAndNoVersion(t *testing.T) {
 	f := newFixture(t, 1)
 	assert.Equal(t, f.send("x", "/none/1", "").status, http.StatusNotFound)
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -118,7 +118,7 @@
 			clock.Sleep(ctx, retryLeast)
 			continue
 		}
-		changed, err := f.askStore(ctx, name, t)
+		changed, err := f.askStore(ctx, name, t, f.holdFor(failures))
 		if ctx.Err() != nil {
 			return
 		}
@@ -141,16 +141,26 @@
 	}
 }
 
-// askStore asks one question. The first one, and one after the history is
-// gone, reads the table whole.
-func (f *Follower) askStore(ctx context.Context, name string, t *Table) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, storeWait+answerSlack)
+// holdFor returns how long the store may hold a question after so many failed
+// ones. A relay asks a store that does not answer for an answer at once, so that
+// it notices soon when the store is back: others wait for its word.
+func (f *Follower) holdFor(failures int) time.Duration {
+	if failures > 0 && f.Peers.Relay() {
+		return 0
+	}
+	return storeWait
+}
+
+// askStore asks one question, which the store may hold for a time. The first
+// one, and one after the history is gone, reads the table whole.
+func (f *Follower) askStore(ctx context.Context, name string, t *Table, hold time.Duration) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+answerSlack)
 	defer cancel()
 	asked := f.Now()
 	after, known := t.Version()
 	var d Delta
 	if known {
-		d, err = f.Store.Changes(ctx, name, after, storeWait)
+		d, err = f.Store.Changes(ctx, name, after, hold)
 	}
 	if !known || errors.Is(err, Compacted) {
 		asked = f.Now()
--- a/process/state/state_test.go
+++ b/process/state/state_test.go
@@ -238,6 +238,23 @@
 	reaches(t, f, 2, storeWait+answerSlack+retryMost)
 }
 
+// TestRelayNoticesSoonThatTheStoreIsBack checks that a relay does not wait for
+// the end of a question that a silent store took in.
+func TestRelayNoticesSoonThatTheStoreIsBack(t *testing.T) {
+	f, store, peers := follow(t)
+	peers.set(func(s *script) { s.relay, s.noPeers = true, true })
+	reaches(t, f, 1, time.Second)
+	store.set(func(s *script) { s.silent = true })
+	time.Sleep(2 * (storeWait + answerSlack))
+	for v := int64(2); v < 5; v++ {
+		store.write(v)
+		store.set(func(s *script) { s.silent = false })
+		reaches(t, f, v, answerSlack+2*retryMost)
+		store.set(func(s *script) { s.silent = true })
+		time.Sleep(storeWait + answerSlack + time.Duration(v)*300*time.Millisecond)
+	}
+}
+
 func TestFollowerReadsAgainWhenHistoryIsGone(t *testing.T) {
 	f, store, peers := follow(t)
 	peers.set(func(s *script) { s.relay, s.noPeers = true, true })
@@ -245,7 +262,7 @@
 	compacting := &compactOnce{script: store}
 	f2 := &Follower{Store: compacting, Peers: peerScript{peers}, Tables: f.Tables, Log: zerolog.Nop(), Now: f.Now}
 	store.write(9)
-	_, err := f2.askStore(context.Background(), "t", f.Tables["t"])
+	_, err := f2.askStore(context.Background(), "t", f.Tables["t"], storeWait)
 	assert.NilError(t, err)
 	got, _ := f.Tables["t"].Version()
 	assert.Equal(t, got, int64(9))
