cluster, state: a relay that the store turns away is replaced

Ruled out: a shorter time until instances ask for themselves: each of them pays for its calls during every outage; more relays: the same share strikes them.

Change: an instance that the store does not answer says so at once in its datagram (Member.Cut, for 10 s unless it is answered again), and another one of its region becomes the relay. A relay's question is held for 1.2 to 2 s at random and given up 0.4 s later (0.7 s if one failed lately), so that of several relays which a silent store strikes the first notices soon. The store stand-in's trouble strikes held questions too.

Tests of platform and process green.

Conclusion: the calls that it costs are measured next.

--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -33,8 +33,8 @@
 type Peers struct {
 	Members  *Members
 	Follower *state.Follower
-	// Single makes each instance ask the store itself.
-	Single bool
+	// OnCut, if set, is called when the store has ceased to answer this instance.
+	OnCut func()
 
 	client *http.Client
 }
@@ -56,6 +56,13 @@
 	return false
 }
 
+// StoreCalled notes whether a call of the store was answered.
+func (p *Peers) StoreCalled(answered bool) {
+	if p.Members.StoreCalled(answered) && p.OnCut != nil {
+		p.OnCut()
+	}
+}
+
 // Changes asks the i-th of the other relays; if there are fewer, any other
 // instance takes its place.
 func (p *Peers) Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (map[string]state.Delta, bool, error) {
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -74,6 +74,45 @@
 	assert.DeepEqual(t, names(m.Live()), []string{"a", "self"})
 }
 
+// TestRelayThatTheStoreTurnsAwayIsReplaced checks that another instance of the
+// region takes its place, that it may come back, and that a region of which all
+// are cut off still has one.
+func TestRelayThatTheStoreTurnsAwayIsReplaced(t *testing.T) {
+	m, c := newMembers()
+	for i := range 3 {
+		m.Learn(true, member(fmt.Sprintf("n%d", i), "north", 1))
+	}
+	say := func(name string, cut bool) {
+		x := member(name, "north", 1)
+		x.Cut = cut
+		m.Learn(true, x)
+	}
+	relay := func() string { return m.Relays()[0].Name }
+	seen := map[string]bool{}
+	for range 4 {
+		r := relay()
+		assert.Assert(t, !seen[r], "%s was told to be cut off", r)
+		seen[r] = true
+		if r == "self" {
+			assert.Assert(t, m.StoreCalled(false))
+			assert.Assert(t, !m.StoreCalled(false), "told once")
+		} else {
+			say(r, true)
+		}
+	}
+	assert.Assert(t, seen[relay()], "all are cut off")
+	say("n1", false)
+	assert.Equal(t, relay(), "n1")
+	say("n1", true)
+	m.StoreCalled(true)
+	assert.Assert(t, m.Self().Cut, "one answer may be luck")
+	c.now += cutLeast
+	assert.Equal(t, relay(), "self")
+	m.StoreCalled(false)
+	c.now += cutFor
+	assert.Assert(t, !m.Self().Cut, "it may try again")
+}
+
 func TestOneRelayARegion(t *testing.T) {
 	m, c := newMembers()
 	for i := range 5 {
--- a/process/cluster/doc.go
+++ b/process/cluster/doc.go
@@ -10,7 +10,8 @@
 own region, and to a few of the others. An instance that was never heard of
 counts as alive for a grace after its row was read. One that stops says so.
 
-The relay of a region is the live instance whose name has the lowest hash. It
+The relay of a region is the live instance whose name has the lowest hash; one
+that the store does not answer says so at once, and another takes its place. It
 needs no agreement: two relays cost calls, none costs a moment until each
 instance asks the store itself.
 */
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -21,6 +21,8 @@
 	Hall        string `json:"h"`
 	Region      string `json:"r"`
 	Leaving     bool   `json:"l,omitempty"`
+	// Cut says that the store does not answer the instance.
+	Cut bool `json:"c,omitempty"`
 }
 
 // Times of liveness.
@@ -32,16 +34,24 @@
 	aliveFor = 1800 * time.Millisecond
 	// grace is how long an instance counts as alive that was only read of.
 	grace = 2 * time.Second
+	// cutFor is how long after a call of the store that was not answered an
+	// instance counts as cut off from it, unless it is answered again.
+	cutFor = 10 * time.Second
+	// cutLeast is how long it counts as cut off even so: some calls may be
+	// answered while others are not.
+	cutLeast = 2 * time.Second
 	// forgetAfter is how long an instance is kept that was not heard.
 	forgetAfter = time.Minute
 )
 
 // Members are the instances that one knows of. Use NewMembers.
 type Members struct {
-	mu     sync.Mutex
-	self   Member
-	others map[string]*known
-	now    func() time.Duration
+	mu        sync.Mutex
+	self      Member
+	cutFailed time.Duration // when the store last did not answer; zero: never
+	answered  bool          // it has answered since
+	others    map[string]*known
+	now       func() time.Duration
 }
 
 type known struct {
@@ -60,7 +70,28 @@
 func (m *Members) Self() Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.self
+	return m.selfNow()
+}
+
+// selfNow returns the instance itself as it is now. The caller holds the lock.
+func (m *Members) selfNow() Member {
+	out := m.self
+	silence := m.now() - m.cutFailed
+	out.Cut = m.cutFailed != 0 && (silence < cutLeast || silence < cutFor && !m.answered)
+	return out
+}
+
+// StoreCalled notes whether a call of the store was answered, and reports whether
+// the instance counts as cut off from it now and did not before.
+func (m *Members) StoreCalled(answered bool) (cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.selfNow().Cut
+	if !answered {
+		m.cutFailed = m.now()
+	}
+	m.answered = answered
+	return !before && m.selfNow().Cut
 }
 
 // Leave marks the instance itself as leaving.
@@ -93,6 +124,7 @@
 		k.Leaving = k.Leaving || x.Leaving
 		if heard {
 			k.heard = now
+			k.Cut = x.Cut
 		}
 	}
 	m.forget(now)
@@ -129,7 +161,7 @@
 	now := m.now()
 	var out []Member
 	if !m.self.Leaving {
-		out = append(out, m.self)
+		out = append(out, m.selfNow())
 	}
 	for _, k := range m.others {
 		if k.alive(m.self.Region, now) {
@@ -191,14 +223,16 @@
 }
 
 // Relays returns the relay of each region, that of the own region first, then
-// in an order that differs by instance. The own instance may be among them.
+// in an order that differs by instance. The own instance may be among them. An
+// instance that is cut off from the store is the relay only if all of its region
+// are.
 func (m *Members) Relays() []Member {
 	live := m.Live()
 	self := m.Self()
 	best := make(map[string]Member)
 	for _, x := range live {
 		b, ok := best[x.Region]
-		if !ok || xxhash.Sum64String(x.Name) < xxhash.Sum64String(b.Name) {
+		if !ok || b.Cut && !x.Cut || b.Cut == x.Cut && xxhash.Sum64String(x.Name) < xxhash.Sum64String(b.Name) {
 			best[x.Region] = x
 		}
 	}
--- a/process/edge/belief.go
+++ b/process/edge/belief.go
@@ -68,6 +68,12 @@
 	e.log.Info().Str("upstream", upstream).Int("failures", failures).Dur("pause", pause).Msg("upstream-suspended")
 }
 
+// storeLost tells the other instances that the store does not answer this one.
+func (e *Edge) storeLost() {
+	e.log.Info().Bool("relay", e.peers.Relay()).Msg("store-lost")
+	e.beats.SendAll()
+}
+
 // watchMembers writes which instances were lost and found until the context
 // ends.
 func (e *Edge) watchMembers(ctx context.Context) {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -107,6 +107,7 @@
 		},
 	}
 	e.peers.Follower = e.follower
+	e.peers.OnCut = e.storeLost
 	e.lapses.keep = keepLapsed(e.settings.DrainWithin)
 	dialer := conn.NewDialer(dialTimeout, upstreamSilence)
 	e.table = &balance.Table{
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -36,12 +36,22 @@
 	Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (d map[string]Delta, ok bool, err error)
 	// Relay reports whether this instance asks the store for others.
 	Relay() bool
+	// StoreCalled is told whether a call of the store was answered.
+	StoreCalled(answered bool)
 }
 
 // Times of following.
 const (
-	// storeWait is how long the store may hold a question.
+	// storeWait is how long the store may hold a question, at most.
 	storeWait = 2 * time.Second
+	// relayWait is how long it may hold a relay's at least. What lies between
+	// is random, so that of several relays that a silent store strikes at
+	// once the first notices soon, and another instance takes its place.
+	relayWait = 1200 * time.Millisecond
+	// relaySlack is how long after its wait a relay gives an answer up, unless a
+	// question failed less than carefulFor ago: the store may be slow.
+	relaySlack = 400 * time.Millisecond
+	carefulFor = 10 * time.Second
 	// peerWait is how long a relay may hold a question.
 	peerWait = time.Second
 	// answerSlack is how long after its wait an answer is given up.
@@ -113,15 +123,19 @@
 // followStore asks the store while this instance is a relay, or stale.
 func (f *Follower) followStore(ctx context.Context, name string, t *Table) {
 	failures := 0
+	failed := time.Duration(0) // when a question failed last; zero: never
 	for ctx.Err() == nil {
 		if !f.Peers.Relay() && !f.Stale() {
 			clock.Sleep(ctx, retryLeast)
 			continue
 		}
-		changed, err := f.askStore(ctx, name, t, f.holdFor(failures))
+		careful := failed != 0 && f.Now()-failed < carefulFor
+		hold, slack := f.holdFor(failures, careful)
+		changed, err := f.askStore(ctx, name, t, hold, slack)
 		if ctx.Err() != nil {
 			return
 		}
+		f.Peers.StoreCalled(err == nil)
 		if (err == nil) != (failures == 0) {
 			f.Log.Info().Str("table", name).Bool("answered", err == nil).AnErr("error", err).Msg("store")
 		}
@@ -133,6 +147,7 @@
 			continue
 		}
 		failures++
+		failed = f.Now()
 		first := standbyPause
 		if f.Peers.Relay() {
 			first = retryLeast
@@ -142,19 +157,27 @@
 }
 
 // holdFor returns how long the store may hold a question after so many failed
-// ones. A relay asks a store that does not answer for an answer at once, so that
-// it notices soon when the store is back: others wait for its word.
-func (f *Follower) holdFor(failures int) time.Duration {
-	if failures > 0 && f.Peers.Relay() {
-		return 0
+// ones, and how long after that an answer is given up. A relay asks a store that
+// does not answer for an answer at once, so that it notices soon when the store is
+// back: others wait for its word.
+func (f *Follower) holdFor(failures int, careful bool) (hold, slack time.Duration) {
+	if !f.Peers.Relay() {
+		return storeWait, answerSlack
 	}
-	return storeWait
+	if failures > 0 {
+		return 0, answerSlack
+	}
+	hold = relayWait + rand.N(storeWait-relayWait)
+	if careful {
+		return hold, answerSlack
+	}
+	return hold, relaySlack
 }
 
 // askStore asks one question, which the store may hold for a time. The first
 // one, and one after the history is gone, reads the table whole.
-func (f *Follower) askStore(ctx context.Context, name string, t *Table, hold time.Duration) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, hold+answerSlack)
+func (f *Follower) askStore(ctx context.Context, name string, t *Table, hold, slack time.Duration) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+slack)
 	defer cancel()
 	asked := f.Now()
 	after, known := t.Version()
--- a/process/state/state_test.go
+++ b/process/state/state_test.go
@@ -155,6 +155,8 @@
 	return map[string]Delta{"t": d}, true, err
 }
 
+func (p peerScript) StoreCalled(bool) {}
+
 func (p peerScript) Relay() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -262,7 +264,7 @@
 	compacting := &compactOnce{script: store}
 	f2 := &Follower{Store: compacting, Peers: peerScript{peers}, Tables: f.Tables, Log: zerolog.Nop(), Now: f.Now}
 	store.write(9)
-	_, err := f2.askStore(context.Background(), "t", f.Tables["t"], storeWait)
+	_, err := f2.askStore(context.Background(), "t", f.Tables["t"], storeWait, answerSlack)
 	assert.NilError(t, err)
 	got, _ := f.Tables["t"].Version()
 	assert.Equal(t, got, int64(9))
--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -163,7 +163,6 @@
 func (s *Store) struck(r *http.Request) Trouble {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls[r.URL.Path]++
 	host, _, _ := net.SplitHostPort(r.RemoteAddr)
 	if len(s.trouble.Only) > 0 && !slices.Contains(s.trouble.Only, host) {
 		return Trouble{}
@@ -172,21 +171,14 @@
 }
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	s.mu.Unlock()
 	t := s.struck(r)
 	if t.Delay > 0 {
 		time.Sleep(t.Delay)
 	}
-	switch {
-	case t.Silent:
-		select {
-		case <-r.Context().Done():
-		case <-s.released:
-		}
-		panic(http.ErrAbortHandler)
-	case t.Reset:
-		panic(http.ErrAbortHandler)
-	case t.Status != 0:
-		w.WriteHeader(t.Status)
+	if s.fail(w, r, t) {
 		return
 	}
 	switch r.URL.Path {
@@ -201,6 +193,24 @@
 	}
 }
 
+// fail ends a call that trouble strikes, and reports whether it does.
+func (s *Store) fail(w http.ResponseWriter, r *http.Request, t Trouble) bool {
+	switch {
+	case t.Silent:
+		select {
+		case <-r.Context().Done():
+		case <-s.released:
+		}
+		panic(http.ErrAbortHandler)
+	case t.Reset:
+		panic(http.ErrAbortHandler)
+	case t.Status != 0:
+		w.WriteHeader(t.Status)
+		return true
+	}
+	return false
+}
+
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, t Trouble) {
 	q := r.URL.Query()
 	s.mu.Lock()
@@ -242,6 +252,9 @@
 		}
 		select {
 		case <-changed:
+			if s.fail(w, r, s.struck(r)) { // trouble strikes questions that are held, too
+				return
+			}
 		case <-over:
 			if hold {
 				version = after
