--- /dev/null
+++ b/process/edge/stop.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"time"
+)
+
+// Times of a planned stop.
+const (
+	stopPoll = 10 * time.Millisecond
+	// idleTime is how long no request must have been in flight.
+	idleTime = 150 * time.Millisecond
+	// loopTime is how long the end of the process's loops is waited for.
+	loopTime = 200 * time.Millisecond
+)
+
+// Stop ends the instance as planned.
+func (e *Edge) Stop() {
+	begun := time.Now()
+	e.leaving.Store(true)
+	e.members.Leave()
+	e.proxy.Leave()
+	e.beats.SendAll()
+	e.log.Info().Int64("running", e.proxy.Running()).Msg("stopping")
+	go e.deleteRow()
+	time.Sleep(e.settings.linger())
+	e.beats.SendAll()
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(e.settings.grace()))
+	defer cancel()
+	go func() { _ = e.front.Shutdown(ctx) }() // what is in flight after the grace is cut off
+	e.awaitIdle(ctx)
+	ended := make(chan struct{})
+	go func() {
+		e.Kill()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(loopTime): // a call that does not end must not hold the process up
+		e.log.Warn().Msg("loops-left")
+	}
+	e.log.Info().Int64("running", e.proxy.Running()).Dur("took", time.Since(begun)).Msg("stopped")
+}
+
+// awaitIdle waits until no request has been in flight for a moment, in which
+// requests that were under way to a closing listener arrive.
+func (e *Edge) awaitIdle(ctx context.Context) {
+	idle := time.Duration(0)
+	for idle < idleTime && ctx.Err() == nil {
+		time.Sleep(stopPoll)
+		idle += stopPoll
+		if e.proxy.Running() > 0 {
+			idle = 0
+		}
+	}
+}
+
+// Kill ends the instance at once.
+func (e *Edge) Kill() {
+	e.cancel()
+	for _, s := range e.servers {
+		_ = s.Close() // nothing more can be done about a failure
+	}
+	e.loops.Wait()
+}
+
+func (e *Edge) deleteRow() {
+	err := e.storeCall(context.Background(), func(ctx context.Context) error {
+		return e.deployment.Store.Delete(ctx, e.deployment.InstanceTable, e.settings.Instance)
+	})
+	if err != nil {
+		e.log.Info().Err(err).Msg("row-not-deleted")
+	}
+}
--- a/process/slots/lease.go
+++ b/process/slots/lease.go
@@ -240,76 +240,12 @@
 	return out
 }
 
-func (t *Table) unneeded(p *pool, k *token, now time.Duration) bool {
-	if p.place < 0 || k.index >= p.size() || t.leaving {
-		return true
-	}
-	if now-k.lastUsed < idleReturn {
-		return false
-	}
-	if p.group == nil {
-		return !p.wanted
-	}
-	return p.group.waiting == 0
-}
-
 // spareFactor is how far above the recent demand a member keeps tokens.
 const spareFactor = 1.25
 
-// Wants returns what this member would like to borrow now.
-func (t *Table) Wants(now time.Duration) []Want {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.view == nil || t.leaving {
-		return nil
-	}
-	var out []Want
-	for k, g := range t.groups {
-		if g.peak < 0.5 {
-			continue
-		}
-		need := int(math.Ceil(g.peak*spareFactor)) + 1
-		have := 0
-		for _, p := range t.groupPools(k.service, k.region) {
-			have += p.usable(now) + p.busy()
-		}
-		if need > have {
-			out = append(out, Want{Service: k.service, Region: k.region, Tokens: need - have})
-		}
-	}
-	for _, p := range t.bound {
-		if p.wanted && p.usable(now) == 0 {
-			out = append(out, Want{Pool: p.spec.Name, Tokens: 1 + p.spec.Size/wantParts})
-		}
-	}
-	return out
-}
-
 // wantParts is the part of a link's or shift's tokens that is asked for at once.
 const wantParts = 16
 
-// Lessors returns the other members that are homes of tokens that are wanted.
-func (t *Table) Lessors(w Want) map[string]bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make(map[string]bool)
-	if t.view == nil || t.split == nil {
-		return out
-	}
-	pools := t.groupPools(w.Service, w.Region)
-	if p := t.pools[w.Pool]; p != nil {
-		pools = []*pool{p}
-	}
-	for _, p := range pools {
-		for i := range t.split.Pools[p.spec.Name].Homes {
-			if home := t.split.Home(p.spec.Name, i); home != "" && home != t.Self {
-				out[home] = true
-			}
-		}
-	}
-	return out
-}
-
 // Cede takes free tokens off this member that others should have, at most
 // limit, and returns them. They stay unusable until Uncede or a split that
 // gives them away.
