balance, cluster, retry: shares are not used before the others are known

Cause: a model of instances that start, end and learn of each other late (rapid) sent a cold upstream 22 requests in a second with two instances, 18.5 allowed: an instance that has just started takes itself for the only one and uses the whole warming rate until it is no longer cold, since its turns were made once; and when a place changed, all turns began at the same moment.

Change: Members.Place is zero until the others' rows were read and 0.3 s passed, at most 3 s; then a cold upstream gets nothing from it, and the fixed number of retries is not used. Turns are made anew when the place changes, spread by place, and one taken lately counts.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -129,7 +129,7 @@
 		return math.MaxInt
 	}
 	_, of := t.Place()
-	return max(1, s.MaxConnections/of)
+	return max(1, s.MaxConnections/max(1, of))
 }
 
 // weights returns the weight of the k-th upstream for requests of this region.
@@ -180,7 +180,11 @@
 // warmEnough reports whether the upstream's warming leaves room for a request.
 func (t *Table) warmEnough(s *version.RoutedService, index int32, now time.Duration) bool {
 	u := t.states[index]
-	return s.Warming.Rate == 0 || now >= u.coldUntil || u.turns.open(now)
+	if s.Warming.Rate == 0 || now >= u.coldUntil {
+		return true
+	}
+	place, of := t.Place()
+	return u.turns.open(place, of, now)
 }
 
 // take notes that a request goes to an upstream.
--- /dev/null
+++ b/process/balance/shared_test.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"shalewick/version"
+)
+
+// sharer is one instance of a model in which several share the warming rate of
+// an upstream, each by what it believes of the others.
+type sharer struct {
+	*place
+	starts, ends time.Duration // when it lives
+	learns       time.Duration // when it has read which others there are
+}
+
+// TestWarmingRateHoldsWhileInstancesComeAndGo plays instances that start, end and
+// learn of each other at random moments while an upstream is cold, all under more
+// load than it bears. However wrong their beliefs are, the upstream must not get
+// more in any second than its rate allows.
+func TestWarmingRateHoldsWhileInstancesComeAndGo(t *testing.T) {
+	const (
+		rate, overage, slack = 9, 1.5, 5
+		lasts                = 3 * time.Second
+		step                 = 20 * time.Millisecond
+	)
+	rapid.Check(t, func(r *rapid.T) {
+		n := rapid.IntRange(1, 24).Draw(r, "instances")
+		allAtOnce := rapid.Bool().Draw(r, "all start while it is cold")
+		sharers := make([]*sharer, n)
+		for i := range sharers {
+			x := &sharer{place: newPlace(1), ends: lasts}
+			ms := func(low, high int, name string) time.Duration {
+				return time.Duration(rapid.IntRange(low, high).Draw(r, fmt.Sprint(name, i))) * time.Millisecond
+			}
+			if allAtOnce {
+				x.starts = ms(0, 300, "start")
+				x.learns = x.starts + ms(0, 600, "learns")
+			} else if rapid.IntRange(0, 3).Draw(r, fmt.Sprint("late", i)) == 0 {
+				x.starts = ms(0, 2000, "start")
+				x.learns = x.starts + ms(0, 600, "learns")
+			}
+			if rapid.IntRange(0, 3).Draw(r, fmt.Sprint("dies", i)) == 0 {
+				x.ends = x.starts + ms(0, 3000, "ends")
+			}
+			sharers[i] = x
+		}
+		var sent []time.Duration
+		for now := time.Duration(0); now < lasts; now += step {
+			for i, x := range sharers {
+				if now < x.starts || now >= x.ends {
+					continue
+				}
+				x.now = time.Hour + now
+				x.believe(sharers, i, now)
+				if x.Routing() == nil {
+					x.upstream("cold", 0, func(u *version.Upstream) { u.Cold = version.Duration(lasts - now) })
+					x.install()
+				}
+				for object := range uint64(3) {
+					if k, _ := x.Pick(x.query(object + 1)); k != nil {
+						sent = append(sent, x.now)
+						k.Done(Answered, &Report{Running: 1, Slots: 6})
+					}
+				}
+			}
+		}
+		if most := mostInASecond(sent); float64(most) > rate*overage+slack {
+			r.Fatalf("%d instances: %d in one second", n, most)
+		}
+	})
+}
+
+// believe sets what an instance takes its place to be. It does not know of others
+// before it has read their rows and a little longer (cluster.Members.Place), when
+// it has heard of all who read theirs meanwhile; it learns of a later start when
+// that one has read the rows, and of an end a second late.
+func (x *sharer) believe(all []*sharer, self int, now time.Duration) {
+	const (
+		settle   = 300 * time.Millisecond
+		datagram = 100 * time.Millisecond
+		late     = time.Second
+	)
+	x.place.place, x.place.of = 0, 0
+	if now < x.learns+settle {
+		return
+	}
+	x.place.of = 1
+	for i, other := range all {
+		if i == self || now > other.ends+late {
+			continue
+		}
+		read := other.starts+datagram <= x.learns
+		told := now >= other.learns+datagram
+		if !read && !told {
+			continue
+		}
+		x.place.of++
+		if i < self {
+			x.place.place++
+		}
+	}
+}
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -16,7 +16,7 @@
 type Table struct {
 	Now func() time.Duration
 	// Place returns the place of this instance, from 0, among those that share
-	// what must be shared, and their number.
+	// what must be shared, and their number; zero: not known yet.
 	Place func() (place, of int)
 	// Region is the name of the region of this instance. If it is empty, Hall
 	// names its hall, whose region the configuration tells.
@@ -52,7 +52,7 @@
 			u = &upstream{pool: t.NewPool(v.Address), address: v.Address}
 		}
 		if u.install(v, now) {
-			u.turns = t.turnsFrom(now, &r.Services[v.Service])
+			u.turns = turns{rate: r.Services[v.Service].Warming.Rate}
 		}
 		byName[v.Name] = u
 		states[i] = u
--- a/process/balance/turn.go
+++ b/process/balance/turn.go
@@ -2,11 +2,7 @@
 
 package balance
 
-import (
-	"time"
-
-	"shalewick/version"
-)
+import "time"
 
 const (
 	// coldShare is the part of a warming rate that all instances together use.
@@ -23,26 +19,34 @@
 // upstream. Those of all instances are spread evenly, since all learn at the
 // same moment that an upstream is cold, and none saves turns up.
 type turns struct {
-	next  time.Duration // the present or next turn
-	pause time.Duration // between two of them; zero: no bound
-	good  time.Duration // how long a turn may be taken
+	rate      float64       // of the upstream, over all instances; zero: no bound
+	place, of int           // of this instance, as the turns were made for
+	next      time.Duration // the present or next turn
+	used      time.Duration // when the last one was taken; zero: never
+	pause     time.Duration // between two of them
+	good      time.Duration // how long a turn may be taken
 }
 
-// turnsFrom returns this instance's turns at an upstream of a service that has
-// become cold.
-func (t *Table) turnsFrom(now time.Duration, s *version.RoutedService) turns {
-	if s.Warming.Rate == 0 {
-		return turns{}
+// share makes the turns those of a place among the instances. When it changes
+// the turns begin anew, spread by place, and one that was taken lately counts.
+func (x *turns) share(place, of int, now time.Duration) {
+	if x.rate == 0 || x.place == place && x.of == of {
+		return
+	}
+	x.place, x.of = place, of
+	if of == 0 {
+		return
 	}
-	place, of := t.Place()
-	seconds := float64(of) / (s.Warming.Rate * coldShare)
-	x := turns{pause: time.Duration(seconds * float64(time.Second))}
+	seconds := float64(of) / (x.rate * coldShare)
+	x.pause = time.Duration(seconds * float64(time.Second))
 	x.good = x.pause
-	if float64(of) > s.Warming.Rate*fewShare {
+	if float64(of) > x.rate*fewShare {
 		x.good = min(turnTime, x.pause)
 	}
 	x.next = now + time.Duration(float64(place)/float64(of)*float64(x.pause))
-	return x
+	if x.used != 0 {
+		x.next = max(x.next, x.used+x.pause)
+	}
 }
 
 // skip moves on to the turn that is, or comes, at a moment.
@@ -52,16 +56,25 @@
 	}
 }
 
-// open reports whether a request may be sent.
-func (x *turns) open(now time.Duration) bool {
+// open reports whether a request may be sent by an instance of a place among so
+// many; zero: they are not known yet, and then none may.
+func (x *turns) open(place, of int, now time.Duration) bool {
+	if x.rate == 0 {
+		return true
+	}
+	x.share(place, of, now)
+	if of == 0 {
+		return false
+	}
 	x.skip(now)
-	return x.pause == 0 || now >= x.next
+	return now >= x.next
 }
 
 // use takes the turn.
 func (x *turns) use(now time.Duration) {
-	if x.pause == 0 {
+	if x.rate == 0 {
 		return
 	}
+	x.used = now
 	x.next = max(x.next+x.pause, now+x.pause/2)
 }
--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -105,6 +105,7 @@
 		return err
 	}
 	p.Members.Learn(false, list...)
+	p.Members.Read()
 	return nil
 }
 
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -25,7 +25,27 @@
 
 func newMembers() (*Members, *fakeClock) {
 	c := &fakeClock{now: time.Hour}
-	return NewMembers(member("self", "north", 1), func() time.Duration { return c.now }), c
+	m := NewMembers(member("self", "north", 1), func() time.Duration { return c.now })
+	c.now += unknownFor
+	return m, c
+}
+
+// TestPlaceIsNotKnownBeforeTheOthersAre checks that an instance that has just
+// started does not take itself for the only one.
+func TestPlaceIsNotKnownBeforeTheOthersAre(t *testing.T) {
+	c := &fakeClock{now: time.Hour}
+	m := NewMembers(member("self", "north", 1), func() time.Duration { return c.now })
+	m.Learn(true, member("a", "north", 1))
+	assert.Equal(t, m.Count(), 0)
+	m.Read()
+	assert.Equal(t, m.Count(), 0, "others read at the same time")
+	c.now += settleTime
+	place, of := m.Place()
+	assert.Equal(t, of, 2)
+	assert.Equal(t, place, 1)
+	m = NewMembers(member("self", "north", 1), func() time.Duration { return c.now })
+	c.now += unknownFor
+	assert.Equal(t, m.Count(), 1, "the store does not answer, and it has to serve")
 }
 
 func names(ms []Member) []string {
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -34,6 +34,12 @@
 	aliveFor = 1800 * time.Millisecond
 	// grace is how long an instance counts as alive that was only read of.
 	grace = 2 * time.Second
+	// settleTime is how long after an instance has read which others there are
+	// those that read it at the same time are heard of.
+	settleTime = 300 * time.Millisecond
+	// unknownFor is how long after its start an instance that could not read it
+	// takes itself to know the others.
+	unknownFor = 3 * time.Second
 	// cutFor is how long after a call of the store that was not answered an
 	// instance counts as cut off from it, unless it is answered again.
 	cutFor = 10 * time.Second
@@ -50,6 +56,8 @@
 	self      Member
 	cutFailed time.Duration // when the store last did not answer; zero: never
 	answered  bool          // it has answered since
+	started   time.Duration
+	readAt    time.Duration // when it was first read which others there are; zero: not yet
 	others    map[string]*known
 	now       func() time.Duration
 }
@@ -63,7 +71,7 @@
 
 // NewMembers returns the members that an instance knows of at its start.
 func NewMembers(self Member, now func() time.Duration) *Members {
-	return &Members{self: self, others: make(map[string]*known), now: now}
+	return &Members{self: self, others: make(map[string]*known), now: now, started: now()}
 }
 
 // Self returns the instance itself.
@@ -172,17 +180,37 @@
 	return out
 }
 
-// Count returns the number of instances that may be at work, this one included.
+// Read notes that it was read which others there are.
+func (m *Members) Read() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.readAt == 0 {
+		m.readAt = m.now()
+	}
+}
+
+// settled reports whether the others are known. The caller holds the lock.
+func (m *Members) settled() bool {
+	now := m.now()
+	return m.readAt != 0 && now-m.readAt >= settleTime || now-m.started >= unknownFor
+}
+
+// Count returns the number of instances that may be at work, this one included;
+// zero while the others are not known.
 func (m *Members) Count() int {
 	_, of := m.Place()
 	return of
 }
 
 // Place returns the place of this instance in the order of the names of all
-// that may be at work, from 0, and their number.
+// that may be at work, from 0, and their number; zero while the others are not
+// known.
 func (m *Members) Place() (place, of int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.settled() {
+		return 0, 0
+	}
 	of = 1
 	for _, k := range m.others {
 		if k.Leaving {
--- a/process/edge/introduce.go
+++ b/process/edge/introduce.go
@@ -61,6 +61,7 @@
 			e.members.Learn(false, m)
 		}
 	}
+	e.members.Read()
 	e.beats.SendAll()
 	return nil
 }
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -62,8 +62,11 @@
 }
 
 // place returns the place of this instance among those that are alive, by id,
-// and their number.
+// and their number; zero while the entry does not serve yet.
 func (x *routes) place() (place, of int) {
+	if !x.e.Ready() {
+		return 0, 0
+	}
 	self := x.e.members.Self().GetId()
 	of = 1
 	for _, m := range x.e.members.Live(x.e.now()) {
--- a/retry/window.go
+++ b/retry/window.go
@@ -21,7 +21,8 @@
 	Ratio float64
 	// Fixed is the number of retries besides, over all instances.
 	Fixed float64
-	// Instances returns the number of instances.
+	// Instances returns the number of instances; zero: not known yet, and then
+	// the fixed number is not used.
 	Instances func() int
 
 	mu       sync.Mutex
@@ -77,7 +78,11 @@
 		requests += c.requests[i]
 		retries += c.retries[i]
 	}
-	if float64(retries+1) > w.Ratio*float64(requests)+w.Fixed/float64(max(1, w.Instances())) {
+	most := w.Ratio * float64(requests)
+	if n := w.Instances(); n > 0 {
+		most += w.Fixed / float64(n)
+	}
+	if float64(retries+1) > most {
 		return false
 	}
 	c.retries[at]++
