--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -43,6 +43,7 @@
 func command(signals <-chan os.Signal) *cobra.Command {
 	var path, level string
 	var collect int
+	var check bool
 	cmd := &cobra.Command{
 		Use:           "shalewick-edge",
 		Short:         "Run an instance of shalewick on the users' platform",
@@ -52,7 +53,10 @@
 		PreRunE: func(cmd *cobra.Command, _ []string) error {
 			return setting.FromEnvironment(cmd.Flags())
 		},
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if check {
+				return checkSettings(cmd, path, level)
+			}
 			debug.SetGCPercent(collect)
 			return run(path, level, signals)
 		},
@@ -60,11 +64,28 @@
 	f := cmd.Flags()
 	f.StringVar(&path, "boot", platform.DefaultSettings, "path of the platform's settings file")
 	f.StringVar(&level, "log-level", "info", "least level of log lines: debug, info, warn, error")
+	f.BoolVar(&check, "check", false, "check the settings, print what they say, and end")
 	f.IntVar(&collect, "collect", 50, "growth of the heap in percent after which garbage is collected")
 	setting.Describe(f)
 	return cmd
 }
 
+// checkSettings prints the product's settings that the file stands for, or
+// returns an error that names the field that is wrong.
+func checkSettings(cmd *cobra.Command, path, level string) error {
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	settings := s.Edge()
+	settings.LogLevel = level
+	if err := settings.Check(); err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%+v\n", settings)
+	return nil
+}
+
 func run(path, level string, signals <-chan os.Signal) error {
 	live, err := platform.ReadLive(path)
 	if err != nil {
