cluster: instances of a large region are told in turns

Ruled out: telling all of them: 10 KB/s become 40 at that size; epidemic lists of who was heard: more to prove, and not needed at the sizes that are played.

Change: they take turns by name, and an instance counts as alive for two more beats for each further beat that a turn takes, at most 4.8 s.

TestLargeRegionIsToldInTurns.

--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -3,10 +3,12 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,7 +20,8 @@
 	// farBeats is the number of instances of other regions that a datagram is
 	// sent to at each beat.
 	farBeats = 2
-	// nearBeats bounds those of the own region.
+	// nearBeats bounds those of the own region. If there are more, they take
+	// turns.
 	nearBeats = 24
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 2048
@@ -28,6 +31,7 @@
 type Beats struct {
 	members *Members
 	socket  *net.UDPConn
+	turn    int // of the next of the own region
 }
 
 // Listen opens the socket of the beats.
@@ -85,10 +89,24 @@
 			far = append(far, m)
 		}
 	}
-	b.send(pick(near, nearBeats))
+	b.send(b.inTurn(near))
 	b.send(pick(far, farBeats))
 }
 
+// inTurn returns the next nearBeats of the members, in the order of their names.
+func (b *Beats) inTurn(ms []Member) []Member {
+	if len(ms) <= nearBeats {
+		return ms
+	}
+	slices.SortFunc(ms, func(x, y Member) int { return cmp.Compare(x.Name, y.Name) })
+	out := make([]Member, 0, nearBeats)
+	for i := range nearBeats {
+		out = append(out, ms[(b.turn+i)%len(ms)])
+	}
+	b.turn = (b.turn + nearBeats) % len(ms)
+	return out
+}
+
 // SendAll tells all instances of the present state, as when it changes.
 func (b *Beats) SendAll() { b.send(b.members.All()) }
 
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -133,6 +133,41 @@
 	assert.Assert(t, !m.Self().Cut, "it may try again")
 }
 
+// TestLargeRegionIsToldInTurns checks that of more instances than are told at a
+// beat each is told within the beats that a turn takes, and counts as alive that
+// long.
+func TestLargeRegionIsToldInTurns(t *testing.T) {
+	for _, n := range []int{10, 24, 25, 30, 103} {
+		m, c := newMembers()
+		var all []Member
+		for i := range n {
+			all = append(all, member(fmt.Sprintf("n%03d", i), "north", 1))
+		}
+		m.Learn(true, all...)
+		b := &Beats{members: m}
+		turn := (n + nearBeats - 1) / nearBeats
+		last := make(map[string]int)
+		for beat := 1; beat <= 5*turn; beat++ {
+			told := b.inTurn(m.All())
+			assert.Assert(t, len(told) <= nearBeats)
+			for _, x := range told {
+				last[x.Name] = beat
+			}
+			if beat < turn {
+				continue
+			}
+			for _, x := range all {
+				assert.Assert(t, beat-last[x.Name] < turn, "%d of %d: %s at beat %d", n, beat, x.Name, last[x.Name])
+			}
+		}
+		// One datagram of each may be lost, unless the region is very large.
+		c.now += min(time.Duration(2*turn)*Beat+Beat/2, longestAlive)
+		assert.Equal(t, len(m.Live()), n+1, "%d", n)
+		c.now += 4 * time.Duration(turn) * Beat
+		assert.Equal(t, len(m.Live()), 1, "%d", n)
+	}
+}
+
 func TestOneRelayARegion(t *testing.T) {
 	m, c := newMembers()
 	for i := range 5 {
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -30,8 +30,11 @@
 	// Beat is the pause between two datagrams to one instance.
 	Beat = 500 * time.Millisecond
 	// aliveFor is how long an instance of the own region counts as alive after
-	// it was heard.
+	// it was heard, when each tells all others at each beat.
 	aliveFor = 1800 * time.Millisecond
+	// longestAlive bounds that for a large region, where each is told less often:
+	// clients must not be sent for long to an instance that died.
+	longestAlive = 4800 * time.Millisecond
 	// grace is how long an instance counts as alive that was only read of.
 	grace = 2 * time.Second
 	// settleTime is how long after an instance has read which others there are
@@ -148,7 +151,7 @@
 
 // alive reports whether an instance counts as alive. One of another region is
 // heard seldom, so it does until a call to it fails.
-func (k *known) alive(region string, now time.Duration) bool {
+func (k *known) alive(region string, heardFor, now time.Duration) bool {
 	if k.Leaving {
 		return false
 	}
@@ -158,7 +161,21 @@
 	if k.Region != region {
 		return true
 	}
-	return now-k.heard <= aliveFor && k.heard != 0 || k.heard == 0 && now-k.learned <= grace
+	return now-k.heard <= heardFor && k.heard != 0 || k.heard == 0 && now-k.learned <= grace
+}
+
+// heardFor returns how long an instance of the own region counts as alive after
+// it was heard: at least one further turn in which it tells all others, if it
+// needs several beats for that. The caller holds the lock.
+func (m *Members) heardFor() time.Duration {
+	near := 0
+	for _, k := range m.others {
+		if k.Region == m.self.Region && !k.Leaving {
+			near++
+		}
+	}
+	beats := (near + nearBeats - 1) / nearBeats
+	return min(longestAlive, aliveFor+time.Duration(max(0, beats-1))*2*Beat)
 }
 
 // Live returns the instances that are alive, the own one included unless it is
@@ -171,8 +188,9 @@
 	if !m.self.Leaving {
 		out = append(out, m.selfNow())
 	}
+	heardFor := m.heardFor()
 	for _, k := range m.others {
-		if k.alive(m.self.Region, now) {
+		if k.alive(m.self.Region, heardFor, now) {
 			out = append(out, k.Member)
 		}
 	}
