--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -3,9 +3,9 @@
 /*
 Package tablestore is a stand-in of the store of the users' platform: rows in
 tables under a version that rises with each transaction, and a feed of what
-changed. It misbehaves on demand: refuses, resets, is silent, is slow, loses
-answers of writes, forgets its history, reads behind, and turns some callers
-away. It is for tests.
+changed; calls beyond its rates are refused. It misbehaves on demand: refuses,
+resets, is silent, is slow, loses answers of writes or carries them out late,
+forgets its history, reads behind, and turns some callers away. It is for tests.
 */
 package tablestore
 
@@ -40,6 +40,9 @@
 	// WriteDelay is how long writes take to be carried out.
 	WriteDelay time.Duration
 	Lose       bool // carries writes out and breaks the call off
+	// Late breaks writes off and carries them out so much later, if what they
+	// expect still holds.
+	Late time.Duration
 	// Hold hides changes from feeds.
 	Hold bool
 	// Behind is the number of versions that reads are behind.
@@ -59,6 +62,24 @@
 	calls    map[string]int
 	server   *httptest.Server
 	released chan struct{}
+	reads    rate
+	writes   rate
+}
+
+// rate bounds calls a second; zero is no bound.
+type rate struct {
+	perSecond int
+	second    int64
+	used      int
+}
+
+// take uses one call, or reports that none is left in this second.
+func (r *rate) take(now time.Time) bool {
+	if second := now.Unix(); second != r.second {
+		r.second, r.used = second, 0
+	}
+	r.used++
+	return r.perSecond == 0 || r.used <= r.perSecond
 }
 
 // Start starts a store on loopback.
@@ -86,6 +107,14 @@
 	s.wake()
 }
 
+// SetRates bounds the calls that read and that write, in calls a second over all
+// callers; zero is no bound.
+func (s *Store) SetRates(reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads.perSecond, s.writes.perSecond = reads, writes
+}
+
 // Put writes a row, as the operator or an upstream would.
 func (s *Store) Put(table, key string, value string) int64 {
 	s.mu.Lock()
@@ -171,9 +200,10 @@
 }
 
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.calls[r.URL.Path]++
-	s.mu.Unlock()
+	if !s.count(r) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	t := s.struck(r)
 	if t.Delay > 0 {
 		time.Sleep(t.Delay)
@@ -186,13 +216,24 @@
 		s.serveGet(w, r, t)
 	case "/v1/rows-feed":
 		s.serveFeed(w, r)
-	case "/v1/rows-tx":
+	case pathWrite:
 		s.serveTransaction(w, r, t)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// count counts a call, and reports whether the rates allow it.
+func (s *Store) count(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[r.URL.Path]++
+	if r.URL.Path == pathWrite {
+		return s.writes.take(time.Now())
+	}
+	return s.reads.take(time.Now())
+}
+
 // fail ends a call that trouble strikes, and reports whether it does.
 func (s *Store) fail(w http.ResponseWriter, r *http.Request, t Trouble) bool {
 	switch {
@@ -269,46 +310,93 @@
 	}
 }
 
-func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, t Trouble) {
-	var tx struct {
-		Expected []Row `json:"expectedRevision"`
-		Put      []Row `json:"put"`
-		Delete   []Row `json:"delete"`
+// pathWrite is the path of the call that writes.
+const pathWrite = "/v1/rows-tx"
+
+// readOnlyTable is the table that the system may not write.
+const readOnlyTable = "servers"
+
+type transaction struct {
+	Expected []Row `json:"expectedRevision"`
+	Put      []Row `json:"put"`
+	Delete   []Row `json:"delete"`
+	Across   bool  `json:"across"`
+}
+
+// check returns the status with which a transaction is refused, or 0.
+func (x *transaction) check() int {
+	parts := make(map[string]bool)
+	for _, r := range slices.Concat(x.Expected, x.Put, x.Delete) {
+		parts[r.Part] = true
+	}
+	if len(parts) > 1 && !x.Across {
+		return http.StatusBadRequest
 	}
-	if json.NewDecoder(r.Body).Decode(&tx) != nil {
+	for _, r := range slices.Concat(x.Put, x.Delete) {
+		if r.Table == readOnlyTable {
+			return http.StatusForbidden
+		}
+	}
+	return 0
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request, t Trouble) {
+	var x transaction
+	if json.NewDecoder(r.Body).Decode(&x) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if status := x.check(); status != 0 {
+		w.WriteHeader(status)
+		return
+	}
 	time.Sleep(t.WriteDelay)
+	if t.Late > 0 {
+		time.AfterFunc(t.Late, func() { s.commit(&x) })
+		panic(http.ErrAbortHandler)
+	}
+	version, present, ok := s.commit(&x)
+	if t.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(w).Encode(map[string]any{"rows": present, "ver": version}) // the caller may be gone
+		return
+	}
+	answer(w, map[string]any{"ver": version, "now_s": 1.0})
+}
+
+// commit carries a transaction out if all that it expects is there; otherwise it
+// returns the rows as they are.
+func (s *Store) commit(x *transaction) (version int64, present []Row, ok bool) {
 	s.mu.Lock()
-	for _, e := range tx.Expected {
-		present := int64(0)
-		for _, x := range s.rows(e.Table, s.version) {
-			if x.Key == e.Key {
-				present = x.Ver
+	defer s.mu.Unlock()
+	ok = true
+	for _, e := range x.Expected {
+		found := Row{Table: e.Table, Part: e.Part, Key: e.Key}
+		for _, r := range s.rows(e.Table, s.version) {
+			if r.Key == e.Key && r.Part == e.Part {
+				found = r
 			}
 		}
-		if present != e.Ver {
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return
-		}
+		present = append(present, found)
+		ok = ok && found.Ver == e.Ver
 	}
-	s.version++
-	for _, x := range tx.Put {
-		x.Ver = s.version
-		s.append(x)
+	if !ok {
+		return s.version, present, false
 	}
-	for _, x := range tx.Delete {
-		x.Ver, x.Gone = s.version, true
-		s.append(x)
+	s.version++
+	for _, r := range x.Put {
+		r.Ver = s.version
+		s.append(r)
 	}
-	version := s.version
-	s.mu.Unlock()
-	if t.Lose {
-		panic(http.ErrAbortHandler)
+	for _, r := range x.Delete {
+		r.Ver, r.Gone = s.version, true
+		s.append(r)
 	}
-	answer(w, map[string]any{"ver": version, "now_s": 1.0})
+	return s.version, nil, true
 }
 
 func answer(w http.ResponseWriter, v any) {
