--- a/request/result.go
+++ b/request/result.go
@@ -15,7 +15,7 @@
 type Code int
 
 // The result codes. Tens group them: 1x the request is at fault, 2x there is
-// no room, 3x the instance can not serve now, 4x an upstream failed, 5x
+// no room, 3x the instance can not serve now, 4x a backend server failed, 5x
 // tickets, 6x operators' calls.
 const (
 	OK Code = 0
@@ -32,7 +32,7 @@
 
 	QueueFull    Code = 20
 	DeadlineNear Code = 21
-	NoUpstream   Code = 22
+	NoBackend    Code = 22
 	OverQuota    Code = 23
 
 	NoVersion      Code = 30
@@ -40,11 +40,11 @@
 	Leaving        Code = 32
 	KeyUnconfirmed Code = 33
 
-	ConnectFailed   Code = 40
-	UpstreamRefused Code = 41
-	AnswerLost      Code = 42
-	AnswerWrong     Code = 43
-	DeadlinePassed  Code = 44
+	ConnectFailed  Code = 40
+	BackendRefused Code = 41
+	AnswerLost     Code = 42
+	AnswerWrong    Code = 43
+	DeadlinePassed Code = 44
 
 	TicketNeeded  Code = 50
 	TicketInvalid Code = 51
@@ -63,7 +63,7 @@
 	Forbidden     Code = 69
 )
 
-// Ran says whether an upstream ran a request.
+// Ran says whether a backend server ran a request.
 type Ran string
 
 // The values of Ran.
@@ -82,43 +82,43 @@
 
 // infos is the table that docs/RESULTS.md shows.
 var infos = map[Code]Info{
-	OK:              {"OK", http.StatusOK, "answered by an upstream"},
-	BadRequest:      {"BAD_REQUEST", http.StatusBadRequest, "the request could not be read"},
-	UnknownService:  {"UNKNOWN_SERVICE", http.StatusNotFound, "no service has this name or host"},
-	UnknownRoute:    {"UNKNOWN_ROUTE", http.StatusNotFound, "the service has no route for this method and path"},
-	TooLarge:        {"TOO_LARGE", http.StatusRequestEntityTooLarge, "the body is larger than the route allows"},
-	HeaderTooLarge:  {"HEADER_TOO_LARGE", http.StatusRequestHeaderFieldsTooLarge, "the headers are larger than 64 KiB"},
-	BodyLate:        {"BODY_LATE", http.StatusRequestTimeout, "the body did not come before the request's deadline"},
-	CallerGone:      {"CALLER_GONE", 499, "the caller went away before the answer"},
-	KeyMissing:      {"KEY_MISSING", http.StatusUnauthorized, "the request carries no key, and its route is not anonymous"},
-	KeyUnknown:      {"KEY_UNKNOWN", http.StatusUnauthorized, "no workspace has the key"},
-	QueueFull:       {"QUEUE_FULL", http.StatusServiceUnavailable, "too many requests wait for a slot"},
-	DeadlineNear:    {"DEADLINE_NEAR", http.StatusServiceUnavailable, "no slot can be had before the deadline"},
-	NoUpstream:      {"NO_UPSTREAM", http.StatusServiceUnavailable, "no upstream of the service takes work"},
-	OverQuota:       {"OVER_QUOTA", http.StatusTooManyRequests, "the workspace has used up its rate and burst"},
-	KeyUnconfirmed:  {"KEY_UNCONFIRMED", http.StatusServiceUnavailable, "no workspace is known to have the key, and nobody has confirmed the instance's configuration lately"},
-	NoVersion:       {"NO_VERSION", http.StatusServiceUnavailable, "the instance has no configuration yet"},
-	Unconfirmed:     {"UNCONFIRMED", http.StatusServiceUnavailable, "nobody has confirmed the instance's configuration lately"},
-	Leaving:         {"LEAVING", http.StatusServiceUnavailable, "the instance is leaving; use another"},
-	ConnectFailed:   {"CONNECT_FAILED", http.StatusBadGateway, "no connection to an upstream could be opened"},
-	UpstreamRefused: {"UPSTREAM_REFUSED", http.StatusServiceUnavailable, "the upstream refused the request without running it"},
-	AnswerLost:      {"ANSWER_LOST", http.StatusBadGateway, "the connection failed before the whole answer came"},
-	AnswerWrong:     {"ANSWER_WRONG", http.StatusBadGateway, "the upstream's answer was not to this request"},
-	DeadlinePassed:  {"DEADLINE_PASSED", http.StatusGatewayTimeout, "no whole answer came before the deadline"},
-	TicketNeeded:    {"TICKET_NEEDED", http.StatusPreconditionRequired, "a request that may not be repeated needs a ticket; one is in the header"},
-	TicketInvalid:   {"TICKET_INVALID", http.StatusBadRequest, "the ticket was not issued by this system"},
-	TicketGone:      {"TICKET_GONE", http.StatusConflict, "the ticket's instance is gone or the ticket is too old; it will never run from now on"},
-	TicketUsed:      {"TICKET_USED", http.StatusConflict, "the ticket was used before and the answer is no longer kept"},
-	Invalid:         {"INVALID", http.StatusUnprocessableEntity, "a resource breaks a rule"},
-	Conflict:        {"CONFLICT", http.StatusConflict, "the resource has changed since"},
-	NotFound:        {"NOT_FOUND", http.StatusNotFound, "no such resource"},
-	PlatformDown:    {"PLATFORM_DOWN", http.StatusServiceUnavailable, "the platform did not answer; nothing was written"},
-	CommitUnknown:   {"COMMIT_UNKNOWN", http.StatusServiceUnavailable, "the platform's answer was lost; ask again with the same operation id"},
-	TokenMissing:    {"TOKEN_MISSING", http.StatusUnauthorized, "the call carries no token"},
-	TokenWrong:      {"TOKEN_WRONG", http.StatusUnauthorized, "no workspace has the token"},
-	TokenExpired:    {"TOKEN_EXPIRED", http.StatusUnauthorized, "the token has expired"},
-	Forbidden:       {"FORBIDDEN", http.StatusForbidden, "the resource belongs to another workspace"},
-	NotInForce:      {"NOT_IN_FORCE", http.StatusGatewayTimeout, "not every instance has the version in force"},
+	OK:             {"OK", http.StatusOK, "answered by a backend server"},
+	BadRequest:     {"BAD_REQUEST", http.StatusBadRequest, "the request could not be read"},
+	UnknownService: {"UNKNOWN_SERVICE", http.StatusNotFound, "no service has this name or host"},
+	UnknownRoute:   {"UNKNOWN_ROUTE", http.StatusNotFound, "the service has no route for this method and path"},
+	TooLarge:       {"TOO_LARGE", http.StatusRequestEntityTooLarge, "the body is larger than the route allows"},
+	HeaderTooLarge: {"HEADER_TOO_LARGE", http.StatusRequestHeaderFieldsTooLarge, "the headers are larger than 64 KiB"},
+	BodyLate:       {"BODY_LATE", http.StatusRequestTimeout, "the body did not come before the request's deadline"},
+	CallerGone:     {"CALLER_GONE", 499, "the caller went away before the answer"},
+	KeyMissing:     {"KEY_MISSING", http.StatusUnauthorized, "the request carries no key, and its route is not anonymous"},
+	KeyUnknown:     {"KEY_UNKNOWN", http.StatusUnauthorized, "no workspace has the key"},
+	QueueFull:      {"QUEUE_FULL", http.StatusServiceUnavailable, "too many requests wait for a slot"},
+	DeadlineNear:   {"DEADLINE_NEAR", http.StatusServiceUnavailable, "no slot can be had before the deadline"},
+	NoBackend:      {"NO_BACKEND", http.StatusServiceUnavailable, "no backend server of the service takes work"},
+	OverQuota:      {"OVER_QUOTA", http.StatusTooManyRequests, "the workspace has used up its rate and burst"},
+	KeyUnconfirmed: {"KEY_UNCONFIRMED", http.StatusServiceUnavailable, "no workspace is known to have the key, and nobody has confirmed the instance's configuration lately"},
+	NoVersion:      {"NO_VERSION", http.StatusServiceUnavailable, "the instance has no configuration yet"},
+	Unconfirmed:    {"UNCONFIRMED", http.StatusServiceUnavailable, "nobody has confirmed the instance's configuration lately"},
+	Leaving:        {"LEAVING", http.StatusServiceUnavailable, "the instance is leaving; use another"},
+	ConnectFailed:  {"CONNECT_FAILED", http.StatusBadGateway, "no connection to a backend server could be opened"},
+	BackendRefused: {"BACKEND_REFUSED", http.StatusServiceUnavailable, "the backend server refused the request without running it"},
+	AnswerLost:     {"ANSWER_LOST", http.StatusBadGateway, "the connection failed before the whole answer came"},
+	AnswerWrong:    {"ANSWER_WRONG", http.StatusBadGateway, "the backend server's answer was not to this request"},
+	DeadlinePassed: {"DEADLINE_PASSED", http.StatusGatewayTimeout, "no whole answer came before the deadline"},
+	TicketNeeded:   {"TICKET_NEEDED", http.StatusPreconditionRequired, "a request that may not be repeated needs a ticket; one is in the header"},
+	TicketInvalid:  {"TICKET_INVALID", http.StatusBadRequest, "the ticket was not issued by this system"},
+	TicketGone:     {"TICKET_GONE", http.StatusConflict, "the ticket's instance is gone or the ticket is too old; it will never run from now on"},
+	TicketUsed:     {"TICKET_USED", http.StatusConflict, "the ticket was used before and the answer is no longer kept"},
+	Invalid:        {"INVALID", http.StatusUnprocessableEntity, "a resource breaks a rule"},
+	Conflict:       {"CONFLICT", http.StatusConflict, "the resource has changed since"},
+	NotFound:       {"NOT_FOUND", http.StatusNotFound, "no such resource"},
+	PlatformDown:   {"PLATFORM_DOWN", http.StatusServiceUnavailable, "the platform did not answer; nothing was written"},
+	CommitUnknown:  {"COMMIT_UNKNOWN", http.StatusServiceUnavailable, "the platform's answer was lost; ask again with the same operation id"},
+	TokenMissing:   {"TOKEN_MISSING", http.StatusUnauthorized, "the call carries no token"},
+	TokenWrong:     {"TOKEN_WRONG", http.StatusUnauthorized, "no workspace has the token"},
+	TokenExpired:   {"TOKEN_EXPIRED", http.StatusUnauthorized, "the token has expired"},
+	Forbidden:      {"FORBIDDEN", http.StatusForbidden, "the resource belongs to another workspace"},
+	NotInForce:     {"NOT_IN_FORCE", http.StatusGatewayTimeout, "not every instance has the version in force"},
 }
 
 // Info returns the description of the code.
@@ -129,7 +129,7 @@
 // NoPlace reports whether the code says that there was no room for a request,
 // so that it was not sent at all.
 func (c Code) NoPlace() bool {
-	return c == QueueFull || c == DeadlineNear || c == NoUpstream
+	return c == QueueFull || c == DeadlineNear || c == NoBackend
 }
 
 // Codes lists every code with a description, unordered.
@@ -153,19 +153,19 @@
 	HeaderRan       = "Shalewick-Ran"        // no, yes or unknown
 	HeaderRetry     = "Shalewick-Retry-Ms"   // when to come back, milliseconds
 	HeaderDeadline  = "Shalewick-Timeout-Ms" // time left, milliseconds
-	HeaderID        = "Shalewick-Request-Id" // echoed by upstreams
+	HeaderID        = "Shalewick-Request-Id" // echoed by backend servers
 	HeaderTicket    = "Shalewick-Ticket"     // ticket of a request that may not be repeated
 	HeaderOnce      = "Shalewick-Once"       // "true": treat as not repeatable
 	HeaderForwarded = "Shalewick-Forwarded"  // set by an instance that passes a ticket on
 	HeaderRegion    = "Shalewick-Region"     // region of the instance that sent it
-	HeaderNotRun    = "Shalewick-Not-Run"    // "true" in an upstream's refusal: it was not run
-	HeaderState     = "Shalewick-State"      // upstream's own word: ready, cold or leaving
-	HeaderBoot      = "Shalewick-Boot"       // identifies one start of an upstream
-	HeaderUpstream  = "Shalewick-Upstream"   // which upstream answered
+	HeaderNotRun    = "Shalewick-Not-Run"    // "true" in a backend server's refusal: it was not run
+	HeaderState     = "Shalewick-State"      // backend server's own word: ready, cold or leaving
+	HeaderBoot      = "Shalewick-Boot"       // identifies one start of a backend server
+	HeaderBackend   = "Shalewick-Backend"    // which backend server answered
 	HeaderOperation = "Shalewick-Operation"  // identifies an operator's call
 )
 
-// Result is the end of a request that no upstream's answer ended.
+// Result is the end of a request that no backend server's answer ended.
 type Result struct {
 	Code   Code          `json:"code"`
 	Name   string        `json:"name"`
@@ -217,7 +217,7 @@
 	_, _ = w.Write(b) // the caller may be gone; there is nobody left to tell
 }
 
-// FromHeader reads a result back. The bool is false for an upstream's answer.
+// FromHeader reads a result back. The bool is false for a backend server's answer.
 func FromHeader(h http.Header) (Result, bool) {
 	text := h.Get(HeaderResult)
 	if text == "" {
--- a/standin/upstream/doc.go
+++ b/standin/backend/doc.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 
 /*
-Package upstream is the stand-in for an upstream: it serves requests on a
+Package backend is the stand-in for a backend server: it serves requests on a
 number of slots, keeps a record of all that it ran, and can be told over HTTP
 to be slow, cold, shedding or leaving, to lie in its load report, and to answer
 late, cut short, with a wrong request id or not at all. It is for tests and the
@@ -17,4 +17,4 @@
 request's body in the header Load-Sum, so that a caller can tell whether it got
 the whole answer to its own request.
 */
-package upstream
+package backend
--- a/standin/upstream/server.go
+++ b/standin/backend/server.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package upstream
+package backend
 
 import (
 	"bufio"
@@ -45,16 +45,16 @@
 
 // Record is one request that was run.
 type Record struct {
-	Seq      int       `json:"seq"` // its place among the upstream's records
-	Upstream string    `json:"upstream"`
-	Tag      string    `json:"tag"`
-	Method   string    `json:"method"`
-	Region   string    `json:"region"` // of the instance that sent it
-	Start    time.Time `json:"start"`
-	End      time.Time `json:"end"`
-	AtOnce   int       `json:"atOnce"`  // requests that ran at the start, this one included
-	Leaving  bool      `json:"leaving"` // had said that it was leaving, at the start
-	Done     bool      `json:"done"`    // the work was finished, not cancelled
+	Seq     int       `json:"seq"` // its place among the backend server's records
+	Backend string    `json:"backend"`
+	Tag     string    `json:"tag"`
+	Method  string    `json:"method"`
+	Region  string    `json:"region"` // of the instance that sent it
+	Start   time.Time `json:"start"`
+	End     time.Time `json:"end"`
+	AtOnce  int       `json:"atOnce"`  // requests that ran at the start, this one included
+	Leaving bool      `json:"leaving"` // had said that it was leaving, at the start
+	Done    bool      `json:"done"`    // the work was finished, not cancelled
 }
 
 // Server is one stand-in. Name, Slots and Work are set before use.
@@ -62,7 +62,7 @@
 	Name  string
 	Slots int
 	Work  time.Duration // mean time of work for one request
-	// Queue makes requests beyond the slots wait, as a real upstream does,
+	// Queue makes requests beyond the slots wait, as a real backend server does,
 	// up to maxWaiting for each slot; more are shed. Without it they run.
 	Queue bool
 	// Journal, if set, gets each record as a JSON line when the request
@@ -199,7 +199,7 @@
 		cold = true
 	}
 	s.records = append(s.records, Record{
-		Seq: len(s.records), Upstream: s.Name, Tag: r.Header.Get(HeaderTag), Method: r.Method,
+		Seq: len(s.records), Backend: s.Name, Tag: r.Header.Get(HeaderTag), Method: r.Method,
 		Region: r.Header.Get(request.HeaderRegion), Start: time.Now(), AtOnce: s.inFlight, Leaving: s.fault.Leaving,
 	})
 	at = len(s.records) - 1
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 
 // Package fleet makes configurations of the users' sizes, for tests and the
-// demonstration: six halls in three regions, about 20 upstreams for reading
+// demonstration: six halls in three regions, about 20 backend servers for reading
 // and a dozen each for the ledger and for uploads.
 package fleet
 
@@ -45,8 +45,8 @@
 	}
 }
 
-// Upstreams is the number of upstreams.
-func (s *Size) Upstreams() int { return s.ReadN + s.LedgerN + s.UploadN }
+// Backends is the number of backend servers.
+func (s *Size) Backends() int { return s.ReadN + s.LedgerN + s.UploadN }
 
 // Halls returns the names of the halls, two in each region.
 func (s *Size) Halls() []string {
@@ -57,7 +57,7 @@
 	return out
 }
 
-// Hall returns the hall of an instance or upstream by its number; one after
+// Hall returns the hall of an instance or backend server by its number; one after
 // the other takes the next hall.
 func (s *Size) Hall(i int) string {
 	h := s.Halls()
@@ -73,8 +73,8 @@
 // MaxUpload bounds an upload, in bytes.
 const MaxUpload = 256 << 20
 
-// Resources returns the configuration, with upstreams at the addresses.
-func (s *Size) Resources(upstreams []netip.AddrPort) []version.Resource {
+// Resources returns the configuration, with backend servers at the addresses.
+func (s *Size) Resources(backends []netip.AddrPort) []version.Resource {
 	var rs []version.Resource
 	for _, r := range s.Regions {
 		rs = append(rs, version.Resource{Key: version.Key{Kind: version.KindRegion, Name: r}, Region: &version.Region{}})
@@ -88,19 +88,19 @@
 	}
 	rs = append(rs, s.services()...)
 	rs = append(rs, s.links()...)
-	for i, a := range upstreams {
+	for i, a := range backends {
 		rs = append(rs, version.Resource{
-			Key:      version.Key{Kind: version.KindUpstream, Name: s.UpstreamName(i)},
-			Upstream: &version.Upstream{Service: s.ServiceOf(i), Hall: s.Hall(i), Address: a, Slots: s.Slots},
+			Key:     version.Key{Kind: version.KindBackend, Name: s.BackendName(i)},
+			Backend: &version.Backend{Service: s.ServiceOf(i), Hall: s.Hall(i), Address: a, Slots: s.Slots},
 		})
 	}
 	return rs
 }
 
-// UpstreamName returns the name of an upstream by its number.
-func (s *Size) UpstreamName(i int) string { return fmt.Sprintf("%s-%d", s.ServiceOf(i), i) }
+// BackendName returns the name of a backend server by its number.
+func (s *Size) BackendName(i int) string { return fmt.Sprintf("%s-%d", s.ServiceOf(i), i) }
 
-// ServiceOf returns the service of an upstream by its number.
+// ServiceOf returns the service of a backend server by its number.
 func (s *Size) ServiceOf(i int) string {
 	switch {
 	case i < s.ReadN:
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 
 /*
-Package server is a stand-in of the users' upstreams: slots and a queue, a seal
+Package server is a stand-in of the users' backend servers: slots and a queue, a seal
 on each answer, refusals that say that nothing ran, work that is quicker for
 objects seen lately, a cold start in which arrivals are counted. It misbehaves on
 demand. It keeps a journal of what ran. It is for tests.
@@ -39,8 +39,8 @@
 	NotAnswer          // bytes that are no answer
 	Shed               // refused without running it
 	ShedLate           // the same, after lateShed
-	Broken             // it runs, and the answer is the upstream's own failure
-	Moved              // another upstream has the address
+	Broken             // it runs, and the answer is the backend server's own failure
+	Moved              // another backend server has the address
 )
 
 // lateShed is how long ShedLate takes to refuse.
@@ -52,7 +52,7 @@
 	Header                         http.Header
 }
 
-// Server is one upstream. The fields up to Work are set before Start.
+// Server is one backend server. The fields up to Work are set before Start.
 type Server struct {
 	Name  string
 	Names request.Names
@@ -75,7 +75,7 @@
 	opened   int
 }
 
-// Start starts the upstream on loopback.
+// Start starts the backend server on loopback.
 func (s *Server) Start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -87,10 +87,10 @@
 	return nil
 }
 
-// Address is where the upstream listens.
+// Address is where the backend server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close ends the upstream.
+// Close ends the backend server.
 func (s *Server) Close() { _ = s.listener.Close() }
 
 // Next sets the faults of the next requests, one each.
@@ -107,7 +107,7 @@
 	s.Work = d
 }
 
-// Chill makes the upstream cold for a time.
+// Chill makes the backend server cold for a time.
 func (s *Server) Chill(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,7 +115,7 @@
 }
 
 // BusiestColdSecond returns the largest number of requests that arrived within a
-// second while the upstream was cold.
+// second while the backend server was cold.
 func (s *Server) BusiestColdSecond() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -115,7 +115,7 @@
 	s.reads.perSecond, s.writes.perSecond = reads, writes
 }
 
-// Put writes a row, as the operator or an upstream would.
+// Put writes a row, as the operator or a backend server would.
 func (s *Store) Put(table, key string, value string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/version/check.go
+++ b/version/check.go
@@ -66,8 +66,8 @@
 		k.service(r.Service)
 	case KindHall:
 		k.exists("spec.region", KindRegion, r.Hall.Region)
-	case KindUpstream:
-		k.upstream(r.Upstream)
+	case KindBackend:
+		k.backend(r.Backend)
 	case KindLink:
 		k.link(r.Link)
 	case KindShift:
@@ -97,7 +97,7 @@
 	}
 }
 
-func (k *checker) upstream(u *Upstream) {
+func (k *checker) backend(u *Backend) {
 	k.exists("spec.service", KindService, u.Service)
 	k.exists("spec.hall", KindHall, u.Hall)
 	k.that(u.Address.IsValid() && u.Address.Port() != 0, "spec.address", "must be an IP number and a port")
@@ -141,7 +141,7 @@
 		kind  Kind
 		name  string
 	}{
-		{"spec.upstream", KindUpstream, d.Upstream},
+		{"spec.backend", KindBackend, d.Backend},
 		{"spec.hall", KindHall, d.Hall},
 		{"spec.region", KindRegion, d.Region},
 	} {
@@ -151,7 +151,7 @@
 		set++
 		k.exists(t.field, t.kind, t.name)
 	}
-	k.that(set == 1, "spec", "must name exactly one upstream, hall or region")
+	k.that(set == 1, "spec", "must name exactly one backend server, hall or region")
 }
 
 // checkUnique refuses two resources that claim the same thing.
@@ -175,8 +175,8 @@
 // eachClaim calls f for whatever the resource must be alone in naming.
 func (r Resource) eachClaim(f func(r Resource, field, what string) error) error {
 	switch r.Kind {
-	case KindUpstream:
-		return f(r, "spec.address", r.Upstream.Address.String())
+	case KindBackend:
+		return f(r, "spec.address", r.Backend.Address.String())
 	case KindLink:
 		return f(r, "spec.to", "link from "+r.Link.From+" to "+r.Link.To)
 	case KindShift:
--- a/version/config_test.go
+++ b/version/config_test.go
@@ -29,7 +29,7 @@
   routes:
   - {prefix: /, methods: [GET], class: read, repeatable: true, deadline: 2s}
 ---
-kind: upstream
+kind: backend
 name: c1
 spec: {service: catalogue, hall: north-1, address: "127.0.0.1:9000", slots: 4}
 `
@@ -39,8 +39,8 @@
 		{"kind: region", "kind: zebra", "kind: must be one of"},
 		{"name: north\n", "name: North\n", "name: must be"},
 		{"region: north,", "region: south,", `hall/north-1: spec.region: names region "south", which does not exist`},
-		{"slots: 4", "slots: 0", "upstream/c1: spec.slots: must be 1 to 4096"},
-		{"slots: 4", "slots: 4, colour: red", "upstream/c1: spec: json: unknown field \"colour\""},
+		{"slots: 4", "slots: 0", "backend/c1: spec.slots: must be 1 to 4096"},
+		{"slots: 4", "slots: 4, colour: red", "backend/c1: spec: json: unknown field \"colour\""},
 		{"class: read", "class: slow", "class \"slow\" is not one of"},
 		{"deadline: 2s", "deadline: 2", "a duration is text"},
 		{"deadline: 2s", "deadline: 2h", "spec.routes[0].deadline: must be above 0 and at most 10m"},
@@ -108,3 +108,25 @@
 		}
 	})
 }
+
+// TestWordsOfTheReleaseBeforeAreRead checks that documents and references that an
+// earlier release wrote are read, and that their writers can be warned.
+func TestWordsOfTheReleaseBeforeAreRead(t *testing.T) {
+	rs, err := version.Parse([]byte(`{"kind":"upstream","name":"b-1","spec":{"service":"s","hall":"h","address":"10.0.0.1:80","slots":2}}
+---
+{"kind":"drain","name":"d","spec":{"upstream":"b-1"}}
+`))
+	assert.NilError(t, err)
+	assert.Equal(t, rs[0].Key, version.Key{Kind: version.KindBackend, Name: "b-1"})
+	assert.DeepEqual(t, rs[0].Deprecated, []string{"kind: upstream"})
+	assert.Equal(t, rs[1].Drain.Backend, "b-1")
+	assert.DeepEqual(t, rs[1].Deprecated, []string{"spec.upstream"})
+
+	text, err := json.Marshal(rs)
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(text), "upstream"), "%s", text)
+
+	var ref version.Ref
+	assert.NilError(t, json.Unmarshal([]byte(`{"kind":"upstream","name":"b-1","version":3}`), &ref))
+	assert.Equal(t, ref.Kind, version.KindBackend)
+}
--- a/version/decide.go
+++ b/version/decide.go
@@ -12,10 +12,10 @@
 type Counters struct {
 	// Free is the number of free tokens held, by pool.
 	Free []atomic.Int32
-	// Cost is the expected time of an answer in nanoseconds, by upstream.
+	// Cost is the expected time of an answer in nanoseconds, by backend server.
 	// Zero means not known yet.
 	Cost []atomic.Int64
-	// Closed is set for an upstream that takes no work now, by upstream.
+	// Closed is set for a backend server that takes no work now, by backend server.
 	Closed []atomic.Bool
 }
 
@@ -23,8 +23,8 @@
 func NewCounters(v *View) *Counters {
 	return &Counters{
 		Free:   make([]atomic.Int32, len(v.Pools)),
-		Cost:   make([]atomic.Int64, len(v.Upstreams)),
-		Closed: make([]atomic.Bool, len(v.Upstreams)),
+		Cost:   make([]atomic.Int64, len(v.Backends)),
+		Closed: make([]atomic.Bool, len(v.Backends)),
 	}
 }
 
@@ -36,7 +36,7 @@
 	Random uint64
 	// InForce is the time since the view came into force, for ramps.
 	InForce time.Duration
-	// Exclude are upstreams already tried, None where unused.
+	// Exclude are backend servers already tried, None where unused.
 	Exclude [2]int32
 }
 
@@ -45,12 +45,12 @@
 
 // Choice is the outcome of a decision.
 type Choice struct {
-	Upstream int32 // None: nothing is free
-	Region   int32
+	Backend int32 // None: nothing is free
+	Region  int32
 	// Pools are those to take a token from; the first NumPools count.
 	Pools    [MaxPools]int32
 	NumPools int
-	// Open reports that some upstream takes work, though it may be full.
+	// Open reports that some backend server takes work, though it may be full.
 	Open bool
 	// Missed is the region that a shift would have sent the request to, had
 	// there been tokens; None otherwise.
@@ -65,15 +65,15 @@
 	c.NumPools++
 }
 
-// exploreOneIn is how rarely a decision tries a random free upstream instead
+// exploreOneIn is how rarely a decision tries a random free backend server instead
 // of the one that looks fastest, so that old costs are found out.
 const exploreOneIn = 64
 
-// Decide chooses region and upstream for one request. It reads only.
+// Decide chooses region and backend server for one request. It reads only.
 func (v *View) Decide(q *Query, n *Counters) Choice {
 	s := &v.Services[q.Service]
 	var c Choice
-	c.Upstream, c.Missed, c.Link = None, None, None
+	c.Backend, c.Missed, c.Link = None, None, None
 	sh := &s.Shifts[q.Region]
 	if sh.Pool != None && shareTaken(sh, q) {
 		if v.cross(q, n, s, sh.To, &c) {
@@ -82,7 +82,7 @@
 		c.Missed = sh.To
 	}
 	if v.within(q, n, s, q.Region, &c) {
-		c.need(v.Upstreams[c.Upstream].Pool)
+		c.need(v.Backends[c.Backend].Pool)
 		return c
 	}
 	for i := range v.Crossings[q.Region] {
@@ -119,8 +119,8 @@
 	if link == None || !v.within(q, n, s, to, c) {
 		return false
 	}
-	upstream := c.Upstream
-	c.Upstream = None
+	backend := c.Backend
+	c.Backend = None
 	if n.Free[link].Load() <= 0 {
 		return false
 	}
@@ -134,13 +134,13 @@
 			c.need(sh.RatePool)
 		}
 	}
-	c.Upstream = upstream
+	c.Backend = backend
 	c.need(link)
-	c.need(v.Upstreams[upstream].Pool)
+	c.need(v.Backends[backend].Pool)
 	return true
 }
 
-// within finds the fastest upstream of a region with a free slot token here.
+// within finds the fastest backend server of a region with a free slot token here.
 func (v *View) within(q *Query, n *Counters, s *ServiceView, region int32, c *Choice) bool {
 	ups := s.ByRegion[region]
 	if len(ups) == 0 {
@@ -155,11 +155,11 @@
 			at -= len(ups)
 		}
 		u := ups[at]
-		if v.Upstreams[u].Drained || n.Closed[u].Load() {
+		if v.Backends[u].Drained || n.Closed[u].Load() {
 			continue
 		}
 		c.Open = true
-		if n.Free[v.Upstreams[u].Pool].Load() <= 0 || u == q.Exclude[0] || u == q.Exclude[1] {
+		if n.Free[v.Backends[u].Pool].Load() <= 0 || u == q.Exclude[0] || u == q.Exclude[1] {
 			continue
 		}
 		cost := n.Cost[u].Load()
@@ -173,6 +173,6 @@
 	if best == None {
 		return false
 	}
-	c.Upstream, c.Region = best, region
+	c.Backend, c.Region = best, region
 	return true
 }
--- a/version/decide_test.go
+++ b/version/decide_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	s := fleet.Caroni()
 	var addresses []netip.AddrPort
-	for i := range s.Upstreams() {
+	for i := range s.Backends() {
 		addresses = append(addresses, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+i)))
 	}
 	cfg, _, err := (&version.Config{}).Propose(version.Change{Operation: "test", Puts: s.Resources(addresses)})
@@ -39,7 +39,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		q.Random += 0x9E3779B97F4A7C15
-		if c := v.Decide(&q, n); c.Upstream == version.None {
+		if c := v.Decide(&q, n); c.Backend == version.None {
 			b.Fatal("nothing found")
 		}
 	}
@@ -67,17 +67,17 @@
 	}
 	route := version.ServiceRoute{Prefix: "/", Class: 2, Repeatable: true, Deadline: version.Duration(time.Second)}
 	add(version.KindService, "s", func(r *version.Resource) { r.Service = &version.Service{Routes: []version.ServiceRoute{route}} })
-	for i := range rapid.IntRange(0, 6).Draw(t, "upstreams") {
+	for i := range rapid.IntRange(0, 6).Draw(t, "backends") {
 		region := rapid.SampledFrom(regions).Draw(t, "region")
 		name := "u" + string(rune('a'+i))
-		add(version.KindUpstream, name, func(r *version.Resource) {
-			r.Upstream = &version.Upstream{
+		add(version.KindBackend, name, func(r *version.Resource) {
+			r.Backend = &version.Backend{
 				Service: "s", Hall: "h" + region, Slots: 2,
 				Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+i)),
 			}
 		})
 		if rapid.IntRange(0, 4).Draw(t, "drained") == 0 {
-			add(version.KindDrain, name, func(r *version.Resource) { r.Drain = &version.Drain{Upstream: name} })
+			add(version.KindDrain, name, func(r *version.Resource) { r.Drain = &version.Drain{Backend: name} })
 		}
 	}
 	for _, from := range regions {
@@ -106,14 +106,14 @@
 }
 
 // naiveDecide is the decision written on the resources, by names, with no
-// regard to speed. It returns all upstreams that are equally right, and the
-// pools that are needed besides the upstream's.
+// regard to speed. It returns all backend servers that are equally right, and the
+// pools that are needed besides the backend server's.
 func naiveDecide(c *version.Config, from string, shifted bool, free, cost map[string]int, closed map[string]bool) (ups map[string]bool, pools []string) {
 	within := func(region string) map[string]bool {
 		best, out := 0, map[string]bool{}
-		for _, r := range c.List(version.KindUpstream) {
+		for _, r := range c.List(version.KindBackend) {
 			_, drained := c.Resources[version.Key{Kind: version.KindDrain, Name: r.Name}]
-			if c.Resources[version.Key{Kind: version.KindHall, Name: r.Upstream.Hall}].Hall.Region != region ||
+			if c.Resources[version.Key{Kind: version.KindHall, Name: r.Backend.Hall}].Hall.Region != region ||
 				drained || closed[r.Name] || free[r.Key.String()] <= 0 {
 				continue
 			}
@@ -192,7 +192,7 @@
 			free[p.Name] = rapid.IntRange(0, 1).Draw(t, p.Name)
 			n.Free[i].Store(int32(free[p.Name]))
 		}
-		for i, u := range v.Upstreams {
+		for i, u := range v.Backends {
 			cost[u.Name] = rapid.IntRange(0, 2).Draw(t, "cost")
 			closed[u.Name] = rapid.IntRange(0, 4).Draw(t, "closed") == 0
 			n.Cost[i].Store(int64(cost[u.Name]))
@@ -209,13 +209,13 @@
 		q := version.Query{Service: 0, Region: int32(region), Random: random, Exclude: [2]int32{version.None, version.None}}
 		got := v.Decide(&q, n)
 		ups, pools := naiveDecide(cfg, v.Regions[region], shifted, free, cost, closed)
-		if got.Upstream == version.None {
+		if got.Backend == version.None {
 			assert.Equal(t, len(ups), 0)
 			return
 		}
-		name := v.Upstreams[got.Upstream].Name
+		name := v.Backends[got.Backend].Name
 		assert.Assert(t, ups[name], "chose %s, right are %v", name, ups)
-		need := map[string]bool{"upstream/" + name: true}
+		need := map[string]bool{"backend/" + name: true}
 		for _, p := range pools {
 			need[p] = true
 		}
--- a/version/doc.go
+++ b/version/doc.go
@@ -19,12 +19,12 @@
 
 A View replaces names by indexes, so that a decision reads arrays only. It is
 never changed after Compile; a new version is a new View. Each limit of the
-configuration (slots of an upstream, cap of a link or a shift) is a Pool of
+configuration (slots of a backend server, cap of a link or a shift) is a Pool of
 tokens in the view.
 
 # The decision
 
-Decide chooses region and upstream for one request from a View and the numbers
+Decide chooses region and backend server for one request from a View and the numbers
 that the caller reads from its own counters. It takes no lock, does no I/O and
 allocates nothing.
 */
--- a/version/resource.go
+++ b/version/resource.go
@@ -22,7 +22,7 @@
 	KindService   Kind = "service"
 	KindRegion    Kind = "region"
 	KindHall      Kind = "hall"
-	KindUpstream  Kind = "upstream"
+	KindBackend   Kind = "backend"
 	KindLink      Kind = "link"
 	KindShift     Kind = "shift"
 	KindDrain     Kind = "drain"
@@ -31,8 +31,26 @@
 	KindWorkspace Kind = "workspace"
 )
 
+// deprecatedBackend is what an earlier release called KindBackend. It is read, never
+// written, so that operators' documents and stored versions of that release hold.
+const deprecatedBackend = "upstream"
+
+// ParseKind returns the kind of a word, which may be one of an earlier release.
+func ParseKind(word string) Kind {
+	if word == deprecatedBackend {
+		return KindBackend
+	}
+	return Kind(word)
+}
+
+// UnmarshalText reads a kind as ParseKind does.
+func (k *Kind) UnmarshalText(b []byte) error {
+	*k = ParseKind(string(b))
+	return nil
+}
+
 // Kinds lists every kind in the order in which they refer to each other.
-var Kinds = [...]Kind{KindRegion, KindHall, KindService, KindUpstream, KindLink, KindShift, KindDrain, KindRoute, KindLimits, KindWorkspace}
+var Kinds = [...]Kind{KindRegion, KindHall, KindService, KindBackend, KindLink, KindShift, KindDrain, KindRoute, KindLimits, KindWorkspace}
 
 // Key identifies a resource.
 type Key struct {
@@ -53,11 +71,14 @@
 	// resource. In a change it is the version that the change was made
 	// against; zero means that the resource must not exist yet.
 	Version int64
+	// Deprecated names the words of an earlier release that the document was read
+	// with, so that whoever wrote it can be warned.
+	Deprecated []string
 
 	Service   *Service
 	Region    *Region
 	Hall      *Hall
-	Upstream  *Upstream
+	Backend   *Backend
 	Link      *Link
 	Shift     *Shift
 	Drain     *Drain
@@ -66,7 +87,7 @@
 	Workspace *Workspace
 }
 
-// Service is a named set of routes served by one group of upstreams.
+// Service is a named set of routes served by one group of backend servers.
 type Service struct {
 	// Workspace is the workspace that may change the service; "": only an admin workspace.
 	Workspace string `json:"workspace,omitempty"`
@@ -77,9 +98,9 @@
 	// Queue bounds the requests that wait for a slot at one instance.
 	// Zero means DefaultQueue.
 	Queue int `json:"queue,omitempty"`
-	// Warming bounds what an upstream is given after its start.
+	// Warming bounds what a backend server is given after its start.
 	Warming *Warming `json:"warming,omitempty"`
-	// MaxConnections bounds the connections to one upstream over all
+	// MaxConnections bounds the connections to one backend server over all
 	// instances. Zero means no bound.
 	MaxConnections int `json:"maxConnections,omitempty"`
 }
@@ -100,15 +121,15 @@
 	Description string `json:"description,omitempty"`
 }
 
-// Hall is one place with instances and upstreams.
+// Hall is one place with instances and backend servers.
 type Hall struct {
 	Region string `json:"region"`
 	// Clients are the blocks of client addresses nearest to this hall.
 	Clients []netip.Prefix `json:"clients,omitempty"`
 }
 
-// Upstream is one server of a service.
-type Upstream struct {
+// Backend is one server of a service.
+type Backend struct {
 	Service string `json:"service"`
 	Hall    string `json:"hall"`
 	// Address is host:port, host an IP number.
@@ -145,11 +166,13 @@
 	Ramp Duration `json:"ramp,omitempty"`
 }
 
-// Drain takes an upstream, a hall or a region out of use. Exactly one is set.
+// Drain takes a backend server, a hall or a region out of use. Exactly one is set.
 type Drain struct {
+	Backend string `json:"backend,omitempty"`
+	Hall    string `json:"hall,omitempty"`
+	Region  string `json:"region,omitempty"`
+	// Upstream is what an earlier release called Backend. It is read, never written.
 	Upstream string `json:"upstream,omitempty"`
-	Hall     string `json:"hall,omitempty"`
-	Region   string `json:"region,omitempty"`
 }
 
 // Defaults and bounds of resource fields.
@@ -185,7 +208,7 @@
 
 // document is the written form of a Resource.
 type document struct {
-	Kind    Kind            `json:"kind"`
+	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
 	Version int64           `json:"version,omitempty"`
 	Spec    json.RawMessage `json:"spec"`
@@ -201,8 +224,8 @@
 		return specOf(&r.Region, create)
 	case KindHall:
 		return specOf(&r.Hall, create)
-	case KindUpstream:
-		return specOf(&r.Upstream, create)
+	case KindBackend:
+		return specOf(&r.Backend, create)
 	case KindLink:
 		return specOf(&r.Link, create)
 	case KindShift:
@@ -235,7 +258,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return json.Marshal(document{Kind: r.Kind, Name: r.Name, Version: r.Version, Spec: spec})
+	return json.Marshal(document{Kind: string(r.Kind), Name: r.Name, Version: r.Version, Spec: spec})
 }
 
 // UnmarshalJSON reads the document form and refuses unknown fields.
@@ -244,10 +267,13 @@
 	if err := strictJSON(b, &d); err != nil {
 		return err
 	}
-	*r = Resource{Key: Key{Kind: d.Kind, Name: d.Name}, Version: d.Version}
+	*r = Resource{Key: Key{Kind: ParseKind(d.Kind), Name: d.Name}, Version: d.Version}
+	if d.Kind != string(r.Kind) {
+		r.Deprecated = append(r.Deprecated, "kind: "+d.Kind)
+	}
 	spec := r.spec(true)
 	if spec == nil {
-		return &FieldError{Key: r.Key, Field: "kind", Rule: "must be one of region, hall, service, upstream, link, shift, drain, route, limits, workspace"}
+		return &FieldError{Key: r.Key, Field: "kind", Rule: "must be one of region, hall, service, backend, link, shift, drain, route, limits, workspace"}
 	}
 	if len(d.Spec) == 0 {
 		return &FieldError{Key: r.Key, Field: "spec", Rule: "must be present"}
@@ -255,6 +281,10 @@
 	if err := strictJSON(d.Spec, spec); err != nil {
 		return &FieldError{Key: r.Key, Field: "spec", Rule: err.Error()}
 	}
+	if x := r.Drain; x != nil && x.Upstream != "" {
+		r.Deprecated = append(r.Deprecated, "spec.upstream")
+		x.Backend, x.Upstream = x.Upstream, ""
+	}
 	return nil
 }
 
--- a/version/route.go
+++ b/version/route.go
@@ -28,11 +28,11 @@
 	// Objective is the time within which an answer is of full worth. Zero
 	// means the timeout.
 	Objective Duration `json:"objective,omitempty"`
-	// Attempts bounds the upstreams that one request is sent to. Zero means 1.
+	// Attempts bounds the backend servers that one request is sent to. Zero means 1.
 	Attempts int `json:"attempts,omitempty"`
 	// Priority is the rank among the routes of a service, 0 the most urgent.
 	Priority int `json:"priority,omitempty"`
-	// Sticky sends the requests for one object to the same upstream, which
+	// Sticky sends the requests for one object to the same backend server, which
 	// then works faster.
 	Sticky bool `json:"sticky,omitempty"`
 	// Homes are the only regions in which requests may be served. Empty
@@ -59,11 +59,11 @@
 	Idle      Duration `json:"idle,omitempty"`      // between requests
 }
 
-// Warming says how much an upstream bears right after its start.
+// Warming says how much a backend server bears right after its start.
 type Warming struct {
-	// Time is how long an upstream stays cold.
+	// Time is how long a backend server stays cold.
 	Time Duration `json:"time"`
-	// Rate is the number of requests a second that a cold upstream bears,
+	// Rate is the number of requests a second that a cold backend server bears,
 	// over all instances. Zero means no bound.
 	Rate float64 `json:"rate"`
 }
--- a/version/routing.go
+++ b/version/routing.go
@@ -14,14 +14,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Routing is a Config compiled for the choice of an upstream by route
+// Routing is a Config compiled for the choice of a backend server by route
 // resources. It is never changed after CompileRouting.
 type Routing struct {
-	Seq       int64
-	Regions   []string
-	Services  []RoutedService
-	Upstreams []RoutedUpstream
-	Limits    Limits
+	Seq      int64
+	Regions  []string
+	Services []RoutedService
+	Backends []RoutedBackend
+	Limits   Limits
 	// Workspaces finds who a caller is by its key.
 	Workspaces *Workspaces
 
@@ -46,15 +46,15 @@
 type RoutePart struct {
 	Service int32
 	Weight  float64
-	// Weights of the service's upstreams, by the region that a request comes
-	// from and the index in RoutedService.Upstreams.
+	// Weights of the service's backend servers, by the region that a request comes
+	// from and the index in RoutedService.Backends.
 	Weights [][]float64
 }
 
-// RoutedService is a service with its upstreams.
+// RoutedService is a service with its backend servers.
 type RoutedService struct {
 	Name           string
-	Upstreams      []int32
+	Backends       []int32
 	Warming        Warming
 	MaxConnections int
 	// MostUrgent and LeastUrgent are the ranks of the requests that may come for
@@ -62,20 +62,20 @@
 	MostUrgent, LeastUrgent int
 }
 
-// RoutedUpstream is one upstream as the choice sees it.
-type RoutedUpstream struct {
+// RoutedBackend is one backend server as the choice sees it.
+type RoutedBackend struct {
 	Name    string
 	Address string
 	Service int32
 	Hall    string
 	Region  int32
 	Slots   int
-	// Closed is set for an upstream that is leaving or in a drained place.
+	// Closed is set for a backend server that is leaving or in a drained place.
 	Closed bool
 	// Drained is set when a drain of its place closes it.
 	Drained bool
 	Cold    time.Duration
-	// Hash identifies the upstream in rankings.
+	// Hash identifies the backend server in rankings.
 	Hash uint64
 }
 
@@ -97,7 +97,7 @@
 		r.halls[x.Name] = r.regions[x.Hall.Region]
 	}
 	services := r.addServices(c)
-	r.addUpstreams(c, services)
+	r.addBackends(c, services)
 	for _, x := range c.List(KindRoute) {
 		r.addRoute(x, services)
 	}
@@ -122,40 +122,40 @@
 	return services
 }
 
-func (r *Routing) addUpstreams(c *Config, services map[string]int32) {
+func (r *Routing) addBackends(c *Config, services map[string]int32) {
 	drains := c.List(KindDrain)
-	for _, x := range newestByAddress(c.List(KindUpstream)) {
-		u := RoutedUpstream{
-			Name: x.Name, Address: x.Upstream.Address.String(), Service: services[x.Upstream.Service],
-			Hall: x.Upstream.Hall, Region: r.halls[x.Upstream.Hall], Slots: x.Upstream.Slots,
-			Closed: x.Upstream.Leaving, Cold: time.Duration(x.Upstream.Cold), Hash: xxhash.Sum64String(x.Name),
+	for _, x := range newestByAddress(c.List(KindBackend)) {
+		u := RoutedBackend{
+			Name: x.Name, Address: x.Backend.Address.String(), Service: services[x.Backend.Service],
+			Hall: x.Backend.Hall, Region: r.halls[x.Backend.Hall], Slots: x.Backend.Slots,
+			Closed: x.Backend.Leaving, Cold: time.Duration(x.Backend.Cold), Hash: xxhash.Sum64String(x.Name),
 		}
 		for _, d := range drains {
-			if d.Drain.Upstream == u.Name || d.Drain.Hall == u.Hall || d.Drain.Region == r.Regions[u.Region] {
+			if d.Drain.Backend == u.Name || d.Drain.Hall == u.Hall || d.Drain.Region == r.Regions[u.Region] {
 				u.Drained = true
 				u.Closed = true
 			}
 		}
 		s := &r.Services[u.Service]
-		s.Upstreams = append(s.Upstreams, int32(len(r.Upstreams)))
-		r.Upstreams = append(r.Upstreams, u)
+		s.Backends = append(s.Backends, int32(len(r.Backends)))
+		r.Backends = append(r.Backends, u)
 	}
 }
 
-// newestByAddress leaves out the upstreams whose address a newer one has taken.
-// The resource API accepts no two at one address, but upstreams that announce
+// newestByAddress leaves out the backend servers whose address a newer one has taken.
+// The resource API accepts no two at one address, but backend servers that announce
 // themselves may follow each other there.
 func newestByAddress(all []Resource) []Resource {
 	newest := make(map[netip.AddrPort]Resource, len(all))
 	for _, x := range all {
-		address := x.Upstream.Address
+		address := x.Backend.Address
 		if old, taken := newest[address]; !taken || old.Version < x.Version {
 			newest[address] = x
 		}
 	}
 	out := make([]Resource, 0, len(newest))
 	for _, x := range all {
-		if newest[x.Upstream.Address].Name == x.Name {
+		if newest[x.Backend.Address].Name == x.Name {
 			out = append(out, x)
 		}
 	}
--- a/version/routing_test.go
+++ b/version/routing_test.go
@@ -74,8 +74,8 @@
 	return c, err
 }
 
-func upstreamDoc(name, hall string, port int, more string) string {
-	return fmt.Sprintf("---\nkind: upstream\nname: %s\nspec: {service: ledger, hall: %s, address: \"10.0.0.1:%d\", slots: 6%s}\n", name, hall, port, more)
+func backendDoc(name, hall string, port int, more string) string {
+	return fmt.Sprintf("---\nkind: backend\nname: %s\nspec: {service: ledger, hall: %s, address: \"10.0.0.1:%d\", slots: 6%s}\n", name, hall, port, more)
 }
 
 func TestRouteOfLongestPrefix(t *testing.T) {
@@ -116,23 +116,23 @@
 	assert.ErrorContains(t, err, "must have at least one route", "a service that no route names")
 }
 
-func TestDrainedAndLeavingUpstreamsAreClosed(t *testing.T) {
-	docs := routedPlaces + routedRoutes + upstreamDoc("u1", "north-1", 1, "") + upstreamDoc("u2", "north-1", 2, ", leaving: true") +
-		upstreamDoc("u3", "south-1", 3, ", cold: 2s") + "---\nkind: drain\nname: d\nspec: {hall: south-1}\n"
+func TestDrainedAndLeavingBackendsAreClosed(t *testing.T) {
+	docs := routedPlaces + routedRoutes + backendDoc("u1", "north-1", 1, "") + backendDoc("u2", "north-1", 2, ", leaving: true") +
+		backendDoc("u3", "south-1", 3, ", cold: 2s") + "---\nkind: drain\nname: d\nspec: {hall: south-1}\n"
 	c, err := propose(t, docs)
 	assert.NilError(t, err)
 	r := CompileRouting(c, nil)
-	closed := []bool{r.Upstreams[0].Closed, r.Upstreams[1].Closed, r.Upstreams[2].Closed}
+	closed := []bool{r.Backends[0].Closed, r.Backends[1].Closed, r.Backends[2].Closed}
 	assert.DeepEqual(t, closed, []bool{false, true, true})
-	assert.Equal(t, r.Upstreams[2].Cold, 2*time.Second)
+	assert.Equal(t, r.Backends[2].Cold, 2*time.Second)
 }
 
 // TestRegionSharesUseCapacityAlike checks that each region's requests are
 // divided whole, that all capacity is used alike, and that nothing leaves a
 // region that has room.
-// TestNewestUpstreamHasTheAddress checks that of two upstreams that announced
+// TestNewestBackendHasTheAddress checks that of two backend servers that announced
 // the same address only the later one gets requests.
-func TestNewestUpstreamHasTheAddress(t *testing.T) {
+func TestNewestBackendHasTheAddress(t *testing.T) {
 	c := &Config{Seq: 1, Resources: make(map[Key]Resource)}
 	put := func(r Resource) { c.Resources[r.Key] = r }
 	put(Resource{Key: Key{KindRegion, "north"}, Region: &Region{}})
@@ -140,13 +140,13 @@
 	put(Resource{Key: Key{KindService, "s"}, Service: &Service{}})
 	put(Resource{Key: Key{KindService, "t"}, Service: &Service{}})
 	at := netip.MustParseAddrPort("10.9.0.1:80")
-	put(Resource{Key: Key{KindUpstream, "z-old"}, Version: 3, Upstream: &Upstream{Service: "s", Hall: "a", Address: at, Slots: 1}})
-	put(Resource{Key: Key{KindUpstream, "a-new"}, Version: 5, Upstream: &Upstream{Service: "t", Hall: "a", Address: at, Slots: 1}})
+	put(Resource{Key: Key{KindBackend, "z-old"}, Version: 3, Backend: &Backend{Service: "s", Hall: "a", Address: at, Slots: 1}})
+	put(Resource{Key: Key{KindBackend, "a-new"}, Version: 5, Backend: &Backend{Service: "t", Hall: "a", Address: at, Slots: 1}})
 	r := CompileRouting(c, nil)
-	assert.Equal(t, len(r.Upstreams), 1)
-	assert.Equal(t, r.Upstreams[0].Name, "a-new")
-	assert.DeepEqual(t, r.Services[1].Upstreams, []int32{0})
-	assert.Equal(t, len(r.Services[0].Upstreams), 0)
+	assert.Equal(t, len(r.Backends), 1)
+	assert.Equal(t, r.Backends[0].Name, "a-new")
+	assert.DeepEqual(t, r.Services[1].Backends, []int32{0})
+	assert.Equal(t, len(r.Services[0].Backends), 0)
 }
 
 func TestRegionSharesUseCapacityAlike(t *testing.T) {
@@ -184,7 +184,7 @@
 }
 
 func TestDistanceFollowsWeights(t *testing.T) {
-	ups := []RoutedUpstream{{Hash: 11}, {Hash: 222}, {Hash: 3333}}
+	ups := []RoutedBackend{{Hash: 11}, {Hash: 222}, {Hash: 3333}}
 	weights := []float64{1, 2, 5}
 	first := make([]float64, len(ups))
 	const objects = 40000
@@ -203,29 +203,29 @@
 	}
 }
 
-// TestLossMovesOnlyItsObjects checks that a lost upstream's objects move and
+// TestLossMovesOnlyItsObjects checks that a lost backend server's objects move and
 // hardly any others do.
 func TestLossMovesOnlyItsObjects(t *testing.T) {
 	docs := routedPlaces + routedRoutes
 	for i := range 10 {
-		docs += upstreamDoc(fmt.Sprintf("u%d", i), []string{"north-1", "south-1"}[i%2], i+1, "")
+		docs += backendDoc(fmt.Sprintf("u%d", i), []string{"north-1", "south-1"}[i%2], i+1, "")
 	}
 	before, err := propose(t, docs)
 	assert.NilError(t, err)
 	after, err := propose(t, docs)
 	assert.NilError(t, err)
-	delete(after.Resources, Key{KindUpstream, "u4"})
+	delete(after.Resources, Key{KindBackend, "u4"})
 	first := func(r *Routing, object uint64) string {
 		s := &r.Services[r.Route("a.example", "/bids/").Parts[0].Service]
 		w := r.Route("a.example", "/bids/").Parts[0].Weights[r.Region("north")]
-		best := slices.MinFunc(s.Upstreams, func(a, b int32) int {
-			x, y := r.Upstreams[a].Distance(object, w[slices.Index(s.Upstreams, a)]), r.Upstreams[b].Distance(object, w[slices.Index(s.Upstreams, b)])
+		best := slices.MinFunc(s.Backends, func(a, b int32) int {
+			x, y := r.Backends[a].Distance(object, w[slices.Index(s.Backends, a)]), r.Backends[b].Distance(object, w[slices.Index(s.Backends, b)])
 			if x < y {
 				return -1
 			}
 			return 1
 		})
-		return r.Upstreams[best].Name
+		return r.Backends[best].Name
 	}
 	a, b := CompileRouting(before, nil), CompileRouting(after, nil)
 	moved, of := 0, 0
--- a/version/view.go
+++ b/version/view.go
@@ -16,7 +16,7 @@
 type PoolKind uint8
 
 const (
-	// PoolSlots has one token for each slot of an upstream.
+	// PoolSlots has one token for each slot of a backend server.
 	PoolSlots PoolKind = iota
 	// PoolLink has one token for each request that may be on a link at once.
 	PoolLink
@@ -35,8 +35,8 @@
 	Deadline time.Duration // the longest deadline of a request that holds one
 }
 
-// UpstreamView is an upstream with names replaced by indexes.
-type UpstreamView struct {
+// BackendView is a backend server with names replaced by indexes.
+type BackendView struct {
 	Name    string
 	Service int32
 	Hall    int32
@@ -69,13 +69,13 @@
 	RatePool int32 // None without a rate
 }
 
-// ServiceView is a service with its upstreams grouped by region.
+// ServiceView is a service with its backend servers grouped by region.
 type ServiceView struct {
 	Name     string
 	Routes   []ServiceRoute
 	Queue    int
 	Deadline time.Duration // the longest of its routes
-	ByRegion [][]int32     // upstreams by region
+	ByRegion [][]int32     // backend servers by region
 	Shifts   []ShiftView   // by the region they are from
 }
 
@@ -86,7 +86,7 @@
 	Regions   []string
 	Halls     []HallView
 	Services  []ServiceView
-	Upstreams []UpstreamView
+	Backends  []BackendView
 	Crossings [][]Crossing // by region, nearest first
 	Pools     []Pool
 	Blocks    BlockTable // client address to hall
@@ -142,7 +142,7 @@
 	}
 	v.addPlaces(c)
 	v.addServices(c)
-	v.addUpstreams(c)
+	v.addBackends(c)
 	v.addLinks(c)
 	v.addShifts(c)
 	v.addDrains(c)
@@ -191,19 +191,19 @@
 	return int32(len(v.Pools) - 1)
 }
 
-func (v *View) addUpstreams(c *Config) {
-	for i, r := range c.List(KindUpstream) {
-		svc := v.Service(r.Upstream.Service)
-		hall := v.Hall(r.Upstream.Hall)
+func (v *View) addBackends(c *Config) {
+	for i, r := range c.List(KindBackend) {
+		svc := v.Service(r.Backend.Service)
+		hall := v.Hall(r.Backend.Hall)
 		region := v.Halls[hall].Region
 		s := &v.Services[svc]
 		pool := v.addPool(Pool{
-			Name: r.Key.String(), Kind: PoolSlots, Size: r.Upstream.Slots,
+			Name: r.Key.String(), Kind: PoolSlots, Size: r.Backend.Slots,
 			Region: region, Deadline: s.Deadline,
 		})
-		v.Upstreams = append(v.Upstreams, UpstreamView{
+		v.Backends = append(v.Backends, BackendView{
 			Name: r.Name, Service: svc, Hall: hall, Region: region,
-			Address: r.Upstream.Address.String(), Pool: pool,
+			Address: r.Backend.Address.String(), Pool: pool,
 		})
 		s.ByRegion[region] = append(s.ByRegion[region], int32(i))
 	}
@@ -253,9 +253,9 @@
 
 func (v *View) addDrains(c *Config) {
 	for _, r := range c.List(KindDrain) {
-		for i := range v.Upstreams {
-			u := &v.Upstreams[i]
-			named := u.Name == r.Drain.Upstream ||
+		for i := range v.Backends {
+			u := &v.Backends[i]
+			named := u.Name == r.Drain.Backend ||
 				v.Halls[u.Hall].Name == r.Drain.Hall ||
 				v.Regions[u.Region] == r.Drain.Region
 			u.Drained = u.Drained || named
--- a/version/weight.go
+++ b/version/weight.go
@@ -4,14 +4,14 @@
 
 import "math"
 
-// leastWeight is the weight of an upstream in a region that should get nothing
+// leastWeight is the weight of a backend server in a region that should get nothing
 // of another region's requests: it comes last in every order.
 const leastWeight = 1e-6
 
 // regionShares divides the requests of each region among the regions, first
 // index from, second to. Regions are assumed to send equally much. A region
 // keeps what its own share of the capacity allows; what is left goes to the
-// regions with room to spare, in proportion to it. So all upstreams are used
+// regions with room to spare, in proportion to it. So all backend servers are used
 // alike while as little as possible leaves its region.
 func regionShares(capacity []float64) [][]float64 {
 	total := 0.0
@@ -49,12 +49,12 @@
 }
 
 // weigh sets the weights of a part: for each region that requests come from,
-// those of the service's upstreams, in the order of RoutedService.Upstreams.
+// those of the service's backend servers, in the order of RoutedService.Backends.
 func (r *Routing) weigh(p *RoutePart, home []bool) {
 	s := &r.Services[p.Service]
 	capacity := make([]float64, len(r.Regions))
-	for _, i := range s.Upstreams {
-		u := &r.Upstreams[i]
+	for _, i := range s.Backends {
+		u := &r.Backends[i]
 		if !u.Closed && (home == nil || home[u.Region]) {
 			capacity[u.Region] += float64(u.Slots)
 		}
@@ -62,9 +62,9 @@
 	shares := regionShares(capacity)
 	p.Weights = make([][]float64, len(r.Regions))
 	for from := range p.Weights {
-		weights := make([]float64, len(s.Upstreams))
-		for k, i := range s.Upstreams {
-			u := &r.Upstreams[i]
+		weights := make([]float64, len(s.Backends))
+		for k, i := range s.Backends {
+			u := &r.Backends[i]
 			weights[k] = leastWeight
 			if c := capacity[u.Region]; c > 0 {
 				weights[k] = max(leastWeight, shares[from][u.Region]*float64(u.Slots)/c)
@@ -74,17 +74,17 @@
 	}
 }
 
-// Distance returns the place of an upstream in an object's order: the upstream
+// Distance returns the place of a backend server in an object's order: the backend server
 // with the lowest distance is the first choice, and the share of objects for
 // which it is grows with its weight (weighted rendezvous hashing). It is the
 // same at every instance.
-func (u *RoutedUpstream) Distance(object uint64, weight float64) float64 {
+func (u *RoutedBackend) Distance(object uint64, weight float64) float64 {
 	return u.Draw(object) / weight
 }
 
 // Draw returns the distance for a weight of 1. It is exponentially distributed
 // over objects.
-func (u *RoutedUpstream) Draw(object uint64) float64 {
+func (u *RoutedBackend) Draw(object uint64) float64 {
 	x := object ^ u.Hash
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
--- a/version/workspace.go
+++ b/version/workspace.go
@@ -189,7 +189,7 @@
 }
 
 // Within returns the view of a route for the requests of a workspace: where the
-// workspace has homes, only the upstreams there are left. Such a view is compiled
+// workspace has homes, only the backend servers there are left. Such a view is compiled
 // when it is first asked for, once for all workspaces with the same homes. A nil
 // workspace has no homes.
 func (r *Routing) Within(v *RouteView, w *WorkspaceView) *RouteView {
