version, balance, rollout: interfaces of roll-outs, and their design

Cause: operators can ask for a service to be moved to another version of its software; nothing in the code knew of versions, so backend servers that stand beside the present ones would get requests at once.

Ruled out: one service with two kinds of backend servers, since new ones that stand by would then move shares and homes.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -53,7 +53,17 @@
 		return nil
 	}
 	p := &q.Route.Parts[q.Part]
-	if int(p.Service) >= len(r.Services) || r.Services[p.Service].Name != q.Route.Split[q.Part].Service {
+	if q.Target {
+		p = p.Target
+	}
+	if p == nil {
+		return nil
+	}
+	if int(p.Service) >= len(r.Services) {
+		return nil
+	}
+	s := &r.Services[p.Service]
+	if s.Name != q.Route.Split[q.Part].Service || q.Target && s.Software != p.Software {
 		return nil
 	}
 	return p
@@ -214,7 +224,7 @@
 	}
 	return &Pick{
 		object: object,
-		Name:   v.Name, Address: v.Address, Region: t.routing.Regions[v.Region], Pool: u.pool,
+		Name:   v.Name, Address: v.Address, Software: v.Software, Cold: now < u.coldUntil, Region: t.routing.Regions[v.Region], Pool: u.pool,
 		Rank: c.place, Unseen: c.unseen, Wait: c.wait, table: t, u: u, hash: v.Hash, started: now,
 	}
 }
--- a/process/balance/share.go
+++ b/process/balance/share.go
@@ -53,7 +53,7 @@
 // adaptShares moves the shares of a service's backend servers if a step is due. The
 // caller holds the lock.
 func (t *Table) adaptShares(s *version.RoutedService, now time.Duration) {
-	known := t.service(s.Name)
+	known := t.service(s)
 	if now < known.adaptAt {
 		return
 	}
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -41,7 +41,7 @@
 	byName   map[string]*backend
 	byHash   map[uint32]int32 // to index, by the bytes of the hash that observations carry
 	reaching int              // connections that are being opened to suspended backend servers
-	services map[string]*service
+	services map[softwareOf]*service
 	scratch  []candidate          // memory of candidates, kept between decisions
 	splits   map[string][]float64 // credit of each part, by route
 	seen     seenObjects
@@ -59,7 +59,7 @@
 		v := &r.Backends[i]
 		u := t.byName[v.Name]
 		if u == nil || u.address != v.Address {
-			u = &backend{service: t.service(r.Services[v.Service].Name), policy: &t.Policy, pool: t.NewPool(v.Address), address: v.Address, share: share{kept: 1}}
+			u = &backend{service: t.service(&r.Services[v.Service]), policy: &t.Policy, pool: t.NewPool(v.Address), address: v.Address, share: share{kept: 1}}
 		}
 		if u.install(v, now) {
 			u.turns = turns{policy: &t.Policy, rate: r.Services[v.Service].Warming.Rate}
@@ -82,19 +82,24 @@
 	}
 }
 
-// service returns what is known of a service. The caller holds the lock.
-func (t *Table) service(name string) *service {
+// service returns what is known of a service with one version of its software. The
+// caller holds the lock.
+func (t *Table) service(s *version.RoutedService) *service {
 	if t.services == nil {
-		t.services = make(map[string]*service)
+		t.services = make(map[softwareOf]*service)
 	}
-	s := t.services[name]
-	if s == nil {
-		s = &service{}
-		t.services[name] = s
+	key := softwareOf{s.Name, s.Software}
+	known := t.services[key]
+	if known == nil {
+		known = &service{}
+		t.services[key] = known
 	}
-	return s
+	return known
 }
 
+// softwareOf names a version of a service's software.
+type softwareOf struct{ service, software string }
+
 // useDefaults sets the policy unless it was set. The caller holds the lock.
 func (t *Table) useDefaults() {
 	if t.Policy == (Policy{}) {
@@ -135,6 +140,9 @@
 	Route *version.RouteView
 	// Part is the index of the route's part, as Split returned it.
 	Part int
+	// Target is set for a request that goes to the target of a roll-out of the
+	// service. If none runs any more nothing is chosen.
+	Target bool
 	// Priority is the rank of the request, 0 the most urgent.
 	Priority int
 	// Object identifies the object that the request concerns; zero: none.
@@ -151,13 +159,17 @@
 type Pick struct {
 	Name    string
 	Address string
-	Region  string
-	Pool    *conn.Pool
+	// Software is the version of the software that it runs.
+	Software string
+	Region   string
+	Pool     *conn.Pool
 	// Rank is the place of the backend server in the object's order, 0 the first.
 	Rank int
 	// Unseen is set if the backend server has not worked on the object lately, as far
 	// as this instance knows.
 	Unseen bool
+	// Cold is set while the backend server counts as cold.
+	Cold bool
 	// Wait is the estimated time until it begins with the request.
 	Wait time.Duration
 
--- a/version/check.go
+++ b/version/check.go
@@ -80,6 +80,8 @@
 		k.limits(r.Limits)
 	case KindWorkspace:
 		k.workspace(r.Workspace)
+	case KindRollout:
+		k.rollout(r.Rollout)
 	}
 }
 
@@ -185,6 +187,8 @@
 		return f(r, "spec.prefix", r.Route.Host+r.Route.Prefix)
 	case KindLimits:
 		return f(r, "kind", "the kind limits")
+	case KindRollout:
+		return f(r, "spec.service", "roll-out of "+r.Rollout.Service)
 	case KindService:
 		for _, h := range r.Service.Hosts {
 			if err := f(r, "spec.hosts", h); err != nil {
--- a/version/config.go
+++ b/version/config.go
@@ -50,6 +50,10 @@
 	Seq        int64
 	Resources  map[Key]Resource
 	Operations []Operation // oldest first
+	// Software says by service which versions of its software may get requests. Of a
+	// service that is not there all backend servers may. It is not part of what
+	// operators declare, and not of snapshots: it follows from the roll-outs' state.
+	Software map[string]Software
 }
 
 // Snapshot is the written form of a Config.
--- a/version/resource.go
+++ b/version/resource.go
@@ -29,6 +29,7 @@
 	KindRoute     Kind = "route"
 	KindLimits    Kind = "limits"
 	KindWorkspace Kind = "workspace"
+	KindRollout   Kind = "rollout"
 )
 
 // deprecatedBackend is what an earlier release called KindBackend. It is read, never
@@ -50,7 +51,7 @@
 }
 
 // Kinds lists every kind in the order in which they refer to each other.
-var Kinds = [...]Kind{KindRegion, KindHall, KindService, KindBackend, KindLink, KindShift, KindDrain, KindRoute, KindLimits, KindWorkspace}
+var Kinds = [...]Kind{KindRegion, KindHall, KindService, KindBackend, KindLink, KindShift, KindDrain, KindRoute, KindLimits, KindWorkspace, KindRollout}
 
 // Key identifies a resource.
 type Key struct {
@@ -85,6 +86,7 @@
 	Route     *Route
 	Limits    *Limits
 	Workspace *Workspace
+	Rollout   *Rollout
 }
 
 // Service is a named set of routes served by one group of backend servers.
@@ -138,6 +140,8 @@
 	Slots int `json:"slots"`
 	// Leaving says that it gets no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Software is the version of the software that it runs. "": it does not say.
+	Software string `json:"software,omitempty"`
 	// Cold is how long it stays cold, counted from when it was declared.
 	Cold Duration `json:"cold,omitempty"`
 }
@@ -238,6 +242,8 @@
 		return specOf(&r.Limits, create)
 	case KindWorkspace:
 		return specOf(&r.Workspace, create)
+	case KindRollout:
+		return specOf(&r.Rollout, create)
 	}
 	return nil
 }
@@ -273,7 +279,7 @@
 	}
 	spec := r.spec(true)
 	if spec == nil {
-		return &FieldError{Key: r.Key, Field: "kind", Rule: "must be one of region, hall, service, backend, link, shift, drain, route, limits, workspace"}
+		return &FieldError{Key: r.Key, Field: "kind", Rule: "must be one of region, hall, service, backend, link, shift, drain, route, limits, workspace, rollout"}
 	}
 	if len(d.Spec) == 0 {
 		return &FieldError{Key: r.Key, Field: "spec", Rule: "must be present"}
--- a/version/routing.go
+++ b/version/routing.go
@@ -49,11 +49,23 @@
 	// Weights of the service's backend servers, by the region that a request comes
 	// from and the index in RoutedService.Backends.
 	Weights [][]float64
+	// Software is the version of the software of a Target.
+	Software string
+	// Target is the same part for the requests that go to the target of a roll-out of
+	// the service. Nil: none runs.
+	Target *RoutePart
 }
 
 // RoutedService is a service with its backend servers.
 type RoutedService struct {
-	Name           string
+	Name string
+	// Software is the version that its backend servers run. "": any. The target of a
+	// roll-out is a service of its own here, with the name of the same service, so
+	// that shares and homes of objects are computed within a version.
+	Software string
+	// Target is the index of the service with the backend servers of a roll-out's
+	// target. None: there is none.
+	Target         int32
 	Backends       []int32
 	Warming        Warming
 	MaxConnections int
@@ -67,9 +79,11 @@
 	Name    string
 	Address string
 	Service int32
-	Hall    string
-	Region  int32
-	Slots   int
+	// Software is the version of the software that it runs.
+	Software string
+	Hall     string
+	Region   int32
+	Slots    int
 	// Closed is set for a backend server that is leaving or in a drained place.
 	Closed bool
 	// Drained is set when a drain of its place closes it.
@@ -112,21 +126,48 @@
 func (r *Routing) addServices(c *Config) map[string]int32 {
 	services := make(map[string]int32)
 	for i, x := range c.List(KindService) {
-		s := RoutedService{Name: x.Name, MaxConnections: x.Service.MaxConnections}
+		s := RoutedService{Name: x.Name, Software: c.Software[x.Name].InForce, Target: None, MaxConnections: x.Service.MaxConnections}
 		if x.Service.Warming != nil {
 			s.Warming = *x.Service.Warming
 		}
 		services[x.Name] = int32(i)
 		r.Services = append(r.Services, s)
 	}
+	for i := range r.Services[:len(r.Services):len(r.Services)] {
+		target := r.Services[i]
+		target.Software = c.Software[target.Name].Target
+		if target.Software == "" {
+			continue
+		}
+		r.Services[i].Target = int32(len(r.Services))
+		r.Services = append(r.Services, target)
+	}
 	return services
 }
 
+// serviceOf returns the service that a backend server works for, or None if it runs a
+// version of the software that may get no requests.
+func (r *Routing) serviceOf(b *Backend, services map[string]int32, software map[string]Software) int32 {
+	i := services[b.Service]
+	admitted, bound := software[b.Service]
+	switch {
+	case !bound || b.Software == admitted.InForce:
+		return i
+	case b.Software == admitted.Target:
+		return r.Services[i].Target
+	}
+	return None
+}
+
 func (r *Routing) addBackends(c *Config, services map[string]int32) {
 	drains := c.List(KindDrain)
 	for _, x := range newestByAddress(c.List(KindBackend)) {
+		service := r.serviceOf(x.Backend, services, c.Software)
+		if service == None {
+			continue
+		}
 		u := RoutedBackend{
-			Name: x.Name, Address: x.Backend.Address.String(), Service: services[x.Backend.Service],
+			Name: x.Name, Address: x.Backend.Address.String(), Service: service, Software: x.Backend.Software,
 			Hall: x.Backend.Hall, Region: r.halls[x.Backend.Hall], Slots: x.Backend.Slots,
 			Closed: x.Backend.Leaving, Cold: time.Duration(x.Backend.Cold), Hash: xxhash.Sum64String(x.Name),
 		}
@@ -171,7 +212,7 @@
 	}
 	v.Home = homeOf(v.Homes, r.Regions)
 	for i := range v.Parts {
-		r.weigh(&v.Parts[i], v.Home)
+		r.weighAll(&v.Parts[i], v.Home)
 	}
 	routes := append(r.hosts[v.Host], v)
 	slices.SortStableFunc(routes, func(a, b *RouteView) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -198,6 +239,11 @@
 		}
 		r.Workspaces.Each(func(w *WorkspaceView) { s.ranked(w.Priority) })
 	})
+	for i := range r.Services {
+		if target := r.Services[i].Target; target != None {
+			r.Services[target].MostUrgent, r.Services[target].LeastUrgent = r.Services[i].MostUrgent, r.Services[i].LeastUrgent
+		}
+	}
 }
 
 // ranked notes that requests of a rank may come.
--- a/version/weight.go
+++ b/version/weight.go
@@ -48,6 +48,16 @@
 	return 1
 }
 
+// weighAll sets the weights of a part, and of the part for a roll-out's target.
+func (r *Routing) weighAll(p *RoutePart, home []bool) {
+	r.weigh(p, home)
+	p.Target = nil
+	if target := r.Services[p.Service].Target; target != None {
+		p.Target = &RoutePart{Service: target, Weight: p.Weight, Software: r.Services[target].Software}
+		r.weigh(p.Target, home)
+	}
+}
+
 // weigh sets the weights of a part: for each region that requests come from,
 // those of the service's backend servers, in the order of RoutedService.Backends.
 func (r *Routing) weigh(p *RoutePart, home []bool) {
