version, slots: the pool of a backend server's slots keeps its stored name

The name stands in rows that say who holds which token, so with two names instances of two releases would each have used all slots.

Ruled out: changing the test, which was right about the stored name.

Change: one function names such a pool, with the reason, and one tells its backend server; the tests say the stored name again.

--- a/process/slots/await_test.go
+++ b/process/slots/await_test.go
@@ -44,7 +44,7 @@
 	x := &Table{Self: "self", OnFree: func(int32) {}, AwaitWord: w.await}
 	x.Install(v, version.NewCounters(v), 0)
 	x.SetSplit(&Split{Epoch: 1, Members: []string{"self"}, Pools: map[string]PoolSplit{
-		"backend/u": {Homes: []int32{0, 0, 0, 0}, Fenced: fenced},
+		"upstream/u": {Homes: []int32{0, 0, 0, 0}, Fenced: fenced},
 	}}, 0)
 	return x, w
 }
--- a/process/slots/sim_test.go
+++ b/process/slots/sim_test.go
@@ -241,7 +241,7 @@
 	if m == nil || !s.fresh(m) {
 		return
 	}
-	name := "backend/u"
+	name := "upstream/u"
 	if rate {
 		name = "shift/x/rate"
 	}
--- a/process/slots/table.go
+++ b/process/slots/table.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"strings"
 	"sync"
 	"time"
 
@@ -201,7 +200,7 @@
 	}
 	t.mu.Unlock()
 	for _, a := range awaited {
-		t.AwaitWord(strings.TrimPrefix(a.pool.spec.Name, string(version.KindBackend)+"/"), now, a.heard)
+		t.AwaitWord(a.pool.spec.Backend(), now, a.heard)
 	}
 	if freed {
 		t.OnFree(version.None)
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -30,7 +30,7 @@
 	var has, size int32
 	for i, e := range st.Entries {
 		for _, p := range e.Pools {
-			if len(p.Pool) < 9 || p.Pool[:9] != "backend/" {
+			if len(p.Pool) < 9 || p.Pool[:9] != "upstream/" {
 				continue
 			}
 			has += p.Free + p.Busy
--- a/version/decide_test.go
+++ b/version/decide_test.go
@@ -114,7 +114,7 @@
 		for _, r := range c.List(version.KindBackend) {
 			_, drained := c.Resources[version.Key{Kind: version.KindDrain, Name: r.Name}]
 			if c.Resources[version.Key{Kind: version.KindHall, Name: r.Backend.Hall}].Hall.Region != region ||
-				drained || closed[r.Name] || free[r.Key.String()] <= 0 {
+				drained || closed[r.Name] || free["upstream/"+r.Name] <= 0 {
 				continue
 			}
 			if len(out) == 0 || cost[r.Name] < best {
@@ -215,7 +215,7 @@
 		}
 		name := v.Backends[got.Backend].Name
 		assert.Assert(t, ups[name], "chose %s, right are %v", name, ups)
-		need := map[string]bool{"backend/" + name: true}
+		need := map[string]bool{"upstream/" + name: true}
 		for _, p := range pools {
 			need[p] = true
 		}
--- a/version/view.go
+++ b/version/view.go
@@ -35,6 +35,15 @@
 	Deadline time.Duration // the longest deadline of a request that holds one
 }
 
+// slotsPool returns the name of the pool of a backend server's slots. It keeps the word
+// of an earlier release: the name stands in the rows that say who holds which token,
+// and instances of both releases that named it differently would each use all slots.
+func slotsPool(backend string) string { return deprecatedBackend + "/" + backend }
+
+// Backend returns the name of the backend server whose slots the pool has. It is of no
+// use for a pool of another kind.
+func (p *Pool) Backend() string { return strings.TrimPrefix(p.Name, deprecatedBackend+"/") }
+
 // BackendView is a backend server with names replaced by indexes.
 type BackendView struct {
 	Name    string
@@ -198,7 +207,7 @@
 		region := v.Halls[hall].Region
 		s := &v.Services[svc]
 		pool := v.addPool(Pool{
-			Name: r.Key.String(), Kind: PoolSlots, Size: r.Backend.Slots,
+			Name: slotsPool(r.Name), Kind: PoolSlots, Size: r.Backend.Slots,
 			Region: region, Deadline: s.Deadline,
 		})
 		v.Backends = append(v.Backends, BackendView{
