cluster: who starts tells all others of itself alone

Cause: what a fleet sends when all start grows with its square, as each instance tells each other one; each such message carried two rumours besides, which say what those others say themselves at the same moment.

Ruled out: telling only a few and leaving the rest to gossip: who counts too few others takes too many turns of cold backend servers. Reading fewer rows: the same.

Change: SendAll sends the instance itself, without rumours. The model of fleets does, too.

Figures: 110 bytes in place of 327 (TestIntroductionIsSmall), 138 and 355 with headers; 302 x 301 of them are 12.5 and 32 MB. The model's tests of meeting, death and return pass unchanged.

--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -167,8 +167,11 @@
 	return append(near[:2:2], some(m.shuffle, near[2:], n-2)...)
 }
 
-// SendAll tells all instances of the present state, as when it changes.
-func (b *Beats) SendAll() { b.send(b.members.All(), b.members.tell(false)) }
+// SendAll tells all instances of this one alone, as when it starts or leaves. When all
+// start each tells each, so that what a message holds counts with the square of the
+// fleet: without rumours it takes 110 bytes in place of 327 (TestIntroductionIsSmall),
+// with the headers of datagrams 12 MB in place of 32 for a start of 300 instances.
+func (b *Beats) SendAll() { b.send(b.members.All(), b.members.introduction()) }
 
 // SendNear tells those of the own region.
 func (b *Beats) SendNear() {
--- a/process/cluster/datagram.go
+++ b/process/cluster/datagram.go
@@ -76,6 +76,13 @@
 	return d, nil
 }
 
+// introduction returns what to tell those who may not know this instance.
+func (m *Members) introduction() datagram {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return datagram{Self: m.selfNow()}
+}
+
 // tell returns what to tell others now: to the own region with news, to another
 // region without.
 func (m *Members) tell(withNews bool) datagram {
--- a/process/cluster/gossip_test.go
+++ b/process/cluster/gossip_test.go
@@ -80,14 +80,17 @@
 		x.members.Learn(false, o.members.Self())
 	}
 	x.members.Read()
-	f.send(x, x.members.All(), false)
+	f.sendThis(x, x.members.All(), x.members.introduction())
 }
 
 func (f *fleet) send(x *instance, to []Member, withNews bool) {
 	if len(to) == 0 {
 		return
 	}
-	d := x.members.tell(withNews)
+	f.sendThis(x, to, x.members.tell(withNews))
+}
+
+func (f *fleet) sendThis(x *instance, to []Member, d datagram) {
 	text, err := marshal(d)
 	if err != nil {
 		panic(err)
