state: a table that is followed only while it is wanted

Cause: the records of roll-outs are wanted only while one runs, and each table that is followed costs calls of the store all the time.

Change: Follower.Wanted says which tables are to be kept new. One that is not costs no call and counts neither as unknown nor as stale. One that is wanted of a sudden has 3 s to come along the tree; then it counts as others do, so that an instance that nobody tells it asks the store itself. A typed error and types for conditional writes.

Ruled out: that it never counts as stale. An instance between others that do not want the table any more would never learn the end of a roll-out.

--- a/process/state/doc.go
+++ b/process/state/doc.go
@@ -18,6 +18,7 @@
 that no source has confirmed for a while asks the store itself, so that it depends
 on no other instance, and an instance that the store does not answer learns from
 the others. At its start an instance waits for others a bounded time, so that the
-store is asked by few though all start at once.
+store is asked by few though all start at once. A table that is not wanted at
+present costs no call (Follower.Wanted).
 */
 package state
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -18,6 +18,10 @@
 // asked for.
 const Compacted = errors.ConstError("history is gone")
 
+// Conflict is the error of a write that was not carried out, since some row was not at
+// the version that it was made against.
+const Conflict = errors.ConstError("a row has changed meanwhile")
+
 // Store is the source of all rows. Its methods return an error when the call
 // was not answered or was refused.
 type Store interface {
@@ -88,6 +92,10 @@
 	// while tables are not known.
 	idlePoll  = 250 * time.Millisecond
 	firstPoll = 20 * time.Millisecond
+	// wantedGrace is how long a table that is wanted of a sudden has for being told by
+	// others before it counts as not known, or stale: the others want it at about the
+	// same time, and the relay asks the store for it within a moment.
+	wantedGrace = 3 * time.Second
 )
 
 // Follower keeps tables new. The fields are set before Run.
@@ -97,7 +105,12 @@
 	Tables map[string]*Table
 	Log    zerolog.Logger
 	Now    func() time.Duration
+	// Wanted reports whether a table is to be kept new. While it is not, the store is not
+	// asked for it, and it counts neither as unknown nor as stale; what others tell of it
+	// is taken up all the same. Nil: all are, always.
+	Wanted func(table string) bool
 
+	wants wants
 	// unknownUntil is until when tables that are not known are awaited from
 	// others, and headUntil that for a head.
 	unknownUntil, headUntil time.Duration
@@ -107,6 +120,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.unknownUntil = f.Now() + startLeast + rand.N(startMost-startLeast)
 	f.headUntil = f.Now() + headLeast + rand.N(headLeast)
+	f.wantAtStart()
 	var all sync.WaitGroup
 	for name, t := range f.Tables {
 		all.Go(func() { f.followStore(ctx, name, t) })
@@ -121,7 +135,10 @@
 // it at all in the time there was for that since the start.
 func (f *Follower) Stale() bool {
 	now := f.Now()
-	for _, t := range f.Tables {
+	for name, t := range f.Tables {
+		if !f.counts(name, now) {
+			continue
+		}
 		_, known := t.Version()
 		if known && t.Confirmed() < now-staleAfter || !known && f.waitedLong(now) {
 			return true
@@ -135,34 +152,38 @@
 	return now >= f.unknownUntil || now >= f.headUntil && f.Peers.Head()
 }
 
-// known reports whether all tables are known.
+// known reports whether all tables that are wanted are known.
 func (f *Follower) known() bool {
-	for _, t := range f.Tables {
-		if _, known := t.Version(); !known {
+	now := f.Now()
+	for name, t := range f.Tables {
+		if _, known := t.Version(); !known && f.counts(name, now) {
 			return false
 		}
 	}
 	return true
 }
 
-// Age returns how long ago the table that was confirmed last of all was
-// confirmed. It is of no use before all tables are known.
+// Age returns how long ago that of the wanted tables was confirmed which was
+// confirmed last of all. It is of no use before all of them are known.
 func (f *Follower) Age() time.Duration {
 	now := f.Now()
 	age := time.Duration(0)
-	for _, t := range f.Tables {
-		age = max(age, now-t.Confirmed())
+	for name, t := range f.Tables {
+		if f.counts(name, now) {
+			age = max(age, now-t.Confirmed())
+		}
 	}
 	return age
 }
 
-// followStore asks the store while this instance is a relay, or stale.
+// followStore asks the store for a table while it is wanted, and this instance is a
+// relay, or stale.
 func (f *Follower) followStore(ctx context.Context, name string, t *Table) {
 	failures := 0
 	failed := time.Duration(0) // when a question failed last; zero: never
 	var pause gatherPause
 	for ctx.Err() == nil {
-		if !f.Peers.Relay() && !f.Stale() {
+		if !f.wanted(name) || !f.Peers.Relay() && !f.Stale() {
 			clock.Sleep(ctx, f.pollPause())
 			continue
 		}
--- /dev/null
+++ b/process/state/write.go
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: MIT
+
+package state
+
+// Expected is a row that a write is made against.
+type Expected struct {
+	Table, Key string
+	// Version is that of the transaction that wrote the row. Zero: it must not be there.
+	Version int64
+}
+
+// Written is a row that a write puts, whatever it was but for what is expected.
+type Written struct {
+	Table, Key string
+	Value      []byte
+}
