platform, tablestore: orders, status, conditional writes and the store's clock

Cause: roll-outs need what operators order, a write under a condition, and one clock for all instances.

The stand-in's clock runs, and it counts calls by table.

--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"shalewick/process/quota"
+	"shalewick/process/rollout"
 	"shalewick/process/state"
 	"shalewick/request"
 	"shalewick/version"
@@ -54,6 +55,8 @@
 	RetrySpan              time.Duration
 	// QuotaTolerance is by how much the requests of a workspace may pass its rate.
 	QuotaTolerance quota.Tolerance
+	// Rollouts bounds what a version that is tried may get.
+	Rollouts rollout.Bounds
 	// LogLevel is the least level of log lines.
 	LogLevel string
 }
@@ -90,6 +93,9 @@
 	if t := s.QuotaTolerance; t.Window < 0 || t.Over < 0 || t.Slack < 0 {
 		return errors.New("quota window, over and slack: must not be negative")
 	}
+	if b := s.Rollouts; !(b.Share >= 0 && b.Share <= 1) || !(b.Slack >= 0) || b.StopWithin < 0 {
+		return errors.New("rollout share: must be 0 to 1, and slack and stop within not negative")
+	}
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
 		return errors.Errorf("log-level: %q is not one of debug, info, warn, error", s.LogLevel)
 	}
@@ -103,6 +109,13 @@
 	Put(ctx context.Context, table, key string, value []byte) error
 	// Delete removes a row.
 	Delete(ctx context.Context, table, key string) error
+	// Write puts rows, all or none, if those that are expected are as they are expected,
+	// and returns the version that they have then. The error is state.Conflict if they
+	// are not; after any other the write may have been carried out, or may still be.
+	Write(ctx context.Context, expected []state.Expected, put []state.Written) (version int64, err error)
+	// Clock returns the store's steady clock, the same for all instances. Ok is false
+	// while nothing is known of it.
+	Clock() (now time.Duration, ok bool)
 }
 
 // Question is a client's question where to go.
@@ -114,8 +127,10 @@
 type Deployment struct {
 	Store Store
 	// Names of the tables that operators write, that backend servers write, and that
-	// the instances write.
-	OperatorTable, BackendTable, InstanceTable string
+	// the instances write: where they are, and the records of roll-outs.
+	OperatorTable, BackendTable, InstanceTable, RecordTable string
+	// Status returns the row by which operators learn where a roll-out stands.
+	Status func(r rollout.Record) (state.Written, error)
 	// Headers are the names of the headers of requests.
 	Headers request.Names
 	// Configuration translates rows. The errors tell of rows that were
--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -60,6 +60,8 @@
 	trouble  Trouble
 	changed  chan struct{}
 	calls    map[string]int
+	asked    map[string]int // calls that read, by table
+	began    time.Time
 	server   *httptest.Server
 	released chan struct{}
 	reads    rate
@@ -84,7 +86,10 @@
 
 // Start starts a store on loopback.
 func Start() *Store {
-	s := &Store{changed: make(chan struct{}), calls: make(map[string]int), released: make(chan struct{})}
+	s := &Store{
+		changed: make(chan struct{}), calls: make(map[string]int), asked: make(map[string]int),
+		released: make(chan struct{}), began: time.Now(),
+	}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -148,6 +153,19 @@
 	return s.calls[path]
 }
 
+// Asked returns the number of calls that read a table or asked for its changes.
+func (s *Store) Asked(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked[table]
+}
+
+// clockStart is what the steady clock showed at the start.
+const clockStart = 1000 * time.Second
+
+// Clock returns the steady clock that answers carry.
+func (s *Store) Clock() time.Duration { return clockStart + time.Since(s.began) }
+
 // Value returns the value of a row, and whether it is there.
 func (s *Store) Value(table, key string) ([]byte, bool) {
 	s.mu.Lock()
@@ -228,6 +246,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[r.URL.Path]++
+	if table := r.URL.Query().Get("table"); table != "" {
+		s.asked[table]++
+	}
 	if r.URL.Path == pathWrite {
 		return s.writes.take(time.Now())
 	}
@@ -265,7 +286,7 @@
 	from := q.Get("from")
 	rows = slices.DeleteFunc(rows, func(r Row) bool { return r.Key < from })
 	more := len(rows) > limit
-	answer(w, map[string]any{"rows": rows[:min(limit, len(rows))], "more": more, "ver": at, "now_s": 1.0})
+	answer(w, map[string]any{"rows": rows[:min(limit, len(rows))], "more": more, "ver": at, "now_s": s.Clock().Seconds()})
 }
 
 func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
@@ -288,7 +309,7 @@
 			return
 		}
 		if len(rows) > 0 {
-			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": 1.0})
+			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": s.Clock().Seconds()})
 			return
 		}
 		select {
@@ -300,7 +321,7 @@
 			if hold {
 				version = after
 			}
-			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": 1.0})
+			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": s.Clock().Seconds()})
 			return
 		case <-r.Context().Done():
 			return
@@ -362,10 +383,10 @@
 	if !ok {
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusPreconditionFailed)
-		_ = json.NewEncoder(w).Encode(map[string]any{"rows": present, "ver": version}) // the caller may be gone
+		_ = json.NewEncoder(w).Encode(map[string]any{"rows": present, "ver": version, "now_s": s.Clock().Seconds()}) // the caller may be gone
 		return
 	}
-	answer(w, map[string]any{"ver": version, "now_s": 1.0})
+	answer(w, map[string]any{"ver": version, "now_s": s.Clock().Seconds()})
 }
 
 // commit carries a transaction out if all that it expects is there; otherwise it
--- a/standin/tablestore/store_test.go
+++ b/standin/tablestore/store_test.go
@@ -81,3 +81,27 @@
 	}
 	assert.Assert(t, refused >= 8, "%d refused", refused) // the calls may fall into two seconds
 }
+
+// TestAnswersCarryASteadyClock checks that each answer about rows tells a clock that
+// runs as the process's does.
+func TestAnswersCarryASteadyClock(t *testing.T) {
+	s := Start()
+	t.Cleanup(s.Close)
+	clock := func() float64 {
+		_, out := write(t, s, map[string]any{"put": []any{put("k")}})
+		return out["now_s"].(float64)
+	}
+	begun, first := time.Now(), clock()
+	time.Sleep(200 * time.Millisecond)
+	passed := clock() - first
+	assert.Assert(t, passed >= 0.2 && passed <= time.Since(begun).Seconds()+0.001, "%g s", passed)
+	for _, path := range []string{"/v1/rows-get?table=t", "/v1/rows-feed?table=t&after=0&waitMs=1"} {
+		res, err := http.Get("http://" + s.Address() + path)
+		assert.NilError(t, err)
+		var out map[string]any
+		assert.NilError(t, json.NewDecoder(res.Body).Decode(&out))
+		res.Body.Close()
+		assert.Assert(t, out["now_s"].(float64) >= first+passed, path)
+	}
+	assert.Equal(t, s.Asked("t"), 2)
+}
