version, balance: a routing tells the target of a roll-out from the version in force

Cause: balance took a part's service by index and name. A target is a service of its own with the same name behind the others, so after a service was removed the index of a part of the routing before could be that of a target: requests that were meant for the version in force would have gone to it, outside the share.

Change: RoutedService.OfTarget; a query for the version in force gets no such service, and one for the target no other. A target that is in force already is none. Tests of what a routing has of each version, that a target that stands by moves no weight, that it is in the views of workspaces, and of the checks of the resource.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -56,14 +56,14 @@
 	if q.Target {
 		p = p.Target
 	}
-	if p == nil {
+	if p == nil || int(p.Service) >= len(r.Services) {
 		return nil
 	}
-	if int(p.Service) >= len(r.Services) {
+	s := &r.Services[p.Service]
+	if s.Name != q.Route.Split[q.Part].Service || s.OfTarget != q.Target {
 		return nil
 	}
-	s := &r.Services[p.Service]
-	if s.Name != q.Route.Split[q.Part].Service || q.Target && s.Software != p.Software {
+	if q.Target && s.Software != p.Software {
 		return nil
 	}
 	return p
--- /dev/null
+++ b/version/rollout_test.go
@@ -0,0 +1,213 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// softwareDocs are places, routes and backend servers of the service ledger, of which
+// each of the versions given runs two in each region.
+func softwareDocs(versions ...string) string {
+	docs := routedPlaces + routedRoutes
+	port := 0
+	for _, v := range versions {
+		for i, hall := range []string{"north-1", "south-1", "north-1", "south-1"} {
+			port++
+			docs += backendDoc(fmt.Sprintf("%s-%d", v, i), hall, port, ", software: "+v)
+		}
+	}
+	return docs
+}
+
+// compileWith compiles documents for the versions of ledger that may get requests.
+func compileWith(t *testing.T, docs string, software Software) *Routing {
+	t.Helper()
+	c, err := propose(t, docs)
+	assert.NilError(t, err)
+	c.Software = map[string]Software{"ledger": software}
+	return CompileRouting(c, nil)
+}
+
+func (r *Routing) names(s *RoutedService) []string {
+	var out []string
+	for _, i := range s.Backends {
+		out = append(out, r.Backends[i].Name)
+	}
+	return out
+}
+
+func (r *Routing) serviceNamed(name string) *RoutedService {
+	for i := range r.Services {
+		if r.Services[i].Name == name {
+			return &r.Services[i]
+		}
+	}
+	return nil
+}
+
+// TestOnlyAdmittedVersionsAreCompiled checks which backend servers a routing has of each
+// version of a service's software.
+func TestOnlyAdmittedVersionsAreCompiled(t *testing.T) {
+	docs := softwareDocs("v1", "v2", "v3")
+	for _, x := range []struct {
+		software        Software
+		inForce, target string // the first backend server; "": there is none
+		backends        int
+	}{
+		{Software{InForce: "v1"}, "v1-0", "", 4},
+		{Software{InForce: "v1", Target: "v2"}, "v1-0", "v2-0", 8},
+		{Software{InForce: "v2", Target: "v1"}, "v2-0", "v1-0", 8},
+		{Software{InForce: "v1", Target: "v1"}, "v1-0", "", 4},
+		{Software{InForce: "v1", Target: "absent"}, "v1-0", "", 4},
+		{Software{InForce: "absent", Target: "v2"}, "", "v2-0", 4},
+		{Software{InForce: "absent"}, "", "", 0},
+		{Software{}, "", "", 0},
+	} {
+		r := compileWith(t, docs, x.software)
+		s := r.serviceNamed("ledger")
+		assert.Equal(t, first(r.names(s)), x.inForce, "%v", x.software)
+		assert.Equal(t, len(r.Backends), x.backends, "%v", x.software)
+		assert.Assert(t, !s.OfTarget)
+		if s.Target == None {
+			assert.Equal(t, x.target, "")
+			continue
+		}
+		target := &r.Services[s.Target]
+		assert.Equal(t, first(r.names(target)), x.target, "%v", x.software)
+		assert.Equal(t, target.Software, x.software.Target)
+		assert.Equal(t, target.Name, "ledger")
+		assert.Assert(t, target.OfTarget && target.Target == None)
+		assert.DeepEqual(t, target.Warming, s.Warming)
+		assert.Equal(t, target.MaxConnections, s.MaxConnections)
+	}
+}
+
+func first(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// TestServiceWithoutVersionsHasAllItsBackends checks that a service that nothing is said
+// of is compiled as a whole.
+func TestServiceWithoutVersionsHasAllItsBackends(t *testing.T) {
+	c, err := propose(t, softwareDocs("v1", "v2"))
+	assert.NilError(t, err)
+	c.Software = map[string]Software{"intake": {InForce: "v1"}}
+	r := CompileRouting(c, nil)
+	assert.Equal(t, len(r.Backends), 8)
+	assert.Equal(t, r.serviceNamed("ledger").Target, None)
+	assert.Assert(t, r.Route("a.example", "/bids/").Parts[0].Target == nil)
+}
+
+// TestTargetThatStandsByMovesNothing compares the routing of the version in force with
+// and without a target, which has more backend servers in one region than in the other.
+func TestTargetThatStandsByMovesNothing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		docs := routedPlaces + routedRoutes
+		port := 0
+		for _, v := range []string{"v1", "v2"} {
+			for i := range rapid.IntRange(0, 6).Draw(rt, v) {
+				port++
+				hall := rapid.SampledFrom([]string{"north-1", "south-1"}).Draw(rt, "hall")
+				docs += backendDoc(fmt.Sprintf("%s-%d", v, i), hall, port, ", software: "+v)
+			}
+		}
+		alone := compileWith(t, docs, Software{InForce: "v1"})
+		beside := compileWith(t, docs, Software{InForce: "v1", Target: "v2"})
+		for _, path := range []string{"/bids/", "/"} {
+			a, b := alone.Route("a.example", path), beside.Route("a.example", path)
+			for i := range a.Parts {
+				sa, sb := &alone.Services[a.Parts[i].Service], &beside.Services[b.Parts[i].Service]
+				assert.DeepEqual(t, alone.names(sa), beside.names(sb))
+				assert.DeepEqual(t, a.Parts[i].Weights, b.Parts[i].Weights)
+				assert.Equal(t, sa.MostUrgent, sb.MostUrgent)
+				assert.Equal(t, sa.LeastUrgent, sb.LeastUrgent)
+			}
+		}
+	})
+}
+
+// TestTargetIsInNarrowedViews checks that a workspace's homes bind the target as well,
+// and that the view of the route itself stays as it is.
+func TestTargetIsInNarrowedViews(t *testing.T) {
+	c, err := propose(t, softwareDocs("v1", "v2")+"---\nkind: workspace\nname: w\nspec: {homes: [north]}\n")
+	assert.NilError(t, err)
+	c.Resources[Key{KindWorkspace, "w"}].Workspace.Keys = []KeyHash{HashKey("k")}
+	c.Resources[Key{KindRoute, "bids"}].Route.Homes = nil
+	c.Software = map[string]Software{"ledger": {InForce: "v1", Target: "v2"}}
+	r := CompileRouting(c, nil)
+	route := r.Route("a.example", "/bids/")
+	whole := route.Parts[0].Target
+	narrowed := r.Within(route, r.Workspaces.Find("k"))
+	target := narrowed.Parts[0].Target
+	assert.Assert(t, target != nil && target != whole && route.Parts[0].Target == whole)
+	assert.Equal(t, target.Service, whole.Service)
+	assert.Equal(t, target.Software, "v2")
+	south := r.Region("south")
+	for k, i := range r.Services[target.Service].Backends {
+		inside := r.Backends[i].Region == r.Region("north")
+		assert.Equal(t, target.Weights[south][k] > leastWeight, inside, "%s", r.Backends[i].Name)
+		assert.Assert(t, whole.Weights[south][k] > leastWeight || inside)
+	}
+	assert.Assert(t, narrowed.Parts[1].Target == nil, "intake has no roll-out")
+}
+
+// TestNewestBackendHasTheAddressAcrossVersions checks that a backend server whose address
+// one of another version has taken gets nothing, whichever version is in force.
+func TestNewestBackendHasTheAddressAcrossVersions(t *testing.T) {
+	c, err := propose(t, softwareDocs("v1"))
+	assert.NilError(t, err)
+	later := *c.Resources[Key{KindBackend, "v1-0"}].Backend
+	later.Software = "v2"
+	c.Resources[Key{KindBackend, "later"}] = Resource{Key: Key{KindBackend, "later"}, Version: c.Seq + 1, Backend: &later}
+	c.Software = map[string]Software{"ledger": {InForce: "v1"}}
+	r := CompileRouting(c, nil)
+	assert.DeepEqual(t, r.names(r.serviceNamed("ledger")), []string{"v1-1", "v1-2", "v1-3"})
+}
+
+func TestRolloutIsChecked(t *testing.T) {
+	const docs = routedPlaces + routedRoutes
+	order := func(name, spec string) string { return "---\nkind: rollout\nname: " + name + "\nspec: " + spec + "\n" }
+	for _, x := range []struct{ spec, want string }{
+		{"{service: ledger, target: v2, within: 24h}", ""},
+		{"{service: none, target: v2, within: 30s}", `rollout/r: spec.service: names service "none", which does not exist`},
+		{"{target: v2, within: 30s}", "rollout/r: spec.service: names service"},
+		{`{service: ledger, target: "", within: 30s}`, "rollout/r: spec.target: must be set"},
+		{"{service: ledger, within: 30s}", "rollout/r: spec.target: must be set"},
+		{"{service: ledger, target: v2, within: 0s}", "rollout/r: spec.within: must be above 0"},
+		{"{service: ledger, target: v2}", "rollout/r: spec.within: must be above 0"},
+		{"{service: ledger, target: v2, within: -1s}", "rollout/r: spec.within: must be above 0"},
+		{"{service: ledger, target: v2, within: 24h1ms}", "rollout/r: spec.within: must be above 0 and at most 24h"},
+		{"{service: ledger, target: v2, within: 30}", "a duration is text"},
+		{"{service: ledger, target: v2, within: 30s, share: 5}", "unknown field"},
+	} {
+		_, err := propose(t, docs+order("r", x.spec))
+		if x.want == "" {
+			assert.NilError(t, err)
+			continue
+		}
+		assert.ErrorContains(t, err, x.want, x.spec)
+	}
+	const spec = "{service: ledger, target: v2, within: 30s}"
+	_, err := propose(t, docs+order("r", spec)+order("s", spec))
+	assert.ErrorContains(t, err, "rollout/s: spec.service: roll-out of ledger is already used by rollout/r")
+	_, err = propose(t, docs+order("r", spec)+order("s", "{service: intake, target: v2, within: 30s}"))
+	assert.NilError(t, err)
+}
+
+func TestRolloutSurvivesRoundTrip(t *testing.T) {
+	r := Resource{Key: Key{KindRollout, "r"}, Rollout: &Rollout{Service: "s", Target: "v2", Within: Duration(MaxRollout)}}
+	text, err := json.Marshal(r)
+	assert.NilError(t, err)
+	var back Resource
+	assert.NilError(t, json.Unmarshal(text, &back))
+	assert.DeepEqual(t, back.Rollout, r.Rollout)
+}
--- a/version/routing.go
+++ b/version/routing.go
@@ -59,10 +59,13 @@
 // RoutedService is a service with its backend servers.
 type RoutedService struct {
 	Name string
-	// Software is the version that its backend servers run. "": any. The target of a
-	// roll-out is a service of its own here, with the name of the same service, so
-	// that shares and homes of objects are computed within a version.
+	// Software is the version that its backend servers run. It says nothing for a
+	// service that Config.Software does not name. The target of a roll-out is a
+	// service of its own here, with the name of the same service, so that shares and
+	// homes of objects are computed within a version.
 	Software string
+	// OfTarget is set for such a service.
+	OfTarget bool
 	// Target is the index of the service with the backend servers of a roll-out's
 	// target. None: there is none.
 	Target         int32
@@ -133,18 +136,24 @@
 		services[x.Name] = int32(i)
 		r.Services = append(r.Services, s)
 	}
-	for i := range r.Services[:len(r.Services):len(r.Services)] {
-		target := r.Services[i]
-		target.Software = c.Software[target.Name].Target
-		if target.Software == "" {
-			continue
-		}
-		r.Services[i].Target = int32(len(r.Services))
-		r.Services = append(r.Services, target)
+	for i := range int32(len(services)) {
+		r.addTarget(i, c.Software[r.Services[i].Name].Target)
 	}
 	return services
 }
 
+// addTarget adds the service for the backend servers of a roll-out's target. One that
+// is in force already is none.
+func (r *Routing) addTarget(service int32, software string) {
+	s := r.Services[service]
+	if software == "" || software == s.Software {
+		return
+	}
+	s.Software, s.OfTarget = software, true
+	r.Services[service].Target = int32(len(r.Services))
+	r.Services = append(r.Services, s)
+}
+
 // serviceOf returns the service that a backend server works for, or None if it runs a
 // version of the software that may get no requests.
 func (r *Routing) serviceOf(b *Backend, services map[string]int32, software map[string]Software) int32 {
@@ -154,7 +163,7 @@
 	case !bound || b.Software == admitted.InForce:
 		return i
 	case b.Software == admitted.Target:
-		return r.Services[i].Target
+		return r.Services[i].Target // None where no target is asked for
 	}
 	return None
 }
