edge, cluster: roll-outs between the tables and the product

Cause: process/rollout does no I/O; somebody has to tell it what the tables say, carry its messages and write its steps.

Change: the records of roll-outs are a table that is followed only while an order waits for its end or a roll-out runs. Each compilation asks rollout.Admit which versions of a service's software may get requests. A loop ticks the roll-outs, another writes the steps that this instance owns, with what operators read of them in one transaction. An instance that starts waits a bounded time for the records if an order waits for its end.

Ruled out: a table that is followed while an order is there at all. Operators may leave orders for ever, and each relay would ask all the time.

--- a/process/cluster/owner.go
+++ b/process/cluster/owner.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"math"
 	"time"
 )
 
@@ -17,6 +18,29 @@
 func (m *Members) Owners(n int) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	grown := m.grown()
+	out := make([]Member, n)
+	for i := range out {
+		out[i] = ownerAmong(grown, uint64(i))
+	}
+	return out
+}
+
+// OwnerAtStore returns who owns the thing with a number if the owner has to call the
+// store: one that is not cut off from it, or any if all are.
+func (m *Members) OwnerAtStore(number uint64) Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	grown := m.grown()
+	if answered := notCut(grown); len(answered) > 0 {
+		grown = answered
+	}
+	return ownerAmong(grown, number)
+}
+
+// grown returns the live instances that may own something; all that live if all have
+// just started. The caller holds the lock.
+func (m *Members) grown() []*known {
 	var all, grown []*known
 	now := time.Now()
 	m.eachLive(func(k *known) {
@@ -25,28 +49,39 @@
 			grown = append(grown, k)
 		}
 	})
-	if len(grown) == 0 { // all have just started
-		grown = all
-	}
 	if len(grown) == 0 {
-		return make([]Member, n) // this one is leaving, and knows no other
+		return all
 	}
-	out := make([]Member, n)
-	for i := range out {
-		best, bestRank := grown[0], rank(grown[0].hash, i)
-		for _, k := range grown[1:] {
-			if r := rank(k.hash, i); r < bestRank {
-				best, bestRank = k, r
-			}
+	return grown
+}
+
+// notCut returns those that are not cut off from the store.
+func notCut(list []*known) []*known {
+	out := make([]*known, 0, len(list))
+	for _, k := range list {
+		if !k.Cut {
+			out = append(out, k)
 		}
-		out[i] = best.Member
 	}
 	return out
 }
 
+// ownerAmong returns which of some instances owns the thing with a number; the zero
+// value if there are none, as when this one is leaving and knows no other.
+func ownerAmong(list []*known, number uint64) Member {
+	var best Member
+	lowest := uint64(math.MaxUint64)
+	for _, k := range list {
+		if r := rank(k.hash, number); r < lowest {
+			best, lowest = k.Member, r
+		}
+	}
+	return best
+}
+
 // rank mixes the hash of a name with a number (the finalizer of MurmurHash3).
-func rank(hash uint64, i int) uint64 {
-	x := hash ^ uint64(i+1)*0x9e3779b97f4a7c15
+func rank(hash, number uint64) uint64 {
+	x := hash ^ (number+1)*0x9e3779b97f4a7c15
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -21,15 +21,17 @@
 )
 
 // takeUp compiles what the tables say whenever they change: at once when the
-// operator changed something, and after a moment when backend servers did.
+// operator changed something or a roll-out took a step, and after a moment when backend
+// servers did.
 func (e *Edge) takeUp(ctx context.Context) {
 	operator := e.follower.Tables[e.deployment.OperatorTable]
 	backends := e.follower.Tables[e.deployment.BackendTable]
 	for ctx.Err() == nil {
-		operatorChanged, backendsChanged := operator.Changed(), backends.Changed()
+		operatorChanged, backendsChanged, recordsChanged := operator.Changed(), backends.Changed(), e.records().Changed()
 		e.recompile()
 		select {
 		case <-operatorChanged:
+		case <-recordsChanged:
 		case <-backendsChanged:
 			e.gather(ctx, operatorChanged)
 		case <-ctx.Done():
@@ -91,9 +93,15 @@
 		e.log.Warn().Int64("version", c.Seq).Int64("inForce", old.Seq).Msg("older-version-skipped")
 		return
 	}
+	orders, records := e.ordersAndRecords(c)
+	if old == nil && e.awaitsRecords(orders, records) {
+		return
+	}
+	e.admitSoftware(c, orders, records)
 	r := version.CompileRouting(c, old)
 	e.table.Install(r)
 	e.quota.Install(r.Workspaces)
+	e.installRollouts(r, c.Software, orders, records)
 	e.logBackends(old, r)
 	if old == nil || old.Seq != r.Seq {
 		e.log.Info().Int64("version", r.Seq).Int("backends", len(r.Backends)).Msg("version-in-force")
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -21,6 +21,7 @@
 	"shalewick/process/metric"
 	"shalewick/process/proxy"
 	"shalewick/process/quota"
+	"shalewick/process/rollout"
 	"shalewick/process/state"
 	"shalewick/retry"
 )
@@ -49,6 +50,8 @@
 	table      *balance.Table
 	proxy      *proxy.Proxy
 	quota      *quota.Quota
+	rollouts   *rollout.Rollouts
+	rolling    rolling
 	placed     placed
 	metrics    *metric.Set
 	leaving    atomic.Bool
@@ -101,9 +104,10 @@
 func (e *Edge) build() {
 	e.peers = cluster.NewPeers(e.members, conn.NewDialer(dialTimeout, peerSilence).DialContext)
 	e.follower = &state.Follower{
-		Store: e.deployment.Store, Peers: e.peers, Log: e.log, Now: e.now,
+		Store: e.deployment.Store, Peers: e.peers, Log: e.log, Now: e.now, Wanted: e.wantsTable,
 		Tables: map[string]*state.Table{
 			e.deployment.OperatorTable: state.NewTable(), e.deployment.BackendTable: state.NewTable(),
+			e.deployment.RecordTable: state.NewTable(),
 		},
 	}
 	e.peers.Follower = e.follower
@@ -119,7 +123,8 @@
 	}
 	e.beats.Observations, e.beats.Hear, e.beats.Ask = e.table.Observations, e.table.Hear, e.askPeer
 	e.quota = e.newQuota()
-	e.beats.Message = e.quota.Hear
+	e.rollouts = e.newRollouts()
+	e.beats.Message = e.hearMessage
 	e.proxy = &proxy.Proxy{
 		Quota: e.quota,
 		Names: e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, Age: e.follower.Age,
@@ -168,6 +173,7 @@
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
 		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.askSeeds, e.watchMembers, e.tickQuota, e.watchUse,
+		e.tickRollouts, e.writeSteps,
 	} {
 		e.loops.Go(func() { loop(ctx) })
 	}
@@ -181,6 +187,7 @@
 	}
 	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
 	e.metrics.Gauge("requests_running").Update(e.proxy.Running())
+	e.metrics.Gauge("rollouts_running").Update(e.rolling.running.Load())
 	e.metrics.Gauge("log_lines_left_out").Update(e.logLimit.LeftOut())
 	e.metrics.Gauge("configuration_age_ms").Update(e.follower.Age().Milliseconds())
 }
--- /dev/null
+++ b/process/edge/record.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"shalewick/process/rollout"
+	"shalewick/process/state"
+)
+
+// knownRecord is the record of a service's newest roll-out as its row says it. The zero
+// value stands for none.
+type knownRecord struct {
+	record   *rollout.Record
+	revision int64
+}
+
+// running reports whether the roll-out has not ended.
+func (k knownRecord) running() bool { return k.record != nil && !k.record.Phase.Ended() }
+
+// answers reports whether the record says how a roll-out ended that an order asked for.
+func (k knownRecord) answers(o *rollout.Order) bool {
+	return k.record != nil && k.record.Phase.Ended() && k.record.Order == o.ID
+}
+
+// records returns the table of the records of roll-outs.
+func (e *Edge) records() *state.Table { return e.follower.Tables[e.deployment.RecordTable] }
+
+// knownRecords returns what the table says, by service, and what of it can't be read.
+func knownRecords(rows []state.Row) (map[string]knownRecord, []error) {
+	out := make(map[string]knownRecord)
+	var problems []error
+	for _, row := range rows {
+		r := new(rollout.Record)
+		if err := json.Unmarshal(row.Value, r); err != nil {
+			problems = append(problems, errors.Annotatef(err, "record of the roll-out of %s", row.Key))
+			continue
+		}
+		r.Service = row.Key
+		out[row.Key] = knownRecord{record: r, revision: row.Version}
+	}
+	return out, problems
+}
+
+// readRecords reads the records from the store itself, and puts in force what they say.
+func (e *Edge) readRecords(ctx context.Context) error {
+	asked := e.now()
+	d, err := e.deployment.Store.Read(ctx, e.deployment.RecordTable)
+	if err != nil {
+		return err
+	}
+	now := e.now()
+	d.Age = now - asked
+	e.records().Apply(d, now)
+	e.recompile()
+	return nil
+}
+
+// writeRecord writes a step, and what operators read of it, if the record is as the
+// step was made from. It returns the version of the row.
+func (e *Edge) writeRecord(ctx context.Context, p rollout.Proposal) (int64, error) {
+	value, err := json.Marshal(p.Record)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	told, err := e.deployment.Status(p.Record)
+	if err != nil {
+		return 0, err
+	}
+	table, key := e.deployment.RecordTable, p.Record.Service
+	revision, err := e.deployment.Store.Write(ctx,
+		[]state.Expected{{Table: table, Key: key, Version: p.Revision}},
+		[]state.Written{{Table: table, Key: key, Value: value}, told})
+	if err != nil {
+		return 0, err
+	}
+	e.recordWritten(p, state.Row{Key: key, Value: value, Version: revision})
+	return revision, nil
+}
+
+// recordWritten takes up a record that this instance has written, before the table
+// tells it.
+func (e *Edge) recordWritten(p rollout.Proposal, row state.Row) {
+	e.compiling.Lock()
+	e.records().Apply(state.Delta{Rows: []state.Row{row}}, e.now())
+	e.rollouts.Written(p, row.Version)
+	e.compiling.Unlock()
+	e.recompile()
+}
--- /dev/null
+++ b/process/edge/rollout.go
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"shalewick/clock"
+	"shalewick/process/rollout"
+	"shalewick/version"
+)
+
+// rolling is what an instance knows of roll-outs besides the tables.
+type rolling struct {
+	// wanted says that the records have to be followed, and running how many roll-outs
+	// that is for.
+	wanted  atomic.Bool
+	running atomic.Int64
+	// open while there are orders, or roll-outs that have not ended: of services.
+	open     gate
+	services atomic.Pointer[[]string]
+
+	// What follows is guarded by Edge.compiling.
+	software map[string]version.Software // that was put in force last
+	heldBack map[string]string           // what was written of it last, by service
+	orders   map[string]*rollout.Order   // as they were seen last
+	records  map[string]knownRecord      // as they were seen last
+	// recordsUntil is until when the start waits for the records; zero: it does not.
+	recordsUntil time.Duration
+}
+
+// newRollouts returns the roll-outs of services, made together with the other instances.
+func (e *Edge) newRollouts() *rollout.Rollouts {
+	e.rolling.heldBack = make(map[string]string)
+	return &rollout.Rollouts{
+		Now: e.now, Bounds: e.settings.Rollouts, Incarnation: e.started.UnixNano(),
+		Owner: e.rolloutOwner, Live: e.liveAddresses, InFlight: e.table.InFlight,
+		Send: e.beats.SendMessage, Log: e.logRollout,
+	}
+}
+
+// hearMessage passes a message of another instance on to the part that it is for.
+func (e *Edge) hearMessage(from string, text []byte) {
+	if e.rollouts.Hear(from, text) {
+		return
+	}
+	e.quota.Hear(from, text)
+}
+
+// rolloutOwner returns who decides on the roll-out of a service.
+func (e *Edge) rolloutOwner(service string) rollout.Owner {
+	m := e.members.OwnerAtStore(xxhash.Sum64String(service))
+	if m.Name == e.settings.Instance {
+		return rollout.Owner{Name: m.Name}
+	}
+	return rollout.Owner{Name: m.Name, Address: m.Peer}
+}
+
+// liveAddresses returns where the instances that live take messages, "" for this one.
+func (e *Edge) liveAddresses() []string {
+	live := e.members.Live()
+	out := make([]string, 0, len(live))
+	for _, m := range live {
+		if m.Name == e.settings.Instance {
+			out = append(out, "")
+			continue
+		}
+		out = append(out, m.Peer)
+	}
+	return out
+}
+
+// wantsTable reports whether a table is to be followed: the records of roll-outs only
+// while an order waits for its end, or a roll-out is known that has not ended.
+func (e *Edge) wantsTable(name string) bool {
+	return name != e.deployment.RecordTable || e.rolling.wanted.Load()
+}
+
+// ordersAndRecords returns the operators' orders and the records of roll-outs, by service.
+func (e *Edge) ordersAndRecords(c *version.Config) (map[string]*rollout.Order, map[string]knownRecord) {
+	records, problems := knownRecords(e.records().Rows())
+	for _, p := range problems {
+		e.log.Warn().Err(p).Msg("rollout-record-skipped")
+	}
+	return ordersOf(c), records
+}
+
+// recordsWait is how long an instance that starts waits for the records of roll-outs
+// before it serves without them: others tell it within a few round trips, and a relay
+// reads them within a second.
+const recordsWait = 1500 * time.Millisecond
+
+// awaitsRecords reports whether an instance that starts has to know the records first,
+// since an order waits for its end: the record may say that another version is in force
+// than the one that looks so. The caller holds compiling.
+func (e *Edge) awaitsRecords(orders map[string]*rollout.Order, records map[string]knownRecord) bool {
+	if _, known := e.records().Version(); known || unanswered(orders, records) == 0 {
+		return false
+	}
+	e.rolling.wanted.Store(true)
+	if e.rolling.recordsUntil == 0 {
+		e.rolling.recordsUntil = e.now() + recordsWait
+		time.AfterFunc(recordsWait, e.recompile)
+	}
+	return e.now() < e.rolling.recordsUntil
+}
+
+// unanswered returns the number of orders of which no record says how they ended.
+func unanswered(orders map[string]*rollout.Order, records map[string]knownRecord) int {
+	n := 0
+	for name, o := range orders {
+		if !records[name].answers(o) {
+			n++
+		}
+	}
+	return n
+}
+
+// admitSoftware sets which versions of the services' software may get requests. The
+// caller holds compiling.
+func (e *Edge) admitSoftware(c *version.Config, orders map[string]*rollout.Order, records map[string]knownRecord) {
+	c.Software = admit(c, orders, records, e.rolling.software)
+	e.rolling.software = c.Software
+	e.logHeldBack(c)
+}
+
+// installRollouts tells the roll-outs what the tables say. The caller holds compiling.
+func (e *Edge) installRollouts(r *version.Routing, software map[string]version.Software, orders map[string]*rollout.Order, records map[string]knownRecord) {
+	e.logOrders(orders)
+	e.logRecords(records)
+	e.rolling.orders, e.rolling.records = orders, records
+	services := rolloutServices(r, software, orders, records)
+	e.rollouts.Install(services)
+	running := unanswered(orders, records) + withoutOrder(orders, records)
+	e.rolling.running.Store(int64(running))
+	e.rolling.wanted.Store(running > 0)
+	names := make([]string, 0, len(services))
+	for _, s := range services {
+		names = append(names, s.Name)
+	}
+	e.rolling.services.Store(&names)
+	e.rolling.open.set(len(services) > 0)
+}
+
+// rollingServices returns the services that have an order, or a roll-out that has not
+// ended.
+func (e *Edge) rollingServices() []string {
+	if names := e.rolling.services.Load(); names != nil {
+		return *names
+	}
+	return nil
+}
+
+// rolloutServices returns what the tables say of the services that have an order, or a
+// record of a roll-out that has not ended.
+func rolloutServices(r *version.Routing, software map[string]version.Software, orders map[string]*rollout.Order, records map[string]knownRecord) []rollout.Service {
+	var out []rollout.Service
+	for _, name := range rollingNames(orders, records) {
+		s := rollout.Service{
+			Name: name, Order: orders[name], Record: records[name].record, Revision: records[name].revision,
+			InForce: software[name].InForce,
+		}
+		s.InForceSlots, s.Homes = slotsAndHomes(r, name)
+		out = append(out, s)
+	}
+	return out
+}
+
+// rollingNames returns the services that have an order, or a record of a roll-out that
+// has not ended.
+func rollingNames(orders map[string]*rollout.Order, records map[string]knownRecord) []string {
+	names := slices.Collect(maps.Keys(orders))
+	for name, k := range records {
+		if orders[name] == nil && k.running() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// withoutOrder returns the number of roll-outs that have not ended though there is no
+// order any more.
+func withoutOrder(orders map[string]*rollout.Order, records map[string]knownRecord) int {
+	return len(rollingNames(orders, records)) - len(orders)
+}
+
+// slotsAndHomes returns the slots of the backend servers that take work of the version
+// in force of a service, and those that take work of a target.
+func slotsAndHomes(r *version.Routing, service string) (slots int, homes []rollout.Home) {
+	for i := range r.Backends {
+		b := &r.Backends[i]
+		s := &r.Services[b.Service]
+		if s.Name != service || b.Closed {
+			continue
+		}
+		if s.OfTarget {
+			homes = append(homes, rollout.Home{Hash: b.Hash, Slots: b.Slots})
+			continue
+		}
+		slots += b.Slots
+	}
+	return slots, homes
+}
+
+// tickRollouts tells and asks the owners of roll-outs until the context ends.
+func (e *Edge) tickRollouts(ctx context.Context) {
+	for e.rolling.open.wait(ctx) && clock.Sleep(ctx, rollout.TickTime) {
+		e.rollouts.Tick()
+	}
+}
--- /dev/null
+++ b/process/edge/rolloutlog.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"shalewick/process/rollout"
+	"shalewick/process/state"
+)
+
+// What follows writes a line whenever something of a roll-out changes.
+
+// logOrders writes which orders are new, and which are gone.
+func (e *Edge) logOrders(orders map[string]*rollout.Order) {
+	for _, name := range slices.Sorted(maps.Keys(orders)) {
+		o, was := orders[name], e.rolling.orders[name]
+		if was != nil && *was == *o {
+			continue
+		}
+		e.log.Info().Str("service", name).Int64("order", o.ID).Str("target", o.Target).Dur("within", o.Within).
+			Str("inForce", e.rolling.software[name].InForce).Msg("rollout-ordered")
+	}
+	for _, name := range slices.Sorted(maps.Keys(e.rolling.orders)) {
+		if orders[name] == nil {
+			e.log.Info().Str("service", name).Int64("order", e.rolling.orders[name].ID).Msg("rollout-withdrawn")
+		}
+	}
+}
+
+// logRecords writes which records have changed.
+func (e *Edge) logRecords(records map[string]knownRecord) {
+	for _, name := range slices.Sorted(maps.Keys(records)) {
+		k := records[name]
+		if k.revision == e.rolling.records[name].revision {
+			continue
+		}
+		e.log.Info().Str("service", name).Str("phase", string(k.record.Phase)).Int64("order", k.record.Order).
+			Str("target", k.record.Target).Str("before", k.record.Before).Str("cause", k.record.Cause).
+			Dur("deadline", time.Duration(k.record.Deadline)).Int64("revision", k.revision).
+			Str("inForce", e.rolling.software[name].InForce).Msg("rollout-record")
+	}
+}
+
+// logStep writes what became of a step that this instance proposed as the owner.
+func (e *Edge) logStep(p rollout.Proposal, revision int64, took time.Duration, err error) {
+	result := "written"
+	switch {
+	case errors.Is(err, state.Conflict):
+		result = "refused"
+	case err != nil:
+		result = "not-answered"
+	}
+	e.log.Info().Str("service", p.Record.Service).Str("phase", string(p.Record.Phase)).Int64("order", p.Record.Order).
+		Str("target", p.Record.Target).Str("cause", p.Record.Cause).Str("evidence", p.Record.Evidence).
+		Str("result", result).Int64("against", p.Revision).Int64("revision", revision).Dur("took", took).
+		AnErr("error", err).Msg("rollout-step")
+}
+
+// logRollout writes what the roll-outs tell: a stop, a lease that lapsed, a verdict.
+func (e *Edge) logRollout(x rollout.Event) {
+	e.log.Info().Str("service", x.Service).Str("what", x.What).Str("cause", x.Cause).
+		Int64("targetRequests", x.Target.Requests).Int64("targetFailed", x.Target.Failed).Int64("targetSlow", x.Target.Slow).
+		Int64("baseRequests", x.Base.Requests).Int64("baseFailed", x.Base.Failed).Int64("baseSlow", x.Base.Slow).
+		Dur("age", x.Age).Msg("rollout-event")
+}
--- /dev/null
+++ b/process/edge/software.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"shalewick/process/rollout"
+	"shalewick/version"
+)
+
+// ordersOf returns the operators' orders of a configuration, by service.
+func ordersOf(c *version.Config) map[string]*rollout.Order {
+	out := make(map[string]*rollout.Order)
+	for key, x := range c.Resources {
+		if key.Kind != version.KindRollout {
+			continue
+		}
+		out[x.Rollout.Service] = &rollout.Order{ID: x.Version, Target: x.Rollout.Target, Within: time.Duration(x.Rollout.Within)}
+	}
+	return out
+}
+
+// announced is what the backend servers of one service say of their software.
+type announced map[string]*rollout.Running
+
+// tells reports whether any of them tells a version.
+func (a announced) tells() bool {
+	_, silent := a[""]
+	return len(a) > 1 || len(a) == 1 && !silent
+}
+
+// running returns the versions in a fixed order.
+func (a announced) running() []rollout.Running {
+	out := make([]rollout.Running, 0, len(a))
+	for _, r := range a {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(x, y rollout.Running) int { return cmp.Compare(x.Software, y.Software) })
+	return out
+}
+
+// heldBack returns how many backend servers run versions that may get no requests, by
+// version.
+func (a announced) heldBack(admitted version.Software) map[string]int {
+	out := make(map[string]int)
+	for software, r := range a {
+		if software != admitted.InForce && software != admitted.Target {
+			out[software] = r.Backends
+		}
+	}
+	return out
+}
+
+// announcedOf returns what backend servers say of their software, by service.
+func announcedOf(c *version.Config) map[string]announced {
+	out := make(map[string]announced)
+	for key, x := range c.Resources {
+		if key.Kind != version.KindBackend {
+			continue
+		}
+		a := out[x.Backend.Service]
+		if a == nil {
+			a = make(announced)
+			out[x.Backend.Service] = a
+		}
+		a.add(x)
+	}
+	return out
+}
+
+// add counts a backend server.
+func (a announced) add(x version.Resource) {
+	r := a[x.Backend.Software]
+	if r == nil {
+		r = &rollout.Running{Software: x.Backend.Software, Oldest: x.Version}
+		a[x.Backend.Software] = r
+	}
+	r.Backends++
+	r.Oldest = min(r.Oldest, x.Version)
+}
+
+// admit says which versions of each service's software may get requests. Services
+// whose backend servers have never told a version are left out: all of them may. Before
+// is what admit said last.
+func admit(c *version.Config, orders map[string]*rollout.Order, records map[string]knownRecord, before map[string]version.Software) map[string]version.Software {
+	out := make(map[string]version.Software)
+	all := announcedOf(c)
+	for key := range c.Resources {
+		if key.Kind != version.KindService {
+			continue
+		}
+		was, told := before[key.Name]
+		if !told && !all[key.Name].tells() {
+			continue
+		}
+		out[key.Name] = rollout.Admit(orders[key.Name], records[key.Name].record, all[key.Name].running(), was.InForce)
+	}
+	return out
+}
+
+// logHeldBack writes which backend servers get nothing since nobody ordered the version
+// that they run, when that has changed.
+func (e *Edge) logHeldBack(c *version.Config) {
+	all := announcedOf(c)
+	for _, service := range slices.Sorted(maps.Keys(c.Software)) {
+		held := all[service].heldBack(c.Software[service])
+		text := fmt.Sprint(held)
+		if text == e.rolling.heldBack[service] || len(held) == 0 && e.rolling.heldBack[service] == "" {
+			continue
+		}
+		e.rolling.heldBack[service] = text
+		e.log.Info().Str("service", service).Strs("software", slices.Sorted(maps.Keys(held))).Int("number", sum(held)).
+			Str("inForce", c.Software[service].InForce).Str("target", c.Software[service].Target).Msg("backends-held-back")
+	}
+}
+
+func sum(counts map[string]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
