standin/server: a software version and how a bad one misbehaves

Cause: a roll-out needs backend servers of two versions, one of which may be bad in ways that begin late, under load or below a path, and counts of what each got. Change: Software, Badness, Seed; arrivals, bad answers and their times; Kill, which cuts what is in flight, as operators end old backend servers; the row they announce.

--- /dev/null
+++ b/standin/server/badness_test.go
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+
+package server
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/request"
+)
+
+const (
+	testWork     = 4 * time.Millisecond
+	testRequests = 200
+)
+
+func startServer(t *testing.T, bad Badness) *Server {
+	t.Helper()
+	s := &Server{Name: "i", Names: request.OwnNames, Slots: 8, Queue: 100, Work: testWork, Software: "2.0", Bad: bad, Seed: 7}
+	assert.NilError(t, s.Start())
+	t.Cleanup(s.Kill)
+	return s
+}
+
+// ask sends a request and returns the status and the time that the answer took.
+func ask(t *testing.T, s *Server, id, path string) (int, time.Duration) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Address()+path, nil)
+	assert.NilError(t, err)
+	req.Header.Set(s.Names.ID, id)
+	begun := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	_, err = io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Header.Get(s.Names.Seal), "seal-"+id)
+	return res.StatusCode, time.Since(begun)
+}
+
+// failures sends requests and returns the ids of those that failed.
+func failures(t *testing.T, s *Server, path string) []string {
+	t.Helper()
+	var out []string
+	for i := range testRequests {
+		id := fmt.Sprintf("x%d", i)
+		if status, _ := ask(t, s, id, path); status != http.StatusOK {
+			assert.Equal(t, status, http.StatusInternalServerError)
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// TestShareOfAnswersFails checks the share, that it is the same for the same seed,
+// and what is counted.
+func TestShareOfAnswersFails(t *testing.T) {
+	begun := time.Now()
+	s := startServer(t, Badness{Fails: 0.4})
+	got := failures(t, s, "/a")
+	assert.Assert(t, len(got) > testRequests*3/10 && len(got) < testRequests/2, "%d of %d", len(got), testRequests)
+	assert.DeepEqual(t, failures(t, startServer(t, Badness{Fails: 0.4}), "/a"), got)
+	assert.Equal(t, len(s.BadAnswers()), len(got))
+	assert.Equal(t, len(s.Arrivals()), testRequests)
+	sum := 0
+	for _, n := range s.PerSecond(begun, 60) {
+		sum += n
+	}
+	assert.Equal(t, sum, testRequests)
+}
+
+func TestSlowedShareTakesLonger(t *testing.T) {
+	s := startServer(t, Badness{Slower: 8, Share: 0.5})
+	slow := 0
+	for i := range 40 {
+		if _, took := ask(t, s, fmt.Sprint(i), "/a"); took >= 8*testWork {
+			slow++
+		}
+	}
+	assert.Assert(t, slow >= len(s.BadAnswers()) && len(s.BadAnswers()) > 10 && len(s.BadAnswers()) < 30, "%d of 40, %d slowed", slow, len(s.BadAnswers()))
+	assert.Assert(t, !s.BadAnswers()[0].Failed)
+}
+
+func TestBadnessHasAnOnsetAndAPath(t *testing.T) {
+	s := startServer(t, Badness{Fails: 1, Path: "/b/"})
+	s.SetBadness(s.Bad, time.Now())
+	assert.Equal(t, len(failures(t, s, "/a/x")), 0)
+	assert.Equal(t, len(failures(t, s, "/b/x")), testRequests)
+	s.SetBadness(Badness{Fails: 1, After: time.Hour}, time.Now())
+	assert.Equal(t, len(failures(t, s, "/a/x")), 0)
+	s.SetBadness(Badness{Fails: 1, After: time.Hour}, time.Now().Add(-time.Hour))
+	assert.Equal(t, len(failures(t, s, "/a/x")), testRequests)
+}
+
+// TestBadOnlyWhenBusy asks one at a time, and then many at once.
+func TestBadOnlyWhenBusy(t *testing.T) {
+	s := startServer(t, Badness{Fails: 1, WhenBusy: 3})
+	assert.Equal(t, len(failures(t, s, "/a")), 0)
+	var all sync.WaitGroup
+	for c := range 6 {
+		all.Go(func() {
+			for i := range 20 {
+				ask(t, s, fmt.Sprintf("c%d-%d", c, i), "/a")
+			}
+		})
+	}
+	all.Wait()
+	assert.Assert(t, len(s.BadAnswers()) > 0)
+}
+
+// TestKillCutsWhatIsInFlight kills the backend server while it works.
+func TestKillCutsWhatIsInFlight(t *testing.T) {
+	s := startServer(t, Badness{Slower: 100})
+	time.AfterFunc(20*time.Millisecond, s.Kill)
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+"/a", nil)
+	assert.NilError(t, err)
+	res, err := http.DefaultClient.Do(req)
+	if err == nil {
+		res.Body.Close()
+	}
+	assert.Assert(t, err != nil)
+}
+
+func TestAnnouncementNamesTheVersion(t *testing.T) {
+	s := startServer(t, Badness{})
+	want := fmt.Sprintf(`{"address":%q,"info":{"service":"s","zone":"z","slots":8,"version":"2.0"},"status":{"state":"ready","sequence":1,"coldRemainingS":0}}`, s.Address())
+	assert.Equal(t, s.Announcement(Row{Service: "s", Zone: "z", State: "ready"}), want)
+}
--- /dev/null
+++ b/standin/server/row.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: MIT
+
+package server
+
+import "encoding/json"
+
+// Row is what a backend server says of itself in the users' table.
+type Row struct {
+	Service string
+	Zone    string
+	State   string // "ready" takes work
+	Cold    float64
+}
+
+// Announcement returns the value of the backend server's row.
+func (s *Server) Announcement(r Row) string {
+	type info struct {
+		Service string `json:"service"`
+		Zone    string `json:"zone"`
+		Slots   int    `json:"slots"`
+		Version string `json:"version,omitempty"`
+	}
+	type status struct {
+		State    string  `json:"state"`
+		Sequence int     `json:"sequence"`
+		Cold     float64 `json:"coldRemainingS"`
+	}
+	text, err := json.Marshal(struct {
+		Address string `json:"address"`
+		Info    info   `json:"info"`
+		Status  status `json:"status"`
+	}{
+		s.Address(), info{r.Service, r.Zone, s.Slots, s.Software}, status{r.State, 1, r.Cold},
+	})
+	if err != nil {
+		panic(err) // it holds nothing that can't be encoded
+	}
+	return string(text)
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -52,14 +52,17 @@
 	Header                         http.Header
 }
 
-// Server is one backend server. The fields up to Work are set before Start.
+// Server is one backend server. The fields up to Seed are set before Start.
 type Server struct {
-	Name  string
-	Names request.Names
-	Slots int
-	Queue int           // requests that may wait for a slot
-	Work  time.Duration // for an object that was seen
-	First time.Duration // for one that was not
+	Name     string
+	Names    request.Names
+	Slots    int
+	Queue    int           // requests that may wait for a slot
+	Work     time.Duration // for an object that was seen
+	First    time.Duration // for one that was not
+	Software string        // the version of the software that it runs
+	Bad      Badness       // of that version
+	Seed     uint64        // which answers are bad
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -73,6 +76,11 @@
 	arrivals []time.Time // while it was cold
 	closed   int         // connections whose client left before the answer
 	opened   int
+	badFrom  time.Time   // from when Bad.After counts
+	sent     []time.Time // when requests came
+	bad      []BadAnswer
+	open     map[net.Conn]bool
+	killed   bool
 }
 
 // Start starts the backend server on loopback.
@@ -83,6 +91,8 @@
 	}
 	s.listener = l
 	s.seen = make(map[string]bool)
+	s.open = make(map[net.Conn]bool)
+	s.badFrom = time.Now()
 	go s.accept()
 	return nil
 }
@@ -90,9 +100,20 @@
 // Address is where the backend server listens.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close ends the backend server.
+// Close ends the backend server. Connections that are open are served on.
 func (s *Server) Close() { _ = s.listener.Close() }
 
+// Kill ends the backend server at once, with all that is in flight.
+func (s *Server) Kill() {
+	s.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.killed = true
+	for c := range s.open {
+		_ = c.Close()
+	}
+}
+
 // Next sets the faults of the next requests, one each.
 func (s *Server) Next(f ...Fault) {
 	s.mu.Lock()
@@ -156,15 +177,34 @@
 		if err != nil {
 			return
 		}
-		s.mu.Lock()
-		s.opened++
-		s.mu.Unlock()
-		go s.serve(c)
+		if s.hold(c) {
+			go s.serve(c)
+		}
 	}
 }
 
+// hold counts a connection and keeps it for Kill. It reports whether it is served.
+func (s *Server) hold(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened++
+	if s.killed {
+		_ = c.Close()
+		return false
+	}
+	s.open[c] = true
+	return true
+}
+
+func (s *Server) letGo(c net.Conn) {
+	_ = c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
 func (s *Server) serve(c net.Conn) {
-	defer c.Close()
+	defer s.letGo(c)
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -217,7 +257,9 @@
 	if want := req.Header.Get(s.Names.Target); want != "" && want != s.Name {
 		return Moved, load, false
 	}
-	if now := time.Now(); now.Before(s.cold) {
+	now := time.Now()
+	s.sent = append(s.sent, now)
+	if now.Before(s.cold) {
 		s.arrivals = append(s.arrivals, now)
 	}
 	return f, load, f != Shed && f != ShedLate && f != Moved && f != Early
@@ -263,11 +305,19 @@
 		Object: req.Header.Get(s.Names.Affinity), Header: req.Header,
 	})
 	s.mu.Unlock()
-	left := s.wait(c, r, s.work(req.Header.Get(s.Names.Affinity)))
+	how := s.conduct(id, req.URL.Path)
+	work := time.Duration(how.slower * float64(s.work(req.Header.Get(s.Names.Affinity))))
+	left := s.wait(c, r, work)
 	s.end()
 	if left {
 		return false
 	}
+	if how.bad() {
+		s.noteBad(id, how)
+	}
+	if how.fails && f == None {
+		f = Broken
+	}
 	return s.write(c, f, id, load)
 }
 
