--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -64,6 +64,7 @@
 	released chan struct{}
 	reads    rate
 	writes   rate
+	writers  map[string]string // by table and key
 }
 
 // rate bounds calls a second; zero is no bound.
@@ -84,7 +85,7 @@
 
 // Start starts a store on loopback.
 func Start() *Store {
-	s := &Store{changed: make(chan struct{}), calls: make(map[string]int), released: make(chan struct{})}
+	s := &Store{changed: make(chan struct{}), calls: make(map[string]int), released: make(chan struct{}), writers: make(map[string]string)}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -160,6 +161,23 @@
 	return nil, false
 }
 
+// Writer returns the IP number of the caller that wrote a row last, "" if none did.
+func (s *Store) Writer(table, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writers[table+"/"+key]
+}
+
+// noteWriter notes who carried a transaction out.
+func (s *Store) noteWriter(r *http.Request, x *transaction) {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range x.Put {
+		s.writers[row.Table+"/"+row.Key] = host
+	}
+}
+
 func (s *Store) append(r Row) {
 	s.log = append(s.log, r)
 	s.wake()
@@ -356,6 +374,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	version, present, ok := s.commit(&x)
+	if ok {
+		s.noteWriter(r, &x)
+	}
 	if t.Lose {
 		panic(http.ErrAbortHandler)
 	}
