--- a/standin/server/row.go
+++ b/standin/server/row.go
@@ -6,6 +6,7 @@
 
 // Row is what a backend server says of itself in the users' table.
 type Row struct {
+	Address string // "": its own
 	Service string
 	Zone    string
 	State   string // "ready" takes work
@@ -25,12 +26,15 @@
 		Sequence int     `json:"sequence"`
 		Cold     float64 `json:"coldRemainingS"`
 	}
+	if r.Address == "" {
+		r.Address = s.Address()
+	}
 	text, err := json.Marshal(struct {
 		Address string `json:"address"`
 		Info    info   `json:"info"`
 		Status  status `json:"status"`
 	}{
-		s.Address(), info{r.Service, r.Zone, s.Slots, s.Software}, status{r.State, 1, r.Cold},
+		r.Address, info{r.Service, r.Zone, s.Slots, s.Software}, status{r.State, 1, r.Cold},
 	})
 	if err != nil {
 		panic(err) // it holds nothing that can't be encoded
