balance, version: requests in flight by version, and the home of an object at the target

Cause: the owner of a roll-out must know when nothing runs at the version before any more, and the canary is chosen by where objects have their home at the target.

A server that was started anew with other software at the same name and address counts as another one. A backend server of a service that is not there works for none: it was taken for one of the first service.

Ruled out: a home that follows how busy servers are, since it would move while the canary is measured.

--- a/process/balance/admit.go
+++ b/process/balance/admit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shalewick/request"
+	"shalewick/version"
 )
 
 // leastTime is the time below which a request is not sent, since the backend server
@@ -22,10 +23,10 @@
 // be answered later than that, since less urgent ones make it wait. One that came
 // back after a refusal may not: its room is taken from a first try, which is worth
 // more to its caller.
-func (t *Table) patience(q *Query, c candidate) time.Duration {
+func (t *Table) patience(q *Query, s *version.RoutedService, c candidate) time.Duration {
 	work := min(t.states[c.index].usualWork(), time.Duration(t.Policy.WorkShare*float64(q.Route.Objective)))
 	within := time.Duration(q.Route.Objective) - q.Elapsed
-	if t.routing.Services[q.Route.Parts[q.Part].Service].Urgent(q.Priority) {
+	if s.Urgent(q.Priority) {
 		within = time.Duration(t.Policy.UrgentPatience * float64(within))
 	}
 	return max(0, min(within, q.Left)-work)
--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"shalewick/conn"
+	"shalewick/version"
 )
 
 // backend is what one process knows of one backend server, over all versions. It is
@@ -15,7 +16,9 @@
 	service   *service
 	pool      *conn.Pool
 	address   string
+	software  string
 	inFlight  int
+	flights   *int // at all backend servers of its version
 	drained   bool
 	cold      time.Duration // as declared
 	coldUntil time.Duration // when it stops being cold
@@ -38,6 +41,12 @@
 	work        time.Duration // usual time of an answer, without waiting
 }
 
+// sameAs reports whether a routing speaks of the same process. One that has another
+// address, or other software, was started anew.
+func (u *backend) sameAs(v *version.RoutedBackend) bool {
+	return u.address == v.Address && u.software == v.Software
+}
+
 // failed notes a failure, and returns for how long the backend server gets nothing.
 func (u *backend) failed(now time.Duration) time.Duration {
 	u.failures++
--- a/process/balance/bench_test.go
+++ b/process/balance/bench_test.go
@@ -25,3 +25,21 @@
 		})
 	}
 }
+
+// BenchmarkTargetHome measures the home of an object that was asked for before.
+func BenchmarkTargetHome(b *testing.B) {
+	p := newPlace(12)
+	for i := range 80 {
+		p.backend(fmt.Sprintf("v1-%d", i), i%3, software("v1"))
+		p.backend(fmt.Sprintf("v2-%d", i), i%3, software("v2"))
+	}
+	p.admit("v1", "v2")
+	q := p.query(7)
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Object = q.Object%1000 + 1
+		if _, ok := p.TargetHome(q); !ok {
+			b.Fatal("none")
+		}
+	}
+}
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -38,7 +38,7 @@
 		why.Best, why.Wait, why.Patience = t.routing.Backends[best.index].Name, least, q.Left
 		return nil, Refusal{Code: request.DeadlineNear, Why: why}
 	}
-	patience := t.patience(q, best)
+	patience := t.patience(q, s, best)
 	if over := best.wait - patience; over > 0 {
 		why.Best, why.Wait, why.Patience = t.routing.Backends[best.index].Name, best.wait, patience
 		return nil, Refusal{Code: request.QueueFull, Retry: t.comeBack(request.QueueFull, over), Why: why}
@@ -215,6 +215,7 @@
 	v := &t.routing.Backends[c.index]
 	u := t.states[c.index]
 	u.inFlight++
+	*u.flights++
 	if s.Warming.Rate > 0 && now < u.coldUntil {
 		u.turns.use(now)
 	}
@@ -223,8 +224,8 @@
 		object = q.Object
 	}
 	return &Pick{
-		object: object,
-		Name:   v.Name, Address: v.Address, Software: v.Software, Cold: now < u.coldUntil, Region: t.routing.Regions[v.Region], Pool: u.pool,
-		Rank: c.place, Unseen: c.unseen, Wait: c.wait, table: t, u: u, hash: v.Hash, started: now,
+		Name: v.Name, Address: v.Address, Software: v.Software, Region: t.routing.Regions[v.Region], Pool: u.pool,
+		Rank: c.place, Unseen: c.unseen, Cold: now < u.coldUntil, Wait: c.wait, Work: u.usualWork(),
+		table: t, u: u, object: object, hash: v.Hash, started: now,
 	}
 }
--- a/process/balance/estimate.go
+++ b/process/balance/estimate.go
@@ -49,7 +49,8 @@
 	return u.policy.FirstWork
 }
 
-// service is what one process knows of a service as a whole, over all versions.
+// service is what one process knows of all backend servers of a service that run one
+// version of its software, over all versions of the configuration.
 type service struct {
 	work    time.Duration // usual time of an answer, over all backend servers
 	adaptAt time.Duration // when shares are due to move next
--- /dev/null
+++ b/process/balance/home.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import "shalewick/version"
+
+// maxTargetHomes bounds the objects whose homes are kept. Origin: 32 bytes each are
+// half a MB of the 32 MB that an instance may take.
+const maxTargetHomes = 1 << 14
+
+// targetHomes keeps the homes of objects among the backend servers of roll-outs'
+// targets, until the routing changes. The zero value is empty.
+type targetHomes struct {
+	of map[homeOf]int32 // to the index of the backend server, or None
+}
+
+// homeOf is an object in a part of a route.
+type homeOf struct {
+	part   *version.RoutePart
+	object uint64
+}
+
+func (h *targetHomes) clear() { h.of = nil }
+
+// keep notes a home.
+func (h *targetHomes) keep(key homeOf, index int32) {
+	if h.of == nil || len(h.of) >= maxTargetHomes {
+		h.of = make(map[homeOf]int32)
+	}
+	h.of[key] = index
+}
+
+// TargetHome returns the hash of the backend server of a roll-out's target at which the
+// query's object has its home: the first in the near order of those that may get
+// requests now. Ok is false if there is none, or the query has no object that its route
+// keeps in one place. Unlike the order of choices, the home does not follow how busy
+// backend servers are, so that it stays.
+func (t *Table) TargetHome(q *Query) (hash uint64, ok bool) {
+	if q.Object == 0 || !q.Route.Sticky {
+		return 0, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	of := *q
+	of.Target = true
+	part := of.part(t.routing)
+	if part == nil {
+		return 0, false
+	}
+	key := homeOf{part, q.Object}
+	index, known := t.homes.of[key]
+	if !known {
+		index = t.home(&of, part, func(int32) bool { return true })
+		t.homes.keep(key, index)
+	}
+	if index == version.None {
+		return 0, false
+	}
+	if t.states[index].failures > 0 {
+		index = t.usableHome(&of, part)
+	}
+	if index == version.None {
+		return 0, false
+	}
+	return t.routing.Backends[index].Hash, true
+}
+
+// usableHome returns the home among the backend servers that did not fail lately. The
+// caller holds the lock.
+func (t *Table) usableHome(q *Query, part *version.RoutePart) int32 {
+	now := t.Now()
+	return t.home(q, part, func(i int32) bool { return t.states[i].usable(now) })
+}
+
+// home returns the index of the first backend server in the near order of an object that
+// takes work, is in a home region of the route and among some. The caller holds the lock.
+func (t *Table) home(q *Query, part *version.RoutePart, among func(index int32) bool) int32 {
+	s := &t.routing.Services[part.Service]
+	weights := t.weights(part, s)
+	best, least := version.None, 0.0
+	for k, i := range s.Backends {
+		v := &t.routing.Backends[i]
+		if v.Closed || q.Route.Home != nil && !q.Route.Home[v.Region] || !among(i) {
+			continue
+		}
+		if near := v.Distance(q.Object, weights(k)); best == version.None || near < least {
+			best, least = i, near
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/process/balance/home_test.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/version"
+)
+
+func (p *place) home(t *testing.T, object uint64) uint64 {
+	t.Helper()
+	hash, ok := p.TargetHome(p.query(object))
+	assert.Assert(t, ok)
+	return hash
+}
+
+// TestHomeIsTheFirstChoiceAtTheTarget compares the homes of objects with the first
+// choices of an idle target.
+func TestHomeIsTheFirstChoiceAtTheTarget(t *testing.T) {
+	p := twoVersions(3, 4)
+	p.admit("v1", "v2")
+	homes := make(map[uint64]bool)
+	for object := range uint64(500) {
+		k, _ := p.Pick(p.target(object + 1))
+		k.Done(Abandoned, nil)
+		for range 2 { // reckoned, and kept
+			assert.Equal(t, p.home(t, object+1), k.hash)
+		}
+		homes[k.hash] = true
+	}
+	assert.Equal(t, len(homes), 4, "the target's servers of this region")
+}
+
+// TestHomeFollowsWhoTakesWork checks that the home moves away from a backend server that
+// fails, and back, and that a change of the routing counts at once.
+func TestHomeFollowsWhoTakesWork(t *testing.T) {
+	p := twoVersions(3, 2)
+	p.admit("v1", "v2")
+	first := p.home(t, 7)
+	k, _ := p.Pick(p.target(7))
+	assert.Equal(t, k.hash, first)
+	k.Done(Unreachable, nil)
+	second := p.home(t, 7)
+	assert.Assert(t, second != first)
+	p.now += time.Minute
+	again, _ := p.Pick(p.target(7)) // a connection is opened to it
+	again.Done(Answered, nil)
+	assert.Equal(t, p.home(t, 7), first)
+
+	p.put(version.Resource{Key: version.Key{Kind: version.KindDrain, Name: "d"}, Drain: &version.Drain{Backend: k.Name}})
+	p.install()
+	k, _ = p.Pick(p.target(7))
+	assert.Assert(t, k.hash != first)
+	assert.Equal(t, p.home(t, 7), k.hash)
+	p.config.Resources[version.Key{Kind: version.KindRoute, Name: "r"}].Route.Homes = []string{"r2"}
+	p.install()
+	k, _ = p.Pick(p.target(7))
+	assert.Equal(t, k.Region, "r2")
+	assert.Equal(t, p.home(t, 7), k.hash)
+}
+
+// TestNoHome lists the queries that have none.
+func TestNoHome(t *testing.T) {
+	p := twoVersions(3, 1)
+	p.admit("v1", "v2")
+	stale := p.query(7)
+	none := func(q *Query) {
+		t.Helper()
+		_, ok := p.TargetHome(q)
+		assert.Assert(t, !ok)
+	}
+	none(p.query(0))
+	p.admit("v1", "")
+	none(stale)
+	none(p.query(7))
+	p.admit("v1", "absent")
+	none(p.query(7))
+	none(p.query(7)) // kept
+	p.config.Resources[version.Key{Kind: version.KindRoute, Name: "r"}].Route.Sticky = false
+	p.admit("v1", "v2")
+	none(p.query(7))
+}
+
+// TestHomesAreBounded asks for more homes than are kept.
+func TestHomesAreBounded(t *testing.T) {
+	p := twoVersions(3, 1)
+	p.admit("v1", "v2")
+	first := p.home(t, 1)
+	for object := range uint64(3 * maxTargetHomes) {
+		p.home(t, object+1)
+		assert.Assert(t, len(p.homes.of) <= maxTargetHomes)
+	}
+	assert.Equal(t, p.home(t, 1), first)
+}
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -21,6 +21,17 @@
 	Abandoned
 )
 
+// Hold makes the request count as in flight after Done, until Release: the backend
+// server is still sending the rest of a large answer.
+func (p *Pick) Hold() { p.held = true }
+
+// Release ends what Hold began. It is called once.
+func (p *Pick) Release() {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	*p.u.flights--
+}
+
 // Done tells what came of the request. Report is the backend server's word on its
 // load, if it gave one.
 func (p *Pick) Done(o Outcome, report *Report) {
@@ -30,6 +41,9 @@
 	now := t.Now()
 	u := p.u
 	u.inFlight--
+	if !p.held {
+		*u.flights--
+	}
 	if report != nil {
 		u.report(*report, now)
 		u.share.note(&t.Policy, *report, now)
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -42,6 +42,8 @@
 	byHash   map[uint32]int32 // to index, by the bytes of the hash that observations carry
 	reaching int              // connections that are being opened to suspended backend servers
 	services map[softwareOf]*service
+	flights  map[softwareOf]*int // requests in flight
+	homes    targetHomes
 	scratch  []candidate          // memory of candidates, kept between decisions
 	splits   map[string][]float64 // credit of each part, by route
 	seen     seenObjects
@@ -55,11 +57,12 @@
 	now := t.Now()
 	byName := make(map[string]*backend, len(r.Backends))
 	states := make([]*backend, len(r.Backends))
+	t.keepServices(r)
 	for i := range r.Backends {
 		v := &r.Backends[i]
 		u := t.byName[v.Name]
-		if u == nil || u.address != v.Address {
-			u = &backend{service: t.service(&r.Services[v.Service]), policy: &t.Policy, pool: t.NewPool(v.Address), address: v.Address, share: share{kept: 1}}
+		if u == nil || !u.sameAs(v) {
+			u = t.newBackend(v, &r.Services[v.Service])
 		}
 		if u.install(v, now) {
 			u.turns = turns{policy: &t.Policy, rate: r.Services[v.Service].Warming.Rate}
@@ -73,6 +76,7 @@
 		}
 	}
 	t.routing, t.states, t.byName, t.byHash = r, states, byName, indexByHash(r)
+	t.homes.clear()
 	t.region = r.Region(t.Region)
 	if t.Region == "" {
 		t.region = r.RegionOfHall(t.Hall)
@@ -82,24 +86,15 @@
 	}
 }
 
-// service returns what is known of a service with one version of its software. The
-// caller holds the lock.
-func (t *Table) service(s *version.RoutedService) *service {
-	if t.services == nil {
-		t.services = make(map[softwareOf]*service)
+// newBackend returns a backend server of which nothing is known yet. The caller holds
+// the lock.
+func (t *Table) newBackend(v *version.RoutedBackend, s *version.RoutedService) *backend {
+	return &backend{
+		service: t.service(s), flights: t.flight(softwareOf{s.Name, v.Software}), policy: &t.Policy,
+		pool: t.NewPool(v.Address), address: v.Address, software: v.Software, share: share{kept: 1},
 	}
-	key := softwareOf{s.Name, s.Software}
-	known := t.services[key]
-	if known == nil {
-		known = &service{}
-		t.services[key] = known
-	}
-	return known
 }
 
-// softwareOf names a version of a service's software.
-type softwareOf struct{ service, software string }
-
 // useDefaults sets the policy unless it was set. The caller holds the lock.
 func (t *Table) useDefaults() {
 	if t.Policy == (Policy{}) {
@@ -170,14 +165,16 @@
 	Unseen bool
 	// Cold is set while the backend server counts as cold.
 	Cold bool
-	// Wait is the estimated time until it begins with the request.
-	Wait time.Duration
+	// Wait is the estimated time until it begins with the request, and Work its usual
+	// time of an answer from then on.
+	Wait, Work time.Duration
 
 	table   *Table
 	u       *backend
 	object  uint64 // zero: none
 	hash    uint64 // of the backend server
 	started time.Duration
+	held    bool // Hold was called
 }
 
 // Refusal says why nothing was chosen.
--- a/version/rollout_test.go
+++ b/version/rollout_test.go
@@ -107,6 +107,16 @@
 	assert.Assert(t, r.Route("a.example", "/bids/").Parts[0].Target == nil)
 }
 
+// TestBackendOfNoServiceIsLeftOut checks that a backend server whose service is gone
+// works for no other.
+func TestBackendOfNoServiceIsLeftOut(t *testing.T) {
+	c, err := propose(t, softwareDocs("v1"))
+	assert.NilError(t, err)
+	delete(c.Resources, Key{KindService, "ledger"})
+	delete(c.Resources, Key{KindRoute, "bids"})
+	assert.Equal(t, len(CompileRouting(c, nil).Backends), 0)
+}
+
 // TestTargetThatStandsByMovesNothing compares the routing of the version in force with
 // and without a target, which has more backend servers in one region than in the other.
 func TestTargetThatStandsByMovesNothing(t *testing.T) {
--- a/version/routing.go
+++ b/version/routing.go
@@ -154,12 +154,14 @@
 	r.Services = append(r.Services, s)
 }
 
-// serviceOf returns the service that a backend server works for, or None if it runs a
-// version of the software that may get no requests.
+// serviceOf returns the service that a backend server works for, or None if there is no
+// such service, or it runs a version of the software that may get no requests.
 func (r *Routing) serviceOf(b *Backend, services map[string]int32, software map[string]Software) int32 {
-	i := services[b.Service]
+	i, known := services[b.Service]
 	admitted, bound := software[b.Service]
 	switch {
+	case !known:
+		return None
 	case !bound || b.Software == admitted.InForce:
 		return i
 	case b.Software == admitted.Target:
