--- a/process/balance/software_test.go
+++ b/process/balance/software_test.go
@@ -55,6 +55,7 @@
 			Host: "b", Prefix: "/", Class: request.ClassRead, Sticky: true, Split: []version.Weighted{{Service: "a", Weight: 1}},
 			Timeout: version.Duration(time.Second), Objective: version.Duration(time.Second),
 		}})
+		p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "b"}, Service: &version.Service{}})
 		var views []*version.RouteView
 		for step := range rapid.IntRange(1, 6).Draw(r, "steps") {
 			for i := range rapid.IntRange(0, 5).Draw(r, "servers") {
@@ -62,8 +63,9 @@
 				v := rapid.SampledFrom(versions).Draw(r, "software")
 				p.backend(fmt.Sprintf("%s-%d-%d", service, step, i), i%3, func(b *version.Backend) { b.Service, b.Software = service, v })
 			}
-			if rapid.Bool().Draw(r, "first service goes") {
+			if rapid.Bool().Draw(r, "first services go") { // so that indexes move
 				delete(p.config.Resources, version.Key{Kind: version.KindService, Name: "a"})
+				delete(p.config.Resources, version.Key{Kind: version.KindService, Name: "b"})
 				delete(p.config.Resources, version.Key{Kind: version.KindRoute, Name: "a"})
 				for key, x := range p.config.Resources {
 					if x.Backend != nil && x.Backend.Service == "a" {
