--- a/process/cluster/owner_test.go
+++ b/process/cluster/owner_test.go
@@ -105,3 +105,38 @@
 		})
 	}
 }
+
+// TestOwnerAtStoreIsNotCutOff checks that one that is cut off from the store owns nothing
+// that needs it unless all are, and that all name the same.
+func TestOwnerAtStoreIsNotCutOff(t *testing.T) {
+	const things = 50
+	fleet := fleetOf(5, time.Minute)
+	started := fleet[0].Self().Incarnation
+	cut := func(which ...int) {
+		for _, i := range which {
+			x := member(fmt.Sprintf("edge-%d", i), "north", started)
+			x.Cut = true
+			fleet[i].StoreCalled(false)
+			for _, m := range fleet {
+				m.Learn(true, x)
+			}
+		}
+	}
+	before := names(fleet[0].Owners(things))
+	for n := range things {
+		assert.Equal(t, fleet[1].OwnerAtStore(uint64(n)).Name, before[n])
+	}
+	cut(3)
+	for _, m := range fleet {
+		for n := range things {
+			owner := m.OwnerAtStore(uint64(n)).Name
+			assert.Assert(t, owner != "edge-3")
+			assert.Assert(t, owner == before[n] || before[n] == "edge-3")
+		}
+	}
+	assert.DeepEqual(t, names(fleet[0].Owners(things)), before)
+	cut(0, 1, 2, 4)
+	for n := range things {
+		assert.Equal(t, fleet[2].OwnerAtStore(uint64(n)).Name, before[n])
+	}
+}
