--- /dev/null
+++ b/process/rollout/attempt.go
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import "time"
+
+// Attempt is one attempt at a request of a service whose roll-out runs. Nil: there is
+// none.
+type Attempt struct {
+	r      *Rollouts
+	s      *service
+	trial  *trial
+	route  *routeTrial
+	order  int64
+	target bool
+	ended  bool
+}
+
+// Outcome is what came of an attempt.
+type Outcome struct {
+	// Failed: the answer was a failure of the backend server, or none came.
+	Failed bool
+	// Unsent: nothing was sent, or the caller gave up, so that it tells nothing.
+	Unsent bool
+	// Took is the time from sending to the answer.
+	Took time.Duration
+	// Unseen: the backend server had not worked on the object lately; Cold: it counts
+	// as cold.
+	Unseen, Cold bool
+}
+
+// Begin begins an attempt. First is false for a further attempt at the same request:
+// it goes to the target only while nothing may go to the version before any more.
+// Home returns the hash of the backend server that the request's object has as its
+// home among the target's; ok is false if none takes work. It is called only if the
+// answer matters, and may call the roll-outs.
+func (r *Rollouts) Begin(service, route string, first bool, home func() (hash uint64, ok bool)) *Attempt {
+	if !r.running.Load() {
+		return nil
+	}
+	a, way := r.begin(service, route, first)
+	if way != ifOpen {
+		return a
+	}
+	hash, ok := home()
+	r.mu.Lock()
+	defer r.unlock()
+	r.send(a, r.wayIfOpen(a, hash, ok))
+	return a
+}
+
+// begin begins an attempt as far as that goes without the home of its object.
+func (r *Rollouts) begin(service, route string, first bool) (*Attempt, way) {
+	r.mu.Lock()
+	defer r.unlock()
+	s := r.services[service]
+	if s == nil || !s.runs() {
+		return nil, toBefore
+	}
+	now := r.Now()
+	a := &Attempt{r: r, s: s, trial: s.trial, route: s.trial.route(route), order: s.Order.ID}
+	s.reports.cameAt = now
+	s.reports.came = true
+	s.gate.came(r.Bounds.Share, r.saveFor(s), now)
+	way := r.way(a, first, now)
+	if way != ifOpen {
+		r.send(a, way)
+	}
+	return a, way
+}
+
+// send notes where an attempt goes. The caller holds the lock.
+func (r *Rollouts) send(a *Attempt, way way) {
+	if way == toTarget {
+		a.target = true
+		a.s.gate.take(r.Bounds.Share, r.Now())
+		return
+	}
+	a.s.toBefore++
+}
+
+// way decides on an attempt. The caller holds the lock.
+func (r *Rollouts) way(a *Attempt, first bool, now time.Duration) way {
+	g := &a.s.gate
+	chance := g.chance(a.route.hash, a.trial.part(a.route))
+	return g.way(r.Bounds.Share, first, chance > 0 && r.random() < chance, now)
+}
+
+// wayIfOpen decides on an attempt whose object has a home. The roll-out may have moved
+// while that was looked up. The caller holds the lock.
+func (r *Rollouts) wayIfOpen(a *Attempt, home uint64, ok bool) way {
+	s, now := a.s, r.Now()
+	if !ok || s.Order == nil || s.Order.ID != a.order || !s.runs() {
+		return toBefore
+	}
+	way := s.gate.way(r.Bounds.Share, true, false, now)
+	if way == ifOpen && s.turns.open(home, s.gate.turn(now), canaryPart*r.Bounds.Share) {
+		return toTarget
+	}
+	if way == ifOpen {
+		return toBefore
+	}
+	return way
+}
+
+// saveFor is over how long the share is saved: at least until a backend server is open
+// again.
+func (r *Rollouts) saveFor(s *service) time.Duration {
+	return max(saveTime, time.Duration(s.turns.every(canaryPart*r.Bounds.Share))*turnTime)
+}
+
+// Target reports whether the attempt goes to the target.
+func (a *Attempt) Target() bool { return a != nil && a.target }
+
+// Decline sends the attempt to the version in force after all, since the target can't
+// take it. It reports whether it may go there: not while the instance has said that
+// nothing goes there any more.
+func (a *Attempt) Decline() bool {
+	if !a.Target() {
+		return true
+	}
+	a.r.mu.Lock()
+	defer a.r.unlock()
+	s := a.s
+	if s.gate.closed(a.r.Now()) {
+		return false
+	}
+	a.target = false
+	s.toBefore++
+	if s.Order != nil && s.Order.ID == a.order {
+		s.gate.giveBack()
+	}
+	return true
+}
+
+// Done tells what came of the attempt. It is called once.
+func (a *Attempt) Done(o Outcome) {
+	if a == nil {
+		return
+	}
+	r, s := a.r, a.s
+	r.mu.Lock()
+	defer r.unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if !a.target {
+		s.toBefore--
+	}
+	if o.Unsent {
+		a.unsent()
+		return
+	}
+	now := r.Now()
+	c := a.count(o)
+	if a.trial != s.trial || !s.runs() {
+		return // of a roll-out that has ended
+	}
+	if !a.target {
+		s.trial.local.base(a.route.hash, c, now)
+		return
+	}
+	s.trial.local.target(a.route.hash, c, now)
+	if c.bad() > 0 {
+		s.reports.hasty = true
+	}
+	if s.trial.local.cause != "" && !s.gate.halted {
+		s.gate.halt()
+		r.note(s, "instance-stopped", s.trial.local.cause, &s.trial.local, 0)
+	}
+}
+
+// unsent takes an attempt back that did not reach the service.
+func (a *Attempt) unsent() {
+	s := a.s
+	if !a.target && s.Order != nil && s.Order.ID == a.order {
+		s.gate.all--
+	}
+}
+
+// count classes the outcome and counts it.
+func (a *Attempt) count(o Outcome) Counts {
+	c := Counts{Requests: 1}
+	if o.Failed {
+		c.Failed = 1
+	} else if timed, slow := a.route.usual.class(o); timed {
+		c.Timed = 1
+		if slow {
+			c.Slow = 1
+		}
+	}
+	if a.target {
+		a.route.target.add(c)
+		return c
+	}
+	a.route.base.add(c)
+	if !o.Failed && !o.Cold && !o.Unseen {
+		a.route.usual.add(o.Took)
+	}
+	return c
+}
--- /dev/null
+++ b/process/rollout/counts.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Counts are those of one version's answers.
+type Counts struct {
+	Requests int64
+	Failed   int64
+	// Timed are those whose time tells something: of a backend server that was not cold,
+	// and on a route whose usual time is known.
+	Timed int64
+	Slow  int64 // of Timed
+}
+
+// add adds counts.
+func (c *Counts) add(x Counts) {
+	c.Requests += x.Requests
+	c.Failed += x.Failed
+	c.Timed += x.Timed
+	c.Slow += x.Slow
+}
+
+// since returns what came after old, which is a count of the same. Messages that
+// overtake each other must not count anything twice, so nothing is below zero.
+func (c Counts) since(old Counts) Counts {
+	return Counts{
+		Requests: max(0, c.Requests-old.Requests), Failed: max(0, c.Failed-old.Failed),
+		Timed: max(0, c.Timed-old.Timed), Slow: max(0, c.Slow-old.Slow),
+	}
+}
+
+// bad is the number of answers that failed or were slow.
+func (c Counts) bad() int64 { return c.Failed + c.Slow }
+
+func (c Counts) String() string {
+	return fmt.Sprintf("%d answers, %d failed, %d of %d slow", c.Requests, c.Failed, c.Slow, c.Timed)
+}
+
+// pair is the counts of both versions.
+type pair struct{ base, target Counts }
+
+func (p *pair) add(x pair) {
+	p.base.add(x.base)
+	p.target.add(x.target)
+}
+
+func (p pair) since(old pair) pair {
+	return pair{base: p.base.since(old.base), target: p.target.since(old.target)}
+}
+
+// newer returns the greater of each count.
+func (p pair) newer(old pair) pair {
+	old.add(p.since(old))
+	return old
+}
+
+// routeHash names a route in messages. Zero is all routes that have no place there.
+type routeHash uint32
+
+// otherRoutes is the hash of those.
+const otherRoutes routeHash = 0
+
+func hashOfRoute(name string) routeHash { return routeHash(xxhash.Sum64String(name)>>32) | 1 }
+
+func hashOfService(name string) uint64 { return xxhash.Sum64String(name) }
--- /dev/null
+++ b/process/rollout/decider.go
@@ -0,0 +1,225 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import "time"
+
+// decider is what the owner of a service knows of its roll-out. It is lost with the
+// owner: the next one has it again after a round of reports.
+type decider struct {
+	reporters map[reporterKey]*reporter
+	newest    map[string]*reporter // by address
+	verdict   verdict
+	pending   []pending // answers of the target that are not judged yet, oldest first
+	halted    bool
+	cause     string
+	stopped   bool          // an instance has stopped by itself
+	heardAt   time.Duration // of the last report
+	told      time.Duration // when silent instances were told of the promotion last
+
+	promotedAt time.Duration // zero: not promoted
+	goodBefore int64         // good answers of the target until then
+	goneSince  time.Duration // since when no target takes work. Zero: some does
+
+	proposed   *Proposal // that was not confirmed yet
+	proposedAt time.Duration
+}
+
+// mostReporters bounds what an owner remembers: all instances, and some incarnations.
+const mostReporters = 4096
+
+func newDecider(now time.Duration) decider {
+	return decider{
+		reporters: make(map[reporterKey]*reporter), newest: make(map[string]*reporter),
+		verdict: newVerdict(alarm), heardAt: now,
+	}
+}
+
+// reporterKey names a process that reports.
+type reporterKey struct {
+	address     string
+	incarnation int64
+}
+
+// reporter is a process that reports.
+type reporter struct {
+	counts  map[routeHash]pair
+	heardAt time.Duration
+	// madeAfter is a time after which its last report was made.
+	madeAfter time.Duration
+	drained   bool
+	promote   bool
+}
+
+// pending are answers of the target that wait for those of the baseline.
+type pending struct {
+	route  routeHash
+	counts Counts
+	at     time.Duration
+}
+
+// take takes up a report. Counts are cumulative: what is lost comes with the next one.
+func (d *decider) take(from string, x *report, madeAfter, now time.Duration) {
+	key := reporterKey{from, x.incarnation}
+	p := d.reporters[key]
+	if p == nil {
+		if len(d.reporters) >= mostReporters {
+			return
+		}
+		p = &reporter{counts: make(map[routeHash]pair)}
+		d.reporters[key] = p
+	}
+	d.newest[from] = p
+	d.heardAt = now
+	p.heardAt = now
+	p.madeAfter = madeAfter
+	p.drained = x.drained
+	p.promote = x.phase == Promote
+	for _, c := range x.routes {
+		d.count(p, c, now)
+	}
+	if x.halted && !d.halted {
+		d.stopped = true
+	}
+}
+
+// count adds what is new in the counts of a route.
+func (d *decider) count(p *reporter, c routeCounts, now time.Duration) {
+	old := p.counts[c.route]
+	delta := c.since(old)
+	p.counts[c.route] = c.newer(old)
+	if delta.base.Requests > 0 {
+		d.verdict.base(c.route, delta.base, now)
+	}
+	if delta.target.Requests > 0 {
+		d.pending = append(d.pending, pending{c.route, delta.target, now})
+	}
+}
+
+// settle judges the answers of the target that have waited long enough.
+func (d *decider) settle(now time.Duration) {
+	n := 0
+	for n < len(d.pending) && now-d.pending[n].at >= settleTime {
+		d.verdict.target(d.pending[n].route, d.pending[n].counts, now)
+		n++
+	}
+	d.pending = append(d.pending[:0], d.pending[n:]...)
+}
+
+// halt stops the target for good. It reports whether that is new.
+func (d *decider) halt(cause string) bool {
+	if d.halted {
+		return false
+	}
+	d.halted = true
+	d.cause = cause
+	return true
+}
+
+// promoted notes that the roll-out is in its promotion.
+func (d *decider) promoted(now time.Duration) {
+	if d.promotedAt != 0 {
+		return
+	}
+	d.promotedAt = now
+	d.goodBefore = d.good()
+}
+
+// good is the number of good answers of the target that were judged.
+func (d *decider) good() int64 {
+	c := d.verdict.all.total.target
+	return c.Requests - c.bad()
+}
+
+// judge judges what has been reported. It reports whether the target is stopped with
+// that. The caller holds the lock.
+func (r *Rollouts) judge(s *service, now time.Duration) bool {
+	d := &s.decider
+	if s.Record.isFor(s.Order) && s.Record.Phase.Ended() {
+		return false
+	}
+	d.settle(now)
+	cause := d.verdict.cause
+	if cause == "" && d.stopped {
+		cause = "an instance has stopped"
+	}
+	if cause == "" || !d.halt(cause) {
+		return false
+	}
+	s.gate.halt()
+	r.note(s, "target-stopped", cause, &d.verdict, now-d.heardAt)
+	return true
+}
+
+// answer answers a report. Without most of the instances it gives no lease. The caller
+// holds the lock.
+func (r *Rollouts) answer(s *service, seq byte, now time.Duration) *answer {
+	x := &answer{service: s.hash, order: s.Order.ID, seq: seq, halted: s.decider.halted, stamp: r.stamp(now)}
+	if !r.mostly() {
+		x.seq = 0
+	}
+	if !s.Record.isFor(s.Order) {
+		return x
+	}
+	x.phase = s.Record.Phase
+	x.halted = x.halted && x.phase != Completed
+	if r.storeSeen {
+		store := now + r.storeAt
+		x.timed = true
+		x.left = max(0, time.Duration(s.Record.Deadline)+lateOrder-store)
+		x.soon = x.phase == Canary && store >= s.promoteAt(r.Bounds.Share)-hastyBefore
+	}
+	if x.phase == Canary {
+		x.allHungry, x.hungry = s.decider.hungry()
+	}
+	return x
+}
+
+// hungry are the routes that lack evidence, and whether it is lacking in all.
+func (d *decider) hungry() (all bool, some []routeHash) {
+	total := d.verdict.all.total
+	for h, t := range d.verdict.routes {
+		if t.lacks(total) && len(some) < mostRoutes {
+			some = append(some, h)
+		}
+	}
+	return total.target.Requests < enoughAnswers, some
+}
+
+// lacks reports whether a route with a part of the requests of all lacks evidence.
+func (t *track) lacks(all pair) bool {
+	if t.total.target.Requests >= routeAnswers {
+		return false
+	}
+	came := t.total.target.Requests + t.total.base.Requests
+	return float64(came) >= routePart*float64(all.target.Requests+all.base.Requests)
+}
+
+// tellAll tells all instances at once that the target is stopped.
+func (r *Rollouts) tellAll(s *service, now time.Duration) (out []message) {
+	text := r.answer(s, 0, now).encode()
+	for _, address := range r.live {
+		if address != "" {
+			out = append(out, message{address, text})
+		}
+	}
+	return out
+}
+
+// tellSilent tells the instances of a promotion that have nothing to report, and so
+// don't know of it.
+func (r *Rollouts) tellSilent(s *service, now time.Duration) (out []message) {
+	d := &s.decider
+	if d.halted || s.gate.phase != Promote || now-d.told < reportPause {
+		return nil
+	}
+	d.told = now
+	text := r.answer(s, 0, now).encode()
+	for _, address := range r.live {
+		p := d.newest[address]
+		if address != "" && (p == nil || now-p.heardAt > freshTime) {
+			out = append(out, message{address, text})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/process/rollout/model_test.go
@@ -0,0 +1,528 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// fleet is a model of instances on one clock that roll out one service, with a store
+// that accepts conditional writes.
+type fleet struct {
+	now     time.Duration
+	random  *rand.Rand
+	bounds  Bounds
+	nodes   []*node
+	queue   events
+	store   store
+	loss    float64                         // part of the messages that are lost
+	rate    func(now time.Duration) float64 // requests a second of all instances together
+	missing float64
+	routes  []float64 // part of the requests by route
+	perform func(software string, route int, now time.Duration) behaviour
+	homes   []Home // of the target's backend servers
+	warm    map[int]bool
+	running []Running
+	began   time.Duration
+
+	orders []*orderSeen
+	faults []string // rules that were broken
+	bad    []time.Duration
+	// lastTarget is when a request went to the target last.
+	lastTarget time.Duration
+	targetAll  int
+	bytes      map[string]int // sent by an address
+}
+
+// behaviour is that of a version's backend servers.
+type behaviour struct {
+	failed float64 // part of the requests that fail
+	factor float64 // of the usual time
+	cold   bool
+	unseen float64 // part of the requests on objects not seen
+}
+
+// orderSeen is what went on from an order to its deadline, for the bound on the share.
+type orderSeen struct {
+	order       *Order
+	at          time.Duration
+	all, target int
+	ended       time.Duration // when the record of it ended
+	phase       Phase
+}
+
+// node is one instance.
+type node struct {
+	f       *fleet
+	index   int
+	name    string
+	r       *Rollouts
+	dead    bool
+	frozen  bool
+	frozenQ []func()
+	cutOut  bool // what it sends to other instances is lost
+	cutIn   bool // what others send to it is lost
+	noStore bool
+	nextAt  time.Duration
+	version int // of the tables as installed
+	life    int // restarts
+	started time.Duration
+	order   *Order
+	record  *Record
+	before  string
+	now     map[string]int // requests in flight by version
+	lastTo  map[string]time.Duration
+	heard   map[int]time.Duration // other instances
+	writing bool
+}
+
+// store is the tables. Version counts its changes.
+type store struct {
+	version  int
+	away     bool
+	order    *Order
+	record   *Record
+	revision int64
+	history  []Record
+	delay    func() time.Duration
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+const (
+	modelStep   = 10 * time.Millisecond
+	usualTime   = 30 * time.Millisecond
+	usualSpread = 0.35
+	// deadAfter is after how long a silent instance counts as dead.
+	deadAfter = 3 * time.Second
+	headers   = 28 // bytes of a datagram by IP and UDP
+)
+
+var eventCount int
+
+func (f *fleet) after(d time.Duration, do func()) {
+	eventCount++
+	heap.Push(&f.queue, event{f.now + d, eventCount, do})
+}
+
+var testBounds = Bounds{Share: 0.1, Slack: 20, StopWithin: 5 * time.Second}
+
+// newFleet returns a fleet where version v1 serves and v2 stands by.
+func newFleet(seed uint64, size int, requests float64) *fleet {
+	f := &fleet{
+		now: time.Hour, random: rand.New(rand.NewPCG(seed, 7)), bounds: testBounds,
+		rate: func(time.Duration) float64 { return requests }, routes: []float64{0.6, 0.25, 0.1, 0.05},
+		perform: func(string, int, time.Duration) behaviour { return behaviour{factor: 1} },
+		running: []Running{{"v1", 6, 1}, {"v2", 6, 50}}, bytes: make(map[string]int), warm: make(map[int]bool),
+	}
+	f.began = f.now
+	f.store.delay = func() time.Duration {
+		return 30*time.Millisecond + time.Duration(f.random.Int64N(int64(120*time.Millisecond)))
+	}
+	for i := range 6 {
+		f.homes = append(f.homes, Home{Hash: xxhash.Sum64String(fmt.Sprint("home", i)), Slots: 8})
+	}
+	for i := range size {
+		x := &node{f: f, index: i, name: fmt.Sprintf("n%d", i)}
+		f.nodes = append(f.nodes, x)
+		x.start()
+	}
+	return f
+}
+
+// start starts the process of a node.
+func (x *node) start() {
+	f := x.f
+	x.life++
+	x.dead, x.frozen, x.frozenQ = false, false, nil
+	x.started = f.now
+	x.version = -1
+	x.order, x.record, x.before = nil, nil, ""
+	x.writing = false
+	x.now, x.lastTo = make(map[string]int), make(map[string]time.Duration)
+	x.heard = make(map[int]time.Duration)
+	x.nextAt = f.now + time.Duration(f.random.Int64N(int64(TickTime)))
+	x.r = &Rollouts{
+		Now: func() time.Duration { return f.now }, Bounds: f.bounds, Incarnation: int64(x.index)<<32 + int64(x.life),
+		Owner: func(string) Owner { return x.owner() }, Live: x.live,
+		InFlight: func(string) int { return x.now[x.before] }, Send: x.send,
+		Random: f.random.Float64,
+	}
+	x.read()
+}
+
+// live returns the instances that x takes for alive.
+func (x *node) live() []string {
+	out := []string{""}
+	for _, o := range x.f.nodes {
+		if o != x && x.takesForAlive(o) {
+			out = append(out, o.name)
+		}
+	}
+	return out
+}
+
+// takesForAlive: heartbeats come twice a second, so an instance counts as dead a while
+// after the last one.
+func (x *node) takesForAlive(o *node) bool { return x.f.now-x.heard[o.index] < deadAfter }
+
+func (x *node) beat() {
+	for _, o := range x.f.nodes {
+		if o != x && !o.dead && !x.cutOut && !o.cutIn {
+			o.heard[x.index] = x.f.now
+		}
+	}
+}
+
+func (x *node) owner() Owner {
+	best := x
+	for _, o := range x.f.nodes {
+		if o != x && !x.takesForAlive(o) {
+			continue
+		}
+		if xxhash.Sum64String("s"+o.name) < xxhash.Sum64String("s"+best.name) {
+			best = o
+		}
+	}
+	if best == x {
+		return Owner{Name: x.name}
+	}
+	return Owner{Name: best.name, Address: best.name}
+}
+
+func (x *node) send(address string, text []byte) {
+	f := x.f
+	f.bytes[x.name] += len(text) + headers
+	if x.cutOut || f.random.Float64() < f.loss {
+		return
+	}
+	var to int
+	_, _ = fmt.Sscanf(address, "n%d", &to)
+	o := f.nodes[to]
+	life := o.life
+	f.after(time.Millisecond+time.Duration(f.random.Int64N(int64(24*time.Millisecond))), func() {
+		if o.dead || o.life != life || o.cutIn {
+			return
+		}
+		o.do(func() { o.r.Hear(x.name, text) })
+	})
+}
+
+// do runs something at the node, or once it is no longer frozen.
+func (x *node) do(f func()) {
+	if x.frozen {
+		x.frozenQ = append(x.frozenQ, f)
+		return
+	}
+	f()
+}
+
+func (x *node) thaw() {
+	x.frozen = false
+	queue := x.frozenQ
+	x.frozenQ = nil
+	for _, f := range queue {
+		f()
+	}
+}
+
+func (x *node) kill() {
+	x.dead = true
+	for k := range x.now {
+		x.now[k] = 0
+	}
+}
+
+// read follows the tables with some delay.
+func (x *node) read() {
+	if x.noStore || x.f.store.away {
+		if x.version < 0 { // it starts without
+			x.install(nil, nil, 0)
+		}
+		return
+	}
+	s := &x.f.store
+	if x.version == s.version {
+		return
+	}
+	version, order, record, revision, life := s.version, s.order, s.record, s.revision, x.life
+	if x.version < 0 {
+		x.version = version
+		x.install(order, record, revision)
+		return
+	}
+	x.version = version
+	x.f.after(s.delay(), func() {
+		x.do(func() {
+			if x.life == life && !x.dead && x.version == version {
+				x.install(order, record, revision)
+			}
+		})
+	})
+}
+
+func (x *node) install(order *Order, record *Record, revision int64) {
+	x.order, x.record = order, record
+	software := Admit(order, record, x.f.running, x.before)
+	x.before = software.InForce
+	var all []Service
+	if order != nil || record != nil && !record.Phase.Ended() {
+		all = append(all, Service{Name: "s", Order: order, Record: record, Revision: revision, InForce: software.InForce, InForceSlots: 48, Homes: x.f.homes})
+	}
+	x.r.Install(all)
+}
+
+// target is the version that may be tried at x.
+func (x *node) target() string { return Admit(x.order, x.record, x.f.running, x.before).Target }
+
+func (x *node) tick() {
+	x.read()
+	x.r.Tick()
+	if x.noStore || x.f.store.away {
+		return
+	}
+	for _, p := range x.r.Proposals(x.f.now + 1000*time.Hour) {
+		x.write(p)
+	}
+}
+
+// write writes a proposal, under the condition that the row is as it was read.
+func (x *node) write(p Proposal) {
+	f, life := x.f, x.life
+	f.after(f.store.delay(), func() {
+		if f.store.away || f.store.revision != p.Revision {
+			return
+		}
+		f.put(p.Record)
+		revision := f.store.revision
+		f.after(f.store.delay(), func() {
+			if x.life == life && !x.dead && f.random.Float64() >= f.loss {
+				x.do(func() { x.r.Written(p, revision) })
+			}
+		})
+	})
+}
+
+func (f *fleet) broken(format string, args ...any) {
+	f.faults = append(f.faults, fmt.Sprintf("%s: ", f.now-f.began)+fmt.Sprintf(format, args...))
+}
+
+// put writes the record and checks what must hold of it.
+func (f *fleet) put(record Record) {
+	s := &f.store
+	if old := s.record; old != nil && old.Order == record.Order {
+		if old.Phase.Ended() || numberOf(record.Phase) < numberOf(old.Phase) && record.Phase != Completed {
+			f.broken("record went from %s to %s", old.Phase, record.Phase)
+		}
+	}
+	if record.Phase == Completed && record.Target != record.Before {
+		f.checkDrained(record.Before)
+	}
+	s.revision++
+	s.version++
+	s.record = &record
+	s.history = append(s.history, record)
+	for _, o := range f.orders {
+		if o.order.ID == record.Order {
+			o.phase = record.Phase
+			if record.Phase.Ended() {
+				o.ended = f.now
+			}
+		}
+	}
+}
+
+func (f *fleet) checkDrained(before string) {
+	for _, x := range f.nodes {
+		if x.dead || x.frozen || x.cutIn || x.cutOut || f.now-x.started < deadAfter {
+			continue
+		}
+		if x.now[before] > 0 {
+			f.broken("completed while %s has %d requests at %s", x.name, x.now[before], before)
+		}
+	}
+}
+
+// order writes an order.
+func (f *fleet) order(target string, within time.Duration) *orderSeen {
+	s := &f.store
+	s.version++
+	s.order = &Order{ID: int64(1000 + s.version), Target: target, Within: within}
+	o := &orderSeen{order: s.order, at: f.now}
+	f.orders = append(f.orders, o)
+	return o
+}
+
+func (f *fleet) withdraw() {
+	f.store.version++
+	f.store.order = nil
+}
+
+// run moves the clock on.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += modelStep {
+		for len(f.queue) > 0 && f.queue[0].at <= f.now {
+			heap.Pop(&f.queue).(event).do()
+		}
+		beats := f.now%(500*time.Millisecond) < modelStep
+		for _, x := range f.nodes {
+			if x.dead || x.frozen {
+				continue
+			}
+			if beats {
+				x.beat()
+			}
+			if f.now >= x.nextAt {
+				x.nextAt = f.now + TickTime
+				x.tick()
+			}
+		}
+		f.come()
+	}
+}
+
+// come lets requests come.
+func (f *fleet) come() {
+	f.missing += f.rate(f.now) * modelStep.Seconds()
+	n := int(f.missing)
+	f.missing -= float64(n)
+	for range n {
+		x := f.nodes[f.random.IntN(len(f.nodes))]
+		if x.dead || x.frozen {
+			continue
+		}
+		route, at := 0, f.random.Float64()
+		for at -= f.routes[0]; at > 0 && route < len(f.routes)-1; at -= f.routes[route] {
+			route++
+		}
+		x.request(route, f.random.IntN(1000), 1)
+	}
+}
+
+// homeOf is the home of an object.
+func (f *fleet) homeOf(object int) uint64 {
+	return f.homes[int(xxhash.Sum64String(fmt.Sprint(object))%uint64(len(f.homes)))].Hash
+}
+
+var routeNames = []string{"r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"}
+
+// request sends a request, and another one if it fails.
+func (x *node) request(route, object, attempt int) {
+	f := x.f
+	home := func() (uint64, bool) {
+		if x.target() == "" || len(f.homes) == 0 {
+			return 0, false
+		}
+		return f.homeOf(object), true
+	}
+	a := x.r.Begin("s", routeNames[route], attempt == 1, home)
+	software := x.before
+	if a.Target() {
+		software = x.target()
+		if software == "" || len(f.homes) == 0 {
+			if !a.Decline() {
+				a.Done(Outcome{Unsent: true})
+				return
+			}
+			software = x.before
+		}
+	}
+	b := f.perform(software, route, f.now)
+	took := time.Duration(float64(usualTime) * b.factor * math.Exp(usualSpread*f.random.NormFloat64()))
+	unseen := f.random.Float64() < b.unseen
+	if unseen {
+		took = took * 2
+	}
+	failed := f.random.Float64() < b.failed
+	f.count(x, software)
+	x.now[software]++
+	life := x.life
+	f.after(took, func() {
+		x.do(func() {
+			if x.life != life || x.dead {
+				return
+			}
+			x.now[software]--
+			a.Done(Outcome{Failed: failed, Took: took, Cold: b.cold, Unseen: unseen})
+			if failed && software == "v2" {
+				f.bad = append(f.bad, f.now)
+			}
+			if failed && attempt < 3 {
+				x.request(route, object, attempt+1)
+			}
+		})
+	})
+}
+
+// count counts a request that is sent, and checks what must hold.
+func (f *fleet) count(x *node, software string) {
+	x.lastTo[software] = f.now
+	if software != "v1" && !f.ordered(software) {
+		f.broken("%s got a request and nobody ordered it", software)
+	}
+	for _, o := range f.orders {
+		if f.now > o.at+o.order.Within || o.ended > 0 && o.phase == Completed {
+			continue
+		}
+		o.all++
+		if software == o.order.Target && software != "v1" {
+			o.target++
+			if float64(o.target) > f.bounds.Share*float64(o.all)+f.bounds.Slack {
+				f.broken("target has %d of %d", o.target, o.all)
+			}
+		}
+	}
+	if software == "v2" {
+		f.targetAll++
+		f.lastTarget = f.now
+		if len(f.bad) >= 50 && f.now > f.bad[49]+f.bounds.StopWithin {
+			f.broken("%s sent to the target %s after its 50th bad answer", x.name, f.now-f.bad[49])
+		}
+	}
+	if r := f.store.record; r != nil && r.Phase == Completed && software != r.Target && f.sound(x) && f.store.order != nil && f.store.order.ID == r.Order {
+		f.broken("%s sent to %s after completed", x.name, software)
+	}
+}
+
+// sound reports whether a node is connected and has lived for a while.
+func (f *fleet) sound(x *node) bool {
+	return !x.dead && !x.frozen && !x.cutIn && !x.cutOut && !x.noStore && !f.store.away && f.now-x.started > deadAfter
+}
+
+func (f *fleet) ordered(software string) bool {
+	return slices.ContainsFunc(f.orders, func(o *orderSeen) bool { return o.order.Target == software })
+}
+
+// phase is the phase in the store.
+func (f *fleet) phase() Phase {
+	if f.store.record == nil {
+		return ""
+	}
+	return f.store.record.Phase
+}
--- /dev/null
+++ b/process/rollout/policy.go
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import "time"
+
+// Messages and leases.
+const (
+	// leaseTime is how long an instance may send to the target after the report that
+	// the owner answered last. Origin: a third of the usual StopWithin, so that a stop
+	// holds in time although each message that tells of it was lost.
+	leaseTime = 1500 * time.Millisecond
+	// reportPause is the usual pause between two reports, and hastyPause that where
+	// something bad has come or the phase is about to change.
+	reportPause = 500 * time.Millisecond
+	hastyPause  = TickTime
+	// hastyBefore is how long before a promotion reports come often.
+	hastyBefore = 1500 * time.Millisecond
+	// idleAfter is how long after its last request an instance stops to report.
+	idleAfter = 2 * time.Second
+	// lateOrder is how long an order may have travelled when its owner hears of it. The
+	// deadline of the record is so much earlier, and the bound holds so much longer.
+	lateOrder = 500 * time.Millisecond
+)
+
+// The share.
+const (
+	// canaryPart and promotePart are the parts of the set share that an instance uses
+	// until the promotion, and until the deadline.
+	canaryPart  = 0.4
+	promotePart = 0.9
+	// scarcePart takes the place of canaryPart while evidence is lacking in all. Origin:
+	// 12 instances with 5 requests a second together, each of which may send one to the
+	// target in a minute otherwise.
+	scarcePart = 0.7
+	// slackPart is the part of the slack that all instances use together, for the first
+	// requests: nobody has sent enough then for a share of it to be a whole request.
+	slackPart = 0.5
+	// turnTime is how long a set of the target's backend servers is open.
+	turnTime = time.Second
+	// saveTime is over how long unused parts of the share are saved for an open one.
+	saveTime = 2 * time.Second
+	// hungryPart is the part of the first attempts that goes to the target, within the
+	// bound, while evidence is lacking in all, and rarePart the part of all first
+	// attempts that does from each route that lacks some of its own. Origin: the model
+	// with 5 requests a second, where the share is 12 requests: routes must not take
+	// from each other.
+	hungryPart = 0.25
+	rarePart   = 0.05
+	// routesGuess is how many routes a service is taken to have until it is known.
+	routesGuess = 4
+	// promiseTime is how long an instance sends nothing to the version before after it
+	// has said so. Origin: an owner acts on reports of freshTime, and a transaction is
+	// through, or has failed, within a second.
+	promiseTime = 1500 * time.Millisecond
+	// promiseRoom is how many times the requests of promiseTime the bound must have
+	// room for before an instance says so, and leastRoom the least number: a burst may
+	// come meanwhile. After the deadline it need not.
+	promiseRoom = 4
+	leastRoom   = 5
+)
+
+// Classes of answers.
+const (
+	// slowFactor is how many times the usual time of its route a slow answer took at
+	// least, and unseenFactor how much more is allowed where the backend server had not
+	// worked on the object.
+	slowFactor   = 1.6
+	unseenFactor = 3
+	// leastUsual is the number of answers after which the usual time counts.
+	leastUsual = 8
+)
+
+// The verdict.
+const (
+	// alarm is the sum of log-likelihood ratios at which a target is bad: ln(2000).
+	alarm = 7.6
+	// baseFactor is by how much the target may be worse than the baseline in relation
+	// to it, and allowFailed and allowSlow how much besides.
+	baseFactor  = 1.5
+	allowFailed = 0.01
+	allowSlow   = 0.1
+	// worseFailed and worseSlow are how much worse than that a bad target is.
+	worseFailed = 0.05
+	worseSlow   = 0.2
+	// backstopFailed failures at a rate above baseFactor times the baseline's and
+	// backstopAllow end a roll-out, whatever the sum says.
+	backstopFailed = 40
+	backstopAllow  = 0.005
+	// shortTime and longTime are the two windows over which the baseline's rate is
+	// measured. The higher one counts, so that a fault of both versions which has just
+	// begun is not put down to the target.
+	shortTime = time.Second
+	longTime  = 10 * time.Second
+	// shrinkage is the weight of the longer window in the shorter one, in answers.
+	shrinkage = 10
+	// settleTime is how long the owner waits with answers of the target until those of
+	// the baseline from the same time have been reported.
+	settleTime = 500 * time.Millisecond
+)
+
+// Steps.
+const (
+	// promoteReserve is the part of the time that the rest of the share lasts which a
+	// promotion before the deadline takes.
+	promoteReserve = 0.8
+	// revertBefore is how long before the deadline a target without evidence is given up.
+	revertBefore = 200 * time.Millisecond
+	// enoughAnswers of the target are evidence. If the share gave fewer, leastAnswers
+	// are.
+	enoughAnswers = 30
+	leastAnswers  = 12
+	// usedShare is the part of the canary's share that must have been used for that.
+	usedShare = 0.7
+	// routeAnswers of the target are needed on each route that gets at least routePart
+	// of the requests.
+	routeAnswers = 3
+	routePart    = 0.02
+	// leastSlots is how many slots of the target take work in relation to those of the
+	// version in force.
+	leastSlots = 0.7
+	// freshTime is how old the reports may be on which a roll-out is completed.
+	freshTime = 400 * time.Millisecond
+	// goodAnswers of the target after the promotion, or calmTime without an alarm,
+	// confirm it.
+	goodAnswers = 20
+	calmTime    = time.Second
+	// goneTime is how long a promoted target may take no work at all.
+	goneTime = 2 * time.Second
+	// proposePause is after how long a step that was not written is proposed again.
+	proposePause = 300 * time.Millisecond
+)
--- a/process/rollout/record.go
+++ b/process/rollout/record.go
@@ -58,18 +58,5 @@
 	return r.Before
 }
 
-// Running is one version of a service's software as backend servers announce it.
-type Running struct {
-	Software string
-	Backends int
-	// Oldest is the lowest version of their rows.
-	Oldest int64
-}
-
-// Admit decides which versions of a service's software may get requests. Order and
-// record may be nil. Before is what was in force at this instance until now, "" at
-// its start. Where nothing else tells, the version whose backend servers announced
-// themselves first is in force.
-func Admit(order *Order, record *Record, running []Running, before string) version.Software {
-	panic("to be written")
-}
+// isFor reports whether the record, which may be nil, is that of an order.
+func (r *Record) isFor(o *Order) bool { return r != nil && o != nil && r.Order == o.ID }
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -3,6 +3,9 @@
 package rollout
 
 import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +29,9 @@
 	Address string // where it takes messages. "": it is this instance
 }
 
+// here reports whether this instance is the owner.
+func (o Owner) here() bool { return o.Name != "" && o.Address == "" }
+
 // Service is what the tables say of a service's roll-out.
 type Service struct {
 	Name  string
@@ -55,6 +61,17 @@
 	Revision int64
 }
 
+// Event is what operators should see: a stop, a lease that lapsed, a verdict.
+type Event struct {
+	Service string
+	What    string // a word for the log, as "canary-stopped"
+	Cause   string
+	Target  Counts
+	Base    Counts
+	// Age is how old the newest of what it was decided on is.
+	Age time.Duration
+}
+
 // Rollouts is the roll-outs of all services at one instance. The fields are set before
 // use.
 type Rollouts struct {
@@ -71,76 +88,193 @@
 	InFlight func(service string) int
 	// Send sends a message to an address. Messages may be lost.
 	Send func(address string, message []byte)
-	// Log is told of what operators should see. It must not call the roll-outs.
+	// Log, if set, is told of what operators should see. It must not call the
+	// roll-outs.
 	Log func(e Event)
+	// Random, if set, returns a number from zero to one.
+	Random func() float64
+
+	// running is set while there is an order, so that requests cost nothing else.
+	running atomic.Bool
+
+	mu        sync.Mutex
+	installed bool // at least once
+	services  map[string]*service
+	byHash    map[uint64]*service
+	live      []string
+	mostLive  int           // the most instances that lived at once
+	liveAt    time.Duration // when live was asked last
+	storeAt   time.Duration // the store's clock, less this instance's
+	storeSeen bool
+	events    []Event // to be logged once the lock is free
 }
 
-// Event is what operators should see: a stop, a lease that lapsed, a verdict.
-type Event struct {
-	Service string
-	What    string // a word for the log, as "canary-stopped"
-	Cause   string
-	Target  Counts
-	Base    Counts
-	// Age is how old the newest of what it was decided on is.
-	Age time.Duration
+// service is the roll-out of one service at this instance.
+type service struct {
+	Service
+	hash  uint64
+	turns turns
+	owner Owner
+	// toBefore is the number of attempts at the version before that have not ended.
+	toBefore int
+	trial    *trial
+	gate     gate
+	reports  reports
+	decider  decider
 }
 
-// Counts are those of one version's answers.
-type Counts struct {
-	Requests int64
-	Failed   int64
-	Slow     int64 // that did not fail
+// trial is what this instance knows of a target. It outlasts an order that is written
+// again while the roll-out runs.
+type trial struct {
+	began  int64 // Record.Began; zero: not known yet
+	routes map[string]*routeTrial
+	others *routeTrial // beyond mostRoutes
+	local  verdict
 }
 
-// Attempt is one attempt at a request of a service whose roll-out runs. Nil: there is
-// none.
-type Attempt struct{}
+// routeTrial is a route of a trial.
+type routeTrial struct {
+	hash routeHash
+	pair
+	usual usual
+}
+
+func (t *trial) route(name string) *routeTrial {
+	if x := t.routes[name]; x != nil {
+		return x
+	}
+	if len(t.routes) < mostRoutes-1 {
+		x := &routeTrial{hash: hashOfRoute(name)}
+		t.routes[name] = x
+		return x
+	}
+	if t.others == nil {
+		t.others = &routeTrial{hash: otherRoutes}
+	}
+	return t.others
+}
 
-// Outcome is what came of an attempt.
-type Outcome struct {
-	// Failed: the answer was a failure of the backend server, or none came.
-	Failed bool
-	// Unsent: nothing was sent, or the caller gave up, so that it tells nothing.
-	Unsent bool
-	// Took is the time from sending to the answer.
-	Took time.Duration
-	// Unseen: the backend server had not worked on the object lately; Cold: it counts
-	// as cold.
-	Unseen, Cold bool
+// part is the part of the requests that come on a route.
+func (t *trial) part(x *routeTrial) float64 {
+	all := t.local.all.total.base.Requests
+	return float64(x.base.Requests+1) / float64(all+routesGuess)
 }
 
 // Install takes up what the tables say of all services that have an order or a record
-// of one that has not ended.
-func (r *Rollouts) Install(services []Service) {}
+// of one that has not ended. An order that is there when it is called first counts as
+// older than this process.
+func (r *Rollouts) Install(services []Service) {
+	live := r.Live()
+	r.mu.Lock()
+	defer r.unlock()
+	now := r.Now()
+	r.noteLive(live, now)
+	old := r.services
+	r.services = make(map[string]*service, len(services))
+	r.byHash = make(map[uint64]*service, len(services))
+	for _, x := range services {
+		s := old[x.Name]
+		if s == nil {
+			s = &service{hash: hashOfService(x.Name)}
+		}
+		r.services[x.Name] = s
+		r.byHash[s.hash] = s
+		r.install(s, x, now)
+	}
+	r.installed = true
+	r.running.Store(len(services) > 0)
+}
 
-// Begin begins an attempt. First is false for a further attempt at the same request,
-// which never goes to the target. Home returns the hash of the backend server that
-// the request's object has as its home among the target's; ok is false if none takes
-// work. It is called only if the answer matters.
-func (r *Rollouts) Begin(service, route string, first bool, home func() (hash uint64, ok bool)) *Attempt {
-	return nil
+// install takes up what the tables say of one service. The caller holds the lock.
+func (r *Rollouts) install(s *service, x Service, now time.Duration) {
+	if s.Revision > x.Revision {
+		x.Record, x.Revision = s.Record, s.Revision // this instance wrote it
+	}
+	old := s.Order
+	goesOn := old != nil && x.Order != nil && old.Target == x.Order.Target && !ended(s.Record) && !ended(x.Record)
+	s.Service = x
+	s.turns.set(x.Homes)
+	switch {
+	case x.Order == nil:
+		s.trial = nil
+		return
+	case old != nil && old.ID == x.Order.ID && s.trial != nil:
+	case goesOn && s.trial != nil:
+		s.gate = s.gate.renewed()
+	default:
+		r.try(s, now)
+	}
+	r.noteRecord(s, now)
 }
 
-// Target reports whether the attempt goes to the target.
-func (a *Attempt) Target() bool { return false }
+func ended(r *Record) bool { return r != nil && r.Phase.Ended() }
 
-// Decline sends the attempt to the version in force after all, since the target can't
-// take it.
-func (a *Attempt) Decline() {}
+// try begins with an order whose target is not known yet.
+func (r *Rollouts) try(s *service, now time.Duration) {
+	s.trial = &trial{routes: make(map[string]*routeTrial), local: newVerdict(localAlarm(r.mostLive))}
+	s.gate = newGate()
+	if r.installed {
+		s.gate.extra = slackPart * r.Bounds.Slack / float64(max(1, r.mostLive))
+		s.gate.saved = s.gate.extra
+	}
+	s.decider = newDecider(now)
+}
 
-// Done tells what came of the attempt. It is called once.
-func (a *Attempt) Done(o Outcome) {}
+// noteRecord takes up the record of the present order, if there is one.
+func (r *Rollouts) noteRecord(s *service, now time.Duration) {
+	if !s.Record.isFor(s.Order) {
+		return
+	}
+	began := int64(s.Record.Began)
+	if s.trial.began != 0 && s.trial.began != began {
+		r.try(s, now) // what was known is of a roll-out that has ended meanwhile
+	}
+	s.trial.began = began
+	s.gate.goOn(s.Record.Phase)
+	if s.Record.Phase == Promote {
+		s.decider.promoted(now)
+	}
+}
 
-// Tick sends what is due.
-func (r *Rollouts) Tick() {}
+// runs reports whether requests of the service are part of a roll-out. After the last
+// step they are until the version that serves here is the target, too.
+func (s *service) runs() bool {
+	return s.trial != nil && s.Order.Target != s.InForce && !(s.Record.isFor(s.Order) && s.Record.Phase == Reverted)
+}
 
-// Hear takes up a message. It reports whether the message was one of roll-outs.
-func (r *Rollouts) Hear(from string, text []byte) bool { return false }
+// noteLive notes which instances live. The caller holds the lock.
+func (r *Rollouts) noteLive(live []string, now time.Duration) {
+	r.live = live
+	r.liveAt = now
+	r.mostLive = max(r.mostLive, len(live))
+}
 
-// Proposals returns the steps that this instance, as the owner, wants written. Now is
-// the store's steady clock.
-func (r *Rollouts) Proposals(now time.Duration) []Proposal { return nil }
+// mostly reports whether at least half of the instances are there that were: fewer may
+// be cut off from others that have another owner.
+func (r *Rollouts) mostly() bool { return 2*len(r.live) >= r.mostLive }
 
-// Written tells that a proposal is in the store, and the revision of its row.
-func (r *Rollouts) Written(p Proposal, revision int64) {}
+func (r *Rollouts) random() float64 {
+	if r.Random != nil {
+		return r.Random()
+	}
+	return rand.Float64()
+}
+
+// unlock frees the lock, and logs what has happened under it.
+func (r *Rollouts) unlock() {
+	events := r.events
+	r.events = nil
+	r.mu.Unlock()
+	for _, e := range events {
+		if r.Log != nil {
+			r.Log(e)
+		}
+	}
+}
+
+// note notes an event of a service.
+func (r *Rollouts) note(s *service, what, cause string, v *verdict, age time.Duration) {
+	r.events = append(r.events, Event{
+		Service: s.Name, What: what, Cause: cause, Target: v.all.total.target, Base: v.all.total.base, Age: age,
+	})
+}
--- /dev/null
+++ b/process/rollout/step.go
@@ -0,0 +1,255 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"shalewick/version"
+)
+
+// Proposals returns the steps that this instance, as the owner, wants written. Now is
+// the store's steady clock.
+func (r *Rollouts) Proposals(now time.Duration) (out []Proposal) {
+	seen := r.outside()
+	live := r.Live()
+	r.mu.Lock()
+	defer r.unlock()
+	own := r.Now()
+	r.noteLive(live, own)
+	r.storeAt = now - own
+	r.storeSeen = true
+	for name, x := range seen {
+		s := r.services[name]
+		if s == nil {
+			continue
+		}
+		s.owner = x.owner
+		if !s.owner.here() {
+			continue
+		}
+		if p := r.propose(s, now, own); p != nil {
+			out = append(out, *p)
+		}
+	}
+	return out
+}
+
+// Written tells that a proposal is in the store, and the revision of its row.
+func (r *Rollouts) Written(p Proposal, revision int64) {
+	r.mu.Lock()
+	defer r.unlock()
+	s := r.services[p.Record.Service]
+	if s == nil || revision <= s.Revision {
+		return
+	}
+	record := p.Record
+	s.Record, s.Revision = &record, revision
+	s.decider.proposed = nil
+	if s.trial != nil {
+		r.noteRecord(s, r.Now())
+	}
+}
+
+// propose returns the step that is due, unless it was proposed just now.
+func (r *Rollouts) propose(s *service, store, now time.Duration) *Proposal {
+	record := r.step(s, store, now)
+	if record == nil {
+		return nil
+	}
+	d := &s.decider
+	p := &Proposal{Record: *record, Revision: s.Revision}
+	if old := d.proposed; old != nil && old.Revision == p.Revision && old.Record.Phase == p.Record.Phase && old.Record.Order == p.Record.Order {
+		if now-d.proposedAt < proposePause {
+			return nil
+		}
+	} else if s.trial != nil {
+		r.note(s, "step-"+string(record.Phase), record.Cause, &d.verdict, now-d.heardAt)
+	}
+	d.proposed, d.proposedAt = p, now
+	return p
+}
+
+// step returns the record as it should be, or nil if it should be as it is.
+func (r *Rollouts) step(s *service, store, now time.Duration) *Record {
+	switch order, record := s.Order, s.Record; {
+	case order == nil && (record == nil || record.Phase.Ended()):
+		return nil
+	case order == nil:
+		return s.revert("order withdrawn")
+	case record.isFor(order) && record.Phase.Ended():
+		return nil
+	case record.isFor(order) && s.decider.halted:
+		return s.revert(s.decider.cause)
+	case record.isFor(order) && record.Phase == Canary:
+		return r.endCanary(s, store)
+	case record.isFor(order):
+		return r.endPromotion(s, now)
+	case record != nil && !record.Phase.Ended() && record.Target == order.Target:
+		return s.reorder(store)
+	}
+	return s.firstStep(store)
+}
+
+// revert returns the record with the roll-out given up.
+func (s *service) revert(cause string) *Record {
+	x := *s.Record
+	x.Phase = Reverted
+	x.Cause = cause
+	x.Evidence = s.decider.evidence()
+	return &x
+}
+
+// evidence is what is known, in words.
+func (d *decider) evidence() string {
+	total := d.verdict.all.total
+	return fmt.Sprintf("target: %s; before: %s", total.target, total.base)
+}
+
+// firstStep returns the first record of an order.
+func (s *service) firstStep(store time.Duration) *Record {
+	x := &Record{
+		Service: s.Name, Order: s.Order.ID, Target: s.Order.Target, Before: s.InForce, Phase: Canary,
+		Began: version.Duration(store), Deadline: version.Duration(s.deadline(store)),
+	}
+	if s.Record != nil {
+		x.Before = s.Record.InForce()
+	}
+	if cause := s.Order.nonsense(); cause != "" {
+		x.Phase, x.Cause = Reverted, cause
+		return x
+	}
+	if x.Target == x.Before {
+		x.Phase = Completed
+	}
+	return x
+}
+
+// deadline is when the present order must be through if its owner hears of it now.
+func (s *service) deadline(store time.Duration) time.Duration {
+	return store + max(0, s.Order.Within-lateOrder)
+}
+
+// nonsense says what is wrong with an order, if anything is.
+func (o *Order) nonsense() string {
+	switch {
+	case o.Target == "":
+		return "order without a target"
+	case o.Within <= 0:
+		return "order without time"
+	case o.Within > version.MaxRollout:
+		return "order with more time than a day"
+	}
+	return ""
+}
+
+// reorder returns the record for an order that asks again for what runs.
+func (s *service) reorder(store time.Duration) *Record {
+	x := *s.Record
+	x.Order = s.Order.ID
+	x.Deadline = version.Duration(s.deadline(store))
+	if s.decider.halted {
+		x.Phase, x.Cause = Reverted, s.decider.cause
+		x.Evidence = s.decider.evidence()
+	}
+	if cause := s.Order.nonsense(); cause != "" {
+		x.Phase, x.Cause = Reverted, cause
+	}
+	return &x
+}
+
+// promoteAt is when the promotion is due, by the store's clock: so long before the
+// deadline that the rest of the share lasts.
+func (s *service) promoteAt(share float64) time.Duration {
+	lasts := promoteReserve * (promotePart - canaryPart) * share * float64(s.Order.Within)
+	return time.Duration(s.Record.Deadline) - time.Duration(lasts)
+}
+
+// endCanary promotes the target when it is time, and gives it up when it is too late.
+func (r *Rollouts) endCanary(s *service, store time.Duration) *Record {
+	if store < s.promoteAt(r.Bounds.Share) {
+		return nil
+	}
+	lack := r.lack(s)
+	if lack == "" && r.mostly() {
+		x := *s.Record
+		x.Phase = Promote
+		x.Evidence = s.decider.evidence()
+		return &x
+	}
+	if store < time.Duration(s.Record.Deadline)-revertBefore {
+		return nil
+	}
+	if lack == "" {
+		lack = "most instances do not answer"
+	}
+	return s.revert(lack)
+}
+
+// lack says what is lacking for a promotion, if anything is.
+func (r *Rollouts) lack(s *service) string {
+	total := s.decider.verdict.all.total
+	given := usedShare * canaryPart * r.Bounds.Share * float64(total.base.Requests+total.target.Requests)
+	n := total.target.Requests
+	switch {
+	case n < enoughAnswers && (n < leastAnswers || float64(n) < given):
+		return fmt.Sprintf("too little evidence: %d answers of the target", n)
+	case float64(s.turns.slots) < leastSlots*float64(s.InForceSlots):
+		return fmt.Sprintf("target has %d slots, of %d that are needed beside", s.turns.slots, s.InForceSlots)
+	}
+	for _, t := range s.decider.verdict.routes {
+		if t.lacks(total) {
+			return fmt.Sprintf("too little evidence: a route with %d answers of the target", t.total.target.Requests)
+		}
+	}
+	return ""
+}
+
+// endPromotion completes the roll-out once no instance has anything at the version
+// before, and none will send anything there.
+func (r *Rollouts) endPromotion(s *service, now time.Duration) *Record {
+	d := &s.decider
+	if s.turns.slots > 0 || s.InForceSlots == 0 {
+		d.goneSince = 0
+	} else if d.goneSince == 0 {
+		d.goneSince = now
+	}
+	if d.goneSince > 0 && now-d.goneSince >= goneTime {
+		return s.revert("target is gone")
+	}
+	if !d.confirmed(now) || !r.allDrained(s, now) {
+		return nil
+	}
+	x := *s.Record
+	x.Phase = Completed
+	x.Evidence = d.evidence()
+	return &x
+}
+
+// confirmed reports whether the target has held under all requests.
+func (d *decider) confirmed(now time.Duration) bool {
+	return d.promotedAt != 0 && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
+}
+
+// allDrained reports whether each live instance has said lately that nothing is at the
+// version before, and that nothing goes there.
+func (r *Rollouts) allDrained(s *service, now time.Duration) bool {
+	if !r.mostly() {
+		return false
+	}
+	if !s.decider.isDrained("", now) {
+		return false
+	}
+	for _, address := range r.live {
+		if !s.decider.isDrained(address, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *decider) isDrained(address string, now time.Duration) bool {
+	p := d.newest[address]
+	return p != nil && p.promote && p.drained && p.madeAfter > 0 && now-p.madeAfter <= freshTime
+}
--- /dev/null
+++ b/process/rollout/verdict.go
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+// verdict compares the target with the baseline: for all requests, and for each
+// route, so that a fault of one route is not lost among the others.
+type verdict struct {
+	// alarm is the sum at which the target is bad.
+	alarm  float64
+	all    track
+	routes map[routeHash]*track
+	cause  string // "": no alarm
+}
+
+func newVerdict(alarm float64) verdict {
+	return verdict{alarm: alarm, routes: make(map[routeHash]*track)}
+}
+
+func (v *verdict) track(route routeHash) *track {
+	t := v.routes[route]
+	if t == nil {
+		t = &track{}
+		v.routes[route] = t
+	}
+	return t
+}
+
+// base takes up answers of the baseline.
+func (v *verdict) base(route routeHash, c Counts, now time.Duration) {
+	v.all.base(c, now)
+	v.track(route).base(c, now)
+}
+
+// target takes up answers of the target. From the first alarm on there is a cause.
+func (v *verdict) target(route routeHash, c Counts, now time.Duration) {
+	causes := [2]string{v.track(route).target(c, now, v.alarm), v.all.target(c, now, v.alarm)}
+	for _, x := range causes {
+		if v.cause == "" {
+			v.cause = x
+		}
+	}
+}
+
+// track is the comparison for some requests.
+type track struct {
+	total        pair
+	short, long  window
+	failed, slow sum
+}
+
+func (t *track) base(c Counts, now time.Duration) {
+	t.total.base.add(c)
+	t.short.add(c, now, shortTime)
+	t.long.add(c, now, longTime)
+}
+
+// target adds answers of the target, and returns the cause of an alarm.
+func (t *track) target(c Counts, now time.Duration, alarm float64) string {
+	t.total.target.add(c)
+	t.short.fade(now, shortTime)
+	t.long.fade(now, longTime)
+	failed := t.expectFailed()
+	t.failed.add(float64(c.Failed), float64(c.Requests), failed*baseFactor+allowFailed, worseFailed)
+	t.slow.add(float64(c.Slow), float64(c.Timed), t.expectSlow()*baseFactor+allowSlow, worseSlow)
+	switch all := t.total.target; {
+	case float64(t.failed) >= alarm:
+		return "target fails"
+	case float64(t.slow) >= alarm:
+		return "target is slow"
+	case all.Failed >= backstopFailed && float64(all.Failed) > (baseFactor*failed+backstopAllow)*float64(all.Requests):
+		return "target fails often"
+	}
+	return ""
+}
+
+// expectFailed is the rate at which the baseline fails now.
+func (t *track) expectFailed() float64 {
+	return rate(
+		ratio{t.short.failed, t.short.requests}, ratio{t.long.failed, t.long.requests},
+		ratio{float64(t.total.base.Failed), float64(t.total.base.Requests)},
+	)
+}
+
+// expectSlow is the rate at which the baseline is slow now.
+func (t *track) expectSlow() float64 {
+	return rate(
+		ratio{t.short.slow, t.short.timed}, ratio{t.long.slow, t.long.timed},
+		ratio{float64(t.total.base.Slow), float64(t.total.base.Timed)},
+	)
+}
+
+// ratio is a part of a number.
+type ratio struct{ part, of float64 }
+
+// shrunk is the ratio drawn to a rate, the more, the less it rests on.
+func (r ratio) shrunk(to float64) float64 { return (r.part + shrinkage*to) / (r.of + shrinkage) }
+
+// rate is the rate of the last seconds: the higher of the two windows', each drawn to
+// that over a longer time.
+func rate(short, long, all ratio) float64 {
+	over := long.shrunk(all.shrunk(0))
+	return max(over, short.shrunk(over))
+}
+
+// window counts answers and forgets them.
+type window struct {
+	requests, failed, timed, slow float64
+	at                            time.Duration
+}
+
+func (w *window) fade(now, over time.Duration) {
+	if now <= w.at {
+		return
+	}
+	left := math.Exp(-float64(now-w.at) / float64(over))
+	w.requests *= left
+	w.failed *= left
+	w.timed *= left
+	w.slow *= left
+	w.at = now
+}
+
+func (w *window) add(c Counts, now, over time.Duration) {
+	w.fade(now, over)
+	w.requests += float64(c.Requests)
+	w.failed += float64(c.Failed)
+	w.timed += float64(c.Timed)
+	w.slow += float64(c.Slow)
+}
+
+// sum is a cumulative sum of log-likelihood ratios that does not fall below zero
+// (CUSUM, Page 1954).
+type sum float64
+
+// mostRate bounds the rate that a bad target is compared with: beyond it there is
+// nothing to tell.
+const mostRate = 0.97
+
+// add takes up n answers of which k are bad, where a good target has a rate of p and a
+// bad one of so much more.
+func (s *sum) add(k, n, p, more float64) {
+	if n <= 0 {
+		return
+	}
+	bad := min(mostRate, p+more)
+	if p >= bad {
+		return
+	}
+	ratio := k*math.Log(bad/p) + (n-k)*math.Log((1-bad)/(1-p))
+	*s = sum(max(0, float64(*s)+ratio))
+}
