--- a/process/rollout/attempt.go
+++ b/process/rollout/attempt.go
@@ -166,7 +166,7 @@
 		s.reports.hasty = true
 	}
 	if s.trial.local.cause != "" && !s.gate.halted {
-		s.gate.halt()
+		s.gate.halted = true // what was promised holds until then
 		r.note(s, "instance-stopped", s.trial.local.cause, &s.trial.local, 0)
 	}
 }
--- a/process/rollout/decider.go
+++ b/process/rollout/decider.go
@@ -143,14 +143,21 @@
 	if cause == "" && d.stopped {
 		cause = "an instance has stopped"
 	}
-	if cause == "" || !d.halt(cause) {
+	if cause == "" || d.completing(now) || !d.halt(cause) {
 		return false
 	}
-	s.gate.halt()
+	s.gate.halted = true
+	s.gate.promised = 0
 	r.note(s, "target-stopped", cause, &d.verdict, now-d.heardAt)
 	return true
 }
 
+// completing reports whether the last step may be in the store. Instances must not turn
+// back then.
+func (d *decider) completing(now time.Duration) bool {
+	return d.proposed != nil && d.proposed.Record.Phase == Completed && now-d.proposedAt < completeTime
+}
+
 // answer answers a report. Without most of the instances it gives no lease. The caller
 // holds the lock.
 func (r *Rollouts) answer(s *service, seq byte, now time.Duration) *answer {
--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -40,12 +40,12 @@
 // renewed is the gate for an order that replaces one for the same target: shares count
 // from there, and nothing goes to the target until the owner has taken it up.
 func (g *gate) renewed() gate {
-	return gate{extra: max(0, g.extra-g.used), halted: g.halted, rate: g.rate}
+	return gate{extra: max(0, g.extra-g.used), halted: g.halted, rate: g.rate, promised: g.promised}
 }
 
 // closed reports whether nothing may go to the version before.
 func (g *gate) closed(now time.Duration) bool {
-	return g.phase == Completed || now < g.promised && !g.halted
+	return g.phase == Completed || now < g.promised
 }
 
 // goOn takes up a phase, unless it is further.
@@ -68,13 +68,9 @@
 // Random is set if it goes to the target for the evidence, within the bound.
 func (g *gate) way(share float64, first, random bool, now time.Duration) way {
 	switch {
-	case g.phase == Completed:
+	case g.closed(now):
 		return toTarget
-	case g.halted:
-		return toBefore
-	case now < g.promised:
-		return toTarget
-	case !first || now >= g.lease:
+	case g.halted || !first || now >= g.lease:
 		return toBefore
 	case g.phase == Promote && (g.free(now) || g.within(g.part()*share)):
 		return toTarget
@@ -154,7 +150,8 @@
 func (g *gate) hear(x *answer, lease bool, sentAt, now time.Duration) {
 	g.goOn(x.phase)
 	if x.halted || x.phase == Reverted {
-		g.halt()
+		g.halted = true
+		g.promised = 0
 		return
 	}
 	if lease {
@@ -201,9 +198,3 @@
 func (f *flow) now(now time.Duration) float64 {
 	return f.rate * math.Exp(-float64(now-f.at)/float64(saveTime))
 }
-
-// halt stops sending to the target.
-func (g *gate) halt() {
-	g.halted = true
-	g.promised = 0
-}
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -16,6 +16,9 @@
 	hastyPause  = TickTime
 	// hastyBefore is how long before a promotion reports come often.
 	hastyBefore = 1500 * time.Millisecond
+	// mostTime is for how long at least an instance remembers how many there were. Origin:
+	// longer than links between regions are cut, mostly.
+	mostTime = 5 * time.Minute
 	// idleAfter is how long after its last request an instance stops to report.
 	idleAfter = 2 * time.Second
 	// lateOrder is how long an order may have travelled when its owner hears of it. The
@@ -125,6 +128,9 @@
 	// confirm it.
 	goodAnswers = 20
 	calmTime    = time.Second
+	// completeTime is how long the last step may take until it is known whether it is in
+	// the store.
+	completeTime = time.Second
 	// goneTime is how long a promoted target may take no work at all.
 	goneTime = 2 * time.Second
 	// proposePause is after how long a step that was not written is proposed again.
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -102,7 +102,9 @@
 	services  map[string]*service
 	byHash    map[uint64]*service
 	live      []string
-	mostLive  int           // the most instances that lived at once
+	mostLive  int           // the most instances that lived at once lately
+	mostPast  int           // ... in the span of time before
+	mostSince time.Duration // since when mostLive counts
 	liveAt    time.Duration // when live was asked last
 	storeAt   time.Duration // the store's clock, less this instance's
 	storeSeen bool
@@ -113,6 +115,7 @@
 type service struct {
 	Service
 	hash  uint64
+	gone  bool // the tables have no roll-out of it any more
 	turns turns
 	owner Owner
 	// toBefore is the number of attempts at the version before that have not ended.
@@ -172,11 +175,15 @@
 	old := r.services
 	r.services = make(map[string]*service, len(services))
 	r.byHash = make(map[uint64]*service, len(services))
+	for _, s := range old {
+		s.gone = true
+	}
 	for _, x := range services {
 		s := old[x.Name]
 		if s == nil {
 			s = &service{hash: hashOfService(x.Name)}
 		}
+		s.gone = false
 		r.services[x.Name] = s
 		r.byHash[s.hash] = s
 		r.install(s, x, now)
@@ -211,10 +218,10 @@
 
 // try begins with an order whose target is not known yet.
 func (r *Rollouts) try(s *service, now time.Duration) {
-	s.trial = &trial{routes: make(map[string]*routeTrial), local: newVerdict(localAlarm(r.mostLive))}
+	s.trial = &trial{routes: make(map[string]*routeTrial), local: newVerdict(localAlarm(r.fleet()))}
 	s.gate = newGate()
 	if r.installed {
-		s.gate.extra = slackPart * r.Bounds.Slack / float64(max(1, r.mostLive))
+		s.gate.extra = slackPart * r.Bounds.Slack / float64(r.fleet())
 		s.gate.saved = s.gate.extra
 	}
 	s.decider = newDecider(now)
@@ -239,19 +246,26 @@
 // runs reports whether requests of the service are part of a roll-out. After the last
 // step they are until the version that serves here is the target, too.
 func (s *service) runs() bool {
-	return s.trial != nil && s.Order.Target != s.InForce && !(s.Record.isFor(s.Order) && s.Record.Phase == Reverted)
+	return !s.gone && s.trial != nil && s.Order.Target != s.InForce && !(s.Record.isFor(s.Order) && s.Record.Phase == Reverted)
 }
 
 // noteLive notes which instances live. The caller holds the lock.
 func (r *Rollouts) noteLive(live []string, now time.Duration) {
 	r.live = live
 	r.liveAt = now
+	if now-r.mostSince >= mostTime {
+		r.mostPast, r.mostLive, r.mostSince = r.mostLive, 0, now
+	}
 	r.mostLive = max(r.mostLive, len(live))
 }
 
+// fleet is how many instances there are, or were lately: those that are missing may be
+// cut off, and not gone.
+func (r *Rollouts) fleet() int { return max(1, r.mostLive, r.mostPast) }
+
 // mostly reports whether at least half of the instances are there that were: fewer may
 // be cut off from others that have another owner.
-func (r *Rollouts) mostly() bool { return 2*len(r.live) >= r.mostLive }
+func (r *Rollouts) mostly() bool { return 2*len(r.live) >= r.fleet() }
 
 func (r *Rollouts) random() float64 {
 	if r.Random != nil {
--- a/process/rollout/turn.go
+++ b/process/rollout/turn.go
@@ -12,6 +12,7 @@
 type turns struct {
 	homes []Home // by hash
 	slots int    // of all
+	most  int    // of one
 	// The set of the turn that was asked for last.
 	turn  int64
 	part  float64
@@ -25,6 +26,7 @@
 	slices.SortFunc(t.homes, func(a, b Home) int { return cmp.Compare(a.Hash, b.Hash) })
 	for _, h := range t.homes {
 		t.slots += h.Slots
+		t.most = max(t.most, h.Slots)
 	}
 }
 
@@ -47,16 +49,15 @@
 // every is in one of how many turns any backend server is open: when one has more
 // than the part, turns are left out in between.
 func (t *turns) every(part float64) int64 {
-	most := 0
-	for _, h := range t.homes {
-		most = max(most, h.Slots)
-	}
-	if most == 0 || part <= 0 {
+	if t.most == 0 || part <= 0 {
 		return 1
 	}
-	return max(1, int64(math.Ceil(float64(most)/(part*float64(t.slots))-1e-9)))
+	return max(1, int64(math.Ceil(float64(t.most)/(part*float64(t.slots))-rounding)))
 }
 
+// rounding is what a quotient may be off.
+const rounding = 1e-9
+
 // choose finds the set of a turn: as many as have the part of the slots.
 func (t *turns) choose(turn int64, part float64) {
 	t.turn, t.part = turn, part
