edge, cluster: who has to have drained before a roll-out ends

Cause: a roll-out ends once all live instances have said that they have nothing in flight. One that is leaving did not count though it has requests in flight, and one of another region counts as alive until a call to it fails, which nobody makes.

Change: those that leave count until they are silent; a message of an instance proves that it lives; while all requests move, the owner asks those of other regions that are silent. While no roll-out runs the members are shown to the roll-outs once a second.

--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -93,6 +93,15 @@
 	return nil
 }
 
+// Check asks another instance for anything, and notes whether it answers.
+func (p *Peers) Check(ctx context.Context, m Member) bool {
+	_, err := p.call(ctx, m.Peer, PathMembers, p.Members.Self())
+	if err == nil || ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.Members.Called(m.Name, err == nil)
+	}
+	return err == nil
+}
+
 // call returns the body of the answer of another instance.
 func (p *Peers) call(ctx context.Context, address, path string, in any) ([]byte, error) {
 	b, err := json.Marshal(in)
--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -115,7 +115,7 @@
 // hearMessage takes up a message, unless its sender is not known.
 func (b *Beats) hearMessage(from netip.AddrPort, text []byte) {
 	address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
-	if b.Message != nil && b.members.knowsPeer(address) {
+	if b.Message != nil && b.members.heardPeer(address) {
 		b.Message(address, text)
 	}
 }
--- a/process/cluster/owner.go
+++ b/process/cluster/owner.go
@@ -99,12 +99,14 @@
 	b.sendTo(address, append([]byte{messageMark}, text...))
 }
 
-// knowsPeer reports whether an instance has an address.
-func (m *Members) knowsPeer(address string) bool {
+// heardPeer notes that the instance with an address lives, and reports whether one has
+// it.
+func (m *Members) heardPeer(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, k := range m.order {
 		if k.Peer == address {
+			k.heard = m.now()
 			return true
 		}
 	}
--- a/process/edge/belief.go
+++ b/process/edge/belief.go
@@ -77,8 +77,8 @@
 // watchPause is the pause between two looks at which instances are alive.
 const watchPause = time.Second
 
-// watchMembers writes which instances were lost and found until the context
-// ends.
+// watchMembers writes which instances were lost and found until the context ends, and
+// lets the roll-outs see them while none runs.
 func (e *Edge) watchMembers(ctx context.Context) {
 	var known []cluster.Member
 	relay := false
@@ -92,6 +92,9 @@
 			e.log.Info().Strs("others", few(lost)).Int("lost", len(lost)).Int("live", len(live)).Msg("instances-lost")
 		}
 		known = live
+		if !e.rolling.open.isOpen() {
+			e.rollouts.Tick()
+		}
 		if now := e.peers.Relay(); now != relay {
 			relay = now
 			e.log.Info().Bool("relay", relay).Msg("relay")
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -173,7 +173,7 @@
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
 		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.askSeeds, e.watchMembers, e.tickQuota, e.watchUse,
-		e.tickRollouts, e.writeSteps,
+		e.tickRollouts, e.writeSteps, e.checkSilent,
 	} {
 		e.loops.Go(func() { loop(ctx) })
 	}
--- a/process/edge/gate.go
+++ b/process/edge/gate.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// isOpen reports whether the gate is open.
+func (g *gate) isOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
 // wait waits until the gate is open. It reports false if the context ends first.
 func (g *gate) wait(ctx context.Context) bool {
 	for ctx.Err() == nil {
--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -22,6 +22,8 @@
 	// that is for.
 	wanted  atomic.Bool
 	running atomic.Int64
+	// promotes is set while one of them moves all requests.
+	promotes atomic.Bool
 	// open while there are orders, or roll-outs that have not ended: of services.
 	open     gate
 	services atomic.Pointer[[]string]
@@ -62,9 +64,10 @@
 	return rollout.Owner{Name: m.Name, Address: m.Peer}
 }
 
-// liveAddresses returns where the instances that live take messages, "" for this one.
+// liveAddresses returns where the instances take messages that may have requests in
+// flight, "" for this one.
 func (e *Edge) liveAddresses() []string {
-	live := e.members.Live()
+	live := e.members.AtWork()
 	out := make([]string, 0, len(live))
 	for _, m := range live {
 		if m.Name == e.settings.Instance {
@@ -140,6 +143,7 @@
 	running := unanswered(orders, records) + withoutOrder(orders, records)
 	e.rolling.running.Store(int64(running))
 	e.rolling.wanted.Store(running > 0)
+	e.rolling.promotes.Store(promotes(records))
 	names := make([]string, 0, len(services))
 	for _, s := range services {
 		names = append(names, s.Name)
@@ -185,6 +189,16 @@
 	return names
 }
 
+// promotes reports whether a roll-out moves all requests.
+func promotes(records map[string]knownRecord) bool {
+	for _, k := range records {
+		if k.record.Phase == rollout.Promote {
+			return true
+		}
+	}
+	return false
+}
+
 // withoutOrder returns the number of roll-outs that have not ended though there is no
 // order any more.
 func withoutOrder(orders map[string]*rollout.Order, records map[string]knownRecord) int {
@@ -209,7 +223,8 @@
 	return slots, homes
 }
 
-// tickRollouts tells and asks the owners of roll-outs until the context ends.
+// tickRollouts tells and asks the owners of roll-outs until the context ends. While there
+// is no roll-out watchMembers ticks, since what lived shortly before one matters.
 func (e *Edge) tickRollouts(ctx context.Context) {
 	for e.rolling.open.wait(ctx) && clock.Sleep(ctx, rollout.TickTime) {
 		e.rollouts.Tick()
