--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -78,6 +78,8 @@
 const (
 	// alarm is the sum of log-likelihood ratios at which a target is bad: ln(2000).
 	alarm = 7.6
+	// doubtPart of alarm holds a target back: it is neither promoted nor completed.
+	doubtPart = 0.5
 	// baseFactor is by how much the target may be worse than the baseline in relation
 	// to it, and allowFailed and allowSlow how much besides.
 	baseFactor  = 1.5
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -195,6 +195,8 @@
 	switch {
 	case n < enoughAnswers && (n < leastAnswers || float64(n) < given):
 		return fmt.Sprintf("too little evidence: %d answers of the target", n)
+	case s.decider.verdict.doubts():
+		return "target is in doubt"
 	case float64(s.turns.slots) < leastSlots*float64(s.InForceSlots):
 		return fmt.Sprintf("target has %d slots, of %d that are needed beside", s.turns.slots, s.InForceSlots)
 	}
@@ -229,7 +231,7 @@
 
 // confirmed reports whether the target has held under all requests.
 func (d *decider) confirmed(now time.Duration) bool {
-	return d.promotedAt != 0 && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
+	return d.promotedAt != 0 && !d.verdict.doubts() && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
 }
 
 // allDrained reports whether each live instance has said lately that nothing is at the
--- a/process/rollout/verdict.go
+++ b/process/rollout/verdict.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// doubts reports whether it is half way to an alarm.
+func (v *verdict) doubts() bool {
+	if v.all.doubts(v.alarm) {
+		return true
+	}
+	for _, t := range v.routes {
+		if t.doubts(v.alarm) {
+			return true
+		}
+	}
+	return false
+}
+
 // track is the comparison for some requests.
 type track struct {
 	total        pair
@@ -78,6 +91,8 @@
 	return ""
 }
 
+func (t *track) doubts(alarm float64) bool { return float64(max(t.failed, t.slow)) >= doubtPart*alarm }
+
 // expectFailed is the rate at which the baseline fails now.
 func (t *track) expectFailed() float64 {
 	return rate(
