--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -81,3 +81,28 @@
 	f.Add(`time=2026-01-02T02:02:01Z event="`)
 	f.Fuzz(func(t *testing.T, text string) { ParseLine(text) })
 }
+
+// TestStoryTellsOfTheServicesRollout checks that the last that was said of the request's
+// service is told, however old, and nothing of another service.
+func TestStoryTellsOfTheServicesRollout(t *testing.T) {
+	const before = `time=2026-01-02T02:00:01Z level=info event=rollout-ordered service=s order=7 target=v2 instance=a
+time=2026-01-02T02:00:02Z level=info event=rollout-record service=s phase=canary target=v2 instance=a
+time=2026-01-02T02:00:03Z level=info event=rollout-record service=s phase=promote target=v2 instance=a
+time=2026-01-02T02:00:03Z level=info event=rollout-record service=t phase=canary target=v3 instance=a
+time=2026-01-02T02:00:04Z level=info event=backends-held-back service=s software=v4 number=2 instance=a
+time=2026-01-02T02:00:05Z level=info event=rollout-event service=s what=old instance=a
+time=2026-01-02T02:02:07Z level=info event=rollout-event service=s what=lease-lapsed instance=a
+time=2026-01-02T02:02:07Z level=info event=rollout-step service=t phase=reverted instance=a
+`
+	s, err := Find("x", []Log{log("a", before+logOfA)})
+	assert.NilError(t, err)
+	var out strings.Builder
+	assert.NilError(t, s.Write(&out))
+	text := out.String()
+	for _, want := range []string{"order=7", "phase=promote", "number=2", "what=lease-lapsed"} {
+		assert.Assert(t, strings.Contains(text, want), "%s not in\n%s", want, text)
+	}
+	for _, not := range []string{"phase=canary", "service=t", "what=old"} {
+		assert.Assert(t, !strings.Contains(text, not), "%s in\n%s", not, text)
+	}
+}
--- a/explain/story.go
+++ b/explain/story.go
@@ -40,9 +40,13 @@
 var beliefs = map[string]bool{
 	"backends-changed": true, "backend-suspended": true, "backend-answers": true, "backends-lapsed": true,
 	"instances-lost": true, "instances-found": true, "settings-reloaded": true, "stopping": true,
+	"rollout-withdrawn": true, "rollout-step": true, "rollout-event": true,
 }
 
-var lasting = map[string]bool{"version-in-force": true, "store": true, "started": true}
+var lasting = map[string]bool{
+	"version-in-force": true, "store": true, "started": true,
+	"rollout-ordered": true, "rollout-record": true, "backends-held-back": true,
+}
 
 // Find reads the logs for a request.
 func Find(id string, logs []Log) (*Story, error) {
@@ -106,8 +110,8 @@
 		return
 	}
 	first, end := s.Lines[0].Time, s.Lines[len(s.Lines)-1].Time
-	if lasting[l.Event] && !l.Time.After(end) {
-		key := l.Instance + "\x00" + l.Event + "\x00" + l.Get("table")
+	if lasting[l.Event] && !l.Time.After(end) && s.concerns(l) {
+		key := l.Instance + "\x00" + l.Event + "\x00" + l.Get("table") + "\x00" + l.Get("service")
 		if old, ok := last[key]; !ok || !old.Time.After(l.Time) {
 			last[key] = l
 		}
@@ -119,9 +123,12 @@
 	}
 }
 
-// concerns reports whether a line is about the instance as a whole or about an
-// backend server that the request met.
+// concerns reports whether a line is about the instance as a whole, or about the
+// request's service or a backend server that it met.
 func (s *Story) concerns(l Line) bool {
+	if service := l.Get("service"); service != "" && !s.isFor(service) {
+		return false
+	}
 	name := l.Get("backend")
 	if name == "" {
 		return true
@@ -131,6 +138,20 @@
 	})
 }
 
+// isFor reports whether the request may have been for a service: a line says so, or none
+// names one.
+func (s *Story) isFor(service string) bool {
+	named := false
+	for _, own := range s.Lines {
+		name := own.Get("service")
+		if name == service {
+			return true
+		}
+		named = named || name != ""
+	}
+	return !named
+}
+
 // Write prints the story.
 func (s *Story) Write(w io.Writer) error {
 	var b strings.Builder
--- /dev/null
+++ b/process/edge/rollout_test.go
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/rollout"
+	"shalewick/process/state"
+	"shalewick/version"
+)
+
+// configOf returns a configuration of services with backend servers, which are given as
+// service, version of the software and whether it is leaving.
+func configOf(backends ...[2]string) *version.Config {
+	c := &version.Config{Seq: 1, Resources: make(map[version.Key]version.Resource)}
+	add := func(r version.Resource) { c.Resources[r.Key] = r }
+	add(version.Resource{Key: version.Key{Kind: version.KindRegion, Name: "north"}, Region: &version.Region{}})
+	add(version.Resource{Key: version.Key{Kind: version.KindHall, Name: "north-a"}, Hall: &version.Hall{Region: "north"}})
+	for i, b := range backends {
+		add(version.Resource{Key: version.Key{Kind: version.KindService, Name: b[0]}, Service: &version.Service{}})
+		add(version.Resource{Key: version.Key{Kind: version.KindBackend, Name: fmt.Sprint("b-", i)}, Version: int64(i + 1), Backend: &version.Backend{
+			Service: b[0], Software: b[1], Hall: "north-a", Slots: 4,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
+		}})
+	}
+	return c
+}
+
+func recordsOf(r ...rollout.Record) map[string]knownRecord {
+	out := make(map[string]knownRecord)
+	for i, x := range r {
+		out[x.Service] = knownRecord{record: &x, revision: int64(100 + i)}
+	}
+	return out
+}
+
+// TestOnlyServicesThatTellVersionsAreBound checks for which services versions are held
+// back, and that a service whose backend servers are all gone stays bound.
+func TestOnlyServicesThatTellVersionsAreBound(t *testing.T) {
+	c := configOf([2]string{"s", "v1"}, [2]string{"s", "v2"}, [2]string{"t", ""}, [2]string{"u", ""}, [2]string{"u", "v1"})
+	got := admit(c, nil, nil, nil)
+	assert.DeepEqual(t, got, map[string]version.Software{"s": {InForce: "v1"}, "u": {InForce: ""}})
+	for key, x := range c.Resources {
+		if x.Backend != nil && x.Backend.Service == "s" {
+			delete(c.Resources, key)
+		}
+	}
+	assert.Equal(t, admit(c, nil, nil, got)["s"], version.Software{InForce: "v1"})
+}
+
+// TestRecordOutweighsWhatIsThere checks that an instance that starts follows the record
+// when the rows of both versions are there.
+func TestRecordOutweighsWhatIsThere(t *testing.T) {
+	c := configOf([2]string{"s", "v1"}, [2]string{"s", "v2"})
+	done := recordsOf(rollout.Record{Service: "s", Target: "v2", Before: "v1", Phase: rollout.Completed})
+	assert.Equal(t, admit(c, nil, done, nil)["s"], version.Software{InForce: "v2"})
+}
+
+func TestHeldBackAreCounted(t *testing.T) {
+	c := configOf([2]string{"s", "v1"}, [2]string{"s", "v2"}, [2]string{"s", "v3"}, [2]string{"s", "v3"})
+	a := announcedOf(c)["s"]
+	assert.DeepEqual(t, a.heldBack(version.Software{InForce: "v1", Target: "v2"}), map[string]int{"v3": 2})
+	assert.Equal(t, sum(a.heldBack(version.Software{InForce: "v1"})), 3)
+}
+
+// TestServicesAreToldWithTheirHomes checks what the roll-outs are told: of a service with
+// an order or a running record, and the slots of those that take work.
+func TestServicesAreToldWithTheirHomes(t *testing.T) {
+	c := configOf([2]string{"s", "v1"}, [2]string{"s", "v2"}, [2]string{"s", "v2"}, [2]string{"s", "v1"}, [2]string{"t", "v1"}, [2]string{"u", "v1"})
+	leaving := c.Resources[version.Key{Kind: version.KindBackend, Name: "b-2"}]
+	leaving.Backend.Leaving = true
+	records := recordsOf(
+		rollout.Record{Service: "s", Order: 7, Target: "v2", Before: "v1", Phase: rollout.Canary},
+		rollout.Record{Service: "t", Order: 3, Target: "v2", Before: "v1", Phase: rollout.Promote},
+		rollout.Record{Service: "u", Order: 2, Target: "v1", Before: "v0", Phase: rollout.Completed},
+	)
+	orders := map[string]*rollout.Order{"s": {ID: 7, Target: "v2", Within: time.Minute}}
+	c.Software = admit(c, orders, records, nil)
+	r := version.CompileRouting(c, nil)
+	got := rolloutServices(r, c.Software, orders, records)
+	assert.Equal(t, len(got), 2, "%v", got)
+	s := got[0]
+	assert.Equal(t, s.Name, "s")
+	assert.Equal(t, s.InForce, "v1")
+	assert.Equal(t, s.Revision, int64(100))
+	assert.Equal(t, s.InForceSlots, 8)
+	assert.Equal(t, len(s.Homes), 1)
+	assert.Equal(t, s.Homes[0].Slots, 4)
+	for _, b := range r.Backends {
+		assert.Equal(t, b.Hash == s.Homes[0].Hash, b.Name == "b-1")
+	}
+	assert.Equal(t, got[1].Name, "t")
+	assert.Assert(t, got[1].Order == nil && promotes(records))
+	assert.Equal(t, unanswered(orders, records)+withoutOrder(orders, records), 2)
+}
+
+// TestRecordsAreWantedUntilAllHaveEnded checks what counts as running.
+func TestRecordsAreWantedUntilAllHaveEnded(t *testing.T) {
+	order := map[string]*rollout.Order{"s": {ID: 7, Target: "v2", Within: time.Minute}}
+	running := func(orders map[string]*rollout.Order, records map[string]knownRecord) int {
+		return unanswered(orders, records) + withoutOrder(orders, records)
+	}
+	at := func(order int64, p rollout.Phase) map[string]knownRecord {
+		return recordsOf(rollout.Record{Service: "s", Order: order, Target: "v2", Phase: p})
+	}
+	assert.Equal(t, running(nil, nil), 0)
+	assert.Equal(t, running(order, nil), 1)
+	assert.Equal(t, running(order, at(7, rollout.Canary)), 1)
+	assert.Equal(t, running(order, at(7, rollout.Completed)), 0)
+	assert.Equal(t, running(order, at(6, rollout.Completed)), 1, "the record is of an earlier order")
+	assert.Equal(t, running(nil, at(7, rollout.Promote)), 1, "withdrawn")
+	assert.Equal(t, running(nil, at(7, rollout.Reverted)), 0)
+}
+
+func TestRecordsThatCannotBeReadAreSkipped(t *testing.T) {
+	good, err := json.Marshal(rollout.Record{Service: "other", Order: 7, Target: "v2", Phase: rollout.Canary, Deadline: version.Duration(time.Minute)})
+	assert.NilError(t, err)
+	got, problems := knownRecords([]state.Row{{Key: "s", Value: good, Version: 4}, {Key: "t", Value: []byte("{")}})
+	assert.Equal(t, len(problems), 1)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got["s"].revision, int64(4))
+	assert.Equal(t, got["s"].record.Service, "s")
+	assert.Equal(t, time.Duration(got["s"].record.Deadline), time.Minute)
+}
+
+// TestGateHoldsUpUntilItOpens checks waiting, opening and the end of the context.
+func TestGateHoldsUpUntilItOpens(t *testing.T) {
+	var g gate
+	ctx, cancel := context.WithCancel(context.Background())
+	passed := make(chan bool, 2)
+	for range 2 {
+		go func() { passed <- g.wait(ctx) }()
+	}
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, len(passed), 0)
+	g.set(true)
+	assert.Assert(t, <-passed && <-passed && g.isOpen())
+	g.set(false)
+	go func() { passed <- g.wait(ctx) }()
+	cancel()
+	assert.Assert(t, !<-passed)
+}
--- a/process/edge/software.go
+++ b/process/edge/software.go
@@ -98,7 +98,11 @@
 		if !told && !all[key.Name].tells() {
 			continue
 		}
-		out[key.Name] = rollout.Admit(orders[key.Name], records[key.Name].record, all[key.Name].running(), was.InForce)
+		now := rollout.Admit(orders[key.Name], records[key.Name].record, all[key.Name].running(), was.InForce)
+		if now.InForce == "" {
+			now.InForce = was.InForce // all rows are gone for a while
+		}
+		out[key.Name] = now
 	}
 	return out
 }
