--- a/process/edge/record.go
+++ b/process/edge/record.go
@@ -55,8 +55,9 @@
 	}
 	now := e.now()
 	d.Age = now - asked
-	e.records().Apply(d, now)
-	e.recompile()
+	if e.records().Apply(d, now) {
+		e.recompile()
+	}
 	return nil
 }
 
