--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -60,10 +60,13 @@
 	trouble  Trouble
 	changed  chan struct{}
 	calls    map[string]int
+	asked    map[string]int // calls that read, by table
+	began    time.Time
 	server   *httptest.Server
 	released chan struct{}
 	reads    rate
 	writes   rate
+	writers  map[string]string // by table and key
 }
 
 // rate bounds calls a second; zero is no bound.
@@ -84,7 +87,10 @@
 
 // Start starts a store on loopback.
 func Start() *Store {
-	s := &Store{changed: make(chan struct{}), calls: make(map[string]int), released: make(chan struct{})}
+	s := &Store{
+		changed: make(chan struct{}), calls: make(map[string]int), asked: make(map[string]int),
+		released: make(chan struct{}), began: time.Now(), writers: make(map[string]string),
+	}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -148,6 +154,19 @@
 	return s.calls[path]
 }
 
+// Asked returns the number of calls that read a table or asked for its changes.
+func (s *Store) Asked(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked[table]
+}
+
+// clockStart is what the steady clock showed at the start.
+const clockStart = 1000 * time.Second
+
+// Clock returns the steady clock that answers carry.
+func (s *Store) Clock() time.Duration { return clockStart + time.Since(s.began) }
+
 // Value returns the value of a row, and whether it is there.
 func (s *Store) Value(table, key string) ([]byte, bool) {
 	s.mu.Lock()
@@ -160,6 +179,23 @@
 	return nil, false
 }
 
+// Writer returns the IP number of the caller that wrote a row last, "" if none did.
+func (s *Store) Writer(table, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writers[table+"/"+key]
+}
+
+// noteWriter notes who carried a transaction out.
+func (s *Store) noteWriter(r *http.Request, x *transaction) {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range x.Put {
+		s.writers[row.Table+"/"+row.Key] = host
+	}
+}
+
 func (s *Store) append(r Row) {
 	s.log = append(s.log, r)
 	s.wake()
@@ -228,6 +264,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[r.URL.Path]++
+	if table := r.URL.Query().Get("table"); table != "" {
+		s.asked[table]++
+	}
 	if r.URL.Path == pathWrite {
 		return s.writes.take(time.Now())
 	}
@@ -265,7 +304,7 @@
 	from := q.Get("from")
 	rows = slices.DeleteFunc(rows, func(r Row) bool { return r.Key < from })
 	more := len(rows) > limit
-	answer(w, map[string]any{"rows": rows[:min(limit, len(rows))], "more": more, "ver": at, "now_s": 1.0})
+	answer(w, map[string]any{"rows": rows[:min(limit, len(rows))], "more": more, "ver": at, "now_s": s.Clock().Seconds()})
 }
 
 func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
@@ -288,7 +327,7 @@
 			return
 		}
 		if len(rows) > 0 {
-			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": 1.0})
+			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": s.Clock().Seconds()})
 			return
 		}
 		select {
@@ -300,7 +339,7 @@
 			if hold {
 				version = after
 			}
-			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": 1.0})
+			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": s.Clock().Seconds()})
 			return
 		case <-r.Context().Done():
 			return
@@ -356,16 +395,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	version, present, ok := s.commit(&x)
+	if ok {
+		s.noteWriter(r, &x)
+	}
 	if t.Lose {
 		panic(http.ErrAbortHandler)
 	}
 	if !ok {
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusPreconditionFailed)
-		_ = json.NewEncoder(w).Encode(map[string]any{"rows": present, "ver": version}) // the caller may be gone
+		_ = json.NewEncoder(w).Encode(map[string]any{"rows": present, "ver": version, "now_s": s.Clock().Seconds()}) // the caller may be gone
 		return
 	}
-	answer(w, map[string]any{"ver": version, "now_s": 1.0})
+	answer(w, map[string]any{"ver": version, "now_s": s.Clock().Seconds()})
 }
 
 // commit carries a transaction out if all that it expects is there; otherwise it
