--- /dev/null
+++ b/process/rollout/gate_test.go
@@ -0,0 +1,258 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+
+	"shalewick/version"
+)
+
+var cmpAll = cmp.AllowUnexported(report{}, answer{}, routeCounts{}, pair{})
+
+// canaryOf is what the tables say of a service whose canary runs.
+func canaryOf(phase Phase) []Service {
+	return []Service{{
+		Name: "s", Order: &Order{ID: 1, Target: "v2", Within: time.Minute}, Revision: 1, InForce: "v1", InForceSlots: 10,
+		Record: &Record{Service: "s", Order: 1, Target: "v2", Before: "v1", Phase: phase, Began: 1, Deadline: version.Duration(2 * time.Hour)},
+		Homes:  []Home{{Hash: 1, Slots: 10}},
+	}}
+}
+
+// alone returns the roll-outs of an instance that was there before the order.
+func alone(owner Owner) (*Rollouts, *time.Duration) {
+	now := time.Hour
+	r := &Rollouts{
+		Now: func() time.Duration { return now }, Bounds: testBounds, Incarnation: 1, Random: func() float64 { return 0 },
+		Owner: func(string) Owner { return owner }, Live: func() []string { return []string{""} },
+		InFlight: func(string) int { return 0 }, Send: func(string, []byte) {},
+	}
+	r.Install(nil)
+	r.Install(canaryOf(Canary))
+	r.Tick()
+	return r, &now
+}
+
+func anyHome() (uint64, bool) { return 1, true }
+
+// send sends n requests that succeed, and returns how many went to the target.
+func send(r *Rollouts, n int) (target int) {
+	for range n {
+		a := r.Begin("s", "r", true, anyHome)
+		if a.Target() {
+			target++
+		}
+		a.Done(Outcome{Took: time.Millisecond})
+	}
+	return target
+}
+
+// TestShareIsKeptBeforeAnyEvidence checks the bound at one instance, request by request.
+func TestShareIsKeptBeforeAnyEvidence(t *testing.T) {
+	r, now := alone(Owner{Name: "here"})
+	all, target := 0, 0
+	for range 15_000 {
+		*now += 10 * time.Millisecond
+		r.Tick()
+		target += send(r, 3)
+		all += 3
+		assert.Assert(t, float64(target) <= scarcePart*testBounds.Share*float64(all)+slackPart*testBounds.Slack, "%d of %d", target, all)
+	}
+	assert.Assert(t, float64(target) > 0.6*canaryPart*testBounds.Share*float64(all), "%d of %d", target, all)
+}
+
+// TestInstanceThatStartsDuringARolloutHasNoSlack checks that a restart gives nothing.
+func TestInstanceThatStartsDuringARolloutHasNoSlack(t *testing.T) {
+	now := time.Hour
+	r := &Rollouts{
+		Now: func() time.Duration { return now }, Bounds: testBounds, Random: func() float64 { return 0 },
+		Owner: func(string) Owner { return Owner{Name: "here"} }, Live: func() []string { return []string{""} },
+		InFlight: func(string) int { return 0 }, Send: func(string, []byte) {},
+	}
+	r.Install(canaryOf(Canary))
+	r.Tick()
+	least := int(1 / (scarcePart * testBounds.Share))
+	assert.Equal(t, send(r, least), 0)
+}
+
+// TestLeaseLapses checks that nothing goes to the target without answers of the owner,
+// and that an answer to a report of long ago gives no lease.
+func TestLeaseLapses(t *testing.T) {
+	r, now := alone(Owner{Name: "x", Address: "x"})
+	var reports [][]byte
+	r.Send = func(_ string, text []byte) { reports = append(reports, text) }
+	send(r, 100)
+	*now += reportPause
+	r.Tick()
+	assert.Equal(t, len(reports), 1)
+	x, err := decodeReport(reports[0])
+	assert.NilError(t, err)
+	answer := &answer{service: x.service, order: x.order, seq: x.seq, phase: Canary, stamp: 0, allHungry: true}
+	assert.Equal(t, send(r, 50), 0, "no lease yet")
+	*now += leaseTime
+	r.Hear("x", answer.encode())
+	assert.Equal(t, send(r, 50), 0, "the answer is to a report that is too old")
+	r.Tick()
+	x, err = decodeReport(reports[1])
+	assert.NilError(t, err)
+	answer.seq = x.seq
+	r.Hear("y", answer.encode())
+	assert.Equal(t, send(r, 50), 0, "not an answer of the owner")
+	r.Hear("x", answer.encode())
+	assert.Assert(t, send(r, 50) > 0)
+	*now += leaseTime
+	assert.Equal(t, send(r, 500), 0, "lapsed")
+}
+
+// TestHaltHoldsForTheOrder checks that no later answer takes a halt back.
+func TestHaltHoldsForTheOrder(t *testing.T) {
+	r, now := alone(Owner{Name: "here"})
+	*now += TickTime
+	r.Tick()
+	assert.Assert(t, send(r, 200) > 0)
+	r.Hear("x", (&answer{service: hashOfService("s"), order: 1, halted: true}).encode())
+	for range 20 {
+		*now += TickTime
+		r.Tick()
+		assert.Equal(t, send(r, 50), 0)
+	}
+	proposals := r.Proposals(time.Hour)
+	assert.Equal(t, len(proposals), 1)
+	assert.Equal(t, proposals[0].Record.Phase, Reverted)
+	assert.Equal(t, proposals[0].Revision, int64(1))
+	assert.Equal(t, len(r.Proposals(time.Hour)), 0, "it was proposed just now")
+	*now += proposePause
+	assert.Equal(t, len(r.Proposals(time.Hour)), 1, "it was not confirmed")
+}
+
+// TestInstanceStopsByItself checks an instance whose owner does not judge.
+func TestInstanceStopsByItself(t *testing.T) {
+	r, now := alone(Owner{Name: "x", Address: "x"})
+	var seq byte
+	r.Send = func(_ string, text []byte) { seq = text[10] }
+	target := 0
+	for range 600 {
+		*now += TickTime
+		r.Tick()
+		x := &answer{service: hashOfService("s"), order: 1, seq: r.services["s"].reports.seq, phase: Canary, allHungry: true}
+		r.Hear("x", x.encode())
+		for range 20 {
+			a := r.Begin("s", "r", true, anyHome)
+			if a.Target() {
+				target++
+			}
+			a.Done(Outcome{Failed: a.Target()})
+		}
+	}
+	assert.Assert(t, seq > 0)
+	assert.Assert(t, target >= 4 && target <= 12, "%d", target)
+}
+
+// TestFurtherAttemptsGoToTheVersionInForce checks retries.
+func TestFurtherAttemptsGoToTheVersionInForce(t *testing.T) {
+	r, now := alone(Owner{Name: "here"})
+	*now += TickTime
+	r.Tick()
+	for range 500 {
+		assert.Assert(t, !r.Begin("s", "r", false, anyHome).Target())
+	}
+}
+
+// TestNothingRuns checks attempts of services without a roll-out.
+func TestNothingRuns(t *testing.T) {
+	r, _ := alone(Owner{Name: "here"})
+	a := r.Begin("other", "r", true, anyHome)
+	assert.Assert(t, a == nil)
+	assert.Assert(t, !a.Target())
+	assert.Assert(t, a.Decline())
+	a.Done(Outcome{})
+	r.Install(canaryOf(Reverted))
+	assert.Assert(t, r.Begin("s", "r", true, anyHome) == nil)
+	r.Install(nil)
+	assert.Assert(t, r.Begin("s", "r", true, anyHome) == nil)
+	assert.Equal(t, len(r.Proposals(time.Hour)), 0)
+	assert.Assert(t, !r.Hear("x", []byte{1}))
+	assert.Assert(t, !r.Hear("x", nil))
+}
+
+// TestDeclineIsRefusedAfterThePromise checks that an instance that has said that it
+// sends nothing to the version before keeps to that.
+func TestDeclineIsRefusedAfterThePromise(t *testing.T) {
+	r, now := alone(Owner{Name: "here"})
+	r.Install(canaryOf(Promote))
+	r.Proposals(3 * time.Hour) // the deadline is over
+	for range 3 {
+		*now += TickTime
+		r.Tick()
+	}
+	a := r.Begin("s", "r", false, anyHome)
+	assert.Assert(t, a.Target(), "a further attempt, too")
+	assert.Assert(t, !a.Decline())
+	a.Done(Outcome{Unsent: true})
+}
+
+// TestUseFromManyGoroutines is for the race detector.
+func TestUseFromManyGoroutines(t *testing.T) {
+	r, _ := alone(Owner{Name: "here"})
+	began := time.Now()
+	r.Now = func() time.Duration { return time.Hour + time.Since(began) }
+	var wait sync.WaitGroup
+	for i := range 8 {
+		wait.Go(func() {
+			for k := range 500 {
+				switch {
+				case i == 0 && k%50 == 0:
+					r.Install(canaryOf(Canary))
+				case i == 1:
+					r.Tick()
+				case i == 2:
+					for _, p := range r.Proposals(time.Hour) {
+						r.Written(p, p.Revision+1)
+					}
+				default:
+					send(r, 3)
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// BenchmarkBegin is the cost of an attempt: without a roll-out, with one of another
+// service, and in a canary with the home of the object at hand.
+func BenchmarkBegin(b *testing.B) {
+	began := time.Now()
+	clock := func() time.Duration { return time.Hour + time.Since(began) }
+	b.Run("none", func(b *testing.B) {
+		r, _ := alone(Owner{Name: "here"})
+		r.Install(nil)
+		b.ReportAllocs()
+		for b.Loop() {
+			r.Begin("s", "r", true, anyHome).Done(Outcome{Took: time.Millisecond})
+		}
+	})
+	b.Run("another", func(b *testing.B) {
+		r, _ := alone(Owner{Name: "here"})
+		b.ReportAllocs()
+		for b.Loop() {
+			r.Begin("other", "r", true, anyHome).Done(Outcome{Took: time.Millisecond})
+		}
+	})
+	b.Run("canary", func(b *testing.B) {
+		r, _ := alone(Owner{Name: "here"})
+		r.Now = clock
+		b.ReportAllocs()
+		n := 0
+		for b.Loop() {
+			if n++; n%10_000 == 0 {
+				r.Tick()
+			}
+			r.Begin("s", "r", true, anyHome).Done(Outcome{Took: time.Millisecond})
+		}
+	})
+}
--- a/process/rollout/model_test.go
+++ b/process/rollout/model_test.go
@@ -39,7 +39,7 @@
 	// lastTarget is when a request went to the target last.
 	lastTarget time.Duration
 	targetAll  int
-	bytes      map[string]int // sent by an address
+	bytes, got map[string]int // sent and got by an address
 	// onWrite, if set, sees the next write of an owner. It tells whether the write is
 	// done.
 	onWrite func(x *node) bool
@@ -153,7 +153,7 @@
 		size: size, now: time.Hour, random: rand.New(rand.NewPCG(seed, 7)), bounds: testBounds,
 		rate: func(time.Duration) float64 { return requests }, routes: []float64{0.6, 0.25, 0.1, 0.05},
 		perform: func(string, int, time.Duration) behaviour { return behaviour{factor: 1} },
-		running: []Running{{"v1", 6, 1}, {"v2", 6, 50}}, bytes: make(map[string]int), byName: make(map[string]*node),
+		running: []Running{{"v1", 6, 1}, {"v2", 6, 50}}, bytes: make(map[string]int), got: make(map[string]int), byName: make(map[string]*node),
 	}
 	f.began = f.now
 	f.store.delay = func() time.Duration {
@@ -243,6 +243,7 @@
 func (x *node) send(address string, text []byte) {
 	f := x.f
 	f.bytes[x.name] += len(text) + headers
+	f.got[address] += len(text) + headers
 	if x.cutOut || f.random.Float64() < f.loss {
 		return
 	}
--- /dev/null
+++ b/process/rollout/traffic_test.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTrafficOfAnInstance counts the bytes of reports and answers, with the headers of
+// datagrams, at an instance with four routes while a canary runs.
+func TestTrafficOfAnInstance(t *testing.T) {
+	const most = 300.0 // bytes a second, each way
+	f := newFleet(1, 12, 1000)
+	f.run(5 * time.Second)
+	assert.Equal(t, len(f.bytes), 0, "without a roll-out")
+	f.order("v2", 10*time.Minute)
+	f.run(8 * time.Minute)
+	clear(f.bytes)
+	clear(f.got)
+	const span = 30 * time.Second
+	f.run(span)
+	assert.Equal(t, f.phase(), Canary)
+	owner := f.owner(f.nodes[0])
+	for _, x := range f.nodes {
+		if x == owner {
+			continue
+		}
+		out, in := float64(f.bytes[x.name])/span.Seconds(), float64(f.got[x.name])/span.Seconds()
+		assert.Assert(t, out < most && in < most, "%s: %g out, %g in", x.name, out, in)
+		if x.index < 3 {
+			t.Logf("%s: %.0f bytes/s out, %.0f in", x.name, out, in)
+		}
+	}
+}
