rollout: kinds of bad targets and of trouble of both, played; backstop by what was allowed

Cause: in the model a burst of failures of both versions reverted a good target, since the backstop held all failures against the present baseline; a service with 5 requests a second mostly lacked evidence, as instances without a recent request had no lease.

Change: the backstop counts what the target may have had; rates of a baseline of which little is known are drawn to usual ones; an instance reports for 10 s after its last request; routes that lack evidence take more, the others wait.

--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -78,7 +78,7 @@
 		return toBefore
 	case random:
 		return toTarget
-	case len(g.hungry) > 0 && g.allHungry && g.saved < 2:
+	case len(g.hungry) > 0 && g.allHungry && g.saved < spareRequests:
 		return toBefore
 	}
 	return ifOpen
@@ -90,7 +90,7 @@
 	switch {
 	case slices.Contains(g.hungry, route):
 		return rarePart / part
-	case g.allHungry && (len(g.hungry) == 0 || g.saved >= 2):
+	case g.allHungry && (len(g.hungry) == 0 || g.saved >= spareRequests):
 		return hungryPart
 	}
 	return 0
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -19,8 +19,9 @@
 	// mostTime is for how long at least an instance remembers how many there were. Origin:
 	// longer than links between regions are cut, mostly.
 	mostTime = 5 * time.Minute
-	// idleAfter is how long after its last request an instance stops to report.
-	idleAfter = 2 * time.Second
+	// idleAfter is how long after its last request an instance stops to report. Origin: an
+	// instance with a request each two seconds mostly has a lease when one comes.
+	idleAfter = 10 * time.Second
 	// lateOrder is how long an order may have travelled when its owner hears of it. The
 	// deadline of the record is so much earlier, and the bound holds so much longer.
 	lateOrder = 500 * time.Millisecond
@@ -49,7 +50,10 @@
 	// with 5 requests a second, where the share is 12 requests: routes must not take
 	// from each other.
 	hungryPart = 0.25
-	rarePart   = 0.05
+	rarePart   = 0.15
+	// spareRequests is the number of requests that the bound allows and that were not
+	// used, from which routes that have enough evidence take from them, too.
+	spareRequests = 1.5
 	// routesGuess is how many routes a service is taken to have until it is known.
 	routesGuess = 4
 	// promiseTime is how long an instance sends nothing to the version before after it
@@ -70,8 +74,9 @@
 	// worked on the object.
 	slowFactor   = 1.6
 	unseenFactor = 3
-	// leastUsual is the number of answers after which the usual time counts.
-	leastUsual = 8
+	// leastUsual is the number of answers after which the usual time counts. A rough one
+	// wrongs neither version, since both are classed by it.
+	leastUsual = 3
 )
 
 // The verdict.
@@ -80,16 +85,19 @@
 	alarm = 7.6
 	// doubtPart of alarm holds a target back: it is neither promoted nor completed.
 	doubtPart = 0.5
-	// baseFactor is by how much the target may be worse than the baseline in relation
-	// to it, and allowFailed and allowSlow how much besides.
+	// baseFactor is by how much more the target may fail than the baseline in relation to
+	// it, and baseSlow by how much more often it may be slow; allowFailed and allowSlow
+	// are how much besides. Origin: where times are spread so wide that each fourth is
+	// slow, a greater baseSlow does not see a target that is twice as slow.
 	baseFactor  = 1.5
+	baseSlow    = 1.2
 	allowFailed = 0.01
 	allowSlow   = 0.1
 	// worseFailed and worseSlow are how much worse than that a bad target is.
 	worseFailed = 0.05
 	worseSlow   = 0.2
-	// backstopFailed failures at a rate above baseFactor times the baseline's and
-	// backstopAllow end a roll-out, whatever the sum says.
+	// backstopFailed failures end a roll-out, whatever the sum says, if they are more than
+	// baseFactor times what the baseline had at the same time, and backstopAllow.
 	backstopFailed = 40
 	backstopAllow  = 0.005
 	// shortTime and longTime are the two windows over which the baseline's rate is
@@ -97,6 +105,9 @@
 	// begun is not put down to the target.
 	shortTime = time.Second
 	longTime  = 10 * time.Second
+	// usuallyFailed and usuallySlow are the rates of a baseline of which nothing is known.
+	usuallyFailed = 0.005
+	usuallySlow   = 0.15
 	// shrinkage is the weight of the longer window in the shorter one, in answers.
 	shrinkage = 10
 	// settleTime is how long the owner waits with answers of the target until those of
--- a/process/rollout/verdict.go
+++ b/process/rollout/verdict.go
@@ -64,6 +64,8 @@
 	total        pair
 	short, long  window
 	failed, slow sum
+	// allowed is the number of failures that the target may have had.
+	allowed float64
 }
 
 func (t *track) base(c Counts, now time.Duration) {
@@ -79,13 +81,14 @@
 	t.long.fade(now, longTime)
 	failed := t.expectFailed()
 	t.failed.add(float64(c.Failed), float64(c.Requests), failed*baseFactor+allowFailed, worseFailed)
-	t.slow.add(float64(c.Slow), float64(c.Timed), t.expectSlow()*baseFactor+allowSlow, worseSlow)
+	t.slow.add(float64(c.Slow), float64(c.Timed), t.expectSlow()*baseSlow+allowSlow, worseSlow)
+	t.allowed += float64(c.Requests) * (baseFactor*failed + backstopAllow)
 	switch all := t.total.target; {
 	case float64(t.failed) >= alarm:
 		return "target fails"
 	case float64(t.slow) >= alarm:
 		return "target is slow"
-	case all.Failed >= backstopFailed && float64(all.Failed) > (baseFactor*failed+backstopAllow)*float64(all.Requests):
+	case all.Failed >= backstopFailed && float64(all.Failed) > t.allowed:
 		return "target fails often"
 	}
 	return ""
@@ -97,7 +100,7 @@
 func (t *track) expectFailed() float64 {
 	return rate(
 		ratio{t.short.failed, t.short.requests}, ratio{t.long.failed, t.long.requests},
-		ratio{float64(t.total.base.Failed), float64(t.total.base.Requests)},
+		ratio{float64(t.total.base.Failed), float64(t.total.base.Requests)}, usuallyFailed,
 	)
 }
 
@@ -105,7 +108,7 @@
 func (t *track) expectSlow() float64 {
 	return rate(
 		ratio{t.short.slow, t.short.timed}, ratio{t.long.slow, t.long.timed},
-		ratio{float64(t.total.base.Slow), float64(t.total.base.Timed)},
+		ratio{float64(t.total.base.Slow), float64(t.total.base.Timed)}, usuallySlow,
 	)
 }
 
@@ -116,9 +119,9 @@
 func (r ratio) shrunk(to float64) float64 { return (r.part + shrinkage*to) / (r.of + shrinkage) }
 
 // rate is the rate of the last seconds: the higher of the two windows', each drawn to
-// that over a longer time.
-func rate(short, long, all ratio) float64 {
-	over := long.shrunk(all.shrunk(0))
+// that over a longer time, and in the end to a usual one.
+func rate(short, long, all ratio, usual float64) float64 {
+	over := long.shrunk(all.shrunk(usual))
 	return max(over, short.shrunk(over))
 }
 
