proxy, metric: attempts go by roll-outs, and versions have metrics

Cause: the proxy knew of no roll-out: nothing went to a target, and nobody learned what came of it.

Change: each attempt begins and ends at Rollouts; the first may go to the target, and one that finds no place there is chosen in the version in force within the same attempt. A 5xx of the target is tried in the version in force once, if the request may be repeated, within attempts, deadline and the shared budget of retries; else, or if nothing comes of it, the target's own answer is passed on. A large answer stays in flight until it was passed on. Lines of attempts name the version, and whether it was the target's. Requests, failures and latency are counted by service and version, 4 versions a service.

Ruled out: to hold a refusal that has not run against a target: it is full, cold or leaving, and the request is tried elsewhere.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -225,7 +225,7 @@
 	}
 	return &Pick{
 		Name: v.Name, Address: v.Address, Software: v.Software, Region: t.routing.Regions[v.Region], Pool: u.pool,
-		Rank: c.place, Unseen: c.unseen, Cold: now < u.coldUntil, Wait: c.wait, Work: u.usualWork(),
+		Rank: c.place, Unseen: c.unseen, Cold: now < u.coldUntil, Wait: c.wait, Needs: t.needs(c),
 		table: t, u: u, object: object, hash: v.Hash, started: now,
 	}
 }
--- a/process/balance/estimate.go
+++ b/process/balance/estimate.go
@@ -49,6 +49,15 @@
 	return u.policy.FirstWork
 }
 
+// needs estimates how long a backend server would take to answer a request.
+func (t *Table) needs(c candidate) time.Duration {
+	work := t.states[c.index].usualWork()
+	if c.unseen {
+		work += time.Duration(t.Policy.UnseenCost * float64(work))
+	}
+	return c.wait + work
+}
+
 // service is what one process knows of all backend servers of a service that run one
 // version of its software, over all versions of the configuration.
 type service struct {
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -165,9 +165,9 @@
 	Unseen bool
 	// Cold is set while the backend server counts as cold.
 	Cold bool
-	// Wait is the estimated time until it begins with the request, and Work its usual
-	// time of an answer from then on.
-	Wait, Work time.Duration
+	// Wait is the estimated time until it begins with the request, and Needs that until
+	// it has answered.
+	Wait, Needs time.Duration
 
 	table   *Table
 	u       *backend
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -28,6 +28,7 @@
 type Set struct {
 	registry   metrics.Registry
 	workspaces named
+	versions   versions
 }
 
 // NewSet returns an empty set.
--- /dev/null
+++ b/process/metric/software.go
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: MIT
+
+package metric
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// mostSoftware bounds the versions of a service's software that have metrics of
+	// their own. Origin: two that a roll-out compares, and those of the one before.
+	mostSoftware = 4
+	// softwareReservoir is the number of samples in the histogram of one.
+	softwareReservoir = 256
+)
+
+// otherSoftware is the label of all others of a service.
+const otherSoftware = "(others)"
+
+// softwareOf names a version of a service's software.
+type softwareOf struct{ service, software string }
+
+// softwareMetrics are those of one version.
+type softwareMetrics struct {
+	requests, failures metrics.Counter
+	latency            metrics.Histogram
+	used               int64 // when it was last looked up
+}
+
+// versions are the versions that have metrics of their own. When a new one comes and a
+// service has too many, the one that was not used for longest goes to the others. The
+// zero value is empty.
+type versions struct {
+	mu    sync.Mutex
+	of    map[softwareOf]*softwareMetrics
+	looks int64
+}
+
+// Software counts an answer, or the lack of one, of a backend server that runs a version
+// of a service's software. "" is none.
+func (s *Set) Software(service, software string, failed bool, took time.Duration) {
+	if software == "" {
+		return
+	}
+	m := s.software(softwareOf{service, software})
+	m.requests.Inc(1)
+	if failed {
+		m.failures.Inc(1)
+		return
+	}
+	m.latency.Update(took.Microseconds())
+}
+
+// software returns the metrics of a version.
+func (s *Set) software(key softwareOf) *softwareMetrics {
+	v := &s.versions
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.looks++
+	m := v.of[key]
+	if m == nil {
+		m = s.addSoftware(key)
+	}
+	m.used = v.looks
+	return m
+}
+
+// addSoftware makes the metrics of a version. The caller holds the lock.
+func (s *Set) addSoftware(key softwareOf) *softwareMetrics {
+	v := &s.versions
+	if v.of == nil {
+		v.of = make(map[softwareOf]*softwareMetrics)
+	}
+	others := softwareOf{key.service, otherSoftware}
+	oldest, known := softwareOf{}, 0
+	for k, m := range v.of {
+		if k.service != key.service || k == others {
+			continue
+		}
+		known++
+		if known == 1 || m.used < v.of[oldest].used {
+			oldest = k
+		}
+	}
+	if known >= mostSoftware {
+		s.foldSoftware(oldest, others)
+	}
+	v.of[key] = s.newSoftware(key)
+	return v.of[key]
+}
+
+// foldSoftware adds the counts of a version to those of the others of its service. The
+// caller holds the lock.
+func (s *Set) foldSoftware(key, others softwareOf) {
+	v := &s.versions
+	sum := v.of[others]
+	if sum == nil {
+		sum = s.newSoftware(others)
+		v.of[others] = sum
+	}
+	gone := v.of[key]
+	sum.requests.Inc(gone.requests.Count())
+	sum.failures.Inc(gone.failures.Count())
+	for _, took := range gone.latency.Sample().Values() {
+		sum.latency.Update(took)
+	}
+	for _, name := range softwareNames(key) {
+		s.registry.Unregister(name)
+	}
+	delete(v.of, key)
+}
+
+func (s *Set) newSoftware(key softwareOf) *softwareMetrics {
+	names := softwareNames(key)
+	return &softwareMetrics{
+		requests: s.Counter(names[0]), failures: s.Counter(names[1]), latency: s.histogram(names[2], softwareReservoir),
+	}
+}
+
+// softwareNames returns the names of requests, failures and latency of a version.
+func softwareNames(key softwareOf) [3]string {
+	of := fmt.Sprintf("{service=%s,software=%s}", strconv.Quote(key.service), strconv.Quote(key.software))
+	return [...]string{"software_requests_total" + of, "software_failures_total" + of, "software_latency_us" + of}
+}
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -39,7 +39,7 @@
 		if err == nil {
 			_, err = io.Copy(c.w, a.ex.Response.Body)
 		}
-		a.ex.Close()
+		a.close()
 	}
 	code := request.OK
 	if err != nil {
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -14,19 +14,28 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"shalewick/conn"
 	"shalewick/process/balance"
+	"shalewick/process/rollout"
 	"shalewick/request"
 )
 
 // answer is a backend server's answer. Either whole has all of the body, or the
 // rest is still to be read from the exchange.
 type answer struct {
-	backend string
-	res     *http.Response
-	whole   []byte
-	ex      *conn.Exchange // nil when whole has all
+	pick   *balance.Pick
+	target bool // it was chosen among a roll-out's target
+	res    *http.Response
+	whole  []byte
+	ex     *conn.Exchange // nil when whole has all
+}
+
+// close ends the exchange of an answer whose rest was still to be read.
+func (a *answer) close() {
+	a.ex.Close()
+	a.pick.Release()
 }
 
 // trial is the course of the attempts at one request.
@@ -37,6 +46,11 @@
 	// mayHaveRun is set once a byte has left for a backend server that has not said
 	// that it did not run the request.
 	mayHaveRun bool
+	// rolled is the present attempt as roll-outs see it.
+	rolled rolled
+	begun  bool // an attempt has begun
+	// declined is set if a roll-out's target could not take the request.
+	declined bool
 }
 
 // run makes attempts until one has an answer or no further one is safe.
@@ -45,28 +59,52 @@
 	c.service = c.route.Split[part].Service
 	t := &trial{p: p, c: c, query: balance.Query{Route: c.route, Part: part, Priority: c.priority(), Object: p.object(c)}}
 	p.Retries.Request(c.service, p.Now())
+	a, res := t.untilAnswered(ctx)
+	if a != nil {
+		t.logAnswer(a)
+	}
+	return a, res
+}
+
+// untilAnswered makes the attempts.
+func (t *trial) untilAnswered(ctx context.Context) (*answer, *request.Result) {
 	a, res := t.attempt(ctx)
-	for t.another(ctx, a, res) {
-		p.Metrics.Retry(c.service)
-		p.Log.Info().Str("id", c.id).Str("service", c.service).Strs("tried", t.query.Tried).Int("code", int(res.Code)).
-			Str("result", res.Code.Info().Name).Dur("took", time.Since(c.began)).Msg("tried-again")
-		further, ended := t.attempt(ctx)
-		if further != nil {
-			return further, nil
+	if a != nil {
+		return t.instead(ctx, a), nil
+	}
+	for t.another(ctx, res) {
+		t.triedAgain(func(e *zerolog.Event) { e.Int("code", int(res.Code)).Str("result", res.Code.Info().Name) })
+		a, ended := t.attempt(ctx)
+		if a != nil {
+			return a, nil
 		}
 		if ended.Code.NoPlace() {
 			return nil, res // the end of the attempt before tells more
 		}
 		res = ended
 	}
-	return a, res
+	return nil, res
+}
+
+// triedAgain counts a further attempt and writes its line, with what ended the one
+// before.
+func (t *trial) triedAgain(ended func(*zerolog.Event)) {
+	t.p.Metrics.Retry(t.c.service)
+	t.p.Log.Info().Str("id", t.c.id).Str("service", t.c.service).Strs("tried", t.query.Tried).Func(ended).
+		Dur("took", time.Since(t.c.began)).Msg("tried-again")
 }
 
 // another reports whether a further attempt is safe, allowed and of use.
-func (t *trial) another(ctx context.Context, a *answer, res *request.Result) bool {
-	if a != nil || res.Code.NoPlace() || res.Code == request.TooLarge || res.Code == request.CallerGone {
+func (t *trial) another(ctx context.Context, res *request.Result) bool {
+	if res.Code.NoPlace() || res.Code == request.TooLarge || res.Code == request.CallerGone {
 		return false
 	}
+	return t.allowed(ctx)
+}
+
+// allowed reports whether a further attempt is safe, within what the route allows, and
+// within the budget of retries, from which it is taken.
+func (t *trial) allowed(ctx context.Context) bool {
 	if ctx.Err() != nil || time.Until(t.c.deadline) < leastAttempt {
 		return false
 	}
@@ -92,8 +130,10 @@
 func (t *trial) attempt(ctx context.Context) (*answer, *request.Result) {
 	t.query.Left = time.Until(t.c.deadline)
 	t.query.Elapsed = time.Since(t.c.began)
-	pick, refusal := t.p.Table.Pick(&t.query)
+	t.begin()
+	pick, refusal := t.pick()
 	if pick == nil {
+		t.rolled.Done(rollout.Outcome{Unsent: true})
 		t.c.why = &refusal.Why
 		return nil, t.result(refusal.Code, refusal.Retry)
 	}
@@ -104,7 +144,7 @@
 		Allowed: func() bool { return true }, Release: func(bool) {},
 	})
 	if err != nil {
-		return nil, t.failed(ctx, pick, err)
+		return nil, t.failed(ctx, pick, err, sent)
 	}
 	t.c.attempts++
 	return t.read(ctx, ex, pick, sent)
@@ -119,39 +159,45 @@
 		}
 		if err := ex.Skip(t.c.r); err != nil {
 			ex.Close()
-			return nil, t.lost(ctx, pick, err)
+			return nil, t.lost(ctx, pick, err, sent)
 		}
 	}
 	h := ex.Response.Header
 	if h.Get(names.ID) != t.c.id && ex.Response.StatusCode != http.StatusMisdirectedRequest {
 		ex.Response.Close = true
 		ex.Close()
-		return nil, t.lost(ctx, pick, errors.New("answers to other requests"))
+		return nil, t.lost(ctx, pick, errors.New("answers to other requests"), sent)
 	}
 	if h.Get(names.NotRun) != "" || ex.Response.StatusCode == http.StatusMisdirectedRequest {
 		return nil, t.refused(ex, pick)
 	}
+	headTook := time.Since(sent)
 	a, err := readAnswer(ex)
 	if err != nil {
-		return nil, t.lost(ctx, pick, err)
+		return nil, t.lost(ctx, pick, err, sent)
 	}
-	a.backend = pick.Name
+	a.pick, a.target = pick, t.query.Target
 	t.c.runs++
+	took := time.Since(sent)
+	if a.ex != nil {
+		pick.Hold()
+		took = headTook
+	}
 	pick.Done(balance.Answered, t.report(h))
+	t.answered(a, took)
 	if t.p.OnAnswer != nil {
 		t.p.OnAnswer(pick.Name, h, time.Since(sent))
 	}
-	t.logAnswer(a, pick)
 	return a, nil
 }
 
 // logAnswer writes the line of an answer that is passed on.
-func (t *trial) logAnswer(a *answer, pick *balance.Pick) {
-	names := &t.p.Names
+func (t *trial) logAnswer(a *answer) {
+	names, pick := &t.p.Names, a.pick
 	took := time.Since(t.c.began)
 	t.p.Log.Info().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
 		Str("class", t.c.route.Class.String()).Str("workspace", t.c.workspaceName()).Bool("late", took > time.Duration(t.c.route.Objective)).
-		Str("backend", pick.Name).Int("rank", pick.Rank).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
+		Str("backend", pick.Name).Str("software", pick.Software).Bool("target", a.target).Bool("declined", t.declined).Int("rank", pick.Rank).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
 		Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
 		Dur("took", took).Msg("answered")
 }
@@ -166,7 +212,8 @@
 	report := t.report(ex.Response.Header)
 	ex.Close()
 	pick.Done(balance.Refused, report)
-	t.p.Log.Info().Str("id", t.c.id).Str("backend", pick.Name).Int("status", ex.Response.StatusCode).
+	t.over(pick, rollout.Outcome{Failed: misdirected, Unsent: !misdirected})
+	t.line(pick).Int("status", ex.Response.StatusCode).
 		Str("load", ex.Response.Header.Get(t.p.Names.Load)).Msg("backend-refused")
 	if misdirected {
 		pick.Gone()
@@ -209,26 +256,28 @@
 }
 
 // failed classifies a dispatch that got no answer.
-func (t *trial) failed(ctx context.Context, pick *balance.Pick, err error) *request.Result {
+func (t *trial) failed(ctx context.Context, pick *balance.Pick, err error, sent time.Time) *request.Result {
 	var d *conn.DispatchError
 	if !errors.As(err, &d) || d.Sent {
 		t.c.attempts++
-		return t.lost(ctx, pick, err)
+		return t.lost(ctx, pick, err, sent)
 	}
+	t.over(pick, rollout.Outcome{Unsent: true})
 	if t.c.r.Context().Err() != nil {
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
 	pick.Done(balance.Unreachable, nil)
-	t.p.Log.Info().Str("id", t.c.id).Str("backend", pick.Name).Err(err).Msg("connect-failed")
+	t.line(pick).Err(err).Msg("connect-failed")
 	return t.result(request.ConnectFailed, minRetry)
 }
 
-// lost classifies an exchange that was sent and got no whole answer.
-func (t *trial) lost(ctx context.Context, pick *balance.Pick, err error) *request.Result {
+// lost classifies an exchange that was sent at a time and got no whole answer.
+func (t *trial) lost(ctx context.Context, pick *balance.Pick, err error, sent time.Time) *request.Result {
 	t.mayHaveRun = true
 	t.c.runs++
 	if t.c.r.Context().Err() != nil {
+		t.over(pick, rollout.Outcome{Unsent: true})
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
@@ -241,7 +290,9 @@
 		// with it: each would cost a request its whole time.
 		pick.Pool.CloseIdle()
 	}
-	t.p.Log.Info().Str("id", t.c.id).Str("backend", pick.Name).Err(err).Msg("answer-lost")
+	unsent := code == request.DeadlinePassed && t.c.tooShort(pick, sent)
+	t.over(pick, rollout.Outcome{Failed: !unsent, Unsent: unsent, Took: time.Since(sent)})
+	t.line(pick).Err(err).Msg("answer-lost")
 	return t.result(code, 0)
 }
 
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"shalewick/process/balance"
 	"shalewick/process/metric"
 	"shalewick/process/quota"
+	"shalewick/process/rollout"
 	"shalewick/request"
 	"shalewick/retry"
 	"shalewick/version"
@@ -30,10 +31,12 @@
 	Table   *balance.Table
 	Retries *retry.Window
 	// Quota, if set, keeps workspaces within their rates.
-	Quota   *quota.Quota
-	Metrics *metric.Set
-	Log     zerolog.Logger
-	Now     func() time.Duration
+	Quota *quota.Quota
+	// Rollouts, if set, says which requests go to the target of a roll-out.
+	Rollouts *rollout.Rollouts
+	Metrics  *metric.Set
+	Log      zerolog.Logger
+	Now      func() time.Duration
 	// Fresh, if set, reports whether the configuration in force may be acted
 	// on; otherwise requests are refused.
 	Fresh func() bool
@@ -44,6 +47,7 @@
 	// Age returns how long ago the configuration in force was last confirmed.
 	Age func() time.Duration
 
+	begin   beginner // in place of Rollouts, for tests
 	leaving atomic.Bool
 	running atomic.Int64
 	carried atomic.Int64
@@ -89,6 +93,7 @@
 	service   string
 	version   int64 // of the configuration that decided; zero: none
 	deadline  time.Time
+	own       bool // the deadline is the caller's, below the route's timeout
 	began     time.Time
 	body      *body
 	why       *balance.Why // what the last choice saw, if it found no backend server
@@ -170,7 +175,7 @@
 	if ms, err := strconv.ParseInt(c.r.Header.Get(p.Names.Deadline), 10, 64); err == nil && ms >= 0 {
 		left := time.Duration(ms) * time.Millisecond
 		if d := c.began.Add(left); d.Before(c.deadline) {
-			c.deadline = d
+			c.deadline, c.own = d, true
 		}
 	}
 	c.deadline = c.deadline.Add(-answerMargin)
--- a/process/proxy/proxy_test.go
+++ b/process/proxy/proxy_test.go
@@ -30,7 +30,7 @@
 
 // fixture is a proxy before some backend servers, in one process.
 type fixture struct {
-	t        *testing.T
+	t        testing.TB
 	proxy    *Proxy
 	table    *balance.Table
 	front    *httptest.Server
@@ -38,7 +38,7 @@
 	config   *version.Config
 }
 
-func newFixture(t *testing.T, backends int) *fixture {
+func newFixture(t testing.TB, backends int) *fixture {
 	t.Helper()
 	f := &fixture{t: t, config: &version.Config{Seq: 1, Resources: map[version.Key]version.Resource{}}}
 	begun := time.Now()
--- /dev/null
+++ b/process/proxy/rollout_test.go
@@ -0,0 +1,596 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/balance"
+	"shalewick/process/logging"
+	"shalewick/process/rollout"
+	"shalewick/request"
+	"shalewick/standin/server"
+	"shalewick/version"
+)
+
+// recorder stands in for roll-outs: it sends requests to the target as it is told, and
+// keeps what it hears.
+type recorder struct {
+	target bool // first attempts go to the target
+
+	mu  sync.Mutex
+	all []*recorded
+}
+
+// recorded is one attempt.
+type recorded struct {
+	*recorder
+	service, route string
+	first, hasHome bool
+	toTarget       bool
+	declined       int
+	outcomes       []rollout.Outcome
+}
+
+func (r *recorder) begin(service, route string, first bool, home func() (uint64, bool)) rolled {
+	_, hasHome := home()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := &recorded{recorder: r, service: service, route: route, first: first, hasHome: hasHome, toTarget: r.target && first}
+	r.all = append(r.all, a)
+	return a
+}
+
+func (a *recorded) Target() bool { return a.toTarget }
+
+func (a *recorded) Decline() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.declined++
+}
+
+func (a *recorded) Done(o rollout.Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.outcomes = append(a.outcomes, o)
+}
+
+// attempts returns the attempts, each of which must have ended once.
+func (r *recorder) attempts(t testing.TB) []recorded {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []recorded
+	for _, a := range r.all {
+		assert.Equal(t, len(a.outcomes), 1, "%+v", a)
+		out = append(out, recorded{
+			service: a.service, route: a.route, first: a.first, hasHome: a.hasHome, toTarget: a.toTarget,
+			declined: a.declined, outcomes: slices.Clone(a.outcomes),
+		})
+	}
+	return out
+}
+
+// rolling is a proxy before one backend server of the version in force and one of a
+// target that gets all first attempts.
+type rolling struct {
+	*fixture
+	*recorder
+	old, new *server.Server
+	log      *syncBuffer
+}
+
+// syncBuffer is a buffer that several may write to.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// lines returns the lines of an event.
+func (b *syncBuffer) lines(event string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, l := range strings.Split(b.b.String(), "\n") {
+		if strings.Contains(l, " event="+event+" ") {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func newRolling(t *testing.T) *rolling {
+	t.Helper()
+	f := newFixture(t, 2)
+	x := &rolling{fixture: f, recorder: &recorder{target: true}, old: f.backends[0], new: f.backends[1], log: &syncBuffer{}}
+	f.proxy.begin = x.begin
+	f.proxy.Log = logging.New(x.log)
+	x.software("u0", "v1")
+	x.software("u1", "v2")
+	x.admit("v1", "v2")
+	return x
+}
+
+func (x *rolling) software(name, v string) {
+	x.config.Resources[version.Key{Kind: version.KindBackend, Name: name}].Backend.Software = v
+}
+
+func (x *rolling) admit(inForce, target string) {
+	x.config.Software = map[string]version.Software{"s": {InForce: inForce, Target: target}}
+	x.install()
+}
+
+// metrics returns the text of all metrics.
+func (f *fixture) metrics() string {
+	f.t.Helper()
+	var text strings.Builder
+	assert.NilError(f.t, f.proxy.Metrics.Write(&text))
+	return text.String()
+}
+
+func (f *fixture) retries() bool { return strings.Contains(f.metrics(), "retries_total") }
+
+// outcome returns the outcome of the only attempt there was.
+func (x *rolling) outcome() rollout.Outcome {
+	x.t.Helper()
+	all := x.attempts(x.t)
+	assert.Equal(x.t, len(all), 1)
+	return all[0].outcomes[0]
+}
+
+// TestFirstAttemptGoesToTheTarget checks one, and what roll-outs are told of it.
+func TestFirstAttemptGoesToTheTarget(t *testing.T) {
+	x := newRolling(t)
+	x.new.First = 30 * time.Millisecond
+	x.own(x.send("r", "/reads/1", ""), "r")
+	assert.Equal(t, len(x.new.Runs()), 1)
+	assert.Equal(t, len(x.old.Runs()), 0)
+	all := x.attempts(t)
+	assert.Equal(t, all[0].service, "s")
+	assert.Equal(t, all[0].route, "reads")
+	assert.Assert(t, all[0].first && all[0].hasHome && all[0].declined == 0)
+	o := x.outcome()
+	assert.Assert(t, !o.Failed && !o.Unsent && o.Unseen && !o.Cold)
+	assert.Assert(t, o.Took >= x.new.First && o.Took < 300*time.Millisecond, "%s", o.Took)
+	x.own(x.send("again", "/reads/1", ""), "again")
+	assert.Assert(t, !x.attempts(t)[1].outcomes[0].Unseen)
+}
+
+// TestColdIsTold checks that an answer of a cold backend server is marked.
+func TestColdIsTold(t *testing.T) {
+	x := newRolling(t)
+	x.config.Resources[version.Key{Kind: version.KindBackend, Name: "u1"}].Backend.Cold = version.Duration(time.Minute)
+	x.install()
+	x.own(x.send("r", "/reads/1", ""), "r")
+	assert.Assert(t, x.outcome().Cold)
+}
+
+// TestRequestWithoutObjectHasNoHome sends one that names no object.
+func TestRequestWithoutObjectHasNoHome(t *testing.T) {
+	x := newRolling(t)
+	rec := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/reads/1", nil)
+	r.Host = "a.example"
+	r.Header.Set(request.OwnNames.ID, "r")
+	x.proxy.ServeHTTP(rec, r)
+	assert.Equal(t, rec.Code, http.StatusOK)
+	assert.Assert(t, !x.attempts(t)[0].hasHome)
+}
+
+// TestTargetThatCannotTakeItIsDeclined checks that a request for which the target has no
+// place goes to the version in force in the same attempt, whatever may be repeated.
+func TestTargetThatCannotTakeItIsDeclined(t *testing.T) {
+	for name, spoil := range map[string]func(x *rolling){
+		"absent": func(x *rolling) { x.admit("v1", "v9") },
+		"leaving": func(x *rolling) {
+			x.config.Resources[version.Key{Kind: version.KindBackend, Name: "u1"}].Backend.Leaving = true
+			x.install()
+		},
+		"drained": func(x *rolling) {
+			x.put(version.Resource{Key: version.Key{Kind: version.KindDrain, Name: "d"}, Drain: &version.Drain{Backend: "u1"}})
+			x.install()
+		},
+		"ended": func(x *rolling) { x.admit("v1", "") },
+	} {
+		x := newRolling(t)
+		spoil(x)
+		x.own(x.send("b", "/bids/1", "an offer"), "b")
+		all := x.attempts(t)
+		assert.Equal(t, len(all), 1, name)
+		assert.Equal(t, all[0].declined, 1, name)
+		assert.Assert(t, !all[0].outcomes[0].Failed && !all[0].outcomes[0].Unsent, name)
+		assert.Equal(t, len(x.old.Runs()), 1, name)
+		assert.Assert(t, !x.retries(), name)
+		lines := x.log.lines("answered")
+		assert.Equal(t, len(lines), 1)
+		for _, field := range []string{"attempts=1", "declined=true", "target=false", "software=v1"} {
+			assert.Assert(t, strings.Contains(lines[0], field), "%s: %s", field, lines[0])
+		}
+	}
+}
+
+// TestNoPlaceAtEitherVersionIsUnsent checks a request that nobody can take.
+func TestNoPlaceAtEitherVersionIsUnsent(t *testing.T) {
+	x := newRolling(t)
+	x.admit("v8", "v9")
+	assert.Equal(t, x.send("r", "/reads/1", "").status, http.StatusServiceUnavailable)
+	assert.Equal(t, x.outcome(), rollout.Outcome{Unsent: true})
+}
+
+// TestOutcomeOfEachFault checks what roll-outs are told for each way in which the target
+// misbehaves, with a request that is not repeated, and that the caller gets what it gets
+// without a roll-out.
+func TestOutcomeOfEachFault(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		fault          server.Fault
+		failed, unsent bool
+		status         int
+		attempts       int
+	}{
+		{"whole", server.None, false, false, 200, 1},
+		{"own failure", server.Broken, true, false, 500, 1},
+		{"cut", server.Cut, true, false, 502, 1},
+		{"lost", server.Lost, true, false, 502, 1},
+		{"no answer", server.NotAnswer, true, false, 502, 1},
+		{"silent", server.Silent, true, false, 504, 1},
+		{"misdirected", server.Moved, true, false, 200, 2},
+		{"refused", server.Shed, false, true, 200, 2},
+	} {
+		x := newRolling(t)
+		x.new.Next(c.fault)
+		r := x.send("b", "/bids/1", "an offer")
+		assert.Equal(t, r.status, c.status, c.name)
+		all := x.attempts(t)
+		assert.Equal(t, len(all), c.attempts, c.name)
+		o := all[0].outcomes[0]
+		assert.Equal(t, o.Failed, c.failed, c.name)
+		assert.Equal(t, o.Unsent, c.unsent, c.name)
+		for _, further := range all[1:] {
+			assert.Assert(t, !further.first && !further.outcomes[0].Failed, c.name)
+		}
+		assert.Equal(t, len(x.old.Runs()), c.attempts-1, c.name)
+	}
+}
+
+// answering starts a backend server that answers each request with a text.
+func answering(t *testing.T, text func(id string) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(c, text(req.Header.Get(request.OwnNames.ID)))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// at puts the target's backend server at another address.
+func (x *rolling) at(address string) {
+	x.backend("u1", address)
+	x.software("u1", "v2")
+	x.install()
+}
+
+// TestForeignAnswerIsAFailure checks a target that answers other requests than were sent.
+func TestForeignAnswerIsAFailure(t *testing.T) {
+	x := newRolling(t)
+	x.at(answering(t, func(string) string {
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 0\r\n\r\n", request.OwnNames.ID)
+		return strings.Repeat(one, maxForeign+1)
+	}))
+	assert.Equal(t, x.send("b", "/bids/1", "an offer").status, http.StatusBadGateway)
+	assert.Assert(t, x.outcome().Failed)
+}
+
+// TestUnreachableTargetIsUnsent checks that nothing is held against a target to which
+// no connection can be opened, and that the request is served.
+func TestUnreachableTargetIsUnsent(t *testing.T) {
+	x := newRolling(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	x.at(l.Addr().String())
+	x.own(x.send("b", "/bids/1", "an offer"), "b")
+	all := x.attempts(t)
+	assert.Equal(t, len(all), 2)
+	assert.Equal(t, all[0].outcomes[0], rollout.Outcome{Unsent: true})
+	assert.Equal(t, len(x.old.Runs()), 1)
+}
+
+// TestCallerThatLeavesTellsNothingOfTheTarget checks one that leaves while the target
+// works.
+func TestCallerThatLeavesTellsNothingOfTheTarget(t *testing.T) {
+	x := newRolling(t)
+	x.new.Work = 400 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, x.front.URL+"/reads/1", nil)
+	assert.NilError(t, err)
+	req.Host = "a.example"
+	req.Header.Set(request.OwnNames.ID, "r")
+	_, err = http.DefaultClient.Do(req)
+	assert.Assert(t, err != nil)
+	x.idle()
+	assert.Equal(t, x.outcome(), rollout.Outcome{Unsent: true})
+}
+
+// sendWithin sends a read with a deadline of the caller's own.
+func (x *rolling) sendWithin(id string, left time.Duration) int {
+	x.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, x.front.URL+"/reads/1", nil)
+	assert.NilError(x.t, err)
+	req.Host = "a.example"
+	req.Header.Set(request.OwnNames.ID, id)
+	req.Header.Set(request.OwnNames.Affinity, "7")
+	req.Header.Set(request.OwnNames.Deadline, fmt.Sprint(left.Milliseconds()))
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(x.t, err)
+	res.Body.Close()
+	return res.StatusCode
+}
+
+// TestDeadlineOfTheCallerTellsNothingIfItIsShort checks a deadline of the caller's below
+// and one above what answers usually take, at a target that is silent.
+func TestDeadlineOfTheCallerTellsNothingIfItIsShort(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Silent, server.Silent)
+	x.new.Work = 0
+	assert.Equal(t, x.sendWithin("short", 100*time.Millisecond), http.StatusGatewayTimeout)
+	assert.Assert(t, x.outcome().Unsent, "the first work is taken to need more")
+	x = newRolling(t)
+	for i := range 30 { // so that the usual work is known, and the object seen
+		id := fmt.Sprint("w", i)
+		x.own(x.send(id, "/reads/1", ""), id)
+	}
+	x.new.Next(server.Silent)
+	assert.Equal(t, x.sendWithin("long", 300*time.Millisecond), http.StatusGatewayTimeout)
+	all := x.attempts(t)
+	assert.Equal(t, len(all), 31)
+	assert.Assert(t, all[30].outcomes[0].Failed)
+}
+
+// TestFailureOfTheTargetIsTriedAtTheVersionInForce checks that a caller whose request may
+// be repeated does not see a failure of the target.
+func TestFailureOfTheTargetIsTriedAtTheVersionInForce(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Broken)
+	x.own(x.send("r", "/reads/1", ""), "r")
+	assert.Equal(t, len(x.new.Runs()), 1)
+	assert.Equal(t, len(x.old.Runs()), 1)
+	all := x.attempts(t)
+	assert.Equal(t, len(all), 2)
+	assert.Assert(t, all[0].toTarget && all[0].outcomes[0].Failed)
+	assert.Assert(t, !all[1].first && !all[1].outcomes[0].Failed)
+	assert.Assert(t, strings.Contains(x.metrics(), `retries_total{service="s"} 1`))
+	assert.Equal(t, len(x.log.lines("answered")), 1, "one answer was passed on")
+	assert.Assert(t, strings.Contains(x.log.lines("tried-again")[0], "status=500"))
+}
+
+// TestFailureOfTheTargetIsPassedOnIfNotRepeatable checks that what must not run twice
+// does not.
+func TestFailureOfTheTargetIsPassedOnIfNotRepeatable(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Broken)
+	r := x.send("b", "/bids/1", "an offer")
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, r.body, server.Body("b"))
+	assert.Equal(t, len(x.runs()), 1)
+	assert.Assert(t, x.outcome().Failed)
+}
+
+// TestFailureOfTheVersionInForceIsPassedOn checks that only a target's failures are tried
+// elsewhere.
+func TestFailureOfTheVersionInForceIsPassedOn(t *testing.T) {
+	x := newRolling(t)
+	x.target = false
+	x.old.Next(server.Broken)
+	assert.Equal(t, x.send("r", "/reads/1", "").status, http.StatusInternalServerError)
+	assert.Equal(t, len(x.runs()), 1)
+}
+
+// TestFailureOfTheTargetStandsIfNothingElseIsHad checks each way in which the version in
+// force gives no answer.
+func TestFailureOfTheTargetStandsIfNothingElseIsHad(t *testing.T) {
+	for name, spoil := range map[string]func(x *rolling){
+		"lost":    func(x *rolling) { x.old.Next(server.Lost) },
+		"refused": func(x *rolling) { x.old.Next(server.Shed) },
+		"silent":  func(x *rolling) { x.old.Next(server.Silent) },
+		"absent":  func(x *rolling) { x.admit("v9", "v2") },
+		"one attempt": func(x *rolling) {
+			x.config.Resources[version.Key{Kind: version.KindRoute, Name: "reads"}].Route.Attempts = 1
+			x.install()
+		},
+	} {
+		x := newRolling(t)
+		spoil(x)
+		x.new.Next(server.Broken)
+		r := x.send("r", "/reads/1", "")
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusInternalServerError, name)
+		assert.Equal(t, r.body, server.Body("r"), name)
+		assert.Equal(t, r.header.Get(request.OwnNames.Seal), "seal-r", name)
+		assert.Assert(t, x.attempts(t)[0].outcomes[0].Failed, name)
+		assert.Equal(t, len(x.log.lines("answered")), 1, name)
+	}
+}
+
+// TestBothVersionsFail checks that the failure of the version in force is the answer.
+func TestBothVersionsFail(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Broken)
+	x.old.Next(server.Broken)
+	r := x.send("r", "/reads/1", "")
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, len(x.runs()), 2)
+	assert.Assert(t, strings.Contains(x.log.lines("answered")[0], "software=v1"))
+}
+
+// TestLateAnswersOfTheTargetAreDelivered checks an answer after the objective, and a
+// failure that stands when the time is over.
+func TestLateAnswersOfTheTargetAreDelivered(t *testing.T) {
+	x := newRolling(t)
+	x.new.Work = 500 * time.Millisecond // of 600; the objective is 300
+	x.own(x.send("r", "/reads/1", ""), "r")
+	x = newRolling(t)
+	x.new.Work = 450 * time.Millisecond
+	x.old.Work = 500 * time.Millisecond
+	x.new.Next(server.Broken)
+	r := x.send("r", "/reads/1", "")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, r.body, server.Body("r"))
+}
+
+// TestRetriesForTheTargetStayWithinTheBudget checks that a target that always fails costs
+// no more retries than all faults together may, and that each caller has an answer.
+func TestRetriesForTheTargetStayWithinTheBudget(t *testing.T) {
+	const requests, ratio = 60, 0.2
+	x := newRolling(t)
+	x.proxy.Retries.Ratio, x.proxy.Retries.Fixed = ratio, 0
+	faults := make([]server.Fault, requests)
+	for i := range faults {
+		faults[i] = server.Broken
+	}
+	x.new.Next(faults...)
+	failed := 0
+	for i := range requests {
+		id := fmt.Sprint("r", i)
+		r := x.send(id, "/reads/1", "")
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.body, server.Body(id))
+		if r.status != http.StatusOK {
+			failed++
+		}
+	}
+	again := len(x.old.Runs())
+	assert.Equal(t, again, requests-failed)
+	assert.Assert(t, again > 0 && again <= ratio*requests, "%d of %d", again, requests)
+}
+
+// TestLargeAnswerCountsUntilItIsPassedOn checks that roll-outs are told when its beginning
+// is there, and that it is in flight at its version until the caller has it.
+func TestLargeAnswerCountsUntilItIsPassedOn(t *testing.T) {
+	const size = 3 << 20
+	rest := make(chan struct{})
+	sendRest := sync.OnceFunc(func() { close(rest) })
+	x := newRolling(t)
+	x.target = false
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(request.OwnNames.ID, r.Header.Get(request.OwnNames.ID))
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		_, _ = w.Write(make([]byte, size/2))
+		w.(http.Flusher).Flush()
+		<-rest
+		_, _ = w.Write(make([]byte, size/2))
+	}))
+	defer old.Close()
+	defer sendRest() // which the backend server waits for
+	x.backend("u0", old.Listener.Addr().String())
+	x.software("u0", "v1")
+	x.install()
+	got := make(chan reply, 1)
+	go func() { got <- x.send("r", "/reads/1", "") }()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		x.mu.Lock()
+		told := len(x.all) == 1 && len(x.all[0].outcomes) == 1
+		x.mu.Unlock()
+		if told {
+			break
+		}
+		assert.Assert(t, time.Since(begun) < 500*time.Millisecond)
+	}
+	assert.Equal(t, x.table.InFlight("s"), 1)
+	x.admit("v2", "")
+	assert.Equal(t, x.table.InFlight("s"), 1, "also when its version has left")
+	sendRest()
+	r := <-got
+	assert.NilError(t, r.err)
+	assert.Equal(t, len(r.body), size)
+	x.idle()
+	assert.Equal(t, x.table.InFlight("s"), 0)
+	assert.Assert(t, !x.outcome().Failed)
+}
+
+// TestVersionIsLoggedAndMeasured checks the fields of the lines and the metrics.
+func TestVersionIsLoggedAndMeasured(t *testing.T) {
+	x := newRolling(t)
+	x.own(x.send("r1", "/reads/1", ""), "r1")
+	x.new.Next(server.Lost)
+	x.own(x.send("r2", "/reads/1", ""), "r2")
+	x.new.Next(server.Shed)
+	x.own(x.send("r3", "/reads/1", ""), "r3")
+	for event, fields := range map[string][]string{
+		"answered":        {"software=v2", "target=true", "declined=false"},
+		"answer-lost":     {"software=v2", "target=true"},
+		"backend-refused": {"software=v2", "target=true"},
+	} {
+		lines := x.log.lines(event)
+		assert.Assert(t, len(lines) > 0, event)
+		for _, field := range fields {
+			assert.Assert(t, strings.Contains(lines[0], " "+field), "%s in %s", field, lines[0])
+		}
+	}
+	text := x.metrics()
+	for _, want := range []string{
+		`software_requests_total{service="s",software="v1"} 2`,
+		`software_failures_total{service="s",software="v1"} 0`,
+		`software_requests_total{service="s",software="v2"} 2`,
+		`software_failures_total{service="s",software="v2"} 1`,
+		`software_latency_us_count{service="s",software="v2"} 1`,
+	} {
+		assert.Assert(t, strings.Contains(text, want), "%s in\n%s", want, text)
+	}
+}
+
+// BenchmarkNoRollout measures what roll-outs add to a request while none runs: the
+// beginning, the end, and the counts by version.
+func BenchmarkNoRollout(b *testing.B) {
+	f := newFixture(b, 1)
+	f.proxy.Rollouts = &rollout.Rollouts{}
+	routing := f.table.Routing()
+	c := &call{route: routing.Route("a.example", "/reads/1"), service: "s"}
+	t := &trial{p: f.proxy, c: c, query: balance.Query{Route: c.route, Object: 7}}
+	pick := &balance.Pick{Software: "v1"}
+	b.ReportAllocs()
+	for b.Loop() {
+		t.begun = false
+		t.begin()
+		t.query.Target = t.rolled.Target()
+		t.over(pick, rollout.Outcome{Took: time.Millisecond})
+	}
+}
