proxy: nothing goes to a version that is closed, and a test with roll-outs that decide

Cause: Attempt.Decline tells now whether the version before may still be used; the owner may hold it for drained.

Change: a request that the target can't take is refused then, as one that has not run.

--- a/process/proxy/rollout.go
+++ b/process/proxy/rollout.go
@@ -17,7 +17,7 @@
 // noRollout.
 type rolled interface {
 	Target() bool
-	Decline()
+	Decline() bool
 	Done(o rollout.Outcome)
 }
 
@@ -28,10 +28,11 @@
 type noRollout struct{}
 
 func (noRollout) Target() bool         { return false }
-func (noRollout) Decline()             {}
+func (noRollout) Decline() bool        { return true }
 func (noRollout) Done(rollout.Outcome) {}
 
-// begin begins an attempt. Only the first one at a request may go to a target.
+// begin begins an attempt. One that is not the first at a request goes to a target only
+// while nothing may go to the version before any more.
 func (t *trial) begin() {
 	first := !t.begun
 	t.begun = true
@@ -56,21 +57,23 @@
 // home returns the home of the request's object at the target.
 func (t *trial) home() (hash uint64, ok bool) { return t.p.Table.TargetHome(&t.query) }
 
-// pick chooses a backend server: of the target if the attempt may go there and one takes
-// it, else of the version in force.
+// pick chooses a backend server: of the target if the attempt goes there and one takes
+// it, else of the version in force, unless nothing may go there any more.
 func (t *trial) pick() (*balance.Pick, balance.Refusal) {
 	t.query.Target = t.rolled.Target()
 	pick, refusal := t.p.Table.Pick(&t.query)
 	if pick != nil || !t.query.Target {
 		return pick, refusal
 	}
-	t.rolled.Decline()
+	if !t.rolled.Decline() {
+		return nil, refusal
+	}
 	t.declined = true
 	t.query.Target = false
 	return t.p.Table.Pick(&t.query)
 }
 
-// instead tries the version in force once, for a request that a target answered with a
+// instead tries the version in force once (or what may be tried in its place), for a request that a target answered with a
 // failure of its own, since a version that is tried must not cost callers their answers.
 // If nothing else is had, the failure is the answer. One that is too large to be held
 // is passed on as it is.
--- a/process/proxy/rollout_test.go
+++ b/process/proxy/rollout_test.go
@@ -31,6 +31,7 @@
 // keeps what it hears.
 type recorder struct {
 	target bool // first attempts go to the target
+	closed bool // nothing may go to the version before: further attempts go there, too
 
 	mu  sync.Mutex
 	all []*recorded
@@ -50,17 +51,18 @@
 	_, hasHome := home()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := &recorded{recorder: r, service: service, route: route, first: first, hasHome: hasHome, toTarget: r.target && first}
+	a := &recorded{recorder: r, service: service, route: route, first: first, hasHome: hasHome, toTarget: r.target && (first || r.closed)}
 	r.all = append(r.all, a)
 	return a
 }
 
 func (a *recorded) Target() bool { return a.toTarget }
 
-func (a *recorded) Decline() {
+func (a *recorded) Decline() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.declined++
+	return !a.closed
 }
 
 func (a *recorded) Done(o rollout.Outcome) {
@@ -229,6 +231,23 @@
 	}
 }
 
+// TestNothingGoesToAVersionThatIsClosed checks that once an instance has said that it
+// sends nothing to the version before, a request that the target can't take is refused.
+func TestNothingGoesToAVersionThatIsClosed(t *testing.T) {
+	x := newRolling(t)
+	x.closed = true
+	x.admit("v1", "v9")
+	r := x.send("b", "/bids/1", "an offer")
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.header.Get(request.HeaderRan), string(request.RanNo))
+	assert.Equal(t, x.outcome(), rollout.Outcome{Unsent: true})
+	x = newRolling(t)
+	x.closed = true
+	x.new.Next(server.Broken)
+	assert.Equal(t, x.send("r", "/reads/1", "").status, http.StatusInternalServerError)
+	assert.Equal(t, len(x.old.Runs()), 0)
+}
+
 // TestNoPlaceAtEitherVersionIsUnsent checks a request that nobody can take.
 func TestNoPlaceAtEitherVersionIsUnsent(t *testing.T) {
 	x := newRolling(t)
@@ -577,6 +596,38 @@
 	}
 }
 
+// TestRolloutsDecideOnRequests lets the roll-outs of an instance that is alone decide, on
+// a clock that the requests move, and checks that the target gets some, within its share.
+func TestRolloutsDecideOnRequests(t *testing.T) {
+	const requests, share, slack = 300, 0.2, 10
+	x := newRolling(t)
+	x.proxy.begin = nil
+	now := time.Hour
+	x.proxy.Rollouts = &rollout.Rollouts{
+		Now: func() time.Duration { return now }, Bounds: rollout.Bounds{Share: share, Slack: slack, StopWithin: 2 * time.Second},
+		Incarnation: 1, Owner: func(string) rollout.Owner { return rollout.Owner{Name: "here"} },
+		Live: func() []string { return []string{""} }, InFlight: x.table.InFlight, Send: func(string, []byte) {},
+	}
+	routing := x.table.Routing()
+	hash := routing.Backends[routing.Services[routing.Services[0].Target].Backends[0]].Hash
+	x.proxy.Rollouts.Install(nil)
+	x.proxy.Rollouts.Install([]rollout.Service{{
+		Name: "s", Order: &rollout.Order{ID: 1, Target: "v2", Within: time.Minute}, Revision: 1, InForce: "v1", InForceSlots: 4,
+		Record: &rollout.Record{Service: "s", Order: 1, Target: "v2", Before: "v1", Phase: rollout.Canary, Began: 1, Deadline: version.Duration(2 * time.Hour)},
+		Homes:  []rollout.Home{{Hash: hash, Slots: 4}},
+	}})
+	for i := range requests {
+		now += 20 * time.Millisecond
+		x.proxy.Rollouts.Tick()
+		id := fmt.Sprint("r", i)
+		x.own(x.send(id, "/bids/1", "an offer"), id)
+	}
+	at := len(x.new.Runs())
+	assert.Assert(t, at > 0 && float64(at) <= share*requests+slack, "%d of %d", at, requests)
+	assert.Equal(t, len(x.old.Runs()), requests-at)
+	assert.Equal(t, x.table.InFlight("s"), 0)
+}
+
 // BenchmarkNoRollout measures what roll-outs add to a request while none runs: the
 // beginning, the end, and the counts by version.
 func BenchmarkNoRollout(b *testing.B) {
