edge, cluster: a silent owner is noticed, and a new one hears of the others first

Cause: an instance of another region counts as alive until a call to it fails, so some went on reporting to an owner that had ended, and the roll-out never ended. A new owner that took over about the deadline gave up for lack of evidence before the first report had reached it (TestOwnerIsKilled, trial with a proxy wired by hand).

Change: while a roll-out runs each instance asks the owner, if it was silent for 1.2 s, whether it lives, by a call without content; while all requests move the owner asks all that are silent. A new owner of a roll-out that runs waits 0.8 s for the reports.

--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -20,6 +20,7 @@
 const (
 	PathChanges = "/peer/changes"
 	PathMembers = "/peer/members"
+	PathAlive   = "/peer/alive"
 )
 
 // question asks what has changed after the given versions, by table.
@@ -93,9 +94,9 @@
 	return nil
 }
 
-// Check asks another instance for anything, and notes whether it answers.
+// Check asks another instance whether it lives, and notes whether it answers.
 func (p *Peers) Check(ctx context.Context, m Member) bool {
-	_, err := p.call(ctx, m.Peer, PathMembers, p.Members.Self())
+	_, err := p.call(ctx, m.Peer, PathAlive, struct{}{})
 	if err == nil || ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		p.Members.Called(m.Name, err == nil)
 	}
@@ -149,6 +150,7 @@
 		b, err := marshal(append(p.Members.All(), p.Members.Self()))
 		reply(w, b, err)
 	})
+	mux.HandleFunc("POST "+PathAlive, func(http.ResponseWriter, *http.Request) {})
 	return mux
 }
 
--- a/process/cluster/work.go
+++ b/process/cluster/work.go
@@ -28,15 +28,15 @@
 	return out
 }
 
-// Silent returns the instances of other regions that count as alive and were not heard
-// for a time. They are heard seldom, so they may have ended: a call to them tells.
-func (m *Members) Silent(least time.Duration) []Member {
+// Silent returns those of the other instances that count as alive, and were not heard for
+// a time. Of asks whether one matters; it must not call the members.
+func (m *Members) Silent(least time.Duration, of func(Member) bool) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	var out []Member
 	m.eachLive(func(k *known) {
-		if k.Region != m.self.Region && now-k.heard > least {
+		if !m.isSelf(k) && now-k.heard > least && of(k.Member) {
 			out = append(out, k.Member)
 		}
 	})
--- a/process/edge/silent.go
+++ b/process/edge/silent.go
@@ -8,37 +8,55 @@
 	"time"
 
 	"shalewick/clock"
+	"shalewick/process/cluster"
 )
 
 const (
-	// silentFor is how long an instance of another region may be silent until the owner
-	// of a promotion looks whether it lives: those that live report far more often.
-	silentFor = 2 * time.Second
+	// silentFor is how long an instance that matters to a roll-out may be silent until it
+	// is asked whether it lives: owners answer reports twice a second.
+	silentFor = 1200 * time.Millisecond
 	// silentPause is the pause between two looks.
-	silentPause = 500 * time.Millisecond
+	silentPause = 300 * time.Millisecond
 	// mostChecked bounds the instances that are asked at a time.
 	mostChecked = 8
 )
 
-// checkSilent asks instances of other regions that are silent whether they live, while
-// this instance owns a promotion: that does not end while an instance that counts as
-// alive has not said that it has nothing in flight. Before, few are heard.
+// checkSilent asks instances that matter to roll-outs and are silent whether they live,
+// while one runs. Instances of other regions count as alive until a call to them fails,
+// and those of the own one for some seconds.
 func (e *Edge) checkSilent(ctx context.Context) {
 	for e.rolling.open.wait(ctx) && clock.Sleep(ctx, silentPause) {
-		if !e.rolling.promotes.Load() || len(e.ownedRollouts()) == 0 {
+		if e.rolling.running.Load() == 0 {
 			continue
 		}
-		silent := e.members.Silent(silentFor)
+		silent := e.members.Silent(silentFor, e.matters())
 		var all sync.WaitGroup
 		for _, m := range silent[:min(len(silent), mostChecked)] {
-			all.Go(func() {
-				asked, cancel := context.WithTimeout(ctx, 2*dialTimeout)
-				defer cancel()
-				if !e.peers.Check(asked, m) {
-					e.log.Info().Str("other", m.Name).Msg("instance-silent")
-				}
-			})
+			all.Go(func() { e.check(ctx, m) })
 		}
 		all.Wait()
 	}
 }
+
+// matters returns which instances matter to roll-outs: the owners, to which reports go,
+// and while all requests move, to the owner, all, since that ends once each that lives
+// has nothing in flight.
+func (e *Edge) matters() func(cluster.Member) bool {
+	owners := make(map[string]bool)
+	for _, name := range e.rollingServices() {
+		owners[e.rolloutOwner(name).Name] = true
+	}
+	if owners[e.settings.Instance] && e.rolling.promotes.Load() {
+		return func(cluster.Member) bool { return true }
+	}
+	return func(m cluster.Member) bool { return owners[m.Name] }
+}
+
+// check asks an instance whether it lives.
+func (e *Edge) check(ctx context.Context, m cluster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, 2*dialTimeout)
+	defer cancel()
+	if !e.peers.Check(ctx, m) {
+		e.log.Info().Str("other", m.Name).Msg("instance-silent")
+	}
+}
--- a/process/edge/step.go
+++ b/process/edge/step.go
@@ -23,19 +23,30 @@
 	// cut off from the store, so that another instance becomes the owner. It is more than
 	// one: while the store is away for all the owner should not change all the time.
 	failuresToPass = 3
+	// hearTime is how long a new owner of a roll-out that runs waits for the reports of
+	// the others before it decides: they report twice a second, and what it has not heard
+	// of is no lack of evidence.
+	hearTime = 800 * time.Millisecond
 )
 
 // stepWriter writes the steps of the roll-outs that this instance owns. It is not safe
 // for concurrent use.
 type stepWriter struct {
 	edge     *Edge
-	owned    map[string]bool // services whose records were read since this instance owns them
-	failures int             // calls of the store that failed in a row
+	owned    map[string]ownership // by service
+	failures int                  // calls of the store that failed in a row
+}
+
+// ownership is that of a service's roll-out by this instance.
+type ownership struct {
+	read bool // the records were read since
+	// from is when this instance may decide.
+	from time.Duration
 }
 
 // writeSteps writes steps until the context ends.
 func (e *Edge) writeSteps(ctx context.Context) {
-	w := stepWriter{edge: e, owned: make(map[string]bool)}
+	w := stepWriter{edge: e, owned: make(map[string]ownership)}
 	for e.rolling.open.wait(ctx) && clock.Sleep(ctx, w.pause()) {
 		w.turn(ctx)
 	}
@@ -62,7 +73,7 @@
 		}
 	}
 	now, clocked := w.edge.deployment.Store.Clock()
-	if !clocked {
+	if !clocked || !w.heard() {
 		return
 	}
 	for _, p := range w.edge.rollouts.Proposals(now) {
@@ -83,9 +94,13 @@
 
 // own takes up which services this instance owns, and reports whether there are any.
 func (w *stepWriter) own(services []string) bool {
-	owned := make(map[string]bool, len(services))
+	owned := make(map[string]ownership, len(services))
 	for _, name := range services {
-		owned[name] = w.owned[name]
+		o, before := w.owned[name]
+		if !before {
+			o.from = w.edge.now() + hearTime
+		}
+		owned[name] = o
 	}
 	w.owned = owned
 	if len(services) == 0 {
@@ -94,10 +109,23 @@
 	return len(services) > 0
 }
 
+// heard reports whether there was time to hear of the roll-outs that run what others
+// know of them.
+func (w *stepWriter) heard() bool {
+	records, _ := knownRecords(w.edge.records().Rows()) // what can't be read is logged elsewhere
+	now := w.edge.now()
+	for name, o := range w.owned {
+		if records[name].running() && now < o.from {
+			return false
+		}
+	}
+	return true
+}
+
 // allRead reports whether the records were read since this instance owns the services.
 func (w *stepWriter) allRead() bool {
-	for _, read := range w.owned {
-		if !read {
+	for _, o := range w.owned {
+		if !o.read {
 			return false
 		}
 	}
@@ -112,8 +140,9 @@
 	if err != nil {
 		return false
 	}
-	for name := range w.owned {
-		w.owned[name] = true
+	for name, o := range w.owned {
+		o.read = true
+		w.owned[name] = o
 	}
 	return true
 }
