--- a/cmd/shalewick/demo.go
+++ b/cmd/shalewick/demo.go
@@ -25,9 +25,12 @@
   shalewick demo --rollout late --onset 4s --fails 0.4 --rate 400 --duration 12s --fault owner-killed --seed 7`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if cmd.Flags().Changed("rollout") {
+			if o.Kind != "" {
 				return demoRollout(cmd, o)
 			}
+			if cmd.Flags().NFlag() > 0 {
+				return errors.New("--rollout: must be set, as the other flags are about a roll-out")
+			}
 			return demo.Run(cmd.Context(), cmd.OutOrStdout())
 		},
 	}
