rollout: the backstop allows for chance; rates of routes are drawn to that of all

Cause: where both versions failed in 20%, 7 of 60 good targets were reverted: five sums of failures are watched, and one passes the allowed number by chance.

Ruled out: a margin on what is allowed in all, since it hides a target that fails in 1.2% beside a baseline that hardly does.

--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -98,7 +98,10 @@
 	worseSlow   = 0.2
 	// backstopFailed failures end a roll-out, whatever the sum says, if they are more than
 	// baseFactor times what the baseline had at the same time, and backstopAllow.
+	// By chance they may be more by backstopChance standard deviations. Origin: the model
+	// where both versions fail in 20% reverts 7 good targets of 60 without that.
 	backstopFailed = 40
+	backstopChance = 4.5
 	backstopAllow  = 0.005
 	// shortTime and longTime are the two windows over which the baseline's rate is
 	// measured. The higher one counts, so that a fault of both versions which has just
--- a/process/rollout/verdict.go
+++ b/process/rollout/verdict.go
@@ -38,11 +38,16 @@
 
 // target takes up answers of the target. From the first alarm on there is a cause.
 func (v *verdict) target(route routeHash, c Counts, now time.Duration) {
-	causes := [2]string{v.track(route).target(c, now, v.alarm), v.all.target(c, now, v.alarm)}
-	for _, x := range causes {
-		if v.cause == "" {
-			v.cause = x
-		}
+	usual := v.all.expect(now, rates{usuallyFailed, usuallySlow})
+	v.note(v.all.target(c, usual, v.alarm))
+	t := v.track(route)
+	v.note(t.target(c, t.expect(now, usual), v.alarm))
+}
+
+// note notes the cause of an alarm. The first one stays.
+func (v *verdict) note(cause string) {
+	if v.cause == "" {
+		v.cause = cause
 	}
 }
 
@@ -64,8 +69,9 @@
 	total        pair
 	short, long  window
 	failed, slow sum
-	// allowed is the number of failures that the target may have had.
-	allowed float64
+	// expected is the number of failures that the baseline would have had in place of the
+	// target.
+	expected float64
 }
 
 func (t *track) base(c Counts, now time.Duration) {
@@ -75,41 +81,50 @@
 }
 
 // target adds answers of the target, and returns the cause of an alarm.
-func (t *track) target(c Counts, now time.Duration, alarm float64) string {
+func (t *track) target(c Counts, base rates, alarm float64) string {
 	t.total.target.add(c)
-	t.short.fade(now, shortTime)
-	t.long.fade(now, longTime)
-	failed := t.expectFailed()
-	t.failed.add(float64(c.Failed), float64(c.Requests), failed*baseFactor+allowFailed, worseFailed)
-	t.slow.add(float64(c.Slow), float64(c.Timed), t.expectSlow()*baseSlow+allowSlow, worseSlow)
-	t.allowed += float64(c.Requests) * (baseFactor*failed + backstopAllow)
+	t.failed.add(float64(c.Failed), float64(c.Requests), base.failed*baseFactor+allowFailed, worseFailed)
+	t.slow.add(float64(c.Slow), float64(c.Timed), base.slow*baseSlow+allowSlow, worseSlow)
+	t.expected += float64(c.Requests) * base.failed
 	switch all := t.total.target; {
 	case float64(t.failed) >= alarm:
 		return "target fails"
 	case float64(t.slow) >= alarm:
 		return "target is slow"
-	case all.Failed >= backstopFailed && float64(all.Failed) > t.allowed:
+	case all.Failed >= backstopFailed && float64(all.Failed) > t.allowed():
 		return "target fails often"
 	}
 	return ""
 }
 
+// allowed is the number of failures that the target may have had.
+func (t *track) allowed() float64 {
+	by := baseFactor*t.expected + backstopAllow*float64(t.total.target.Requests)
+	chance := t.expected + backstopChance*math.Sqrt(t.expected)
+	return max(by, chance)
+}
+
 func (t *track) doubts(alarm float64) bool { return float64(max(t.failed, t.slow)) >= doubtPart*alarm }
 
-// expectFailed is the rate at which the baseline fails now.
-func (t *track) expectFailed() float64 {
-	return rate(
-		ratio{t.short.failed, t.short.requests}, ratio{t.long.failed, t.long.requests},
-		ratio{float64(t.total.base.Failed), float64(t.total.base.Requests)}, usuallyFailed,
-	)
-}
+// rates are how often answers fail, and how often they are slow.
+type rates struct{ failed, slow float64 }
 
-// expectSlow is the rate at which the baseline is slow now.
-func (t *track) expectSlow() float64 {
-	return rate(
-		ratio{t.short.slow, t.short.timed}, ratio{t.long.slow, t.long.timed},
-		ratio{float64(t.total.base.Slow), float64(t.total.base.Timed)}, usuallySlow,
-	)
+// expect returns the rates of the baseline now. Usual are those that are to be expected
+// where little is known.
+func (t *track) expect(now time.Duration, usual rates) rates {
+	t.short.fade(now, shortTime)
+	t.long.fade(now, longTime)
+	total := t.total.base
+	return rates{
+		failed: rate(
+			ratio{t.short.failed, t.short.requests}, ratio{t.long.failed, t.long.requests},
+			ratio{float64(total.Failed), float64(total.Requests)}, usual.failed,
+		),
+		slow: rate(
+			ratio{t.short.slow, t.short.timed}, ratio{t.long.slow, t.long.timed},
+			ratio{float64(total.Slow), float64(total.Timed)}, usual.slow,
+		),
+	}
 }
 
 // ratio is a part of a number.
