--- /dev/null
+++ b/process/rollout/compare_test.go
@@ -0,0 +1,311 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// sample is an answer as a verdict sees it.
+type sample struct {
+	failed bool
+	timed  bool
+	slow   bool
+	took   float64 // seconds
+}
+
+// judging is a way to come to a verdict.
+type judging interface {
+	base(x sample, now time.Duration)
+	target(x sample, now time.Duration)
+	// bad is asked each 500 ms.
+	bad(now time.Duration) bool
+}
+
+// counting is the way in use: sums over counts of failed and slow answers.
+type counting struct{ v verdict }
+
+func (c *counting) counts(x sample) Counts {
+	out := Counts{Requests: 1}
+	if x.failed {
+		out.Failed = 1
+	}
+	if x.timed {
+		out.Timed = 1
+	}
+	if x.slow {
+		out.Slow = 1
+	}
+	return out
+}
+
+func (c *counting) base(x sample, now time.Duration)   { c.v.base(1, c.counts(x), now) }
+func (c *counting) target(x sample, now time.Duration) { c.v.target(1, c.counts(x), now) }
+func (c *counting) bad(time.Duration) bool             { return c.v.cause != "" }
+
+// ranking compares the ranks of times in two windows (Mann and Whitney 1947), a failure
+// being slower than all answers. It needs the times themselves at the owner.
+type ranking struct {
+	before, after []float64
+	most          int // answers of a version that it looks back on
+	alarm         float64
+}
+
+func (r *ranking) add(list []float64, x sample) []float64 {
+	took := x.took
+	if x.failed {
+		took = math.Inf(1)
+	}
+	list = append(list, took)
+	return list[max(0, len(list)-r.most):]
+}
+
+func (r *ranking) base(x sample, _ time.Duration)   { r.before = r.add(r.before, x) }
+func (r *ranking) target(x sample, _ time.Duration) { r.after = r.add(r.after, x) }
+
+func (r *ranking) bad(time.Duration) bool {
+	const fewest = 8
+	n, m := float64(len(r.after)), float64(len(r.before))
+	if n < fewest || m < fewest {
+		return false
+	}
+	before := slices.Clone(r.before)
+	slices.Sort(before)
+	u := 0.0
+	for _, x := range r.after {
+		at, _ := slices.BinarySearch(before, x)
+		ties := 0
+		for at+ties < len(before) && before[at+ties] == x {
+			ties++
+		}
+		u += float64(at) + float64(ties)/2
+	}
+	z := (u - n*m/2) / math.Sqrt(n*m*(n+m+1)/12)
+	return z > r.alarm
+}
+
+// stream is a case for a verdict: how both versions answer, by the time.
+type stream struct {
+	name    string
+	bad     bool
+	perform func(target bool, at time.Duration) behaviour
+}
+
+func onlyTarget(b behaviour, from time.Duration) func(bool, time.Duration) behaviour {
+	return func(target bool, at time.Duration) behaviour {
+		if target && at >= from {
+			return b
+		}
+		return usually
+	}
+}
+
+var streams = []stream{
+	{"good", false, onlyTarget(usually, 0)},
+	{"both 3 times slower from 20 s", false, func(_ bool, at time.Duration) behaviour {
+		if at < 20*time.Second {
+			return usually
+		}
+		return behaviour{factor: 3, failed: usually.failed}
+	}},
+	{"both fail 50% for 5 s", false, func(_ bool, at time.Duration) behaviour {
+		if at < 20*time.Second || at > 25*time.Second {
+			return usually
+		}
+		return behaviour{factor: 1, failed: 0.5}
+	}},
+	{"a tenth slower", false, onlyTarget(behaviour{factor: 1.1, failed: usually.failed}, 0)},
+	{"most objects unseen, twice the time", false, onlyTarget(behaviour{factor: 1, failed: usually.failed, unseen: 0.8}, 0)},
+	{"fails 5%", true, onlyTarget(behaviour{factor: 1, failed: 0.05}, 0)},
+	{"fails 20%", true, onlyTarget(behaviour{factor: 1, failed: 0.2}, 0)},
+	{"fails 20% late", true, onlyTarget(behaviour{factor: 1, failed: 0.2}, lateAt)},
+	{"1.5 times slower", true, onlyTarget(behaviour{factor: 1.5, failed: usually.failed}, 0)},
+	{"2 times slower", true, onlyTarget(behaviour{factor: 2, failed: usually.failed}, 0)},
+	{"2 times slower late", true, onlyTarget(behaviour{factor: 2, failed: usually.failed}, lateAt)},
+	{"8 times slower", true, onlyTarget(behaviour{factor: 8, failed: usually.failed}, 0)},
+}
+
+// playStream plays a stream of a minute to a way of judging. It returns when that found
+// the target bad, and how many bad answers it had given.
+func playStream(s stream, w judging, seed uint64) (found bool, after time.Duration, answers int) {
+	const (
+		requests = 200
+		every    = 25 // one of so many goes to the target
+	)
+	random := rand.New(rand.NewPCG(seed, 3))
+	var u usual
+	badSince := time.Duration(-1)
+	for i := range requests * 60 {
+		now := time.Duration(i) * time.Second / requests
+		target := i%every == every-1
+		b := s.perform(target, now)
+		if target && b != usually {
+			answers++
+			if badSince < 0 {
+				badSince = now
+			}
+		}
+		o := Outcome{Failed: random.Float64() < b.failed, Unseen: random.Float64() < b.unseen}
+		took := usualTime.Seconds() * b.factor * math.Exp(usualSpread*random.NormFloat64())
+		if o.Unseen {
+			took *= 2
+		}
+		o.Took = time.Duration(took * float64(time.Second))
+		x := sample{failed: o.Failed, took: took}
+		if !o.Failed {
+			x.timed, x.slow = u.class(o)
+		}
+		if target {
+			w.target(x, now)
+		} else {
+			w.base(x, now)
+			if !o.Failed && !o.Unseen {
+				u.add(o.Took)
+			}
+		}
+		if i%(requests/2) == 0 && w.bad(now) {
+			return true, now - badSince, answers
+		}
+	}
+	return false, 0, answers
+}
+
+// TestCompareVerdicts compares ways to come to a verdict. The alarm of ranks is set so
+// that a good target is reverted as seldom as by counts.
+func TestCompareVerdicts(t *testing.T) {
+	ways := []struct {
+		name string
+		make func() judging
+	}{
+		{"counts, CUSUM", func() judging { return &counting{newVerdict(alarm)} }},
+		{"ranks of the last 100", func() judging { return &ranking{most: 100, alarm: 4.5} }},
+		{"ranks of the last 1000", func() judging { return &ranking{most: 1000, alarm: 4.5} }},
+	}
+	runs := 20 * *seeds
+	for _, s := range streams {
+		for i, w := range ways {
+			right := 0
+			var times, answers []float64
+			for seed := range runs {
+				found, after, n := playStream(s, w.make(), uint64(seed+1))
+				if found == s.bad {
+					right++
+				}
+				if found && s.bad {
+					times = append(times, after.Seconds())
+					answers = append(answers, float64(n))
+				}
+			}
+			if len(times) == 0 {
+				times, answers = []float64{0}, []float64{0}
+			}
+			t.Logf("| %s | %s | %d of %d | %.1f | %.0f |", s.name, w.name, right, runs, median(times), median(answers))
+			if i == 0 {
+				assert.Assert(t, float64(right) >= 0.9*float64(runs), "%s", s.name)
+			}
+		}
+	}
+}
+
+// choosing is a way to choose the requests of a canary.
+type choosing struct {
+	name string
+	pick func(c *canaryModel, object int, home int, now time.Duration) bool
+}
+
+// canaryModel is one instance and the target's backend servers, each of which remembers
+// some objects.
+type canaryModel struct {
+	random *rand.Rand
+	gate   gate
+	turns  turns
+	memory []map[int]time.Duration // by server, when it worked on an object last
+	load   []flow
+}
+
+var choosings = []choosing{
+	{"by request", func(c *canaryModel, _, _ int, _ time.Duration) bool {
+		return c.random.Float64() < canaryPart*testBounds.Share
+	}},
+	{"by object", func(_ *canaryModel, object, _ int, _ time.Duration) bool {
+		const mix = 0x9e3779b97f4a7c15
+		return float64(uint64(object+1)*mix>>11)/(1<<53) < canaryPart*testBounds.Share
+	}},
+	{"by home, in turns", func(c *canaryModel, _, home int, now time.Duration) bool {
+		return c.turns.open(c.turns.homes[home].Hash, int64(now/turnTime), canaryPart*testBounds.Share)
+	}},
+}
+
+// canaryResult is what a canary has shown.
+type canaryResult struct {
+	requests, seen, objects, underLoad int
+	load                               []float64 // of a server at each request, in relation to the usual
+}
+
+// playCanary plays a canary of a minute where popular objects have many requests.
+func playCanary(w choosing, seed uint64) (out canaryResult) {
+	const (
+		requests = 400
+		servers  = 6
+		objects  = 3000
+		memory   = 20 * time.Second
+	)
+	random := rand.New(rand.NewPCG(seed, 5))
+	zipf := rand.NewZipf(random, 1.1, 8, objects-1)
+	c := &canaryModel{random: random, load: make([]flow, servers)}
+	var homes []Home
+	for i := range servers {
+		homes = append(homes, Home{Hash: uint64(i + 1), Slots: 8})
+		c.memory = append(c.memory, make(map[int]time.Duration))
+	}
+	c.turns.set(homes)
+	period := time.Duration(c.turns.every(canaryPart*testBounds.Share)) * turnTime
+	exposed := make(map[int]bool)
+	for i := range requests * 60 {
+		now := time.Duration(i) * time.Second / requests
+		object := int(zipf.Uint64())
+		home := object * 7919 % servers
+		c.gate.came(testBounds.Share, period, now)
+		if !c.gate.within(canaryPart*testBounds.Share) || c.gate.saved < 1 || !w.pick(c, object, home, now) {
+			continue
+		}
+		c.gate.take(testBounds.Share, now)
+		c.load[home].add(now)
+		out.requests++
+		if at, known := c.memory[home][object]; known && now-at < memory {
+			out.seen++
+		}
+		c.memory[home][object] = now
+		load := c.load[home].now(now) / (requests / servers)
+		out.load = append(out.load, load)
+		if load > 0.25 {
+			out.underLoad++
+		}
+		exposed[object] = true
+	}
+	out.objects = len(exposed)
+	return out
+}
+
+// TestCompareCanaries compares ways to choose the requests of a canary.
+func TestCompareCanaries(t *testing.T) {
+	runs := 5 * *seeds
+	for _, w := range choosings {
+		var requests, seen, objects, load, underLoad []float64
+		for seed := range runs {
+			r := playCanary(w, uint64(seed+1))
+			requests = append(requests, float64(r.requests))
+			seen = append(seen, float64(r.seen)/float64(max(1, r.requests)))
+			objects = append(objects, float64(r.objects))
+			load = append(load, median(r.load))
+			underLoad = append(underLoad, float64(r.underLoad))
+		}
+		t.Logf("| %s | %.0f | %.2f | %.0f | %.2f | %.0f |", w.name, median(requests), median(seen), median(objects), median(load), median(underLoad))
+	}
+}
