--- a/process/rollout/fleet_test.go
+++ b/process/rollout/fleet_test.go
@@ -134,7 +134,7 @@
 		}
 		return behaviour{factor: 1}
 	}
-	f.run(5 * time.Second)
+	f.run(settledTime + time.Second)
 	f.order("v2", 30*time.Second)
 	for range rapid.IntRange(0, most).Draw(t, "troubles") {
 		f.run(time.Duration(rapid.IntRange(0, 12_000).Draw(t, "pause")) * time.Millisecond)
@@ -183,7 +183,7 @@
 func TestLargeFleetKeepsTheRules(t *testing.T) {
 	f := newFleet(3, 620, 600)
 	f.loss = 0.02
-	f.run(4 * time.Second)
+	f.run(settledTime + time.Second)
 	o := f.order("v2", 16*time.Second)
 	f.run(15500 * time.Millisecond)
 	assert.Equal(t, f.phase(), Promote)
@@ -195,3 +195,21 @@
 	assert.Equal(t, len(f.faults), 0, "%v", f.faults)
 	assert.Equal(t, f.phase(), Completed)
 }
+
+// TestRestartAtTheOrderGivesNoSlack restarts all instances while the order is written and
+// the tables are away, so that none finds the order there when it starts.
+func TestRestartAtTheOrderGivesNoSlack(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(seed, 12, 5)
+		f.run(settledTime + time.Second)
+		f.order("v2", 30*time.Second)
+		f.store.away = true
+		for _, x := range f.nodes {
+			x.kill()
+			f.after(50*time.Millisecond, x.start)
+		}
+		f.after(100*time.Millisecond, func() { f.store.away = false })
+		f.run(40 * time.Second)
+		assert.Equal(t, len(f.faults), 0, "%v", f.faults)
+	}
+}
--- a/process/rollout/gate_test.go
+++ b/process/rollout/gate_test.go
@@ -33,6 +33,7 @@
 		InFlight: func(string) int { return 0 }, Send: func(string, []byte) {},
 	}
 	r.Install(nil)
+	now += settledTime
 	r.Install(canaryOf(Canary))
 	r.Tick()
 	return r, &now
@@ -66,8 +67,8 @@
 	assert.Assert(t, float64(target) > 0.6*canaryPart*testBounds.Share*float64(all), "%d of %d", target, all)
 }
 
-// TestInstanceThatStartsDuringARolloutHasNoSlack checks that a restart gives nothing.
-func TestInstanceThatStartsDuringARolloutHasNoSlack(t *testing.T) {
+// TestInstanceThatStartsHasNoSlack checks that a restart gives nothing.
+func TestInstanceThatStartsHasNoSlack(t *testing.T) {
 	now := time.Hour
 	r := &Rollouts{
 		Now: func() time.Duration { return now }, Bounds: testBounds, Random: func() float64 { return 0 },
@@ -78,6 +79,14 @@
 	r.Tick()
 	least := int(1 / (scarcePart * testBounds.Share))
 	assert.Equal(t, send(r, least), 0)
+
+	r.Install(nil)
+	now += settledTime / 2
+	again := canaryOf(Canary)
+	again[0].Order.ID, again[0].Record.Order = 2, 2
+	r.Install(again)
+	r.Tick()
+	assert.Equal(t, send(r, least), 0, "it has started a moment ago")
 }
 
 // TestLeaseLapses checks that nothing goes to the target without answers of the owner,
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -40,6 +40,10 @@
 	// slackPart is the part of the slack that all instances use together, for the first
 	// requests: nobody has sent enough then for a share of it to be a whole request.
 	slackPart = 0.5
+	// settledTime is how long an instance must have run before an order to use some of the
+	// slack. Origin: one that started a moment ago may have used some before, and does not
+	// know yet how many there are.
+	settledTime = 10 * time.Second
 	// turnTime is how long a set of the target's backend servers is open.
 	turnTime = time.Second
 	// stayTurns is in how many of its turns a set is open before another one is. Origin:
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -98,7 +98,7 @@
 	running atomic.Bool
 
 	mu        sync.Mutex
-	installed bool // at least once
+	began     time.Duration // of the first Install. Zero: there was none
 	services  map[string]*service
 	byHash    map[uint64]*service
 	live      []string
@@ -164,14 +164,17 @@
 }
 
 // Install takes up what the tables say of all services that have an order or a record
-// of one that has not ended. An order that is there when it is called first counts as
-// older than this process.
+// of one that has not ended. An order that comes within settledTime of the first call
+// may be older than this process.
 func (r *Rollouts) Install(services []Service) {
 	live := r.Live()
 	r.mu.Lock()
 	defer r.unlock()
 	now := r.Now()
 	r.noteLive(live, now)
+	if r.began == 0 {
+		r.began = now
+	}
 	old := r.services
 	r.services = make(map[string]*service, len(services))
 	r.byHash = make(map[uint64]*service, len(services))
@@ -188,7 +191,6 @@
 		r.byHash[s.hash] = s
 		r.install(s, x, now)
 	}
-	r.installed = true
 	r.running.Store(len(services) > 0)
 }
 
@@ -220,7 +222,7 @@
 func (r *Rollouts) try(s *service, now time.Duration) {
 	s.trial = &trial{routes: make(map[string]*routeTrial), local: newVerdict(localAlarm(r.fleet()))}
 	s.gate = newGate()
-	if r.installed {
+	if now-r.began >= settledTime {
 		s.gate.extra = slackPart * r.Bounds.Slack / float64(r.fleet())
 		s.gate.saved = s.gate.extra
 	}
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -16,7 +16,7 @@
 		rate float64
 	}{{1, 50}, {12, 5}, {12, 50}, {12, 500}, {77, 500}} {
 		f := newFleet(1, c.size, c.rate)
-		f.run(5 * time.Second)
+		f.run(settledTime + time.Second)
 		o := f.order("v2", time.Minute)
 		f.run(70 * time.Second)
 		t.Logf("%d instances, %g requests/s: %v at %s, %d of %d, %s", c.size, c.rate, f.store.record, o.ended-o.at, o.target, o.all, f.phase())
@@ -35,7 +35,7 @@
 			}
 			return behaviour{factor: 1}
 		}
-		f.run(5 * time.Second)
+		f.run(settledTime + time.Second)
 		o := f.order("v2", time.Minute)
 		f.run(70 * time.Second)
 		t.Logf("%g: %v, %d requests, stopped after %s", part, f.store.record, f.targetAll, f.lastTarget-o.at)
--- a/process/rollout/traffic_test.go
+++ b/process/rollout/traffic_test.go
@@ -14,7 +14,7 @@
 func TestTrafficOfAnInstance(t *testing.T) {
 	const most = 300.0 // bytes a second, each way
 	f := newFleet(1, 12, 1000)
-	f.run(5 * time.Second)
+	f.run(settledTime + time.Second)
 	assert.Equal(t, len(f.bytes), 0, "without a roll-out")
 	f.order("v2", 10*time.Minute)
 	f.run(2 * time.Minute)
