rollout: model: what was promised holds when the same target is ordered again

Cause: the model counted requests of a promise against the share of an order that had come a moment ago. The promise must hold: the last step of the order before may be in the store.

--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -38,7 +38,8 @@
 func newGate() gate { return gate{} }
 
 // renewed is the gate for an order that replaces one for the same target: shares count
-// from there, and nothing goes to the target until the owner has taken it up.
+// from there, and nothing goes to the target until the owner has taken it up. What was
+// promised holds: the last step for the order before may be in the store.
 func (g *gate) renewed() gate {
 	return gate{extra: max(0, g.extra-g.used), halted: g.halted, rate: g.rate, promised: g.promised}
 }
--- a/process/rollout/model_test.go
+++ b/process/rollout/model_test.go
@@ -68,6 +68,7 @@
 	all, target int
 	ended       time.Duration // when the record of it ended
 	again       bool          // there was one for the same target before
+	promised    bool          // it came in the promotion of one before
 	serves      bool          // its target was in force then
 	replaced    time.Duration // when it was replaced or withdrawn
 	phase       Phase
@@ -431,6 +432,7 @@
 	s.version++
 	s.order = &Order{ID: int64(1000 + s.version), Target: target, Within: within}
 	o := &orderSeen{order: s.order, at: f.now, again: f.lastOf(target) != nil, serves: s.record != nil && s.record.InForce() == target}
+	o.promised = o.again && s.record != nil && s.record.Phase == Promote
 	f.orders = append(f.orders, o)
 	return o
 }
@@ -587,6 +589,9 @@
 		if (o.replaced > 0 || o.again) && x.order != o.order {
 			continue // the instance keeps the bound of the one that it knows
 		}
+		if o.promised && f.now < o.at+promisedFor {
+			continue // what it has said of the one before holds until then
+		}
 		o.all++
 		if software == o.order.Target && software != "v1" {
 			o.target++
@@ -607,6 +612,11 @@
 	}
 }
 
+// promisedFor is for how long instances may have promised under an order to send nothing
+// to the version before when another one for the same target replaces it: the last step
+// of the first may be in the store by then, so the promise holds.
+const promisedFor = promiseTime + time.Second
+
 // replacedWithin is after how long nothing goes to the target of an order that was
 // withdrawn or replaced: the tables have come by then, or leases have lapsed.
 const replacedWithin = 2 * time.Second
