admin, operator, shalewick: orders for roll-outs, and where they stand

Cause: operators had no way to order a roll-out by the resource API, nor to read its state.

A role that carries out no roll-outs, as shalewick entry, refuses a change that has an order, as a whole, with the new result 70 NOT_CARRIED_OUT. An order belongs to the workspace of its service.

Ruled out: to accept the order there and show a state that says so: whoever applies it by a script would take it for one that is carried out, and there all versions get requests.

--- a/cmd/shalewick/operator.go
+++ b/cmd/shalewick/operator.go
@@ -62,7 +62,7 @@
 
 func operatorCommands() []*cobra.Command {
 	return []*cobra.Command{
-		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), drainCommand(), shiftCommand(),
+		applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), drainCommand(), shiftCommand(), rolloutCommand(),
 	}
 }
 
--- /dev/null
+++ b/cmd/shalewick/rollout_test.go
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/admin"
+	"shalewick/process/rollout"
+	"shalewick/process/rolloutview"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// instance is the admin API of an instance that ends each roll-out in a phase.
+type instance struct {
+	phase   rollout.Phase
+	ordered []version.Resource
+}
+
+func (x *instance) serve(t *testing.T) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/resources/rollout/{name}", func(w http.ResponseWriter, _ *http.Request) {
+		request.NotRun(request.NotFound, 0).Write(w)
+	})
+	mux.HandleFunc("POST /v1/apply", func(w http.ResponseWriter, r *http.Request) {
+		var body bytes.Buffer
+		_, _ = body.ReadFrom(r.Body) // what is missing fails the check below
+		rs, err := version.Parse(body.Bytes())
+		assert.Check(t, err)
+		x.ordered = append(x.ordered, rs...)
+		_ = json.NewEncoder(w).Encode(admin.Applied{Version: 7, Operation: "o"})
+	})
+	mux.Handle("GET "+rolloutview.Pattern, rolloutview.Handler(func(service string) (rolloutview.Status, bool) {
+		record := &rollout.Record{Service: service, Order: 7, Target: "v2", Before: "v1", Phase: x.phase, Cause: "it fails more often"}
+		return rolloutview.Status{Service: service, InForce: "v1", Order: 7, Target: "v2", Record: record}, service == "s"
+	}))
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+func run(args ...string) (string, error) {
+	cmd := root()
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+// TestRolloutCommand orders, shows and follows roll-outs.
+func TestRolloutCommand(t *testing.T) {
+	x := &instance{phase: rollout.Completed}
+	at := x.serve(t)
+	out, err := run("rollout", "s", "--target", "v2", "--within", "30s", "--admin", at)
+	assert.NilError(t, err)
+	assert.Equal(t, out, "order=7\n")
+	assert.Equal(t, fmt.Sprint(x.ordered[0].Key, *x.ordered[0].Rollout), "rollout/s {s v2 30000000000}")
+	out, err = run("rollout", "s", "--admin", at)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, "state     completed"), out)
+	out, err = run("rollout", "s", "--target", "v2", "--within", "30s", "--wait", "--admin", at)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, "state     completed"), out)
+	x.phase = rollout.Reverted
+	_, err = run("rollout", "s", "--wait", "--admin", at)
+	assert.Error(t, err, "roll-out of s to v2 was reverted: it fails more often")
+	_, err = run("rollout", "none", "--admin", at)
+	assert.ErrorContains(t, err, "62 NOT_FOUND")
+	for _, args := range [][]string{{"--target", "v2"}, {"--within", "30s"}, {"--target", "v2", "--within", "-1s"}} {
+		_, err = run(append([]string{"rollout", "s", "--admin", at}, args...)...)
+		assert.ErrorContains(t, err, "--target and --within")
+	}
+	assert.Equal(t, len(x.ordered), 2)
+}
--- /dev/null
+++ b/operator/rollout.go
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: MIT
+
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"shalewick/clock"
+	"shalewick/process/rollout"
+	"shalewick/process/rolloutview"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// rolloutPause is the time between two askings for the state of a roll-out.
+const rolloutPause = 250 * time.Millisecond
+
+// OrderRollout writes the order for the roll-out of a service, in place of the one that
+// there may be.
+func (c *Client) OrderRollout(ctx context.Context, order version.Rollout) (int64, error) {
+	r := version.Resource{Key: version.Key{Kind: version.KindRollout, Name: order.Service}, Rollout: &order}
+	present, err := c.Get(ctx, r.Key)
+	if err != nil && !isRefused(err, request.NotFound) {
+		return 0, err
+	}
+	r.Version = present.Version
+	applied, err := c.Apply(ctx, []version.Resource{r})
+	return applied.Version, err
+}
+
+// isRefused reports whether a call was refused with a code.
+func isRefused(err error, code request.Code) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Code == code
+}
+
+// Rollout returns where the roll-out of a service stands.
+func (c *Client) Rollout(ctx context.Context, service string) (rolloutview.Status, error) {
+	var s rolloutview.Status
+	err := c.call(ctx, http.MethodGet, "/v1/rollouts/"+url.PathEscape(service), "", nil, &s)
+	return s, err
+}
+
+// FollowRollout calls f with the status of a service's roll-out, at first and whenever
+// its state changes, until it has ended. Order is the version of the order that is waited
+// for, or zero for whichever is known: an instance may not have heard of it yet. While no
+// instance answers it asks on.
+func (c *Client) FollowRollout(ctx context.Context, service string, order int64, f func(rolloutview.Status)) (rolloutview.Status, error) {
+	var last rolloutview.State
+	for {
+		s, err := c.Rollout(ctx, service)
+		var refused *RefusedError
+		late := order != 0 && isRefused(err, request.NotFound)
+		if errors.As(err, &refused) && !late {
+			return s, err
+		}
+		heard := err == nil && (order == 0 || s.Order >= order || s.Record != nil && s.Record.Order >= order)
+		if heard && s.State() != last {
+			last = s.State()
+			f(s)
+		}
+		if heard && s.Ended() {
+			return s, nil
+		}
+		if !clock.Sleep(ctx, rolloutPause) {
+			return s, errors.Annotatef(ctx.Err(), "the roll-out of %s has not ended", service)
+		}
+	}
+}
+
+// PrintRollout writes where a roll-out stands.
+func PrintRollout(w io.Writer, s *rolloutview.Status) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	line := func(name, value string) {
+		if value != "" {
+			fmt.Fprintf(t, "%s\t%s\n", name, value)
+		}
+	}
+	line("service", s.Service)
+	line("state", string(s.State()))
+	line("in force", s.InForce)
+	if s.Order != 0 {
+		line("order", fmt.Sprintf("%d: %s within %s", s.Order, s.Target, time.Duration(s.Within)))
+	}
+	if r := s.Record; r != nil {
+		line("record", fmt.Sprintf("order %d: from %s to %s, %s", r.Order, r.Before, r.Target, r.Phase))
+		line("cause", r.Cause)
+		line("evidence", r.Evidence)
+	}
+	if s.Left > 0 {
+		line("left", time.Duration(s.Left).String())
+	}
+	_ = t.Flush() // a closed output has nobody to tell
+}
+
+// RevertedError is the end of a roll-out that moved nothing.
+type RevertedError struct {
+	Record rollout.Record
+}
+
+// Error tells the cause.
+func (e *RevertedError) Error() string {
+	return fmt.Sprintf("roll-out of %s to %s was reverted: %s", e.Record.Service, e.Record.Target, e.Record.Cause)
+}
--- a/process/admin/admin.go
+++ b/process/admin/admin.go
@@ -20,6 +20,7 @@
 	"shalewick/process/config"
 	"shalewick/process/metric"
 	"shalewick/process/platform"
+	"shalewick/process/rolloutview"
 	"shalewick/request"
 	"shalewick/version"
 )
@@ -33,6 +34,9 @@
 	Status     func(context.Context) []EntryStatus
 	Ready      func() bool
 	Workspaces *auth.Workspaces // nil: calls carry no token
+	// Rollouts finds the roll-out of a service. Nil: this role carries out none, and
+	// accepts no orders for any.
+	Rollouts rolloutview.Find
 }
 
 // EntryStatus is what one instance has in force.
@@ -97,6 +101,7 @@
 	app.Get("/v1/resources/{kind}", a.list)
 	app.Get("/v1/resources/{kind}/{name}", a.get)
 	app.Delete("/v1/resources/{kind}/{name}", a.delete)
+	app.Get("/v1/rollouts/{service}", func(c iris.Context) { rolloutview.Serve(c.ResponseWriter(), c.Params().Get("service"), a.Rollouts) })
 	app.Get("/v1/watch", a.watch)
 	app.Get("/v1/status", a.status)
 	app.Get("/metrics", func(c iris.Context) { _ = a.Metrics.Write(c.ResponseWriter()) })
@@ -129,9 +134,24 @@
 		a.refuse(c, request.Invalid, errors.New("no documents"))
 		return
 	}
+	if order, found := a.notCarriedOut(puts); found {
+		a.refuse(c, request.NotCarriedOut, errors.Errorf("%s: requests go to all backend servers of a service here, whatever version they run", order))
+		return
+	}
 	a.commit(c, version.Change{Puts: puts})
 }
 
+// notCarriedOut returns the first order for a roll-out, if this role carries out none: it
+// would be accepted, and nothing would follow.
+func (a *Admin) notCarriedOut(puts []version.Resource) (order version.Key, found bool) {
+	for _, r := range puts {
+		if a.Rollouts == nil && r.Kind == version.KindRollout {
+			return r.Key, true
+		}
+	}
+	return version.Key{}, false
+}
+
 func (a *Admin) delete(c iris.Context) {
 	v, err := strconv.ParseInt(c.URLParam("version"), 10, 64)
 	if err != nil || v <= 0 {
--- a/process/auth/auth_test.go
+++ b/process/auth/auth_test.go
@@ -91,6 +91,9 @@
 	drain := func(d version.Drain) version.Resource {
 		return version.Resource{Key: version.Key{Kind: version.KindDrain, Name: "d"}, Drain: &d}
 	}
+	rollout := func(service string) version.Resource {
+		return version.Resource{Key: version.Key{Kind: version.KindRollout, Name: "o"}, Rollout: &version.Rollout{Service: service}}
+	}
 	workspace, admin := Workspace{Name: "a"}, Workspace{Name: "x", Admin: true}
 	for name, tc := range map[string]struct {
 		ch version.Change
@@ -101,6 +104,8 @@
 		"taking a backend server of another": {version.Change{Puts: []version.Resource{backend("u", "mine")}}, false},
 		"deleting another's":                 {version.Change{Deletes: []version.Ref{{Key: rs[4].Key}}}, false},
 		"draining another's":                 {version.Change{Puts: []version.Resource{drain(version.Drain{Backend: "u"})}}, false},
+		"roll-out of the own service":        {version.Change{Puts: []version.Resource{rollout("mine")}}, true},
+		"roll-out of another's service":      {version.Change{Puts: []version.Resource{rollout("theirs")}}, false},
 		"draining a region":                  {version.Change{Puts: []version.Resource{drain(version.Drain{Region: "r"})}}, false},
 		"a region":                           {version.Change{Puts: rs[:1]}, false},
 		"deleting the own service":           {version.Change{Deletes: []version.Ref{{Key: rs[2].Key}}}, true},
--- a/process/auth/workspace.go
+++ b/process/auth/workspace.go
@@ -122,6 +122,8 @@
 		service = r.Backend.Service
 	case r.Shift != nil:
 		service = r.Shift.Service
+	case r.Rollout != nil:
+		service = r.Rollout.Service
 	case r.Drain != nil && r.Drain.Backend != "":
 		u := c.Resources[version.Key{Kind: version.KindBackend, Name: r.Drain.Backend}]
 		if u.Backend != nil {
--- a/request/result.go
+++ b/request/result.go
@@ -16,7 +16,7 @@
 
 // The result codes. Tens group them: 1x the request is at fault, 2x there is
 // no room, 3x the instance can not serve now, 4x a backend server failed, 5x
-// tickets, 6x operators' calls.
+// tickets, 6x and 7x operators' calls.
 const (
 	OK Code = 0
 
@@ -61,6 +61,7 @@
 	TokenWrong    Code = 67
 	TokenExpired  Code = 68
 	Forbidden     Code = 69
+	NotCarriedOut Code = 70
 )
 
 // Ran says whether a backend server ran a request.
@@ -118,6 +119,7 @@
 	TokenWrong:     {"TOKEN_WRONG", http.StatusUnauthorized, "no workspace has the token"},
 	TokenExpired:   {"TOKEN_EXPIRED", http.StatusUnauthorized, "the token has expired"},
 	Forbidden:      {"FORBIDDEN", http.StatusForbidden, "the resource belongs to another workspace"},
+	NotCarriedOut:  {"NOT_CARRIED_OUT", http.StatusNotImplemented, "this role carries out no roll-outs; nothing was written"},
 	NotInForce:     {"NOT_IN_FORCE", http.StatusGatewayTimeout, "not every instance has the version in force"},
 }
 
