balance: a request of before a roll-out finds its target

Cause: once an instance has said that nothing goes to the version before, a request that can't go to the target is refused. One whose body came slowly may hold the view of a routing that had no target yet.

Change: such a query goes to the target of the routing now, without weights; one that was made for the target of another order finds none, as before.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -53,22 +53,37 @@
 		return nil
 	}
 	p := &q.Route.Parts[q.Part]
-	if q.Target {
-		p = p.Target
-	}
-	if p == nil || int(p.Service) >= len(r.Services) {
+	if int(p.Service) >= len(r.Services) {
 		return nil
 	}
 	s := &r.Services[p.Service]
-	if s.Name != q.Route.Split[q.Part].Service || s.OfTarget != q.Target {
+	if s.Name != q.Route.Split[q.Part].Service || s.OfTarget {
 		return nil
 	}
-	if q.Target && s.Software != p.Software {
-		return nil
+	if q.Target {
+		return targetPart(r, p, s)
 	}
 	return p
 }
 
+// targetPart returns the part for the target of a roll-out of a part's service; nil when
+// there is none any more, or it has another target now. A request that came before the
+// roll-out may have waited for its body so long that it has to go there: then the weights
+// are not known.
+func targetPart(r *version.Routing, p *version.RoutePart, s *version.RoutedService) *version.RoutePart {
+	if s.Target == version.None {
+		return nil
+	}
+	target := &r.Services[s.Target]
+	switch {
+	case p.Target == nil:
+		return &version.RoutePart{Service: s.Target, Software: target.Software}
+	case p.Target.Service != s.Target || p.Target.Software != target.Software:
+		return nil
+	}
+	return p.Target
+}
+
 // candidate is a backend server that may get the request.
 type candidate struct {
 	index     int32
--- a/process/balance/home.go
+++ b/process/balance/home.go
@@ -51,7 +51,9 @@
 	index, known := t.homes.of[key]
 	if !known {
 		index = t.home(&of, part, func(int32) bool { return true })
-		t.homes.keep(key, index)
+		if part == q.Route.Parts[q.Part].Target {
+			t.homes.keep(key, index)
+		}
 	}
 	if index == version.None {
 		return 0, false
--- a/process/balance/software_test.go
+++ b/process/balance/software_test.go
@@ -156,6 +156,37 @@
 	assert.Equal(t, refusal.Code, request.NoBackend)
 }
 
+// TestRequestOfBeforeARolloutFindsItsTarget checks a query with the view of a routing that
+// had no target yet, which may have to go there once nothing goes to the version before.
+func TestRequestOfBeforeARolloutFindsItsTarget(t *testing.T) {
+	p := twoVersions(3, 1)
+	p.admit("v1", "")
+	q := p.target(7)
+	p.admit("v1", "v2")
+	k, _ := p.Pick(q)
+	assert.Equal(t, k.Software, "v2")
+	_, ok := p.TargetHome(q)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(p.homes.of), 0)
+	p.admit("v1", "v3")
+	k, _ = p.Pick(p.target(7))
+	assert.Assert(t, k == nil, "none of its backend servers is there")
+}
+
+// TestQueryForOneTargetFindsNoOther checks a query that was made for the target of an
+// order that another one has replaced.
+func TestQueryForOneTargetFindsNoOther(t *testing.T) {
+	p := twoVersions(3, 1)
+	p.backend("v3", 0, software("v3"))
+	p.admit("v1", "v2")
+	q := p.target(7)
+	p.admit("v1", "v3")
+	k, _ := p.Pick(q)
+	assert.Assert(t, k == nil)
+	k, _ = p.Pick(p.target(7))
+	assert.Equal(t, k.Software, "v3")
+}
+
 // TestRequestsInFlightCountUntilTheyEnd checks that requests at the version before count
 // also after its backend servers left the routing, and those at the target never.
 func TestRequestsInFlightCountUntilTheyEnd(t *testing.T) {
