--- a/process/proxy/rollout.go
+++ b/process/proxy/rollout.go
@@ -73,10 +73,10 @@
 	return t.p.Table.Pick(&t.query)
 }
 
-// instead tries the version in force once (or what may be tried in its place), for a request that a target answered with a
-// failure of its own, since a version that is tried must not cost callers their answers.
-// If nothing else is had, the failure is the answer. One that is too large to be held
-// is passed on as it is.
+// instead makes one more attempt at a request that a target answered with a failure of
+// its own, since a version that is tried must not cost callers their answers: at the
+// version in force, as long as that may be used. If nothing else is had, the failure is
+// the answer. One that is too large to be held is passed on as it is.
 func (t *trial) instead(ctx context.Context, a *answer) *answer {
 	if !a.target || !a.failed() || a.ex != nil || !t.c.route.Repeatable || !t.allowed(ctx) {
 		return a
--- a/report/html.go
+++ b/report/html.go
@@ -94,12 +94,10 @@
 		data.Plots = append(data.Plots, pagePlot{Title: x.title, SVG: template.HTML(svg)}) // made here, of numbers and escaped text
 	}
 	for _, s := range sections {
-		t := pageTable{Title: s.title}
-		sums := r.by(s.member)
-		for _, name := range slices.Sorted(maps.Keys(sums)) {
-			t.Rows = append(t.Rows, pageRow{Name: name, Counts: sums[name]})
-		}
-		data.Tables = append(data.Tables, t)
+		data.Tables = append(data.Tables, tableOf(s.title, r.by(s.member)))
+	}
+	if sums := r.versions(); len(sums) > 0 {
+		data.Tables = append(data.Tables, tableOf("answered by version", sums))
 	}
 	for _, x := range r.steps.order() {
 		t := r.steps.told[x]
@@ -108,6 +106,15 @@
 	return errors.Annotate(page.Execute(to, data), "write page")
 }
 
+// tableOf returns a table of sums, ordered by name.
+func tableOf(title string, sums map[string]Counts) pageTable {
+	t := pageTable{Title: title}
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		t.Rows = append(t.Rows, pageRow{Name: name, Counts: sums[name]})
+	}
+	return t
+}
+
 func outcomeLines(r *Report, ws []window) map[string]plotter.XYs {
 	lines := make(map[string]plotter.XYs)
 	for _, w := range ws {
--- a/report/print.go
+++ b/report/print.go
@@ -96,9 +96,14 @@
 	return errors.Trace(w.Flush())
 }
 
+// versions sums the counts of answers by service and version of its software.
+func (r *Report) versions() map[string]Counts {
+	return r.byWhere(func(g Group) string { return g.Service + " " + g.Software }, func(g Group) bool { return g.Software != "" })
+}
+
 // printVersions writes the sums by version of the software, where any is known.
 func (r *Report) printVersions(w io.Writer) {
-	sums := r.byWhere(func(g Group) string { return g.Service + " " + g.Software }, func(g Group) bool { return g.Software != "" })
+	sums := r.versions()
 	if len(sums) == 0 {
 		return
 	}
--- a/report/rollout_test.go
+++ b/report/rollout_test.go
@@ -39,6 +39,7 @@
 	var page strings.Builder
 	assert.NilError(t, r.WriteHTML(&page))
 	assert.Assert(t, strings.Contains(page.String(), "it fails more &lt;often&gt;"))
+	assert.Assert(t, strings.Contains(page.String(), "<td>s v2</td><td>1</td><td>0</td><td>1</td>"))
 }
 
 // TestReportWithoutRolloutsHasNoSection checks logs of before there were any.
