--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -126,7 +126,7 @@
 	e.rollouts = e.newRollouts()
 	e.beats.Message = e.hearMessage
 	e.proxy = &proxy.Proxy{
-		Quota: e.quota,
+		Quota: e.quota, Rollouts: e.rollouts,
 		Names: e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, Age: e.follower.Age,
 		Retries: &retry.Window{
 			Span: e.settings.RetrySpan, Ratio: e.settings.RetryRatio * retryRatioShare,
