--- a/process/rollout/attempt.go
+++ b/process/rollout/attempt.go
@@ -161,7 +161,7 @@
 		s.trial.local.base(a.route.hash, c, now)
 		return
 	}
-	s.trial.local.target(a.route.hash, c, now)
+	s.trial.local.target(a.route.hash, c, now, now)
 	if c.bad() > 0 {
 		s.reports.hasty = true
 	}
--- a/process/rollout/compare_test.go
+++ b/process/rollout/compare_test.go
@@ -46,7 +46,7 @@
 }
 
 func (c *counting) base(x sample, now time.Duration)   { c.v.base(1, c.counts(x), now) }
-func (c *counting) target(x sample, now time.Duration) { c.v.target(1, c.counts(x), now) }
+func (c *counting) target(x sample, now time.Duration) { c.v.target(1, c.counts(x), now, now) }
 func (c *counting) bad(time.Duration) bool             { return c.v.cause != "" }
 
 // ranking compares the ranks of times in two windows (Mann and Whitney 1947), a failure
--- a/process/rollout/decider.go
+++ b/process/rollout/decider.go
@@ -100,7 +100,8 @@
 func (d *decider) settle(now time.Duration) {
 	n := 0
 	for n < len(d.pending) && now-d.pending[n].at >= settleTime {
-		d.verdict.target(d.pending[n].route, d.pending[n].counts, now)
+		p := d.pending[n]
+		d.verdict.target(p.route, p.counts, p.at, now)
 		n++
 	}
 	d.pending = append(d.pending[:0], d.pending[n:]...)
--- a/process/rollout/kinds_test.go
+++ b/process/rollout/kinds_test.go
@@ -161,7 +161,7 @@
 			return requests
 		}
 	}
-	f.run(settledTime + time.Second)
+	f.run(settledTime + time.Duration(seed*370%9000)*time.Millisecond) // turns begin anywhere
 	order = f.order("v2", kindWithin)
 	f.run(kindWithin + 6*time.Second)
 	out.phase = f.phase()
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -110,19 +110,27 @@
 	backstopFailed = 40
 	backstopChance = 4.5
 	backstopAllow  = 0.005
-	// shortTime and longTime are the two windows over which the baseline's rate is
-	// measured. The higher one counts, so that a fault of both versions which has just
-	// begun is not put down to the target.
-	shortTime = time.Second
+	// longTime is the time over which the baseline's rate is measured. Where it was higher
+	// around the time of an answer of the target, that counts: in surgeTime before and
+	// after, over any surgeBins of binTime. So a fault of both versions that has just begun
+	// or ended is not put down to the target.
 	longTime  = 10 * time.Second
+	surgeTime = 500 * time.Millisecond
+	surgeBins = 2
+	binTime   = 100 * time.Millisecond
+	// surgeChance is by how many standard deviations a rate over so short a time is
+	// lowered, since the highest of several is high by chance.
+	// surgeMore is the number of good answers that are added before.
+	surgeChance = 1.5
+	surgeMore   = 4
 	// usuallyFailed and usuallySlow are the rates of a baseline of which nothing is known.
 	usuallyFailed = 0.005
 	usuallySlow   = 0.15
-	// shrinkage is the weight of the longer window in the shorter one, in answers.
+	// shrinkage is the weight of what is known otherwise in a rate, in answers.
 	shrinkage = 10
 	// settleTime is how long the owner waits with answers of the target until those of
 	// the baseline from the same time have been reported.
-	settleTime = 500 * time.Millisecond
+	settleTime = surgeTime
 )
 
 // Steps.
--- a/process/rollout/verdict.go
+++ b/process/rollout/verdict.go
@@ -36,12 +36,13 @@
 	v.track(route).base(c, now)
 }
 
-// target takes up answers of the target. From the first alarm on there is a cause.
-func (v *verdict) target(route routeHash, c Counts, now time.Duration) {
-	usual := v.all.expect(now, rates{usuallyFailed, usuallySlow})
+// target takes up answers of the target that came at a time. From the first alarm on
+// there is a cause.
+func (v *verdict) target(route routeHash, c Counts, at, now time.Duration) {
+	usual := v.all.expect(at, now, rates{usuallyFailed, usuallySlow})
 	v.note(v.all.target(c, usual, v.alarm))
 	t := v.track(route)
-	v.note(t.target(c, t.expect(now, usual), v.alarm))
+	v.note(t.target(c, t.expect(at, now, usual), v.alarm))
 }
 
 // note notes the cause of an alarm. The first one stays.
@@ -67,7 +68,8 @@
 // track is the comparison for some requests.
 type track struct {
 	total        pair
-	short, long  window
+	long         window
+	surges       surges
 	failed, slow sum
 	// expected is the number of failures that the baseline would have had in place of the
 	// target.
@@ -76,8 +78,8 @@
 
 func (t *track) base(c Counts, now time.Duration) {
 	t.total.base.add(c)
-	t.short.add(c, now, shortTime)
 	t.long.add(c, now, longTime)
+	t.surges.add(c, now)
 }
 
 // target adds answers of the target, and returns the cause of an alarm.
@@ -109,22 +111,17 @@
 // rates are how often answers fail, and how often they are slow.
 type rates struct{ failed, slow float64 }
 
-// expect returns the rates of the baseline now. Usual are those that are to be expected
-// where little is known.
-func (t *track) expect(now time.Duration, usual rates) rates {
-	t.short.fade(now, shortTime)
+// expect returns the rates of the baseline at a time. Usual are those that are to be
+// expected where little is known.
+func (t *track) expect(at, now time.Duration, usual rates) rates {
 	t.long.fade(now, longTime)
 	total := t.total.base
-	return rates{
-		failed: rate(
-			ratio{t.short.failed, t.short.requests}, ratio{t.long.failed, t.long.requests},
-			ratio{float64(total.Failed), float64(total.Requests)}, usual.failed,
-		),
-		slow: rate(
-			ratio{t.short.slow, t.short.timed}, ratio{t.long.slow, t.long.timed},
-			ratio{float64(total.Slow), float64(total.Timed)}, usual.slow,
-		),
+	out := rates{
+		failed: ratio{t.long.failed, t.long.requests}.shrunk(ratio{float64(total.Failed), float64(total.Requests)}.shrunk(usual.failed)),
+		slow:   ratio{t.long.slow, t.long.timed}.shrunk(ratio{float64(total.Slow), float64(total.Timed)}.shrunk(usual.slow)),
 	}
+	failed, slow := t.surges.most(at)
+	return rates{failed: max(out.failed, failed), slow: max(out.slow, slow)}
 }
 
 // ratio is a part of a number.
@@ -133,11 +130,50 @@
 // shrunk is the ratio drawn to a rate, the more, the less it rests on.
 func (r ratio) shrunk(to float64) float64 { return (r.part + shrinkage*to) / (r.of + shrinkage) }
 
-// rate is the rate of the last seconds: the higher of the two windows', each drawn to
-// that over a longer time, and in the end to a usual one.
-func rate(short, long, all ratio, usual float64) float64 {
-	over := long.shrunk(all.shrunk(usual))
-	return max(over, short.shrunk(over))
+// least is the ratio less what it may be high by chance, with some good answers more,
+// since a single bad one tells nothing.
+func (r ratio) least() float64 {
+	of := r.of + surgeMore
+	rate := r.part / of
+	return rate - surgeChance*math.Sqrt(rate*(1-rate)/of)
+}
+
+// surges are the answers of the last moments, by time.
+type surges struct {
+	bins [32]struct {
+		number int64
+		Counts
+	}
+}
+
+func (s *surges) add(c Counts, now time.Duration) {
+	number := int64(now / binTime)
+	b := &s.bins[number%int64(len(s.bins))]
+	if b.number != number {
+		b.number = number
+		b.Counts = Counts{}
+	}
+	b.add(c)
+}
+
+// in returns the answers of some bins.
+func (s *surges) in(number int64) (c Counts) {
+	for i := number; i < number+surgeBins; i++ {
+		if b := &s.bins[i%int64(len(s.bins))]; b.number == i {
+			c.add(b.Counts)
+		}
+	}
+	return c
+}
+
+// most returns the highest rates around a time.
+func (s *surges) most(at time.Duration) (failed, slow float64) {
+	for number := int64((at - surgeTime) / binTime); number <= int64((at+surgeTime)/binTime); number++ {
+		c := s.in(number)
+		failed = max(failed, ratio{float64(c.Failed), float64(c.Requests)}.least())
+		slow = max(slow, ratio{float64(c.Slow), float64(c.Timed)}.least())
+	}
+	return failed, slow
 }
 
 // window counts answers and forgets them.
