rollout: a clock may begin at zero; rare routes keep what is saved for them

Cause: an instance whose clock stood below half a second crashed at its first answer of a target: the bins of that time have numbers below zero. With 5 requests a second a route of 5% often had no answers, since others took the few requests that were allowed.

Figures: the test crashes before and passes after.

--- a/process/rollout/gate_test.go
+++ b/process/rollout/gate_test.go
@@ -172,6 +172,22 @@
 	}
 }
 
+// TestClockThatBeginsAtZero checks an instance whose clock is the time since its start.
+func TestClockThatBeginsAtZero(t *testing.T) {
+	r, now := alone(Owner{Name: "here"})
+	*now = 0
+	r.Install(nil)
+	r.Install(canaryOf(Canary))
+	target := 0
+	for range 100 {
+		r.Tick()
+		target += send(r, 20)
+		r.Proposals(*now)
+		*now += TickTime
+	}
+	assert.Assert(t, target > 0)
+}
+
 // TestNothingRuns checks attempts of services without a roll-out.
 func TestNothingRuns(t *testing.T) {
 	r, _ := alone(Owner{Name: "here"})
--- a/process/rollout/kinds_test.go
+++ b/process/rollout/kinds_test.go
@@ -191,7 +191,11 @@
 				}
 			}
 			reverted, good := 0, 0
-			for i, all := range playAll(chosen, 12, requests) {
+			n := *seeds
+			if requests == lowRate {
+				n *= lowTimes
+			}
+			for i, all := range playAll(chosen, 12, requests, n) {
 				wrong := checkKind(t, chosen[i], requests, all)
 				if !chosen[i].bad {
 					reverted += wrong
@@ -226,6 +230,9 @@
 
 const (
 	lowRate = 5
+	// lowTimes is how many times as often kinds are played at the lower rate, where chance
+	// decides more.
+	lowTimes = 4
 	// mostReverted is the part of the good targets that may be reverted: at the lower rate
 	// some lack evidence.
 	mostReverted = 0.25
@@ -234,12 +241,12 @@
 )
 
 // playAll plays kinds with all seeds, some at the same time.
-func playAll(chosen []kind, size int, requests float64) [][]played {
+func playAll(chosen []kind, size int, requests float64, runs int) [][]played {
 	out := make([][]played, len(chosen))
 	var wait sync.WaitGroup
 	slots := make(chan bool, 6)
 	for i, k := range chosen {
-		out[i] = make([]played, *seeds)
+		out[i] = make([]played, runs)
 		for seed := range out[i] {
 			slots <- true
 			wait.Go(func() {
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -57,10 +57,10 @@
 	// with 5 requests a second, where the share is 12 requests: routes must not take
 	// from each other.
 	hungryPart = 0.25
-	rarePart   = 0.15
+	rarePart   = 0.3
 	// spareRequests is the number of requests that the bound allows and that were not
 	// used, from which routes that have enough evidence take from them, too.
-	spareRequests = 1.5
+	spareRequests = 1.9
 	// routesGuess is how many routes a service is taken to have until it is known.
 	routesGuess = 4
 	// promiseTime is how long an instance sends nothing to the version before after it
--- a/process/rollout/verdict.go
+++ b/process/rollout/verdict.go
@@ -168,7 +168,7 @@
 
 // most returns the highest rates around a time.
 func (s *surges) most(at time.Duration) (failed, slow float64) {
-	for number := int64((at - surgeTime) / binTime); number <= int64((at+surgeTime)/binTime); number++ {
+	for number := int64(max(0, at-surgeTime) / binTime); number <= int64((at+surgeTime)/binTime); number++ {
 		c := s.in(number)
 		failed = max(failed, ratio{float64(c.Failed), float64(c.Requests)}.least())
 		slow = max(slow, ratio{float64(c.Slow), float64(c.Timed)}.least())
