--- a/process/rollout/attempt.go
+++ b/process/rollout/attempt.go
@@ -70,8 +70,8 @@
 }
 
 // send notes where an attempt goes. The caller holds the lock.
-func (r *Rollouts) send(a *Attempt, way way) {
-	if way == toTarget {
+func (r *Rollouts) send(a *Attempt, to way) {
+	if to == toTarget {
 		a.target = true
 		a.s.gate.take(r.Bounds.Share, r.Now())
 		return
--- a/process/rollout/exchange.go
+++ b/process/rollout/exchange.go
@@ -266,7 +266,7 @@
 	s.reports.unanswered = 0
 	if s.gate.halted && !was {
 		s.decider.halt("another owner has stopped it")
-		r.note(s, "target-stopped", "told by owner "+s.owner.Name, &s.trial.local, now-sentAt)
+		r.note(s, "target-stopped", "told by owner "+s.owner.Name, &s.trial.local, 0)
 	}
 }
 
--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -23,9 +23,8 @@
 	phase  Phase
 	halted bool // the owner stopped the target, or this instance did
 	lease  time.Duration
-	// stamp is the owner's clock in milliseconds as of stampAt; stamped: it is known.
+	// stamp is the owner's clock in milliseconds as of stampAt.
 	stamp   uint32
-	stamped bool
 	stampAt time.Duration
 	// bound is until when the share is bounded. Zero: not known.
 	bound     time.Duration
@@ -35,8 +34,6 @@
 	promised time.Duration
 }
 
-func newGate() gate { return gate{} }
-
 // renewed is the gate for an order that replaces one for the same target: shares count
 // from there, and nothing goes to the target until the owner has taken it up. What was
 // promised holds: the last step for the order before may be in the store.
@@ -158,7 +155,7 @@
 	if lease {
 		g.lease = max(g.lease, sentAt+leaseTime)
 	}
-	g.stamp, g.stamped, g.stampAt = x.stamp, true, now
+	g.stamp, g.stampAt = x.stamp, now
 	g.hungry, g.allHungry = x.hungry, x.allHungry
 	if x.timed {
 		g.bound = max(1, now+x.left)
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -221,7 +221,7 @@
 // try begins with an order whose target is not known yet.
 func (r *Rollouts) try(s *service, now time.Duration) {
 	s.trial = &trial{routes: make(map[string]*routeTrial), local: newVerdict(localAlarm(r.fleet()))}
-	s.gate = newGate()
+	s.gate = gate{}
 	if now-r.began >= settledTime {
 		s.gate.extra = slackPart * r.Bounds.Slack / float64(r.fleet())
 		s.gate.saved = s.gate.extra
