--- a/process/rollout/decider.go
+++ b/process/rollout/decider.go
@@ -129,7 +129,24 @@
 // good is the number of good answers of the target that were judged.
 func (d *decider) good() int64 {
 	c := d.verdict.all.total.target
-	return c.Requests - c.bad()
+	w := d.waiting()
+	return c.Requests - c.bad() + w.Requests - w.bad()
+}
+
+// waiting counts the answers of the target that are not judged yet.
+func (d *decider) waiting() (c Counts) {
+	for i := range d.pending {
+		c.add(d.pending[i].counts)
+	}
+	return c
+}
+
+// calm reports whether nothing speaks against the target in what is not judged yet,
+// either: a roll-out is completed in less time than an answer waits for its judgement.
+func (d *decider) calm() bool {
+	c, base := d.waiting(), d.verdict.all.total.base
+	usual := baseFactor * float64(base.bad()) / float64(max(1, base.Requests))
+	return float64(c.bad()) <= (usual+allowWaiting)*float64(c.Requests)
 }
 
 // judge judges what has been reported. It reports whether the target is stopped with
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -165,6 +165,11 @@
 	// confirm it.
 	goodAnswers = 20
 	calmTime    = time.Second
+	// allowWaiting is the part of the answers that wait for their judgement which may be
+	// bad in a good target, besides what usually is at the baseline. Origin: half of what
+	// many faults make bad, and more than objects that backend servers have not seen make
+	// slow right after the promotion.
+	allowWaiting = 0.15
 	// completeTime is how long the last step may take until it is known whether it is in
 	// the store.
 	completeTime = time.Second
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -252,7 +252,7 @@
 
 // confirmed reports whether the target has held under all requests.
 func (d *decider) confirmed(now time.Duration) bool {
-	return d.promotedAt != 0 && !d.verdict.doubts() && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
+	return d.promotedAt != 0 && !d.verdict.doubts() && d.calm() && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
 }
 
 // allDrained reports whether each live instance has said lately that nothing is at the
