--- a/process/rollout/fleet_test.go
+++ b/process/rollout/fleet_test.go
@@ -185,7 +185,9 @@
 	f.loss = 0.02
 	f.run(2 * time.Second)
 	o := f.order("v2", 16*time.Second)
-	f.run(15500 * time.Millisecond)
+	for f.phase() != Promote && f.now < o.at+16*time.Second {
+		f.run(TickTime)
+	}
 	assert.Equal(t, f.phase(), Promote)
 	owner := f.owner(f.nodes[0])
 	owner.kill()
