edge: table and roll-outs are told of the end in one go

What is logged stood between the two.

Ruled out: telling the roll-outs first. Then requests go to the version before for a moment, whose backend servers end there and then.

Change: the roll-outs are told right after the table, all else follows. A moment is left; to close it the choice would have to know which version a request for the target means.

--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -99,9 +99,13 @@
 	}
 	e.admitSoftware(c, orders, records)
 	r := version.CompileRouting(c, old)
+	services := rolloutServices(r, c.Software, orders, records)
+	// The one right after the other: in between, a request for the target of a roll-out
+	// that has just ended finds none.
 	e.table.Install(r)
+	e.rollouts.Install(services)
 	e.quota.Install(r.Workspaces)
-	e.installRollouts(r, c.Software, orders, records)
+	e.noteRollouts(services, orders, records)
 	e.logBackends(old, r)
 	if old == nil || old.Seq != r.Seq {
 		e.log.Info().Int64("version", r.Seq).Int("backends", len(r.Backends)).Msg("version-in-force")
--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -133,13 +133,11 @@
 	e.logHeldBack(c)
 }
 
-// installRollouts tells the roll-outs what the tables say. The caller holds compiling.
-func (e *Edge) installRollouts(r *version.Routing, software map[string]version.Software, orders map[string]*rollout.Order, records map[string]knownRecord) {
+// noteRollouts notes and writes what the roll-outs were told. The caller holds compiling.
+func (e *Edge) noteRollouts(services []rollout.Service, orders map[string]*rollout.Order, records map[string]knownRecord) {
 	e.logOrders(orders)
 	e.logRecords(records)
 	e.rolling.orders, e.rolling.records = orders, records
-	services := rolloutServices(r, software, orders, records)
-	e.rollouts.Install(services)
 	running := unanswered(orders, records) + withoutOrder(orders, records)
 	e.rolling.running.Store(int64(running))
 	e.rolling.wanted.Store(running > 0)
