--- /dev/null
+++ b/process/cluster/work_test.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// watched returns the members of an instance in the north that knows one more there and
+// one in the south, all heard at the time that now points to.
+func watched(now *time.Duration) *Members {
+	started := time.Now().Add(-time.Minute).UnixNano()
+	m := NewMembers(member("b", "north", started), func() time.Duration { return *now })
+	m.Learn(true, member("a", "north", started), member("c", "south", started))
+	return m
+}
+
+// TestThoseThatLeaveAreAtWorkUntilTheyAreSilent checks it, for others and the instance
+// itself.
+func TestThoseThatLeaveAreAtWorkUntilTheyAreSilent(t *testing.T) {
+	now := time.Hour
+	m := watched(&now)
+	leaving := member("a", "north", m.others["a"].Incarnation)
+	leaving.Leaving = true
+	m.Learn(true, leaving)
+	m.Leave()
+	assert.DeepEqual(t, names(m.Live()), []string{"c"})
+	assert.DeepEqual(t, names(m.AtWork()), []string{"a", "b", "c"})
+	now += aliveFor + time.Millisecond
+	assert.DeepEqual(t, names(m.AtWork()), []string{"b", "c"})
+	m.Called("c", false)
+	assert.DeepEqual(t, names(m.AtWork()), []string{"b"})
+}
+
+// TestSilentAreThoseThatCountAsAliveUnheard checks which are, that a message of one
+// proves that it lives, and that a failed call ends it.
+func TestSilentAreThoseThatCountAsAliveUnheard(t *testing.T) {
+	now := time.Hour
+	m := watched(&now)
+	all := func(Member) bool { return true }
+	assert.Equal(t, len(m.Silent(time.Second, all)), 0)
+	now += 1200 * time.Millisecond
+	assert.DeepEqual(t, names(m.Silent(time.Second, all)), []string{"a", "c"})
+	assert.DeepEqual(t, names(m.Silent(time.Second, func(m Member) bool { return m.Name == "c" })), []string{"c"})
+	assert.Assert(t, m.heardPeer(m.others["c"].Peer))
+	assert.Assert(t, !m.heardPeer("127.0.0.9:9"))
+	assert.DeepEqual(t, names(m.Silent(time.Second, all)), []string{"a"})
+	m.Called("a", false)
+	assert.Equal(t, len(m.Silent(time.Second, all)), 0)
+}
--- a/process/edge/rollout_test.go
+++ b/process/edge/rollout_test.go
@@ -142,7 +142,10 @@
 	time.Sleep(20 * time.Millisecond)
 	assert.Equal(t, len(passed), 0)
 	g.set(true)
-	assert.Assert(t, <-passed && <-passed && g.isOpen())
+	for range 2 {
+		assert.Assert(t, <-passed)
+	}
+	assert.Assert(t, g.isOpen())
 	g.set(false)
 	go func() { passed <- g.wait(ctx) }()
 	cancel()
