--- a/process/balance/home.go
+++ b/process/balance/home.go
@@ -2,7 +2,11 @@
 
 package balance
 
-import "shalewick/version"
+import (
+	"math/rand/v2"
+
+	"shalewick/version"
+)
 
 // maxTargetHomes bounds the objects whose homes are kept. Origin: 32 bytes each are
 // half a MB of the 32 MB that an instance may take.
@@ -32,13 +36,11 @@
 
 // TargetHome returns the hash of the backend server of a roll-out's target at which the
 // query's object has its home: the first in the near order of those that may get
-// requests now. Ok is false if there is none, or the query has no object that its route
-// keeps in one place. Unlike the order of choices, the home does not follow how busy
-// backend servers are, so that it stays.
+// requests now. A query without an object that its route keeps in one place may go to
+// any of them: it gets one at random each time, so that services without objects have
+// roll-outs, too. Ok is false if there is none. Unlike the order of choices, the home does
+// not follow how busy backend servers are, so that it stays.
 func (t *Table) TargetHome(q *Query) (hash uint64, ok bool) {
-	if q.Object == 0 || !q.Route.Sticky {
-		return 0, false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	of := *q
@@ -47,6 +49,9 @@
 	if part == nil {
 		return 0, false
 	}
+	if q.Object == 0 || !q.Route.Sticky {
+		return t.anyHome(q, part)
+	}
 	key := homeOf{part, q.Object}
 	index, known := t.homes.of[key]
 	if !known {
@@ -67,6 +72,21 @@
 	return t.routing.Backends[index].Hash, true
 }
 
+// anyHome returns the hash of any backend server of a part that may get requests now. The
+// caller holds the lock.
+func (t *Table) anyHome(q *Query, part *version.RoutePart) (hash uint64, ok bool) {
+	s := &t.routing.Services[part.Service]
+	now := t.Now()
+	for k, n := rand.IntN(max(1, len(s.Backends))), 0; n < len(s.Backends); n++ {
+		i := s.Backends[(k+n)%len(s.Backends)]
+		v := &t.routing.Backends[i]
+		if !v.Closed && (q.Route.Home == nil || q.Route.Home[v.Region]) && t.states[i].usable(now) {
+			return v.Hash, true
+		}
+	}
+	return 0, false
+}
+
 // usableHome returns the home among the backend servers that did not fail lately. The
 // caller holds the lock.
 func (t *Table) usableHome(q *Query, part *version.RoutePart) int32 {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -22,6 +22,7 @@
 	"shalewick/process/proxy"
 	"shalewick/process/quota"
 	"shalewick/process/rollout"
+	"shalewick/process/rolloutview"
 	"shalewick/process/state"
 	"shalewick/retry"
 )
@@ -143,6 +144,7 @@
 	control := http.NewServeMux()
 	control.Handle("/peer/", e.peers.Handler())
 	control.HandleFunc("GET /metrics", e.serveMetrics)
+	control.Handle("GET "+rolloutview.Pattern, rolloutview.Handler(e.rolloutStatus))
 	for _, x := range []struct {
 		address string
 		handler http.Handler
--- /dev/null
+++ b/process/edge/rolloutview.go
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"time"
+
+	"shalewick/process/rolloutview"
+	"shalewick/version"
+)
+
+// rolloutStatus returns what operators are shown of the roll-out of a service.
+func (e *Edge) rolloutStatus(service string) (rolloutview.Status, bool) {
+	e.compiling.Lock()
+	defer e.compiling.Unlock()
+	order, known := e.rolling.orders[service], e.rolling.records[service]
+	if order == nil && known.record == nil {
+		return rolloutview.Status{}, false
+	}
+	s := rolloutview.Status{Service: service, InForce: e.rolling.software[service].InForce, Record: known.record}
+	if order != nil {
+		s.Order, s.Target, s.Within = order.ID, order.Target, version.Duration(order.Within)
+	}
+	if now, clocked := e.deployment.Store.Clock(); clocked && known.running() {
+		s.Left = version.Duration(max(0, time.Duration(known.record.Deadline)-now))
+	}
+	return s, true
+}
