--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -72,6 +72,9 @@
 // are not known.
 func targetPart(r *version.Routing, p *version.RoutePart, s *version.RoutedService) *version.RoutePart {
 	if s.Target == version.None {
+		if p.Target != nil && p.Target.Software == s.Software {
+			return p // it was completed since the attempt began
+		}
 		return nil
 	}
 	target := &r.Services[s.Target]
