--- a/process/quota/account.go
+++ b/process/quota/account.go
@@ -47,7 +47,7 @@
 	part        float64       // the part of that within which it stays until sharedUntil
 	sharedUntil time.Duration
 	shared      pace
-	alone       pace
+	alone       pace // the zero value while the owner answers
 }
 
 // come notes that a request has come.
@@ -64,7 +64,7 @@
 	}
 	if now < a.sharedUntil {
 		within := a.part * a.shareNow()
-		if !a.shared.has(within, within*ahead.Seconds()+leastCredit, now) {
+		if !a.shared.has(within, depthOf(within), now) {
 			return false
 		}
 	}
@@ -95,11 +95,11 @@
 
 // coveredAlone lets a request in while no owner answers, within a part of the share.
 func (a *account) coveredAlone(now time.Duration) bool {
-	if a.alone.at == 0 && !a.trusted {
-		a.alone = usedUp(now)
-	}
 	rate := aloneShare * a.shareNow()
-	if !a.alone.has(rate, rate*ahead.Seconds()+leastCredit, now) {
+	if a.alone.at == 0 {
+		a.alone = emptyPace(rate, now)
+	}
+	if !a.alone.has(rate, depthOf(rate), now) {
 		return false
 	}
 	a.alone.used++
@@ -107,9 +107,12 @@
 	return true
 }
 
-// usedUp returns a pace that lets nothing through at first: where an instance may not
-// be trusted with a request, one for each of them would be too many.
-func usedUp(now time.Duration) pace { return pace{used: leastCredit, at: now} }
+// depthOf is what may come at once where an instance stays within a rate.
+func depthOf(rate float64) float64 { return rate*ahead.Seconds() + leastCredit }
+
+// emptyPace returns a pace that lets nothing through at first: when an instance loses
+// its owner, the tokens that it had just got are in the same window.
+func emptyPace(rate float64, now time.Duration) pace { return pace{used: depthOf(rate), at: now} }
 
 // worthWaiting returns what is closed with the next answer of the owner, if that may
 // bring a token: one was asked for, and the answer before was not that there is none.
@@ -181,6 +184,8 @@
 		return true
 	case a.idle(now) > releaseAfter:
 		return !a.released
+	case !a.released && now-a.askedAt >= tellPause:
+		return true // so that the owner knows that this instance still reaches it
 	}
 	return a.want(now) > 0 || a.stranded(now)
 }
@@ -260,9 +265,7 @@
 	case a.unanswered > 0:
 		a.part = silentShare
 		a.sharedUntil = max(a.sharedUntil, now+sharedFor)
-		if !a.trusted {
-			a.shared = usedUp(now)
-		}
+		a.shared = emptyPace(a.part*a.shareNow(), now)
 	case a.share > 0 && now >= a.sharedUntil:
 		a.part = 1
 		a.sharedUntil = now + turnFor
@@ -277,6 +280,7 @@
 	lacking := x.granted < a.pending.want
 	a.pending = nil
 	a.unanswered = 0
+	a.alone = pace{}
 	a.told = true
 	a.heardAt = now
 	a.waiting = 0
--- a/process/quota/exchange.go
+++ b/process/quota/exchange.go
@@ -12,6 +12,7 @@
 		return
 	}
 	now := q.Now()
+	q.noteInstances(now)
 	q.noteOwners(now)
 	var due []*account
 	for h, a := range q.accounts {
@@ -33,33 +34,57 @@
 	q.send(out)
 }
 
-// noteOwners notes how many instances there are, who owns each group, and since when
-// this instance owns some. The caller holds the lock.
+// noteInstances notes how many instances there are: the most that there were lately,
+// since one that is cut off takes few for alive, and each of those behind a cut would
+// take the share of all others for its own. The caller holds the lock.
+func (q *Quota) noteInstances(now time.Duration) {
+	n := q.Instances()
+	if n >= q.instances || now-q.countedAt > sharedFor {
+		q.instances = n
+		q.countedAt = now
+	}
+}
+
+// noteOwners notes who owns each group, and since when this instance owns some. The
+// caller holds the lock.
 func (q *Quota) noteOwners(now time.Duration) {
 	q.owners = q.Owners()
-	q.instances = q.Instances()
 	for i, o := range q.owners {
 		shard := uint64(i)
 		_, before := q.owned[shard]
 		switch mine := o.Name != "" && o.Address == ""; {
 		case !mine:
 			delete(q.owned, shard)
+			q.dropBuckets(shard)
 		case !before:
 			q.owned[shard] = now
 		}
 	}
 }
 
+// dropBuckets forgets the buckets of a group that this instance no longer owns: they
+// would be full when it owns them again, whatever the owner meanwhile has given. The
+// caller holds the lock.
+func (q *Quota) dropBuckets(shard uint64) {
+	for h := range q.buckets {
+		if h%Shards == shard {
+			delete(q.buckets, h)
+		}
+	}
+}
+
 // newBucket returns the bucket of a workspace that nobody asked this instance for
 // since it owns it. What the owner before has given is not known, so the bucket
 // fills from nearly nothing since then. The caller holds the lock.
 func (q *Quota) newBucket(hash uint64, l limit, now time.Duration) *bucket {
-	b := &bucket{at: now, tokens: min(l.depth, q.Tolerance.spare()), askers: make(map[string]*asker)}
+	b := &bucket{at: now, since: now, tokens: min(l.depth, l.spare), askers: make(map[string]*asker)}
 	if since, ok := q.owned[hash%Shards]; ok {
 		b.at = since
+		b.since = since
 	}
 	if q.First && now-q.began < bootTime {
 		b.tokens = l.depth
+		b.since = now - l.window
 	}
 	return b
 }
--- a/process/quota/ledger.go
+++ b/process/quota/ledger.go
@@ -4,21 +4,16 @@
 
 import "time"
 
-const (
-	// heardFor is how long an instance that asks counts as heard: one that has no more
-	// requests gives its tokens back sooner, after releaseAfter. keptFor is how long the
-	// share of one is kept that is not heard and gave nothing back: it may still use it.
-	heardFor = releaseAfter + time.Second
-	keptFor  = 12 * time.Second
-	// leastRefill is the least part of a rate at which a bucket fills, whatever is
-	// kept for others.
-	leastRefill = 0.1
-)
+// leastRefill is the least part of a rate at which a bucket fills, whatever is kept for
+// others.
+const leastRefill = 0.1
 
 // bucket is what the owner of a workspace knows of it.
 type bucket struct {
 	tokens  float64 // below zero: more came in than there was
+	depth   float64 // the most that it holds now
 	at      time.Duration
+	since   time.Duration // since when this instance owns the workspace
 	granted meter
 	askers  map[string]*asker // by address
 	askedAt time.Duration
@@ -34,20 +29,33 @@
 
 // refill adds the tokens that have come since.
 func (b *bucket) refill(l limit, now time.Duration) {
-	kept := 0.0
+	kept, inHand := 0.0, 0.0
 	for name, x := range b.askers {
+		inHand += max(1, x.taken.rate*ahead.Seconds())
 		switch silence := now - x.at; {
 		case silence > keptFor:
 			delete(b.askers, name)
 		case silence > heardFor:
-			kept += x.taken.rate // as of when it was heard last
+			kept += keptPart * x.taken.rate // as of when it was heard last
 		}
 	}
 	rate := max(leastRefill*l.rate, l.rate-kept)
-	b.tokens = min(l.depth, b.tokens+rate*(now-b.at).Seconds())
+	b.depth = b.depthNow(l, inHand, now)
+	b.tokens = min(b.depth, b.tokens+rate*(now-b.at).Seconds())
 	b.at = now
 }
 
+// depthNow returns the most that the bucket holds. What instances have in hand beside
+// a full bucket comes in on top of the burst: of that only so much is left out of
+// account as is tolerated.
+func (b *bucket) depthNow(l limit, inHand float64, now time.Duration) float64 {
+	depth := l.depth - min(l.depth/2, max(0, inHand-l.inHand))
+	if now-b.since < l.window {
+		depth = min(depth, max(l.spare, l.rate*newDepth.Seconds()))
+	}
+	return depth
+}
+
 // answer answers an ask. An ask that comes twice counts once.
 func (b *bucket) answer(name string, x ask, l limit, now time.Duration) answer {
 	b.askedAt = now
@@ -62,13 +70,13 @@
 		return k.answer
 	}
 	k.seq = x.seq
-	b.tokens = min(l.depth, b.tokens-float64(x.spent)+float64(x.back))
+	b.tokens = min(b.depth, b.tokens-float64(x.spent)+float64(x.back))
 	grant := min(float64(x.want), max(0, float64(int(b.tokens))))
 	b.tokens -= grant
 	b.granted.add(grant+float64(x.spent)-float64(x.back), now)
 	k.taken.add(grant+float64(x.spent)-float64(x.back), now)
 	k.answer = answer{
-		hash: x.hash, seq: x.seq, granted: uint16(grant), scarce: b.tokens < l.depth/2,
+		hash: x.hash, seq: x.seq, granted: uint16(grant), scarce: b.tokens < b.depth/2,
 		used: max(0, b.granted.now(now)) / l.rate,
 	}
 	if x.release {
--- a/process/quota/model_test.go
+++ b/process/quota/model_test.go
@@ -160,7 +160,7 @@
 }
 
 // sees reports whether an instance takes another one for alive: one that has not
-// answered it counts as dead, and one of the same region after some time.
+// answered it counts as dead, and one of the same region that is not heard, too, some time later.
 func (x *node) sees(o *node) bool {
 	if x.doubts[o.index] {
 		return false
@@ -168,10 +168,10 @@
 	if x.index%regions != o.index%regions {
 		return true
 	}
-	if (o.dead || o.frozen) && x.m.now-o.endedAt > missedAfter {
+	if (o.dead || o.frozen) && x.m.now-max(o.endedAt, x.began) > missedAfter {
 		return false
 	}
-	return o.group == x.group || x.m.now-x.m.turnedAt <= missedAfter
+	return o.group == x.group || x.m.now-max(x.m.turnedAt, x.began) <= missedAfter
 }
 
 // seen returns how many instances one takes for alive.
--- a/process/quota/policy.go
+++ b/process/quota/policy.go
@@ -40,6 +40,22 @@
 	// tokens of a workspace, and forgetAfter that after which it forgets it.
 	releaseAfter = 2 * time.Second
 	forgetAfter  = 20 * time.Second
+	// tellPause is the longest pause between two asks until then, and heardFor how long
+	// an instance that asks counts as heard: two asks in a row may be lost, and the
+	// owner of a workspace far over its limit keeps the share of one that is cut off
+	// before that has let in more than is tolerated. Origin: TestFloodThatMeetsACut;
+	// at 3 s 1.06 of what is tolerated comes in.
+	tellPause = 400 * time.Millisecond
+	heardFor  = time.Second
+	// keptFor is how long the share of an instance is kept that is not heard and gave
+	// nothing back, and keptPart the part of what it used: it goes on with aloneShare of
+	// that, and has used some before it was missed.
+	keptFor  = 12 * time.Second
+	keptPart = 0.8
+	// newDepth is how much of a rate a new owner's bucket holds at most for one window.
+	// The instances that turn to it stay within their shares, but those that start just
+	// then know none, and would use all that has gathered.
+	newDepth = 250 * time.Millisecond
 	// strandedAfter is how long a token lies unused before it is given back, while the
 	// bucket is less than half full.
 	strandedAfter = 300 * time.Millisecond
--- a/process/quota/quota.go
+++ b/process/quota/quota.go
@@ -69,7 +69,8 @@
 	workspaces *version.Workspaces
 	limits     map[uint64]limit // by hash of the name; those without a bound are not there
 	owners     [Shards]Owner
-	instances  int                      // as of the last tick
+	instances  int                      // the most that there were lately
+	countedAt  time.Duration            // when there were so many last
 	owned      map[uint64]time.Duration // since when this instance owns a group
 	accounts   map[uint64]*account
 	silent     map[string]silence // owners that did not answer, by address
@@ -79,8 +80,11 @@
 
 // limit is what a workspace may use.
 type limit struct {
-	rate  float64 // requests a second
-	depth float64 // of the bucket: what may come at once
+	rate   float64 // requests a second
+	depth  float64 // of the bucket: what may come at once
+	spare  float64 // the part of that beyond the burst
+	inHand float64 // tokens that instances may have beside a full bucket
+	window time.Duration
 }
 
 // Install puts the limits of a version in force.
@@ -103,6 +107,7 @@
 		q.buckets = make(map[uint64]*bucket)
 		q.owned = make(map[uint64]time.Duration)
 		q.began = q.Now()
+		q.noteInstances(q.began)
 		q.noteOwners(q.began)
 	}
 	for h := range q.accounts {
@@ -119,7 +124,9 @@
 
 // limit returns what a workspace may use.
 func (t Tolerance) limit(v *version.WorkspaceView) limit {
-	return limit{rate: v.Rate, depth: max(1, v.Burst+t.spare())}
+	l := limit{rate: v.Rate, depth: max(1, v.Burst+t.spare()), spare: t.spare(), window: t.Window}
+	l.inHand = t.above(l) / 4
+	return l
 }
 
 // spare is what a bucket holds beyond the burst.
