--- a/process/quota/cut_test.go
+++ b/process/quota/cut_test.go
@@ -3,7 +3,7 @@
 package quota
 
 import (
-	"flag"
+	cmdline "flag"
 	"fmt"
 	"math"
 	"slices"
@@ -177,7 +177,7 @@
 }
 
 // everyFlood plays all cases of TestFloodThatMeetsACut, in place of some of each fleet.
-var everyFlood = flag.Bool("every-flood", false, "play all floods that meet a cut")
+var everyFlood = cmdline.Bool("every-flood", false, "play all floods that meet a cut")
 
 // TestFloodThatMeetsACut checks that what was let in before a cut, what those cut off
 // go on with, and what is granted on the other side stay within what is tolerated
