--- a/process/quota/policy.go
+++ b/process/quota/policy.go
@@ -23,23 +23,39 @@
 	// for dead.
 	aloneAfter  = 3
 	silentAfter = 6
-	// aloneShare is the part of its share that an instance uses while the owner does
-	// not answer. Origin: with 3 of 10 instances cut off, two fifths of their
-	// shares stay within a tolerance of a tenth while the others use the whole rate.
+	// aloneShare is the part of its share that an instance uses while the owner does not
+	// answer, and for sharedFor after it has turned to another one, since the one before
+	// may be alive behind a cut. It holds where usualAbove of what the rate gives in a
+	// window is tolerated beyond it; where more is, as for low rates, the part grows with
+	// it up to mostAlone. Origin: TestFloodThatMeetsACut; with half of the share 1.04 of
+	// what is tolerated came in at a high rate, and with all of it 1.06 at a low one.
 	aloneShare = 0.4
-	// silentShare is the part of its share within which an instance stays after it has
-	// turned away from an owner that did not answer: the owner may be alive behind a
-	// cut. Origin: the model, with a sixth of the instances behind one.
-	silentShare = 0.4
-	// sharedFor is how long it stays so: longer than a usual cut. After an owner that
-	// answered to the end it stays within its whole share for turnFor: by then all have
-	// turned.
+	usualAbove = 0.13
+	mostAlone  = 0.55
+	// sharedFor is longer than a usual cut. After an owner that answered to the end an
+	// instance stays within its whole share for turnFor: by then all have turned.
 	sharedFor = 12 * time.Second
 	turnFor   = 4 * time.Second
 	// releaseAfter is how long after its last request an instance gives back the
 	// tokens of a workspace, and forgetAfter that after which it forgets it.
 	releaseAfter = 2 * time.Second
 	forgetAfter  = 20 * time.Second
+	// tellPause is the longest pause between two asks until then, and heardFor how long
+	// an instance that asks counts as heard: two asks in a row may be lost, and the
+	// owner of a workspace far over its limit keeps the share of one that is cut off
+	// before that has let in more than is tolerated. Origin: TestFloodThatMeetsACut;
+	// at 3 s 1.06 of what is tolerated comes in.
+	tellPause = 400 * time.Millisecond
+	heardFor  = time.Second
+	// keptFor is how long the share of an instance is kept that is not heard and gave
+	// nothing back, and keptPart the part of what it used: it goes on with aloneShare of
+	// that, and has used some before it was missed.
+	keptFor  = 12 * time.Second
+	keptPart = 0.8
+	// newDepth is how much of a rate a new owner's bucket holds at most for one window.
+	// The instances that turn to it stay within their shares, but those that start just
+	// then know none, and would use all that has gathered.
+	newDepth = 250 * time.Millisecond
 	// strandedAfter is how long a token lies unused before it is given back, while the
 	// bucket is less than half full.
 	strandedAfter = 300 * time.Millisecond
