rollout, edge: leases follow the time to stop; an order for no service ends at once

Cause: the time within which a bad target must get nothing was a setting that nothing read; an order for a service that is not there waited for its deadline.

Change: a lease lasts 0.3 of that time, 1.5 s at most (the same as before for the usual 5 s); such an order is reverted with its cause by the first step.

--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -169,6 +169,7 @@
 			InForce: software[name].InForce,
 		}
 		s.InForceSlots, s.Homes = slotsAndHomes(r, name)
+		s.Unknown = !r.HasService(name)
 		out = append(out, s)
 	}
 	return out
--- a/process/rollout/exchange.go
+++ b/process/rollout/exchange.go
@@ -259,7 +259,11 @@
 // hear takes up an answer. The caller holds the lock.
 func (r *Rollouts) hear(s *service, x *answer, now time.Duration) {
 	was := s.gate.halted
-	sentAt, lease := s.reports.sent(x.seq)
+	sentAt, known := s.reports.sent(x.seq)
+	lease := time.Duration(0)
+	if known {
+		lease = r.Bounds.lease()
+	}
 	s.gate.hear(x, lease, sentAt, now)
 	s.reports.echo, s.reports.echoOf = x.stamp, s.owner.Name
 	s.reports.soon = x.soon
--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -143,17 +143,17 @@
 	return (int64(g.stamp) + (now - g.stampAt).Milliseconds()) / turnTime.Milliseconds()
 }
 
-// hear takes up an answer of the owner. SentAt is when the report went that it is to;
-// lease is set if there is one.
-func (g *gate) hear(x *answer, lease bool, sentAt, now time.Duration) {
+// hear takes up an answer of the owner. SentAt is when the report went that it is to, and
+// lease how long the lease lasts from then. Zero: there is none.
+func (g *gate) hear(x *answer, lease, sentAt, now time.Duration) {
 	g.goOn(x.phase)
 	if x.halted || x.phase == Reverted {
 		g.halted = true
 		g.promised = 0
 		return
 	}
-	if lease {
-		g.lease = max(g.lease, sentAt+leaseTime)
+	if lease > 0 {
+		g.lease = max(g.lease, sentAt+lease)
 	}
 	g.stamp, g.stampAt = x.stamp, now
 	g.hungry, g.allHungry = x.hungry, x.allHungry
--- a/process/rollout/gate_test.go
+++ b/process/rollout/gate_test.go
@@ -118,6 +118,27 @@
 	assert.Equal(t, send(r, 500), 0, "lapsed")
 }
 
+// TestLeaseFollowsTheTimeToStop checks that a short time to stop makes leases short.
+func TestLeaseFollowsTheTimeToStop(t *testing.T) {
+	for _, c := range []struct{ stop, lease time.Duration }{
+		{0, leaseTime}, {time.Second, 300 * time.Millisecond}, {5 * time.Second, leaseTime}, {time.Minute, leaseTime},
+	} {
+		b := Bounds{StopWithin: c.stop}
+		assert.Equal(t, b.lease(), c.lease, "%s", c.stop)
+	}
+}
+
+// TestOrderForAnUnknownServiceIsReverted checks that nobody waits for such an order's
+// deadline.
+func TestOrderForAnUnknownServiceIsReverted(t *testing.T) {
+	r, _ := alone(Owner{Name: "here"})
+	r.Install([]Service{{Name: "none", Order: &Order{ID: 9, Target: "v2", Within: time.Minute}, Unknown: true}})
+	steps := r.Proposals(time.Hour)
+	assert.Equal(t, len(steps), 1)
+	assert.Equal(t, steps[0].Record.Phase, Reverted)
+	assert.Equal(t, steps[0].Record.Cause, "order for a service that is not there")
+}
+
 // TestHaltHoldsForTheOrder checks that no later answer takes a halt back.
 func TestHaltHoldsForTheOrder(t *testing.T) {
 	r, now := alone(Owner{Name: "here"})
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -7,9 +7,12 @@
 // Messages and leases.
 const (
 	// leaseTime is how long an instance may send to the target after the report that
-	// the owner answered last. Origin: a third of the usual StopWithin, so that a stop
-	// holds in time although each message that tells of it was lost.
+	// the owner answered last, at most.
 	leaseTime = 1500 * time.Millisecond
+	// leasePart is the part of StopWithin that a lease lasts at most, so that a stop holds
+	// in time although each message that tells of it was lost, and the bad answers were
+	// reported late.
+	leasePart = 0.3
 	// reportPause is the usual pause between two reports, and hastyPause that where
 	// something bad has come or the phase is about to change.
 	reportPause = 500 * time.Millisecond
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -19,10 +19,18 @@
 	Share float64
 	Slack float64
 	// StopWithin is the time after the target's 50th bad answer from which it must get
-	// nothing.
+	// nothing. Zero: there is no bound.
 	StopWithin time.Duration
 }
 
+// lease is how long a lease lasts.
+func (b *Bounds) lease() time.Duration {
+	if b.StopWithin == 0 {
+		return leaseTime
+	}
+	return min(leaseTime, time.Duration(leasePart*float64(b.StopWithin)))
+}
+
 // Owner is the instance that decides on a service's roll-out.
 type Owner struct {
 	Name    string // "": nobody is known
@@ -46,6 +54,8 @@
 	// and of the target, and Homes the hashes and slots of the target's.
 	InForceSlots int
 	Homes        []Home
+	// Unknown is set for a service that the configuration does not have.
+	Unknown bool
 }
 
 // Home is a backend server of the target.
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -117,7 +117,11 @@
 	if s.Record != nil {
 		x.Before = s.Record.InForce()
 	}
-	if cause := s.Order.nonsense(); cause != "" {
+	cause := s.Order.nonsense()
+	if cause == "" && s.Unknown {
+		cause = "order for a service that is not there"
+	}
+	if cause != "" {
 		x.Phase, x.Cause = Reverted, cause
 		return x
 	}
--- a/version/routing.go
+++ b/version/routing.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -285,6 +286,11 @@
 	}
 }
 
+// HasService reports whether there is a service of a name.
+func (r *Routing) HasService(name string) bool {
+	return slices.ContainsFunc(r.Services, func(s RoutedService) bool { return s.Name == name })
+}
+
 // RegionOfHall returns the index of the region of a hall, or None.
 func (r *Routing) RegionOfHall(name string) int32 { return find(r.halls, name) }
 
