--- a/process/quota/doc.go
+++ b/process/quota/doc.go
@@ -50,9 +50,10 @@
 	empty paces, missed after 1 s             1.00          0.82   0.32     2.7 s
 	  and tokens in hand counted              0.96   1.08   0.82   0.31     3.6 s
 	  and wait out                            0.95          0.79   0.25     4.5 s
-	  not so; new buckets small, less kept    0.97   0.99    0.87   0.31     3.4 s
+	  not so; new buckets small, less kept    1.03   0.99    0.87   0.31     3.4 s
 
-The last is in use. "Missed after" is the time until an owner keeps the share of an
+The last is in use; its 1.03 is of a workspace of 20 requests a second at 75 instances that
+all take requests, one flood in 320; all other fleets stay within 0.98. "Missed after" is the time until an owner keeps the share of an
 instance that it does not hear.
 */
 package quota
