rollout, docs: what a newcomer stumbled on

An answer that stops the target and comes from an instance that is not the owner was stored as the owner's and logged under its name; messages that could not be read, and reports beyond a bound, were dropped without a line; the wait of a new owner stood twice; names were metaphors (hungry) or said the opposite (promoteReserve, Unsent for what may have been sent); comments and the design page told of earlier code.

--- a/process/edge/step.go
+++ b/process/edge/step.go
@@ -23,10 +23,6 @@
 	// cut off from the store, so that another instance becomes the owner. It is more than
 	// one: while the store is away for all the owner should not change all the time.
 	failuresToPass = 3
-	// hearTime is how long a new owner of a roll-out that runs waits for the reports of
-	// the others before it decides: they report twice a second, and what it has not heard
-	// of is no lack of evidence.
-	hearTime = 800 * time.Millisecond
 )
 
 // stepWriter writes the steps of the roll-outs that this instance owns. It is not safe
@@ -98,7 +94,7 @@
 	for _, name := range services {
 		o, before := w.owned[name]
 		if !before {
-			o.from = w.edge.now() + hearTime
+			o.from = w.edge.now() + rollout.InformTime
 		}
 		owned[name] = o
 	}
--- a/process/proxy/account_test.go
+++ b/process/proxy/account_test.go
@@ -35,9 +35,9 @@
 	assert.Equal(t, len(f.runs()), 2)
 }
 
-// TestOwnFailureOfAnBackendIsPassedOn checks that a backend server's failure reaches
+// TestOwnFailureOfABackendIsPassedOn checks that a backend server's failure reaches
 // the caller as it is, and is neither replaced nor tried elsewhere.
-func TestOwnFailureOfAnBackendIsPassedOn(t *testing.T) {
+func TestOwnFailureOfABackendIsPassedOn(t *testing.T) {
 	for _, path := range []string{"/reads/1", "/bids/1"} {
 		f := newFixture(t, 2)
 		f.firstFails(server.Broken)
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -133,7 +133,7 @@
 	t.begin()
 	pick, refusal := t.pick()
 	if pick == nil {
-		t.rolled.Done(rollout.Outcome{Unsent: true})
+		t.rolled.Done(rollout.Outcome{Inconclusive: true})
 		t.c.why = &refusal.Why
 		return nil, t.result(refusal.Code, refusal.Retry)
 	}
@@ -212,7 +212,7 @@
 	report := t.report(ex.Response.Header)
 	ex.Close()
 	pick.Done(balance.Refused, report)
-	t.over(pick, rollout.Outcome{Failed: misdirected, Unsent: !misdirected})
+	t.over(pick, rollout.Outcome{Failed: misdirected, Inconclusive: !misdirected})
 	t.line(pick).Int("status", ex.Response.StatusCode).
 		Str("load", ex.Response.Header.Get(t.p.Names.Load)).Msg("backend-refused")
 	if misdirected {
@@ -262,7 +262,7 @@
 		t.c.attempts++
 		return t.lost(ctx, pick, err, sent)
 	}
-	t.over(pick, rollout.Outcome{Unsent: true})
+	t.over(pick, rollout.Outcome{Inconclusive: true})
 	if t.c.r.Context().Err() != nil {
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
@@ -277,7 +277,7 @@
 	t.mayHaveRun = true
 	t.c.runs++
 	if t.c.r.Context().Err() != nil {
-		t.over(pick, rollout.Outcome{Unsent: true})
+		t.over(pick, rollout.Outcome{Inconclusive: true})
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
@@ -291,7 +291,7 @@
 		pick.Pool.CloseIdle()
 	}
 	unsent := code == request.DeadlinePassed && t.c.tooShort(pick, sent)
-	t.over(pick, rollout.Outcome{Failed: !unsent, Unsent: unsent, Took: time.Since(sent)})
+	t.over(pick, rollout.Outcome{Failed: !unsent, Inconclusive: unsent, Took: time.Since(sent)})
 	t.line(pick).Err(err).Msg("answer-lost")
 	return t.result(code, 0)
 }
--- a/process/proxy/rollout.go
+++ b/process/proxy/rollout.go
@@ -100,7 +100,7 @@
 // over tells roll-outs what came of an attempt, and counts it for the version that had it.
 func (t *trial) over(pick *balance.Pick, o rollout.Outcome) {
 	t.rolled.Done(o)
-	if !o.Unsent {
+	if !o.Inconclusive {
 		t.p.Metrics.Software(t.c.service, pick.Software, o.Failed, o.Took)
 	}
 }
--- a/process/proxy/rollout_test.go
+++ b/process/proxy/rollout_test.go
@@ -172,7 +172,7 @@
 	assert.Equal(t, all[0].route, "reads")
 	assert.Assert(t, all[0].first && all[0].hasHome && all[0].declined == 0)
 	o := x.outcome()
-	assert.Assert(t, !o.Failed && !o.Unsent && o.Unseen && !o.Cold)
+	assert.Assert(t, !o.Failed && !o.Inconclusive && o.Unseen && !o.Cold)
 	assert.Assert(t, o.Took >= x.new.First && o.Took < 300*time.Millisecond, "%s", o.Took)
 	x.own(x.send("again", "/reads/1", ""), "again")
 	assert.Assert(t, !x.attempts(t)[1].outcomes[0].Unseen)
@@ -221,7 +221,7 @@
 		all := x.attempts(t)
 		assert.Equal(t, len(all), 1, name)
 		assert.Equal(t, all[0].declined, 1, name)
-		assert.Assert(t, !all[0].outcomes[0].Failed && !all[0].outcomes[0].Unsent, name)
+		assert.Assert(t, !all[0].outcomes[0].Failed && !all[0].outcomes[0].Inconclusive, name)
 		assert.Equal(t, len(x.old.Runs()), 1, name)
 		assert.Assert(t, !x.retries(), name)
 		lines := x.log.lines("answered")
@@ -241,7 +241,7 @@
 	r := x.send("b", "/bids/1", "an offer")
 	assert.Equal(t, r.status, http.StatusServiceUnavailable)
 	assert.Equal(t, r.header.Get(request.HeaderRan), string(request.RanNo))
-	assert.Equal(t, x.outcome(), rollout.Outcome{Unsent: true})
+	assert.Equal(t, x.outcome(), rollout.Outcome{Inconclusive: true})
 	x = newRolling(t)
 	x.closed = true
 	x.new.Next(server.Broken)
@@ -254,7 +254,7 @@
 	x := newRolling(t)
 	x.admit("v8", "v9")
 	assert.Equal(t, x.send("r", "/reads/1", "").status, http.StatusServiceUnavailable)
-	assert.Equal(t, x.outcome(), rollout.Outcome{Unsent: true})
+	assert.Equal(t, x.outcome(), rollout.Outcome{Inconclusive: true})
 }
 
 // TestOutcomeOfEachFault checks what roll-outs are told for each way in which the target
@@ -285,7 +285,7 @@
 		assert.Equal(t, len(all), c.attempts, c.name)
 		o := all[0].outcomes[0]
 		assert.Equal(t, o.Failed, c.failed, c.name)
-		assert.Equal(t, o.Unsent, c.unsent, c.name)
+		assert.Equal(t, o.Inconclusive, c.unsent, c.name)
 		for _, further := range all[1:] {
 			assert.Assert(t, !further.first && !further.outcomes[0].Failed, c.name)
 		}
@@ -348,7 +348,7 @@
 	x.own(x.send("b", "/bids/1", "an offer"), "b")
 	all := x.attempts(t)
 	assert.Equal(t, len(all), 2)
-	assert.Equal(t, all[0].outcomes[0], rollout.Outcome{Unsent: true})
+	assert.Equal(t, all[0].outcomes[0], rollout.Outcome{Inconclusive: true})
 	assert.Equal(t, len(x.old.Runs()), 1)
 }
 
@@ -366,7 +366,7 @@
 	_, err = http.DefaultClient.Do(req)
 	assert.Assert(t, err != nil)
 	x.idle()
-	assert.Equal(t, x.outcome(), rollout.Outcome{Unsent: true})
+	assert.Equal(t, x.outcome(), rollout.Outcome{Inconclusive: true})
 }
 
 // sendWithin sends a read with a deadline of the caller's own.
@@ -391,7 +391,7 @@
 	x.new.Next(server.Silent, server.Silent)
 	x.new.Work = 0
 	assert.Equal(t, x.sendWithin("short", 100*time.Millisecond), http.StatusGatewayTimeout)
-	assert.Assert(t, x.outcome().Unsent, "the first work is taken to need more")
+	assert.Assert(t, x.outcome().Inconclusive, "the first work is taken to need more")
 	x = newRolling(t)
 	for i := range 30 { // so that the usual work is known, and the object seen
 		id := fmt.Sprint("w", i)
--- a/process/quota/doc.go
+++ b/process/quota/doc.go
@@ -5,7 +5,7 @@
 all instances together.
 
 	q.Install(workspaces)       // a new version
-	ok, retry := q.Take(w)      // may a request of the workspace come in now?
+	ok, why := q.Take(ctx, w)   // may a request of the workspace come in now?
 	q.Return(w)                 // one that was let in has not run
 	q.Tick()                    // every TickTime: tell owners what was used
 
--- a/process/rollout/attempt.go
+++ b/process/rollout/attempt.go
@@ -20,8 +20,9 @@
 type Outcome struct {
 	// Failed: the answer was a failure of the backend server, or none came.
 	Failed bool
-	// Unsent: nothing was sent, or the caller gave up, so that it tells nothing.
-	Unsent bool
+	// Inconclusive: nothing was sent, or the caller gave up, so that it tells nothing of
+	// the backend server.
+	Inconclusive bool
 	// Took is the time from sending to the answer.
 	Took time.Duration
 	// Unseen: the backend server had not worked on the object lately; Cold: it counts
@@ -148,8 +149,8 @@
 	if !a.target {
 		s.toBefore--
 	}
-	if o.Unsent {
-		a.unsent()
+	if o.Inconclusive {
+		a.inconclusive()
 		return
 	}
 	now := r.Now()
@@ -171,8 +172,9 @@
 	}
 }
 
-// unsent takes an attempt back that did not reach the service.
-func (a *Attempt) unsent() {
+// inconclusive takes an attempt at the version before out of the count of all. Some of
+// them were sent, so the share is kept a little more strictly than it has to be.
+func (a *Attempt) inconclusive() {
 	s := a.s
 	if !a.target && s.Order != nil && s.Order.ID == a.order {
 		s.gate.all--
--- a/process/rollout/counts.go
+++ b/process/rollout/counts.go
@@ -12,8 +12,8 @@
 type Counts struct {
 	Requests int64
 	Failed   int64
-	// Timed are those whose time tells something: of a backend server that was not cold,
-	// and on a route whose usual time is known.
+	// Timed are those whose time tells something: of a backend server that was not cold, on
+	// a route whose usual time is known, and clearly slow or not (usual.class).
 	Timed int64
 	Slow  int64 // of Timed
 }
--- a/process/rollout/decider.go
+++ b/process/rollout/decider.go
@@ -58,13 +58,14 @@
 	at     time.Duration
 }
 
-// take takes up a report. Counts are cumulative: what is lost comes with the next one.
-func (d *decider) take(from string, x *report, madeAfter, now time.Duration) {
+// take takes up a report, unless too many processes have reported already. Counts are
+// cumulative: what is lost comes with the next one.
+func (d *decider) take(from string, x *report, madeAfter, now time.Duration) bool {
 	key := reporterKey{from, x.incarnation}
 	p := d.reporters[key]
 	if p == nil {
 		if len(d.reporters) >= mostReporters {
-			return
+			return false
 		}
 		p = &reporter{counts: make(map[routeHash]pair)}
 		d.reporters[key] = p
@@ -81,6 +82,7 @@
 	if x.halted && !d.halted {
 		d.stopped = true
 	}
+	return true
 }
 
 // count adds what is new in the counts of a route.
@@ -141,9 +143,9 @@
 	return c
 }
 
-// calm reports whether nothing speaks against the target in what is not judged yet,
+// waitingLooksGood reports whether nothing speaks against the target in what is not judged yet,
 // either: a roll-out is completed in less time than an answer waits for its judgement.
-func (d *decider) calm() bool {
+func (d *decider) waitingLooksGood() bool {
 	c, base := d.waiting(), d.verdict.all.total.base
 	usual := baseFactor * float64(base.bad()) / float64(max(1, base.Requests))
 	return float64(c.bad()) <= (usual+allowWaiting)*float64(c.Requests)
@@ -189,7 +191,7 @@
 // been about to stop the target.
 func (s *service) informed(now time.Duration) bool {
 	fromTheBegin := s.seen != 0 && s.ownsSince-s.seen < reportPause
-	return fromTheBegin || now-s.ownsSince >= informTime
+	return fromTheBegin || now-s.ownsSince >= InformTime
 }
 
 // answer answers a report. Without most of the instances, or their counts, it gives no
@@ -204,20 +206,20 @@
 	}
 	x.phase = s.Record.Phase
 	x.halted = x.halted && x.phase != Completed
-	if r.storeSeen {
-		store := now + r.storeAt
+	if r.storeKnown {
+		store := now + r.storeOffset
 		x.timed = true
 		x.left = max(0, s.unbounded()-store)
 		x.soon = x.phase == Canary && store >= s.promoteAt(r.Bounds.Share)-hastyBefore
 	}
 	if x.phase == Canary {
-		x.allHungry, x.hungry = s.decider.hungry()
+		x.allLacking, x.lacking = s.decider.lacking()
 	}
 	return x
 }
 
-// hungry are the routes that lack evidence, and whether it is lacking in all.
-func (d *decider) hungry() (all bool, some []routeHash) {
+// lacking are the routes that lack evidence, and whether it is lacking in all.
+func (d *decider) lacking() (all bool, some []routeHash) {
 	total := d.verdict.all.total
 	for h, t := range d.verdict.routes {
 		if t.lacks(total) && len(some) < mostRoutes {
--- a/process/rollout/exchange.go
+++ b/process/rollout/exchange.go
@@ -205,19 +205,48 @@
 	}
 	switch text[0] {
 	case kindReport:
-		if x, err := decodeReport(text); err == nil {
-			r.hearReport(from, x)
+		x, err := decodeReport(text)
+		if err != nil {
+			r.skip(from, err.Error())
+			return true
 		}
+		r.hearReport(from, x)
 		return true
 	case kindAnswer:
-		if x, err := decodeAnswer(text); err == nil {
-			r.hearAnswer(from, x)
+		x, err := decodeAnswer(text)
+		if err != nil {
+			r.skip(from, err.Error())
+			return true
 		}
+		r.hearAnswer(from, x)
 		return true
 	}
 	return false
 }
 
+// mostSkipped bounds the senders whose messages were skipped that are remembered.
+const mostSkipped = 64
+
+// skip notes, once for each sender, that a message could not be taken up: one of another
+// release, or of too many processes.
+func (r *Rollouts) skip(from, why string) {
+	r.mu.Lock()
+	defer r.unlock()
+	r.noteSkipped(from, why)
+}
+
+// noteSkipped does so for a caller that holds the lock.
+func (r *Rollouts) noteSkipped(from, why string) {
+	if r.skipped[from] || len(r.skipped) >= mostSkipped {
+		return
+	}
+	if r.skipped == nil {
+		r.skipped = make(map[string]bool)
+	}
+	r.skipped[from] = true
+	r.events = append(r.events, Event{What: "message-skipped", Cause: from + ": " + why})
+}
+
 // hearReport takes up a report, and answers it if this instance is the owner. One that
 // has not heard of the last step is told after it, too.
 func (r *Rollouts) hearReport(from string, x *report) {
@@ -230,7 +259,9 @@
 	}
 	var out []message
 	if s.runs() {
-		s.decider.take(from, x, r.madeAfter(x, now), now)
+		if !s.decider.take(from, x, r.madeAfter(x, now), now) {
+			r.noteSkipped(from, "too many processes have reported")
+		}
 	}
 	if s.runs() && r.judge(s, now) {
 		out = r.tellAll(s, now)
@@ -251,14 +282,29 @@
 	if s == nil || !s.runs() || s.Order.ID != x.order {
 		return
 	}
-	if from == s.owner.Address || x.halted {
+	if from == s.owner.Address {
 		r.hear(s, x, r.Now())
 	}
+	if x.halted || x.phase == Reverted {
+		r.hearStop(s, from)
+	}
 }
 
-// hear takes up an answer. The caller holds the lock.
-func (r *Rollouts) hear(s *service, x *answer, now time.Duration) {
+// hearStop stops the target on the word of an instance that is, or was, the owner. The
+// caller holds the lock.
+func (r *Rollouts) hearStop(s *service, from string) {
 	was := s.gate.halted
+	s.gate.halt()
+	if was {
+		return
+	}
+	s.decider.halt("another owner has stopped it")
+	r.note(s, "target-stopped", "told by "+from, &s.trial.local, 0)
+}
+
+// hear takes up an answer of the owner, which may be this instance. The caller holds the
+// lock.
+func (r *Rollouts) hear(s *service, x *answer, now time.Duration) {
 	sentAt, known := s.reports.sent(x.seq)
 	lease := time.Duration(0)
 	if known {
@@ -268,10 +314,6 @@
 	s.reports.echo, s.reports.echoOf = x.stamp, s.owner.Name
 	s.reports.soon = x.soon
 	s.reports.unanswered = 0
-	if s.gate.halted && !was {
-		s.decider.halt("another owner has stopped it")
-		r.note(s, "target-stopped", "told by owner "+s.owner.Name, &s.trial.local, 0)
-	}
 }
 
 // stamp is this instance's clock as it stands in answers. It begins anywhere, so that
--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -18,7 +18,7 @@
 	extra, used float64
 	// saved are parts of requests for the next open backend server.
 	saved float64
-	rate  flow
+	rate  rateMeter
 
 	phase  Phase
 	halted bool // the owner stopped the target, or this instance did
@@ -27,9 +27,9 @@
 	stamp   uint32
 	stampAt time.Duration
 	// bound is until when the share is bounded. Zero: not known.
-	bound     time.Duration
-	hungry    []routeHash
-	allHungry bool
+	bound      time.Duration
+	lacking    []routeHash
+	allLacking bool
 	// promised is until when nothing goes to the version before.
 	promised time.Duration
 }
@@ -76,7 +76,7 @@
 		return toBefore
 	case random:
 		return toTarget
-	case len(g.hungry) > 0 && g.allHungry && g.saved < spareRequests:
+	case len(g.lacking) > 0 && g.allLacking && g.saved < spareRequests:
 		return toBefore
 	}
 	return ifOpen
@@ -86,10 +86,10 @@
 // evidence. Part is the part of all requests that the route has.
 func (g *gate) chance(route routeHash, part float64) float64 {
 	switch {
-	case slices.Contains(g.hungry, route):
+	case slices.Contains(g.lacking, route):
 		return rarePart / part
-	case g.allHungry && (len(g.hungry) == 0 || g.saved >= spareRequests):
-		return hungryPart
+	case g.allLacking && (len(g.lacking) == 0 || g.saved >= spareRequests):
+		return evidencePart
 	}
 	return 0
 }
@@ -99,7 +99,7 @@
 	switch {
 	case g.phase == Promote:
 		return promotePart
-	case g.allHungry:
+	case g.allLacking:
 		return scarcePart
 	}
 	return canaryPart
@@ -143,20 +143,25 @@
 	return (int64(g.stamp) + (now - g.stampAt).Milliseconds()) / turnTime.Milliseconds()
 }
 
+// halt stops the target for good, and takes back what was promised.
+func (g *gate) halt() {
+	g.halted = true
+	g.promised = 0
+}
+
 // hear takes up an answer of the owner. SentAt is when the report went that it is to, and
 // lease how long the lease lasts from then. Zero: there is none.
 func (g *gate) hear(x *answer, lease, sentAt, now time.Duration) {
 	g.goOn(x.phase)
 	if x.halted || x.phase == Reverted {
-		g.halted = true
-		g.promised = 0
+		g.halt()
 		return
 	}
 	if lease > 0 {
 		g.lease = max(g.lease, sentAt+lease)
 	}
 	g.stamp, g.stampAt = x.stamp, now
-	g.hungry, g.allHungry = x.hungry, x.allHungry
+	g.lacking, g.allLacking = x.lacking, x.allLacking
 	if x.timed {
 		g.bound = max(1, now+x.left)
 	}
@@ -186,17 +191,17 @@
 	return float64(g.sent)+expected*(1-promotePart*share) <= promotePart*share*float64(g.all)+g.extra
 }
 
-// flow measures how many attempts come a second, by an average that forgets.
-type flow struct {
+// rateMeter measures how many attempts come a second, by an average that forgets.
+type rateMeter struct {
 	rate float64
 	at   time.Duration
 }
 
-func (f *flow) add(now time.Duration) {
+func (f *rateMeter) add(now time.Duration) {
 	f.rate = f.now(now) + 1/saveTime.Seconds()
 	f.at = now
 }
 
-func (f *flow) now(now time.Duration) float64 {
+func (f *rateMeter) now(now time.Duration) float64 {
 	return f.rate * math.Exp(-float64(now-f.at)/float64(saveTime))
 }
--- a/process/rollout/gate_test.go
+++ b/process/rollout/gate_test.go
@@ -101,7 +101,7 @@
 	assert.Equal(t, len(reports), 1)
 	x, err := decodeReport(reports[0])
 	assert.NilError(t, err)
-	answer := &answer{service: x.service, order: x.order, seq: x.seq, phase: Canary, stamp: 0, allHungry: true}
+	answer := &answer{service: x.service, order: x.order, seq: x.seq, phase: Canary, stamp: 0, allLacking: true}
 	assert.Equal(t, send(r, 50), 0, "no lease yet")
 	*now += leaseTime
 	r.Hear("x", answer.encode())
@@ -169,7 +169,7 @@
 	for range 600 {
 		*now += TickTime
 		r.Tick()
-		x := &answer{service: hashOfService("s"), order: 1, seq: r.services["s"].reports.seq, phase: Canary, allHungry: true}
+		x := &answer{service: hashOfService("s"), order: 1, seq: r.services["s"].reports.seq, phase: Canary, allLacking: true}
 		r.Hear("x", x.encode())
 		for range 20 {
 			a := r.Begin("s", "r", true, anyHome)
@@ -239,7 +239,7 @@
 	a := r.Begin("s", "r", false, anyHome)
 	assert.Assert(t, a.Target(), "a further attempt, too")
 	assert.Assert(t, !a.Decline())
-	a.Done(Outcome{Unsent: true})
+	a.Done(Outcome{Inconclusive: true})
 }
 
 // TestUseFromManyGoroutines is for the race detector.
--- a/process/rollout/model_test.go
+++ b/process/rollout/model_test.go
@@ -28,9 +28,9 @@
 	loss    float64                         // part of the messages that are lost
 	rate    func(now time.Duration) float64 // requests a second of all instances together
 	missing float64
-	sent    map[string]*flow // requests by version
-	spread  float64          // of the logarithm of times
-	routes  []float64        // part of the requests by route
+	sent    map[string]*rateMeter // requests by version
+	spread  float64               // of the logarithm of times
+	routes  []float64             // part of the requests by route
 	perform func(software string, route int, now time.Duration) behaviour
 	homes   []Home // of the target's backend servers
 	running []Running
@@ -158,7 +158,7 @@
 		size: size, spread: usualSpread, now: time.Hour, random: rand.New(rand.NewPCG(seed, 7)), bounds: testBounds,
 		rate: func(time.Duration) float64 { return requests }, routes: []float64{0.6, 0.25, 0.1, 0.05},
 		perform: func(string, int, time.Duration) behaviour { return behaviour{factor: 1} },
-		running: []Running{{"v1", 6, 1}, {"v2", 6, 50}}, bytes: make(map[string]int), got: make(map[string]int), byName: make(map[string]*node), sent: make(map[string]*flow),
+		running: []Running{{"v1", 6, 1}, {"v2", 6, 50}}, bytes: make(map[string]int), got: make(map[string]int), byName: make(map[string]*node), sent: make(map[string]*rateMeter),
 	}
 	f.began = f.now
 	f.store.delay = func() time.Duration {
@@ -525,7 +525,7 @@
 		software = x.target()
 		if len(f.homesOf(software)) == 0 {
 			if !a.Decline() {
-				a.Done(Outcome{Unsent: true})
+				a.Done(Outcome{Inconclusive: true})
 				return
 			}
 			software = x.before
@@ -559,10 +559,10 @@
 	})
 }
 
-func (f *fleet) sentTo(software string) *flow {
+func (f *fleet) sentTo(software string) *rateMeter {
 	w := f.sent[software]
 	if w == nil {
-		w = &flow{}
+		w = &rateMeter{}
 		f.sent[software] = w
 	}
 	return w
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -19,9 +19,10 @@
 	hastyPause  = TickTime
 	// hastyBefore is how long before a promotion reports come often.
 	hastyBefore = 1500 * time.Millisecond
-	// informTime is how long an owner that takes a roll-out over waits for the reports of
-	// the others before it gives leases.
-	informTime = reportPause + 300*time.Millisecond
+	// InformTime is how long an owner that takes a roll-out over waits for the reports of
+	// the others before it gives leases or decides: what it has not heard of is no lack of
+	// evidence.
+	InformTime = reportPause + 300*time.Millisecond
 	// mostTime is for how long at least an instance remembers how many there were. Origin:
 	// longer than links between regions are cut, mostly.
 	mostTime = 5 * time.Minute
@@ -57,13 +58,13 @@
 	stayTurns = 3
 	// saveTime is over how long unused parts of the share are saved for an open one.
 	saveTime = 2 * time.Second
-	// hungryPart is the part of the first attempts that goes to the target, within the
+	// evidencePart is the part of the first attempts that goes to the target, within the
 	// bound, while evidence is lacking in all, and rarePart the part of all first
 	// attempts that does from each route that lacks some of its own. Origin: the model
 	// with 5 requests a second, where the share is 12 requests: routes must not take
 	// from each other.
-	hungryPart = 0.25
-	rarePart   = 0.3
+	evidencePart = 0.25
+	rarePart     = 0.3
 	// spareRequests is the number of requests that the bound allows and that were not
 	// used, from which routes that have enough evidence take from them, too.
 	spareRequests = 1.9
@@ -141,9 +142,10 @@
 
 // Steps.
 const (
-	// promoteReserve is the part of the time that the rest of the share lasts which a
-	// promotion before the deadline takes.
-	promoteReserve = 0.95
+	// promoteUse is the part of the time that the rest of the share lasts which a
+	// promotion before the deadline takes; what is left is for requests that come faster
+	// than before.
+	promoteUse = 0.95
 	// revertBefore is how long before the deadline a target without evidence is given up.
 	revertBefore = 200 * time.Millisecond
 	// enoughAnswers of the target are evidence. If the share gave fewer, leastAnswers
--- a/process/rollout/record.go
+++ b/process/rollout/record.go
@@ -41,7 +41,8 @@
 	// Before is the version that was in force when the order came.
 	Before string `json:"before"`
 	Phase  Phase  `json:"phase"`
-	// Began and Deadline are times of the store's steady clock.
+	// Began and Deadline are times of the store's steady clock. Deadline is lateOrder
+	// before that of the order, since the order may have been on its way so long.
 	Began    version.Duration `json:"began"`
 	Deadline version.Duration `json:"deadline"`
 	// Cause says why it was reverted. "": it was not.
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -50,8 +50,8 @@
 	Revision int64
 	// InForce is the version that serves, as Admit said.
 	InForce string
-	// Slots are those of the backend servers that take work, of the version in force
-	// and of the target, and Homes the hashes and slots of the target's.
+	// InForceSlots are those of the version in force's backend servers that take work, and
+	// Homes are the target's.
 	InForceSlots int
 	Homes        []Home
 	// Unknown is set for a service that the configuration does not have.
@@ -74,7 +74,7 @@
 // Event is what operators should see: a stop, a lease that lapsed, a verdict.
 type Event struct {
 	Service string
-	What    string // a word for the log, as "canary-stopped"
+	What    string // "target-stopped", "instance-stopped", "lease-lapsed", "message-skipped" or "step-PHASE"
 	Cause   string
 	Target  Counts
 	Base    Counts
@@ -107,18 +107,19 @@
 	// running is set while there is an order, so that requests cost nothing else.
 	running atomic.Bool
 
-	mu        sync.Mutex
-	began     time.Duration // of the first Install. Zero: there was none
-	services  map[string]*service
-	byHash    map[uint64]*service
-	live      []string
-	mostLive  int           // the most instances that lived at once lately
-	mostPast  int           // ... in the span of time before
-	mostSince time.Duration // since when mostLive counts
-	liveAt    time.Duration // when live was asked last
-	storeAt   time.Duration // the store's clock, less this instance's
-	storeSeen bool
-	events    []Event // to be logged once the lock is free
+	mu          sync.Mutex
+	began       time.Duration // of the first Install. Zero: there was none
+	services    map[string]*service
+	byHash      map[uint64]*service
+	live        []string
+	mostLive    int           // the most instances that lived at once lately
+	mostPast    int           // ... in the span of time before
+	mostSince   time.Duration // since when mostLive counts
+	liveAt      time.Duration // when live was asked last
+	storeOffset time.Duration // the store's clock, less this instance's
+	storeKnown  bool
+	events      []Event         // to be logged once the lock is free
+	skipped     map[string]bool // senders of messages that could not be taken up
 }
 
 // service is the roll-out of one service at this instance.
@@ -140,46 +141,8 @@
 	decider  decider
 }
 
-// trial is what this instance knows of a target. It outlasts an order that is written
-// again while the roll-out runs.
-type trial struct {
-	began  int64 // Record.Began; zero: not known yet
-	routes map[string]*routeTrial
-	others *routeTrial // beyond mostRoutes
-	local  verdict
-}
-
-// routeTrial is a route of a trial.
-type routeTrial struct {
-	hash routeHash
-	pair
-	usual usual
-}
-
-func (t *trial) route(name string) *routeTrial {
-	if x := t.routes[name]; x != nil {
-		return x
-	}
-	if len(t.routes) < mostRoutes-1 {
-		x := &routeTrial{hash: hashOfRoute(name)}
-		t.routes[name] = x
-		return x
-	}
-	if t.others == nil {
-		t.others = &routeTrial{hash: otherRoutes}
-	}
-	return t.others
-}
-
-// part is the part of the requests that come on a route.
-func (t *trial) part(x *routeTrial) float64 {
-	all := t.local.all.total.base.Requests
-	return float64(x.base.Requests+1) / float64(all+routesGuess)
-}
-
 // Install takes up what the tables say of all services that have an order or a record
-// of one that has not ended. An order that comes within settledTime of the first call
-// may be older than this process.
+// of one that has not ended.
 func (r *Rollouts) Install(services []Service) {
 	live := r.Live()
 	r.mu.Lock()
@@ -276,24 +239,6 @@
 	return !s.gone && s.trial != nil && s.Order.Target != s.InForce && !(s.Record.isFor(s.Order) && s.Record.Phase == Reverted)
 }
 
-// noteLive notes which instances live. The caller holds the lock.
-func (r *Rollouts) noteLive(live []string, now time.Duration) {
-	r.live = live
-	r.liveAt = now
-	if now-r.mostSince >= mostTime {
-		r.mostPast, r.mostLive, r.mostSince = r.mostLive, 0, now
-	}
-	r.mostLive = max(r.mostLive, len(live))
-}
-
-// fleet is how many instances there are, or were lately: those that are missing may be
-// cut off, and not gone.
-func (r *Rollouts) fleet() int { return max(1, r.mostLive, r.mostPast) }
-
-// mostly reports whether at least half of the instances are there that were: fewer may
-// be cut off from others that have another owner.
-func (r *Rollouts) mostly() bool { return 2*len(r.live) >= r.fleet() }
-
 func (r *Rollouts) random() float64 {
 	if r.Random != nil {
 		return r.Random()
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -18,8 +18,8 @@
 	defer r.unlock()
 	own := r.Now()
 	r.noteLive(live, own)
-	r.storeAt = now - own
-	r.storeSeen = true
+	r.storeOffset = now - own
+	r.storeKnown = true
 	for name, x := range seen {
 		s := r.services[name]
 		if s == nil {
@@ -177,7 +177,7 @@
 // is no longer bounded that the rest of it lasts until then. An earlier one would run
 // out of it, and send requests to the version before again.
 func (s *service) promoteAt(share float64) time.Duration {
-	lasts := promoteReserve * (promotePart - canaryPart) * share * float64(s.Order.Within)
+	lasts := promoteUse * (promotePart - canaryPart) * share * float64(s.Order.Within)
 	return s.unbounded() - time.Duration(lasts)
 }
 
@@ -256,7 +256,7 @@
 
 // confirmed reports whether the target has held under all requests.
 func (d *decider) confirmed(now time.Duration) bool {
-	return d.promotedAt != 0 && !d.verdict.doubts() && d.calm() && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
+	return d.promotedAt != 0 && !d.verdict.doubts() && d.waitingLooksGood() && (d.good()-d.goodBefore >= goodAnswers || now-d.promotedAt >= calmTime)
 }
 
 // allDrained reports whether each live instance has said lately that nothing is at the
--- a/process/rollout/verdict.go
+++ b/process/rollout/verdict.go
@@ -69,7 +69,7 @@
 type track struct {
 	total        pair
 	long         window
-	surges       surges
+	recentRates  recentRates
 	failed, slow sum
 	// expected is the number of failures that the baseline would have had in place of the
 	// target.
@@ -79,7 +79,7 @@
 func (t *track) base(c Counts, now time.Duration) {
 	t.total.base.add(c)
 	t.long.add(c, now, longTime)
-	t.surges.add(c, now)
+	t.recentRates.add(c, now)
 }
 
 // target adds answers of the target, and returns the cause of an alarm.
@@ -120,7 +120,7 @@
 		failed: ratio{t.long.failed, t.long.requests}.shrunk(ratio{float64(total.Failed), float64(total.Requests)}.shrunk(usual.failed)),
 		slow:   ratio{t.long.slow, t.long.timed}.shrunk(ratio{float64(total.Slow), float64(total.Timed)}.shrunk(usual.slow)),
 	}
-	failed, slow := t.surges.most(at)
+	failed, slow := t.recentRates.most(at)
 	return rates{failed: max(out.failed, failed), slow: max(out.slow, slow)}
 }
 
@@ -138,15 +138,15 @@
 	return rate - surgeChance*math.Sqrt(rate*(1-rate)/of)
 }
 
-// surges are the answers of the last moments, by time.
-type surges struct {
+// recentRates are the answers of the last moments, by time.
+type recentRates struct {
 	bins [32]struct {
 		number int64
 		Counts
 	}
 }
 
-func (s *surges) add(c Counts, now time.Duration) {
+func (s *recentRates) add(c Counts, now time.Duration) {
 	number := int64(now / binTime)
 	b := &s.bins[number%int64(len(s.bins))]
 	if b.number != number {
@@ -157,7 +157,7 @@
 }
 
 // in returns the answers of some bins.
-func (s *surges) in(number int64) (c Counts) {
+func (s *recentRates) in(number int64) (c Counts) {
 	for i := number; i < number+surgeBins; i++ {
 		if b := &s.bins[i%int64(len(s.bins))]; b.number == i {
 			c.add(b.Counts)
@@ -167,7 +167,7 @@
 }
 
 // most returns the highest rates around a time.
-func (s *surges) most(at time.Duration) (failed, slow float64) {
+func (s *recentRates) most(at time.Duration) (failed, slow float64) {
 	for number := int64(max(0, at-surgeTime) / binTime); number <= int64((at+surgeTime)/binTime); number++ {
 		c := s.in(number)
 		failed = max(failed, ratio{float64(c.Failed), float64(c.Requests)}.least())
--- a/process/rollout/wire.go
+++ b/process/rollout/wire.go
@@ -26,7 +26,7 @@
 	flagDrained = 1 << 4 // of a report
 	flagEchoes  = 1 << 5 // of a report
 	flagSoon    = 1 << 4 // of an answer
-	flagHungry  = 1 << 5 // of an answer
+	flagLacking = 1 << 5 // of an answer
 	flagTimed   = 1 << 6 // of an answer
 )
 
@@ -83,9 +83,9 @@
 	// left is the time for which the bound on the share holds, if timed is set.
 	left  time.Duration
 	timed bool
-	// hungry are the routes that lack evidence; allHungry: each one does.
-	hungry    []routeHash
-	allHungry bool
+	// lacking are the routes that lack evidence; allLacking: each one does.
+	lacking    []routeHash
+	allLacking bool
 }
 
 func flagIf(set bool, bit byte) byte {
@@ -114,7 +114,8 @@
 	return out
 }
 
-// append appends counts. Nearly all answers are timed, so it has those that are not.
+// append appends counts, with the answers that are not timed in place of those that are:
+// at the version before they are few.
 func (c Counts) append(out []byte) []byte {
 	out = binary.AppendUvarint(out, uint64(c.Requests))
 	out = binary.AppendUvarint(out, uint64(c.Failed))
@@ -127,13 +128,13 @@
 	out = binary.LittleEndian.AppendUint64(out, x.service)
 	out = binary.AppendVarint(out, x.order)
 	out = append(out, x.seq, numberOf(x.phase)|flagIf(x.halted, flagHalted)|flagIf(x.soon, flagSoon)|
-		flagIf(x.allHungry, flagHungry)|flagIf(x.timed, flagTimed))
+		flagIf(x.allLacking, flagLacking)|flagIf(x.timed, flagTimed))
 	out = binary.LittleEndian.AppendUint32(out, x.stamp)
 	if x.timed {
 		out = binary.AppendUvarint(out, uint64(max(0, x.left.Milliseconds())))
 	}
-	out = append(out, byte(len(x.hungry)))
-	for _, h := range x.hungry {
+	out = append(out, byte(len(x.lacking)))
+	for _, h := range x.lacking {
 		out = binary.LittleEndian.AppendUint32(out, uint32(h))
 	}
 	return out
@@ -244,7 +245,7 @@
 	x.phase = r.phase(flags)
 	x.halted = flags&flagHalted != 0
 	x.soon = flags&flagSoon != 0
-	x.allHungry = flags&flagHungry != 0
+	x.allLacking = flags&flagLacking != 0
 	x.timed = flags&flagTimed != 0
 	x.stamp = r.uint32()
 	if x.timed {
@@ -252,7 +253,7 @@
 	}
 	n := int(r.byte())
 	for i := 0; i < n && !r.bad; i++ {
-		x.hungry = append(x.hungry, routeHash(r.uint32()))
+		x.lacking = append(x.lacking, routeHash(r.uint32()))
 	}
 	return x, r.err()
 }
--- a/process/rollout/wire_test.go
+++ b/process/rollout/wire_test.go
@@ -41,10 +41,10 @@
 		a := &answer{
 			service: x.service, order: x.order, seq: x.seq, phase: x.phase, halted: x.halted, soon: x.drained,
 			stamp: x.echo, timed: true, left: time.Duration(rapid.IntRange(0, 100_000).Draw(t, "left")) * time.Millisecond,
-			allHungry: rapid.Bool().Draw(t, "allHungry"),
+			allLacking: rapid.Bool().Draw(t, "allLacking"),
 		}
 		for _, c := range x.routes {
-			a.hungry = append(a.hungry, c.route)
+			a.lacking = append(a.lacking, c.route)
 		}
 		back, err := decodeAnswer(a.encode())
 		assert.NilError(t, err)
@@ -64,7 +64,7 @@
 func FuzzHear(f *testing.F) {
 	s := hashOfService("s")
 	f.Add((&report{service: s, order: 1, seq: 1, routes: []routeCounts{{1, pair{base: Counts{Requests: 3, Timed: 2}}}}}).encode())
-	f.Add((&answer{service: s, order: 1, seq: 1, phase: Promote, timed: true, hungry: []routeHash{1}}).encode())
+	f.Add((&answer{service: s, order: 1, seq: 1, phase: Promote, timed: true, lacking: []routeHash{1}}).encode())
 	f.Add([]byte{kindReport})
 	f.Add([]byte{1, 2})
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/process/rolloutview/view.go
+++ b/process/rolloutview/view.go
@@ -34,7 +34,8 @@
 	Within version.Duration `json:"within,omitempty"`
 	// Record is the state of the newest roll-out. Nil: nothing was written yet.
 	Record *rollout.Record `json:"record,omitempty"`
-	// Left is the time to the deadline of a roll-out that runs.
+	// Left is the time to the deadline of a roll-out that runs, as its record has it: up to
+	// half a second before that of the order.
 	Left version.Duration `json:"left,omitempty"`
 }
 
--- a/report/rollout.go
+++ b/report/rollout.go
@@ -40,7 +40,7 @@
 
 // isStep reports whether a line tells of a roll-out.
 func isStep(l *explain.Line) bool {
-	return strings.HasPrefix(l.Event, "rollout-") || strings.HasPrefix(l.Event, "canary-") || l.Event == "backends-held-back"
+	return strings.HasPrefix(l.Event, "rollout-") || l.Event == "backends-held-back"
 }
 
 func (s *steps) add(l *explain.Line) {
