rollout, platform: more to spare before the deadline

With a share of 0.2 such an order leaves 0.57 s for the promotion, and the last step 0.4 s.

Ruled out: half of any promotion; a target that fails under load was completed in the model then.

--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -167,11 +167,13 @@
 	// freshTime is how old the reports may be on which a roll-out is completed.
 	freshTime = 400 * time.Millisecond
 	// watchTime is how long a promoted target is watched under all requests at most, and
-	// completeBefore how long before the end of the bound that has to end, so that the
-	// last step is through before the deadline: an order is mostly seen within 150 ms, and
-	// a step takes some 200 ms.
+	// completeBefore how long before the end of the bound that has to end at least, so
+	// that the last step is through before the deadline: an order is mostly seen within
+	// 150 ms, and a step takes some 200 ms. It is half of a longer promotion, and mostBefore
+	// at most: a target that fails under load has to be seen in what is left.
 	watchTime      = 10 * time.Second
 	completeBefore = 450 * time.Millisecond
+	mostBefore     = 700 * time.Millisecond
 	// goodAnswers of the target after the promotion, or calmTime without an alarm,
 	// confirm it.
 	goodAnswers = 20
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -177,8 +177,13 @@
 // is no longer bounded that the rest of it lasts until then. An earlier one would run
 // out of it, and send requests to the version before again.
 func (s *service) promoteAt(share float64) time.Duration {
-	lasts := promoteUse * (promotePart - canaryPart) * share * float64(s.Order.Within)
-	return s.unbounded() - time.Duration(lasts)
+	return s.unbounded() - s.promotionLasts(share)
+}
+
+// promotionLasts is for how long before the end of the bound all requests may go to the
+// target.
+func (s *service) promotionLasts(share float64) time.Duration {
+	return time.Duration(promoteUse * (promotePart - canaryPart) * share * float64(s.Order.Within))
 }
 
 // unbounded is when the share is no longer bounded, by the store's clock: the order's
@@ -239,7 +244,7 @@
 	if d.goneSince > 0 && now-d.goneSince >= goneTime {
 		return s.revert("target is gone")
 	}
-	if s.mayWait(store, now) || !d.confirmed(now) || !r.allDrained(s, now) {
+	if s.mayWait(r.Bounds.Share, store, now) || !d.confirmed(now) || !r.allDrained(s, now) {
 		return nil
 	}
 	x := *s.Record
@@ -250,8 +255,9 @@
 
 // mayWait reports whether there is time to watch the target under all requests, where a
 // fault may show that a small share did not bring about.
-func (s *service) mayWait(store, now time.Duration) bool {
-	return store < s.unbounded()-completeBefore && now-s.decider.promotedAt < watchTime
+func (s *service) mayWait(share float64, store, now time.Duration) bool {
+	before := min(max(completeBefore, s.promotionLasts(share)/2), mostBefore)
+	return store < s.unbounded()-before && now-s.decider.promotedAt < watchTime
 }
 
 // confirmed reports whether the target has held under all requests.
