request, proxy, crash: lines tell one request from another, and a crash from a lost answer

Cause: two of the three hypotheses on the incident can't be told apart by the logs. A lost request is written with the id of one attempt, and the end of a backend server is not written at all. Change: a fingerprint of workspace, host, method, path and body in the lines of lost, repeated and refused requests; package crash, which opens one connection after a loss and calls it a crash if it is refused; event backend-crashed with what was in flight.

--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -17,6 +17,7 @@
 	"shalewick/conn"
 	"shalewick/process/balance"
 	"shalewick/process/cluster"
+	"shalewick/process/crash"
 	"shalewick/process/logging"
 	"shalewick/process/metric"
 	"shalewick/process/proxy"
@@ -127,7 +128,7 @@
 	e.rollouts = e.newRollouts()
 	e.beats.Message = e.hearMessage
 	e.proxy = &proxy.Proxy{
-		Quota: e.quota, Rollouts: e.rollouts,
+		Quota: e.quota, Rollouts: e.rollouts, Crashes: &crash.Watch{Now: e.now, OnCrash: e.backendCrashed},
 		Names: e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, Age: e.follower.Age,
 		Retries: &retry.Window{
 			Span: e.settings.RetrySpan, Ratio: e.settings.RetryRatio * retryRatioShare,
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -101,6 +101,9 @@
 	if c.overQuota != nil {
 		e.EmbedObject(*c.overQuota)
 	}
+	if c.print != 0 {
+		e.Str("request", c.print.String())
+	}
 	if c.route == nil {
 		e.Str("host", c.r.Host).Str("path", c.r.URL.Path)
 	}
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -90,7 +90,7 @@
 // before.
 func (t *trial) triedAgain(ended func(*zerolog.Event)) {
 	t.p.Metrics.Retry(t.c.service)
-	t.p.Log.Info().Str("id", t.c.id).Str("service", t.c.service).Strs("tried", t.query.Tried).Func(ended).
+	t.p.Log.Info().Str("id", t.c.id).Str("service", t.c.service).Str("request", t.c.print.String()).Strs("tried", t.query.Tried).Func(ended).
 		Dur("took", time.Since(t.c.began)).Msg("tried-again")
 }
 
@@ -292,7 +292,8 @@
 	}
 	unsent := code == request.DeadlinePassed && t.c.tooShort(pick, sent)
 	t.over(pick, rollout.Outcome{Failed: !unsent, Inconclusive: unsent, Took: time.Since(sent)})
-	t.line(pick).Err(err).Msg("answer-lost")
+	t.line(pick).Str("request", t.c.print.String()).Str("path", t.c.path()).Err(err).Msg("answer-lost")
+	t.suspect(pick)
 	return t.result(code, 0)
 }
 
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"shalewick/process/balance"
+	"shalewick/process/crash"
 	"shalewick/process/metric"
 	"shalewick/process/quota"
 	"shalewick/process/rollout"
@@ -34,9 +35,11 @@
 	Quota *quota.Quota
 	// Rollouts, if set, says which requests go to the target of a roll-out.
 	Rollouts *rollout.Rollouts
-	Metrics  *metric.Set
-	Log      zerolog.Logger
-	Now      func() time.Duration
+	// Crashes, if set, is told of requests that were lost at backend servers.
+	Crashes *crash.Watch
+	Metrics *metric.Set
+	Log     zerolog.Logger
+	Now     func() time.Duration
 	// Fresh, if set, reports whether the configuration in force may be acted
 	// on; otherwise requests are refused.
 	Fresh func() bool
@@ -96,9 +99,10 @@
 	own       bool // the deadline is the caller's, below the route's timeout
 	began     time.Time
 	body      *body
-	why       *balance.Why // what the last choice saw, if it found no backend server
-	attempts  int          // of which a byte may have left
-	runs      int          // of them, those that may have run
+	print     request.Fingerprint // zero: the body was not read
+	why       *balance.Why        // what the last choice saw, if it found no backend server
+	attempts  int                 // of which a byte may have left
+	runs      int                 // of them, those that may have run
 }
 
 // ServeHTTP serves one request.
@@ -131,6 +135,7 @@
 		p.finish(c, res)
 		return
 	}
+	c.print = c.fingerprint()
 	a, res := p.run(ctx, c)
 	p.settleQuota(c)
 	if res != nil {
