--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -63,6 +63,10 @@
 	Software string        // the version of the software that it runs
 	Bad      Badness       // of that version
 	Seed     uint64        // which answers are bad
+	// Crashes, if set, says which requests end the process that runs them, crashAfter
+	// after it began. OnCrash, if set, is told of the end.
+	Crashes func(*http.Request) bool
+	OnCrash func()
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -114,6 +118,18 @@
 	}
 }
 
+// crashAfter is how long a request runs that ends the process.
+const crashAfter = 20 * time.Millisecond
+
+// crash ends the backend server after a moment, as the request that it runs makes it.
+func (s *Server) crash() {
+	time.Sleep(crashAfter)
+	s.Kill()
+	if s.OnCrash != nil {
+		s.OnCrash()
+	}
+}
+
 // Next sets the faults of the next requests, one each.
 func (s *Server) Next(f ...Fault) {
 	s.mu.Lock()
@@ -305,6 +321,10 @@
 		Object: req.Header.Get(s.Names.Affinity), Header: req.Header,
 	})
 	s.mu.Unlock()
+	if s.Crashes != nil && s.Crashes(req) {
+		s.crash()
+		return false
+	}
 	how := s.conduct(id, req.URL.Path)
 	work := time.Duration(how.slower * float64(s.work(req.Header.Get(s.Names.Affinity))))
 	left := s.wait(c, r, work)
