edge: a start learns the quarantine as fast as the tables

Change: two others and, where this instance reads the store for others, the store are asked side by side, and a question is held until the one that is asked knows the list.

--- a/process/edge/quarantine.go
+++ b/process/edge/quarantine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,8 @@
 	// doubles.
 	learnLeast = 20 * time.Millisecond
 	learnMost  = time.Second
+	// listHold is how long an instance holds a question for the list that it awaits itself.
+	listHold = time.Second
 	// listPause is the least time between two questions for the list of one that differs,
 	// so that news that reaches all in one round trip is seldom asked for.
 	listPause = 300 * time.Millisecond
@@ -84,38 +87,60 @@
 	}
 }
 
-// learnQuarantine learns what others know when this instance starts: from them, or from the
-// store if nobody else does.
+// learnQuarantine learns what others know when this instance starts, from them or, if it
+// reads the store for others, from there: whoever tells it first, as with the tables.
 func (e *Edge) learnQuarantine(ctx context.Context) {
-	pause := learnLeast
-	for !e.learnFromOthers(ctx) && !e.learnFromStore(ctx) {
-		if !clock.Sleep(ctx, pause) {
-			return
-		}
-		pause = min(2*pause, learnMost)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var all sync.WaitGroup
+	for i := range learnSources {
+		all.Go(func() { e.learnFrom(ctx, func(ctx context.Context) bool { return e.askSource(ctx, i) }) })
 	}
-	e.recompile() // the start may have waited for it
+	all.Go(func() { e.learnFrom(ctx, e.askStore) })
+	select {
+	case <-e.quarantine.LearnedAll():
+		e.recompile() // the start may have waited for it
+	case <-ctx.Done():
+	}
+	cancel()
+	all.Wait()
 }
 
-// learnSources is the number of instances that are asked for the list at a start.
+// learnSources is the number of instances that are asked for the list at a time at a start.
 const learnSources = 2
 
-func (e *Edge) learnFromOthers(ctx context.Context) bool {
-	sources := e.members.Sources()
-	for _, m := range sources[:min(len(sources), learnSources)] {
-		if e.fetchList(ctx, m.Peer) == nil {
-			return true
+// learnFrom asks until the list is known, or the context ends. Ask returns false if there was
+// nobody to ask.
+func (e *Edge) learnFrom(ctx context.Context, ask func(context.Context) bool) {
+	pause := learnLeast
+	for !e.quarantine.Learned() && ctx.Err() == nil {
+		if ask(ctx) {
+			pause = min(2*pause, learnMost)
+		}
+		select {
+		case <-e.quarantine.LearnedAll():
+		case <-ctx.Done():
+		case <-time.After(pause):
 		}
 	}
-	return false
 }
 
-// learnFromStore reads the rows, if this instance reads the store for others.
-func (e *Edge) learnFromStore(ctx context.Context) bool {
+// askSource asks the i-th of the instances that this one learns the tables from.
+func (e *Edge) askSource(ctx context.Context, i int) bool {
+	sources := e.members.Sources()
+	if i >= len(sources) {
+		return false
+	}
+	err := e.fetchList(ctx, sources[i].Peer)
+	return err != nil && ctx.Err() == nil
+}
+
+// askStore reads the rows, if this instance reads the store for others.
+func (e *Edge) askStore(ctx context.Context) bool {
 	if !e.peers.Relay() {
 		return false
 	}
-	return e.storeCall(ctx, e.readQuarantine) == nil
+	return e.storeCall(ctx, e.readQuarantine) != nil
 }
 
 // awaitsQuarantine reports whether an instance that starts has to learn first which requests
@@ -136,7 +161,7 @@
 
 // fetchList asks the instance at an address for its list.
 func (e *Edge) fetchList(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, peerSilence)
+	ctx, cancel := context.WithTimeout(ctx, listHold+peerSilence)
 	defer cancel()
 	text, err := e.peers.Ask(ctx, address, pathQuarantine)
 	if err != nil {
@@ -163,8 +188,13 @@
 	}()
 }
 
-// serveList answers another instance.
-func (e *Edge) serveList(w http.ResponseWriter, _ *http.Request) {
+// serveList answers another instance, once this one knows the list itself, or after listHold.
+func (e *Edge) serveList(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-e.quarantine.LearnedAll():
+	case <-r.Context().Done():
+	case <-time.After(listHold):
+	}
 	text, err := e.quarantine.Reply()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/process/quarantine/exchange.go
+++ b/process/quarantine/exchange.go
@@ -119,17 +119,39 @@
 }
 
 // Learned reports whether the instance knows what others knew when it started.
-func (q *Quarantine) Learned() bool { return q.learned.Load() }
+func (q *Quarantine) Learned() bool {
+	select {
+	case <-q.learned:
+		return true
+	default:
+		return false
+	}
+}
+
+// LearnedAll returns a channel that is closed once Learned.
+func (q *Quarantine) LearnedAll() <-chan struct{} { return q.learned }
 
 // Learn takes up entries that were kept somewhere, and notes that what was known at the
 // start is known now.
 func (q *Quarantine) Learn(entries []Entry, from string) {
 	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.takeUp(entries, from)
+	q.noteLearned()
+}
+
+// takeUp merges a list. The caller holds the lock.
+func (q *Quarantine) takeUp(entries []Entry, from string) {
 	for _, e := range entries {
 		q.merge(e, from)
 	}
-	q.mu.Unlock()
-	q.learned.Store(true)
+}
+
+// noteLearned says that what was known at the start is known now. The caller holds the lock.
+func (q *Quarantine) noteLearned() {
+	if !q.Learned() {
+		close(q.learned)
+	}
 }
 
 // Count returns the number of requests that are refused.
@@ -171,13 +193,11 @@
 		return errors.Errorf("list of %d entries", len(r.Entries))
 	}
 	q.mu.Lock()
-	for _, e := range r.Entries {
-		q.merge(e, from)
-	}
-	q.mu.Unlock()
+	defer q.mu.Unlock()
+	q.takeUp(r.Entries, from)
 	if !r.Learned {
 		return errNotLearned
 	}
-	q.learned.Store(true)
+	q.noteLearned()
 	return nil
 }
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 	TimeOfDay func() time.Time
 
 	refused atomic.Pointer[map[request.Fingerprint]bool] // nil: none
-	learned atomic.Bool
+	learned chan struct{}                                // closed once the instance knows what others knew at its start
 	wake    chan struct{}
 	answers answered
 
@@ -44,7 +44,7 @@
 // New returns a quarantine that knows of nothing.
 func New() *Quarantine {
 	return &Quarantine{
-		list: newList(), ledgers: make(map[string]*ledger), wake: make(chan struct{}, 1), TimeOfDay: time.Now,
+		list: newList(), ledgers: make(map[string]*ledger), wake: make(chan struct{}, 1), learned: make(chan struct{}), TimeOfDay: time.Now,
 	}
 }
 
