--- a/explain/cause.go
+++ b/explain/cause.go
@@ -38,6 +38,9 @@
 			end.Get("version"), end.Get("confirmed"), end.Get("host"), end.Get("path"))
 	case request.OverQuota:
 		return quotaText(end)
+	case request.Quarantined:
+		return fmt.Sprintf("%s backend servers of service %s had ended while they ran this request (%s, %s), so it is sent to none until an operator lets it through",
+			orZero(end.Get("crashes")), end.Get("service"), end.Get("request"), end.Get("path"))
 	case request.KeyUnknown, request.KeyUnconfirmed:
 		return fmt.Sprintf("version %s, confirmed %s ms before, gives the key that it carried to no workspace", end.Get("version"), end.Get("confirmed"))
 	case request.NoVersion:
--- a/process/proxy/fingerprint.go
+++ b/process/proxy/fingerprint.go
@@ -31,6 +31,7 @@
 	if !p.refuses(c) {
 		return nil
 	}
+	c.service = p.Quarantine.Service(c.print)
 	return refuse(request.Quarantined, quarantine.RetryAfter)
 }
 
--- a/process/quarantine/exchange.go
+++ b/process/quarantine/exchange.go
@@ -4,6 +4,8 @@
 
 import (
 	"github.com/juju/errors"
+
+	"shalewick/request"
 )
 
 // Hear takes up a message of another instance from its address, and reports whether it is
@@ -154,6 +156,21 @@
 	}
 }
 
+// Crashes returns how many backend servers had ended under a request when it went into
+// quarantine.
+func (q *Quarantine) Crashes(f request.Fingerprint) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.entries[f].Crashes
+}
+
+// Service returns the service whose backend servers a request crashed.
+func (q *Quarantine) Service(f request.Fingerprint) string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list.entries[f].Service
+}
+
 // Count returns the number of requests that are refused.
 func (q *Quarantine) Count() int {
 	m := q.refused.Load()
