--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -47,12 +47,16 @@
 		return nil, err
 	}
 	k := &Link{target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
 // Address is where the link listens.
-func (k *Link) Address() string { return k.listener.Addr().String() }
+func (k *Link) Address() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listener.Addr().String()
+}
 
 // Set changes the mode.
 func (k *Link) Set(m Mode) {
@@ -72,6 +76,28 @@
 	}
 }
 
+// Down makes new connections refused and resets those that are open, as the end of the
+// process behind the link does.
+func (k *Link) Down() {
+	k.mu.Lock()
+	_ = k.listener.Close()
+	k.mu.Unlock()
+	k.Cut()
+}
+
+// Up ends Down, at the same address.
+func (k *Link) Up() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l, err := net.Listen("tcp4", k.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	k.listener = l
+	go k.accept(l)
+	return nil
+}
+
 // Mute makes the connections that are open now silent for good, both ways and without
 // a reset. New ones work.
 func (k *Link) Mute() {
@@ -90,8 +116,8 @@
 
 // Close ends the link.
 func (k *Link) Close() {
-	_ = k.listener.Close()
 	k.mu.Lock()
+	_ = k.listener.Close()
 	k.closed = true
 	k.mu.Unlock()
 	k.Set(Pass)
@@ -105,9 +131,9 @@
 	_ = c.Close()
 }
 
-func (k *Link) accept() {
+func (k *Link) accept(l net.Listener) {
 	for {
-		in, err := k.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/standin/server/row.go
+++ b/standin/server/row.go
@@ -11,6 +11,7 @@
 	Zone    string
 	State   string // "ready" takes work
 	Cold    float64
+	Born    bool // the row says when the backend server was started
 }
 
 // Announcement returns the value of the backend server's row.
@@ -29,12 +30,19 @@
 	if r.Address == "" {
 		r.Address = s.Address()
 	}
+	born := int64(0)
+	if r.Born {
+		s.mu.Lock()
+		born = s.born.UnixMilli()
+		s.mu.Unlock()
+	}
 	text, err := json.Marshal(struct {
 		Address string `json:"address"`
+		Born    int64  `json:"born,omitempty"`
 		Info    info   `json:"info"`
 		Status  status `json:"status"`
 	}{
-		r.Address, info{r.Service, r.Zone, s.Slots, s.Software}, status{r.State, 1, r.Cold},
+		r.Address, born, info{r.Service, r.Zone, s.Slots, s.Software}, status{r.State, 1, r.Cold},
 	})
 	if err != nil {
 		panic(err) // it holds nothing that can't be encoded
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -68,8 +68,9 @@
 	Crashes func(*http.Request) bool
 	OnCrash func()
 
-	listener net.Listener
 	mu       sync.Mutex
+	listener net.Listener
+	born     time.Time
 	faults   []Fault
 	runs     []Run
 	seen     map[string]bool
@@ -97,15 +98,42 @@
 	s.seen = make(map[string]bool)
 	s.open = make(map[net.Conn]bool)
 	s.badFrom = time.Now()
-	go s.accept()
+	s.born = s.badFrom
+	go s.accept(l)
+	return nil
+}
+
+// Restart starts the backend server again after Kill, at its address and under its name,
+// knowing nothing of before. What it ran stays in Runs.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := net.Listen("tcp", s.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	s.listener = l
+	s.killed = false
+	s.seen = make(map[string]bool)
+	s.open = make(map[net.Conn]bool)
+	s.born = time.Now()
+	go s.accept(l)
 	return nil
 }
 
 // Address is where the backend server listens.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener.Addr().String()
+}
 
 // Close ends the backend server. Connections that are open are served on.
-func (s *Server) Close() { _ = s.listener.Close() }
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.listener.Close()
+}
 
 // Kill ends the backend server at once, with all that is in flight.
 func (s *Server) Kill() {
@@ -187,9 +215,9 @@
 	return s.opened
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(l net.Listener) {
 	for {
-		c, err := s.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
