state: a confirmation between two questions is heard of at once

Cause: TestWantedTableComesAlongTheTree was red now and then. Who learns of one confirmation gathers 60 ms and asks again by versions; a confirmation of another table in between changes no version, so the question is held until the next one, up to 1 s. With confirmations 2 s apart the table looks 3 s old, and from 2.7 s on an instance asks the store. Ruled out: load. Change: questions carry the age of what the asker knows, and are answered at once if the other side's confirmation is newer by 0.5 s or more.

--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -26,10 +26,21 @@
 // question asks what has changed after the given versions, by table.
 type question struct {
 	After  map[string]int64 `json:"after"`
+	AgesMs map[string]int64 `json:"agesMs,omitempty"`
 	WaitMs int64            `json:"waitMs"`
 	From   Member           `json:"from"`
 }
 
+// asked returns the question as the follower takes it.
+func (q *question) asked() state.Question {
+	out := state.Question{After: q.After, Ages: make(map[string]time.Duration, len(q.AgesMs))}
+	out.Wait = min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
+	for name, age := range q.AgesMs {
+		out.Ages[name] = time.Duration(age) * time.Millisecond
+	}
+	return out
+}
+
 // Peers asks other instances, and answers them.
 type Peers struct {
 	Members  *Members
@@ -61,13 +72,16 @@
 }
 
 // Changes asks the i-th of the instances that this one learns from.
-func (p *Peers) Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (map[string]state.Delta, bool, error) {
+func (p *Peers) Changes(ctx context.Context, i int, asked state.Question) (map[string]state.Delta, bool, error) {
 	sources := p.Members.Sources()
 	if i >= len(sources) {
 		return nil, false, nil
 	}
 	m := sources[i]
-	q := question{After: after, WaitMs: wait.Milliseconds(), From: p.Members.Self()}
+	q := question{After: asked.After, AgesMs: make(map[string]int64, len(asked.Ages)), WaitMs: asked.Wait.Milliseconds(), From: p.Members.Self()}
+	for name, age := range asked.Ages {
+		q.AgesMs[name] = age.Milliseconds()
+	}
 	b, err := p.call(ctx, m.Peer, PathChanges, q)
 	if ctx.Err() == nil || err == nil || errors.Is(err, context.DeadlineExceeded) {
 		p.Members.Called(m.Name, err == nil)
@@ -142,8 +156,7 @@
 			return
 		}
 		p.Members.Learn(true, q.From)
-		wait := min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
-		b, err := p.answers.encode(p.Follower.Answer(r.Context(), q.After, wait))
+		b, err := p.answers.encode(p.Follower.Answer(r.Context(), q.asked()))
 		reply(w, b, err)
 	})
 	mux.HandleFunc("POST "+PathMembers, func(w http.ResponseWriter, r *http.Request) {
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -206,11 +206,11 @@
 	p := NewPeers(asker, new(net.Dialer).DialContext)
 	p.Follower = &state.Follower{}
 	asker.Read()
-	d, ok, err := p.Changes(context.Background(), 0, map[string]int64{}, 50*time.Millisecond)
+	d, ok, err := p.Changes(context.Background(), 0, state.Question{After: map[string]int64{}, Wait: 50 * time.Millisecond})
 	assert.NilError(t, err)
 	assert.Assert(t, ok)
 	assert.Equal(t, string(d["t"].Rows[0].Value), "v")
-	d, _, err = p.Changes(context.Background(), 0, map[string]int64{"t": 3}, 20*time.Millisecond)
+	d, _, err = p.Changes(context.Background(), 0, state.Question{After: map[string]int64{"t": 3}, Wait: 20 * time.Millisecond})
 	assert.NilError(t, err)
 	assert.Equal(t, len(d["t"].Rows), 0)
 	assert.NilError(t, p.Fetch(context.Background(), address))
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -35,9 +35,8 @@
 // Peers is how a follower learns from other instances.
 type Peers interface {
 	// Changes asks the i-th source among the other instances for what changed in
-	// the tables after the given versions, waiting for at most wait. Ok is false
-	// when there is no such source.
-	Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (d map[string]Delta, ok bool, err error)
+	// the tables. Ok is false when there is no such source.
+	Changes(ctx context.Context, i int, q Question) (d map[string]Delta, ok bool, err error)
 	// Relay reports whether this instance asks the store for others.
 	Relay() bool
 	// Head reports whether others learn the tables from this instance.
@@ -46,6 +45,16 @@
 	StoreCalled(answered bool)
 }
 
+// Question is what one instance asks another one: what has changed.
+type Question struct {
+	// After are the versions that the asker knows, by table; not there: none.
+	After map[string]int64
+	// Ages are how long ago these were confirmed, as far as the asker knows.
+	Ages map[string]time.Duration
+	// Wait is how long the question may be held until there is news.
+	Wait time.Duration
+}
+
 // Times of following.
 const (
 	// storeWait is how long the store may hold a question, at most.
@@ -60,6 +69,10 @@
 	carefulFor = 10 * time.Second
 	// peerWait is how long a relay may hold a question.
 	peerWait = time.Second
+	// ageSlack is by how much a confirmation must be newer than what the asker knows to be
+	// news at once. Origin: relays' questions are held for relayWait at least, so that
+	// two confirmations lie further apart; less is the time on the way.
+	ageSlack = 500 * time.Millisecond
 	// answerSlack is how long after its wait an answer is given up.
 	answerSlack = 700 * time.Millisecond
 	// staleAfter is the age from which an instance asks the store itself.
@@ -267,15 +280,8 @@
 func (f *Follower) followPeer(ctx context.Context, i int) {
 	failures := 0
 	for ctx.Err() == nil {
-		after := make(map[string]int64, len(f.Tables))
-		for name, t := range f.Tables {
-			v, known := t.Version()
-			if known {
-				after[name] = v
-			}
-		}
 		asked, cancel := context.WithTimeout(ctx, peerWait+answerSlack)
-		d, ok, err := f.Peers.Changes(asked, i, after, peerWait)
+		d, ok, err := f.Peers.Changes(asked, i, f.question())
 		cancel()
 		if !ok {
 			clock.Sleep(ctx, f.pollPause())
@@ -297,11 +303,27 @@
 	}
 }
 
+// question returns what to ask another instance now.
+func (f *Follower) question() Question {
+	q := Question{After: make(map[string]int64, len(f.Tables)), Ages: make(map[string]time.Duration, len(f.Tables)), Wait: peerWait}
+	now := f.Now()
+	for name, t := range f.Tables {
+		if v, known := t.Version(); known {
+			q.After[name] = v
+			q.Ages[name] = now - t.Confirmed()
+		}
+	}
+	return q
+}
+
 // Answer answers another instance's question.
-func (f *Follower) Answer(ctx context.Context, after map[string]int64, wait time.Duration) map[string]Delta {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+func (f *Follower) Answer(ctx context.Context, q Question) map[string]Delta {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
-	f.awaitAnyNews(ctx, after)
+	if !f.knowsNewer(q.Ages) {
+		f.awaitAnyNews(ctx, q.After)
+	}
+	after := q.After
 	out := make(map[string]Delta)
 	now := f.Now()
 	for name, t := range f.Tables {
@@ -312,6 +334,20 @@
 	return out
 }
 
+// knowsNewer reports whether a table was confirmed since the asker heard of it last. Such a
+// confirmation may have come between two questions; to wait for the next one would make the
+// asker's tables look up to twice as old as they are, and those that look stale cost calls
+// of the store.
+func (f *Follower) knowsNewer(ages map[string]time.Duration) bool {
+	now := f.Now()
+	for name, age := range ages {
+		if t := f.Tables[name]; t != nil && f.wanted(name) && now-t.Confirmed()+ageSlack < age {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitAnyNews waits until there is news of a table for the asker, or the context
 // ends.
 func (f *Follower) awaitAnyNews(ctx context.Context, after map[string]int64) {
--- a/process/state/start_test.go
+++ b/process/state/start_test.go
@@ -53,11 +53,11 @@
 // chain answers a follower's questions by another follower's tables.
 type chain struct{ source *Follower }
 
-func (c chain) Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (map[string]Delta, bool, error) {
+func (c chain) Changes(ctx context.Context, i int, q Question) (map[string]Delta, bool, error) {
 	if i > 0 {
 		return nil, false, nil
 	}
-	return c.source.Answer(ctx, after, wait), true, nil
+	return c.source.Answer(ctx, q), true, nil
 }
 
 func (c chain) Relay() bool      { return false }
@@ -95,11 +95,11 @@
 	left *atomic.Int32
 }
 
-func (r refusing) Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (map[string]Delta, bool, error) {
+func (r refusing) Changes(ctx context.Context, i int, q Question) (map[string]Delta, bool, error) {
 	if r.left.Add(-1) >= 0 {
 		return nil, true, fmt.Errorf("refused")
 	}
-	return r.peerScript.Changes(ctx, i, after, wait)
+	return r.peerScript.Changes(ctx, i, q)
 }
 
 // TestStartPassesOverOthersThatDoNotRunYet checks that an instance that starts
--- a/process/state/state_test.go
+++ b/process/state/state_test.go
@@ -145,14 +145,14 @@
 // peerScript makes a script answer as the relays.
 type peerScript struct{ *script }
 
-func (p peerScript) Changes(ctx context.Context, i int, after map[string]int64, wait time.Duration) (map[string]Delta, bool, error) {
+func (p peerScript) Changes(ctx context.Context, i int, q Question) (map[string]Delta, bool, error) {
 	p.mu.Lock()
 	none := p.noPeers
 	p.mu.Unlock()
 	if i > 0 || none {
 		return nil, false, nil
 	}
-	d, err := p.answer(ctx, after["t"], wait)
+	d, err := p.answer(ctx, q.After["t"], q.Wait)
 	return map[string]Delta{"t": d}, true, err
 }
 
