balance: a backend server that was born anew is another one

Cause: a backend server may start again under its id and address. It was taken to be another process only if its address or software changed, so it kept what was learnt of the former life: objects that it has not seen, failures, requests in flight, that it is warm; and what other instances observed of that life counted for it. Ruled out: the table's rows need no change, since revisions order them and an older row never replaces a newer one.

--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -12,17 +12,19 @@
 // backend is what one process knows of one backend server, over all versions. It is
 // guarded by the table's mutex.
 type backend struct {
-	policy    *Policy
-	service   *service
-	pool      *conn.Pool
-	address   string
-	software  string
-	inFlight  int
-	flights   *int // at all backend servers of its version
-	drained   bool
-	cold      time.Duration // as declared
-	coldUntil time.Duration // when it stops being cold
-	turns     turns         // of this instance until then
+	policy   *Policy
+	service  *service
+	pool     *conn.Pool
+	address  string
+	software string
+	// incarnation is that of its start.
+	incarnation int64
+	inFlight    int
+	flights     *int // at all backend servers of its version
+	drained     bool
+	cold        time.Duration // as declared
+	coldUntil   time.Duration // when it stops being cold
+	turns       turns         // of this instance until then
 	// failures counts those in a row. Until suspended it gets nothing, and
 	// then one request at a time until one is answered.
 	failures  int
@@ -42,9 +44,10 @@
 }
 
 // sameAs reports whether a routing speaks of the same process. One that has another
-// address, or other software, was started anew.
+// address, other software, or says that it was born at another time, was started anew, and
+// knows nothing of before.
 func (u *backend) sameAs(v *version.RoutedBackend) bool {
-	return u.address == v.Address && u.software == v.Software
+	return u.address == v.Address && u.software == v.Software && u.incarnation == v.Incarnation
 }
 
 // failed notes a failure, and returns for how long the backend server gets nothing.
--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -452,3 +452,13 @@
 	assert.Assert(t, k == nil)
 	assert.Equal(t, refusal.Code, request.NoBackend)
 }
+
+// lifeOf returns what identifies the present start of a backend server.
+func (p *place) lifeOf(name string) uint64 {
+	for i := range p.routing.Backends {
+		if p.routing.Backends[i].Name == name {
+			return p.routing.Backends[i].Life
+		}
+	}
+	return 0
+}
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -149,7 +149,7 @@
 		x.place = k
 		x.wait = u.wait(now, v.Slots)
 		x.cost = x.wait + time.Duration(k)*t.Policy.PlaceCost
-		x.unseen = q.Route.Sticky && !t.seen.has(object, v.Hash, now, t.Policy.SeenFor)
+		x.unseen = q.Route.Sticky && !t.seen.has(object, v.Life, now, t.Policy.SeenFor)
 		if k > 0 && x.unseen {
 			x.cost += time.Duration(t.Policy.UnseenCost * float64(u.usualWork()))
 		}
@@ -244,6 +244,6 @@
 	return &Pick{
 		Name: v.Name, Address: v.Address, Software: v.Software, Incarnation: v.Incarnation, Region: t.routing.Regions[v.Region], Pool: u.pool,
 		Rank: c.place, Unseen: c.unseen, Cold: now < u.coldUntil, Wait: c.wait, Needs: t.needs(c),
-		table: t, u: u, object: object, hash: v.Hash, started: now,
+		table: t, u: u, object: object, life: v.Life, started: now,
 	}
 }
--- a/process/balance/observe.go
+++ b/process/balance/observe.go
@@ -20,8 +20,8 @@
 	observedFor = 3 * time.Second
 	// observationUnit is the unit of the age of an observation.
 	observationUnit = 25 * time.Millisecond
-	// observationBytes is the size of one: four of the hash of the backend server's
-	// name, one of the age, one of the load.
+	// observationBytes is the size of one: four that identify the backend server and its
+	// start, one of the age, one of the load.
 	observationBytes = 6
 	// unreachable stands in the place of the load for a backend server that could not
 	// be reached, or lost answers in a row.
@@ -79,7 +79,7 @@
 	var out []byte
 	for _, i := range tell[:min(len(tell), size/observationBytes)] {
 		o := t.states[i].observed
-		out = binary.LittleEndian.AppendUint32(out, uint32(t.routing.Backends[i].Hash))
+		out = binary.LittleEndian.AppendUint32(out, uint32(t.routing.Backends[i].Life))
 		out = append(out, byte((now-o.at)/observationUnit), o.load)
 	}
 	return out
@@ -165,7 +165,7 @@
 func indexByHash(r *version.Routing) map[uint32]int32 {
 	out := make(map[uint32]int32, len(r.Backends))
 	for i := range r.Backends {
-		out[uint32(r.Backends[i].Hash)] = int32(i)
+		out[uint32(r.Backends[i].Life)] = int32(i)
 	}
 	return out
 }
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -54,7 +54,7 @@
 		u.answeredAt = now
 		u.observe(report, now)
 		u.learn(now - p.started)
-		t.seen.note(p.object, p.hash, now)
+		t.seen.note(p.object, p.life, now)
 	case Refused:
 		u.answeredAt = now
 		p.recovered()
--- /dev/null
+++ b/process/balance/restart_test.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/version"
+)
+
+// startAgain lets a backend server start again under its name.
+func (p *place) startAgain(name string, incarnation int64) {
+	key := version.Key{Kind: version.KindBackend, Name: name}
+	b := *p.config.Resources[key].Backend
+	b.Incarnation, b.Cold = incarnation, version.Duration(4*time.Second)
+	p.put(version.Resource{Key: key, Backend: &b})
+	p.install()
+}
+
+// warmed returns a place whose backend server u has seen an object, has failed once, and
+// has a request in flight.
+func warmed(t *testing.T) (p *place, inFlight *Pick) {
+	p = newPlace(1)
+	for _, name := range []string{"u", "v"} {
+		p.backend(name, 0, func(b *version.Backend) { b.Incarnation = 1 })
+	}
+	p.install()
+	k := p.pickOf(t, "u")
+	k.Done(Answered, nil)
+	return p, p.pickOf(t, "u")
+}
+
+// TestBackendThatStartsAgainIsAnother checks that nothing that was learnt of its former life
+// counts: objects, failures, connections, what is in flight, that it was warm.
+func TestBackendThatStartsAgainIsAnother(t *testing.T) {
+	p, inFlight := warmed(t)
+	before := p.byName["u"]
+	object := inFlight.object
+	assert.Assert(t, p.seen.has(object, p.lifeOf("u"), p.Now(), p.Policy.SeenFor))
+	p.now += time.Millisecond
+	p.pickOf(t, "u").Done(Unreachable, nil)
+	assert.Assert(t, before.failures > 0)
+
+	p.startAgain("u", 2)
+	now := p.byName["u"]
+	assert.Assert(t, now != before && now.pool != before.pool)
+	assert.Equal(t, now.failures, 0)
+	assert.Equal(t, now.inFlight, 0)
+	assert.Assert(t, now.coldUntil > p.Now())
+	assert.Assert(t, !p.seen.has(object, p.lifeOf("u"), p.Now(), p.Policy.SeenFor))
+
+	inFlight.Done(Unreachable, nil) // the end of a request to the former life
+	assert.Equal(t, now.failures, 0)
+	assert.Equal(t, now.inFlight, 0)
+}
+
+// TestWordOfAFormerLifeChangesNothing checks that what another instance observed of a backend
+// server before it started again is not taken for its present life, and the other way round.
+func TestWordOfAFormerLifeChangesNothing(t *testing.T) {
+	a, b, _ := twoInstances("u", "v", "w", "x")
+	a.pickOf(t, "u").Done(Unreachable, nil)
+	told := a.Observations(tellAll)
+	b.startAgain("u", 7)
+	b.Hear(told)
+	assert.Equal(t, b.byName["u"].failures, 0)
+	b.pickOf(t, "u").Done(Unreachable, nil)
+	told = b.Observations(tellAll)
+	c, _, _ := twoInstances("u", "v", "w", "x") // has not heard of the start
+	c.Hear(told)
+	assert.Equal(t, c.byName["u"].failures, 0)
+}
+
+// TestSameLifeStaysWhatItWas checks that another row of the same start changes nothing.
+func TestSameLifeStaysWhatItWas(t *testing.T) {
+	p, inFlight := warmed(t)
+	before := p.byName["u"]
+	key := version.Key{Kind: version.KindBackend, Name: "u"}
+	b := *p.config.Resources[key].Backend
+	p.put(version.Resource{Key: key, Version: 9, Backend: &b})
+	p.install()
+	assert.Assert(t, p.byName["u"] == before)
+	assert.Equal(t, before.inFlight, 1)
+	inFlight.Done(Answered, nil)
+	assert.Equal(t, before.inFlight, 0)
+}
--- a/process/balance/software_test.go
+++ b/process/balance/software_test.go
@@ -109,7 +109,7 @@
 					if !bound && q.Target {
 						r.Fatalf("%s got a request for a target that nobody ordered", k.Name)
 					}
-					if hasHome && object != 0 && q.Target && k.Rank == 0 && k.hash != home {
+					if hasHome && object != 0 && q.Target && k.Rank == 0 && k.life != home {
 						r.Fatalf("the first choice %s is not the home", k.Name)
 					}
 					k.Done(Answered, nil)
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -91,7 +91,7 @@
 func (t *Table) newBackend(v *version.RoutedBackend, s *version.RoutedService) *backend {
 	return &backend{
 		service: t.service(s), flights: t.flight(softwareOf{s.Name, v.Software}), policy: &t.Policy,
-		pool: t.NewPool(v.Address), address: v.Address, software: v.Software, share: share{kept: 1},
+		pool: t.NewPool(v.Address), address: v.Address, software: v.Software, incarnation: v.Incarnation, share: share{kept: 1},
 	}
 }
 
@@ -174,7 +174,7 @@
 	table   *Table
 	u       *backend
 	object  uint64 // zero: none
-	hash    uint64 // of the backend server
+	life    uint64 // of the backend server
 	started time.Duration
 	held    bool // Hold was called
 }
--- a/version/routing.go
+++ b/version/routing.go
@@ -97,6 +97,14 @@
 	Cold    time.Duration
 	// Hash identifies the backend server in rankings.
 	Hash uint64
+	// Life identifies its present start in what is learnt of it. It is Hash where the
+	// backend server does not tell its starts apart.
+	Life uint64
+}
+
+// lifeOf returns Life of a backend server.
+func lifeOf(hash uint64, incarnation int64) uint64 {
+	return hash ^ uint64(incarnation)*0x9e3779b97f4a7c15
 }
 
 // CompileRouting builds the routing of a configuration. References must have
@@ -186,6 +194,7 @@
 			Hall:        x.Backend.Hall, Region: r.halls[x.Backend.Hall], Slots: x.Backend.Slots,
 			Closed: x.Backend.Leaving, Cold: time.Duration(x.Backend.Cold), Hash: xxhash.Sum64String(x.Name),
 		}
+		u.Life = lifeOf(u.Hash, u.Incarnation)
 		for _, d := range drains {
 			if d.Drain.Backend == u.Name || d.Drain.Hall == u.Hall || d.Drain.Region == r.Regions[u.Region] {
 				u.Drained = true
