platform, packed: rows of other writers name no backend server, messages are checked for length

Cause: a row without slots counted as one slot, one without a version as version "", a state that isn't known as one that leaves; names matched in any case. And messages between instances were decoded by a library that makes room for as many elements as a list says it has: a fuzz of the quarantine's messages ended the process with 15 bytes, and datagrams of anybody ended it with 8. Change: each field of a row has to be there, of its type and in its range, or the row names no backend server, with a reason in the log (once, when it turns bad; 12 lines at a time) and in a metric; package packed checks that lists, maps and texts are no longer than their message. The stand-in's rows always have a version now.

--- a/process/cluster/answer.go
+++ b/process/cluster/answer.go
@@ -12,6 +12,7 @@
 	"github.com/klauspost/compress/s2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"shalewick/process/packed"
 	"shalewick/process/state"
 )
 
@@ -127,6 +128,9 @@
 
 // unmarshal reads exactly one value.
 func unmarshal(b []byte, v any) error {
+	if err := packed.Check(b); err != nil {
+		return errors.Annotate(err, "decode")
+	}
 	r := bytes.NewReader(b)
 	d := msgpack.NewDecoder(r)
 	d.SetCustomStructTag("json")
--- a/process/cluster/gossip_test.go
+++ b/process/cluster/gossip_test.go
@@ -310,6 +310,7 @@
 }
 
 func FuzzDatagram(f *testing.F) {
+	f.Add([]byte("\x81\xa1r\xdd\xff\xff\xff\xf0")) // a list that says that it has four billion members
 	m := NewMembers(member("a", "north", 1), func() time.Duration { return time.Hour })
 	m.Learn(true, member("b", "north", 2))
 	text, _ := marshal(m.tell(true))
--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
-	"fmt"
+	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"shalewick/process/state"
 	"shalewick/version"
 )
@@ -113,16 +115,45 @@
 	}
 }
 
-// logSkipped writes which rows can't be read, unless that was written last.
+// otherReason is the reason of a problem that is not of one row.
+const otherReason = "other"
+
+// logSkipped writes which rows can't be used that could before, or are new, a few at a time,
+// and counts all by reason. The caller holds compiling.
 func (e *Edge) logSkipped(problems []error) {
-	text := fmt.Sprint(problems)
-	if text == e.skipped {
-		return
+	skipped := make(map[string]string, len(problems))
+	counts := make(map[string]int64)
+	turned := 0
+	for _, p := range problems {
+		key, reason := "", otherReason
+		var row *state.RowError
+		if errors.As(p, &row) {
+			key, reason = row.Key, row.Reason
+		} else {
+			key = p.Error()
+		}
+		counts[reason]++
+		skipped[key] = reason
+		if e.skipped[key] == reason {
+			continue
+		}
+		if turned++; turned <= maxNames {
+			e.log.Warn().Err(p).Str("row", key).Str("reason", reason).Int("skipped", len(problems)).Msg("row-skipped")
+		}
+	}
+	if turned > maxNames {
+		e.log.Warn().Int("more", turned-maxNames).Int("skipped", len(problems)).Msg("rows-skipped")
+	}
+	e.skipped = skipped
+	for reason := range e.skippedCounts {
+		if counts[reason] == 0 {
+			counts[reason] = 0 // so that its gauge falls
+		}
 	}
-	e.skipped = text
-	for _, p := range problems[:min(len(problems), maxNames)] {
-		e.log.Warn().Err(p).Int("skipped", len(problems)).Msg("row-skipped")
+	for reason, n := range counts {
+		e.metrics.Gauge("rows_skipped{reason=" + strconv.Quote(reason) + "}").Update(n)
 	}
+	e.skippedCounts = counts
 }
 
 // Reloaded is told when the adapter has read its settings again, or why it
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -63,16 +63,18 @@
 	metrics        *metric.Set
 	leaving        atomic.Bool
 	compiling      sync.Mutex
-	lapses         lapses      // guarded by compiling
-	skipped        string      // rows that could not be read last; guarded by compiling
-	lapseEnd       *time.Timer // compiles again when lapsed rows are given up; guarded by compiling
-	learnEnd       *time.Timer // compiles when a start has waited long enough for the quarantine; guarded by compiling
-	front          *http.Server
-	accepting      *drainListener   // of front
-	fresh          freshConnections // of front
-	servers        []*http.Server
-	cancel         context.CancelFunc
-	loops          sync.WaitGroup
+	lapses         lapses            // guarded by compiling
+	skipped        map[string]string // rows that can't be used now, with the reason; guarded by compiling
+	// skippedCounts are the gauges of such rows by reason; guarded by compiling.
+	skippedCounts map[string]int64
+	lapseEnd      *time.Timer // compiles again when lapsed rows are given up; guarded by compiling
+	learnEnd      *time.Timer // compiles when a start has waited long enough for the quarantine; guarded by compiling
+	front         *http.Server
+	accepting     *drainListener   // of front
+	fresh         freshConnections // of front
+	servers       []*http.Server
+	cancel        context.CancelFunc
+	loops         sync.WaitGroup
 }
 
 // Start starts an instance. Logs go to logTo.
--- a/process/quarantine/wire.go
+++ b/process/quarantine/wire.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"shalewick/process/crash"
+	"shalewick/process/packed"
 	"shalewick/request"
 )
 
@@ -76,6 +77,9 @@
 
 func decode[T any](text []byte) (T, error) {
 	var out T
+	if err := packed.Check(text); err != nil {
+		return out, errors.Trace(err)
+	}
 	err := msgpack.Unmarshal(text, &out)
 	return out, errors.Trace(err)
 }
--- a/standin/server/row.go
+++ b/standin/server/row.go
@@ -20,7 +20,7 @@
 		Service string `json:"service"`
 		Zone    string `json:"zone"`
 		Slots   int    `json:"slots"`
-		Version string `json:"version,omitempty"`
+		Version string `json:"version"`
 	}
 	type status struct {
 		State    string  `json:"state"`
