clock, edge: time that a machine was suspended counts

Cause: Go's monotonic clock leaves out the time in which a machine is suspended, and leases of roll-outs, windows of quotas and retries, ages of tables and observations, suspicion, cold rates, the store's clock and idle connections all rested on it: what was believed before a suspension was as fresh after it. Change: clock.Now reads CLOCK_BOOTTIME; the instance's one clock, the estimate of the store's clock and the idle time of connections use it. An instance says once in its log how long it stood still. Not covered: deadlines of requests under way, which are longer by the suspension; the role entry; a real suspension (these machines can't make one).

--- /dev/null
+++ b/clock/boot_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestNowGoesOnWithTheSteadyClock checks that, without a suspension, both go on alike.
+func TestNowGoesOnWithTheSteadyClock(t *testing.T) {
+	begun, now := time.Now(), Now()
+	time.Sleep(50 * time.Millisecond)
+	differs := (Now() - now) - time.Since(begun)
+	assert.Assert(t, differs.Abs() < 20*time.Millisecond, "%s", differs)
+}
+
+// TestSuspensionIsFoundOnce checks clocks of which one alone goes on, and one that is late.
+func TestSuspensionIsFoundOnce(t *testing.T) {
+	var s Suspension
+	now, steady := time.Hour, time.Unix(1000, 0)
+	on := func(both, suspended time.Duration) time.Duration {
+		now += both + suspended
+		steady = steady.Add(both)
+		return s.Note(now, steady)
+	}
+	assert.Equal(t, on(0, 0), time.Duration(0))
+	assert.Equal(t, on(5*time.Second, 0), time.Duration(0))
+	assert.Equal(t, on(time.Second, 4*time.Second), 4*time.Second)
+	assert.Equal(t, on(time.Second, 0), time.Duration(0))
+	assert.Equal(t, on(time.Second, 50*time.Millisecond), time.Duration(0), "held up between the readings")
+	assert.Equal(t, on(time.Second, -50*time.Millisecond), time.Duration(0))
+	assert.Equal(t, on(0, 2*time.Second), 2*time.Second)
+}
+
+// BenchmarkNow measures a reading of each clock.
+func BenchmarkNow(b *testing.B) {
+	b.Run("boot", func(b *testing.B) {
+		for b.Loop() {
+			Now()
+		}
+	})
+	b.Run("steady", func(b *testing.B) {
+		for b.Loop() {
+			time.Now()
+		}
+	})
+}
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"shalewick/clock"
 )
 
 // Bounds of a pool.
@@ -44,7 +46,7 @@
 	net.Conn
 	r     *bufio.Reader
 	w     *bufio.Writer
-	since time.Time // idle since
+	since time.Duration // idle since, by clock.Now
 	idle  time.Duration
 	sent  int64 // bytes handed to the kernel for the present request
 	// allowed is asked right before each first write of a request, so that a
@@ -75,7 +77,7 @@
 		if l == nil {
 			break
 		}
-		if time.Since(l.since) < l.idle && quiet(l.Conn) {
+		if clock.Now()-l.since < l.idle && quiet(l.Conn) {
 			return l, nil
 		}
 		_ = l.Conn.Close() // it is of no more use
@@ -146,7 +148,7 @@
 }
 
 func (p *Pool) put(l *link) {
-	l.since = time.Now()
+	l.since = clock.Now()
 	p.mu.Lock()
 	if len(p.idle) < MaxIdle {
 		p.idle = append(p.idle, l)
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"shalewick/clock"
 	"shalewick/conn"
 	"shalewick/process/balance"
 	"shalewick/process/cluster"
@@ -46,6 +47,7 @@
 	log        zerolog.Logger
 	logLimit   *logging.Limit
 	started    time.Time
+	born       time.Duration // when it was started, by clock.Now
 	members    *cluster.Members
 	beats      *cluster.Beats
 	peers      *cluster.Peers
@@ -85,7 +87,7 @@
 	level, _ := zerolog.ParseLevel(s.LogLevel) // checked
 	limit := logging.NewLimit(time.Now)
 	e := &Edge{
-		settings: s, deployment: d, started: time.Now(), metrics: metric.NewSet(), logLimit: limit,
+		settings: s, deployment: d, started: time.Now(), born: clock.Now(), metrics: metric.NewSet(), logLimit: limit,
 		log: logging.New(logTo).Level(level).Hook(limit).With().Str("instance", s.Instance).Logger(),
 	}
 	e.members = cluster.NewMembers(cluster.Member{
@@ -108,7 +110,10 @@
 	return e, nil
 }
 
-func (e *Edge) now() time.Duration { return time.Since(e.started) + time.Hour }
+// now is the clock of all that the process believes and promises: tables, leases, quotas,
+// others that live, backend servers that are cold or suspended. A suspension of the machine
+// counts, so all of it is as much older afterwards.
+func (e *Edge) now() time.Duration { return clock.Now() - e.born + time.Hour }
 
 // build makes the parts of the process.
 func (e *Edge) build() {
--- a/process/edge/use.go
+++ b/process/edge/use.go
@@ -53,7 +53,11 @@
 	var u use
 	busy := false
 	last, carried := e.now(), e.proxy.Carried()
+	var suspension clock.Suspension
 	for clock.Sleep(ctx, usePause) {
+		if lost := suspension.Note(clock.Now(), time.Now()); lost > 0 {
+			e.log.Warn().Dur("stood", lost).Msg("machine-suspended")
+		}
 		now, total := e.now(), e.proxy.Carried()
 		was := busy
 		busy = u.note(total-carried, e.settings.Link, now-last, now-last-usePause, now)
