--- /dev/null
+++ b/process/proxy/rollout_failure_test.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/request"
+	"shalewick/standin/server"
+	"shalewick/version"
+)
+
+// TestFailureOfTheTargetIsTriedAtTheVersionInForce checks that a caller whose request may
+// be repeated does not see a failure of the target.
+func TestFailureOfTheTargetIsTriedAtTheVersionInForce(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Broken)
+	x.own(x.send("r", "/reads/1", ""), "r")
+	assert.Equal(t, len(x.new.Runs()), 1)
+	assert.Equal(t, len(x.old.Runs()), 1)
+	all := x.attempts(t)
+	assert.Equal(t, len(all), 2)
+	assert.Assert(t, all[0].toTarget && all[0].outcomes[0].Failed)
+	assert.Assert(t, !all[1].first && !all[1].outcomes[0].Failed)
+	assert.Assert(t, strings.Contains(x.metrics(), `retries_total{service="s"} 1`))
+	assert.Equal(t, len(x.log.lines("answered")), 1, "one answer was passed on")
+	assert.Assert(t, strings.Contains(x.log.lines("tried-again")[0], "status=500"))
+}
+
+// TestFailureOfTheTargetIsPassedOnIfNotRepeatable checks that what must not run twice
+// does not.
+func TestFailureOfTheTargetIsPassedOnIfNotRepeatable(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Broken)
+	r := x.send("b", "/bids/1", "an offer")
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, r.body, server.Body("b"))
+	assert.Equal(t, len(x.runs()), 1)
+	assert.Assert(t, x.outcome().Failed)
+}
+
+// TestFailureOfTheVersionInForceIsPassedOn checks that only a target's failures are tried
+// elsewhere.
+func TestFailureOfTheVersionInForceIsPassedOn(t *testing.T) {
+	x := newRolling(t)
+	x.target = false
+	x.old.Next(server.Broken)
+	assert.Equal(t, x.send("r", "/reads/1", "").status, http.StatusInternalServerError)
+	assert.Equal(t, len(x.runs()), 1)
+}
+
+// TestFailureOfTheTargetStandsIfNothingElseIsHad checks each way in which the version in
+// force gives no answer.
+func TestFailureOfTheTargetStandsIfNothingElseIsHad(t *testing.T) {
+	for name, spoil := range map[string]func(x *rolling){
+		"lost":    func(x *rolling) { x.old.Next(server.Lost) },
+		"refused": func(x *rolling) { x.old.Next(server.Shed) },
+		"silent":  func(x *rolling) { x.old.Next(server.Silent) },
+		"absent":  func(x *rolling) { x.admit("v9", "v2") },
+		"one attempt": func(x *rolling) {
+			x.config.Resources[version.Key{Kind: version.KindRoute, Name: "reads"}].Route.Attempts = 1
+			x.install()
+		},
+	} {
+		x := newRolling(t)
+		spoil(x)
+		x.new.Next(server.Broken)
+		r := x.send("r", "/reads/1", "")
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusInternalServerError, name)
+		assert.Equal(t, r.body, server.Body("r"), name)
+		assert.Equal(t, r.header.Get(request.OwnNames.Seal), "seal-r", name)
+		assert.Assert(t, x.attempts(t)[0].outcomes[0].Failed, name)
+		assert.Equal(t, len(x.log.lines("answered")), 1, name)
+	}
+}
+
+// TestBothVersionsFail checks that the failure of the version in force is the answer.
+func TestBothVersionsFail(t *testing.T) {
+	x := newRolling(t)
+	x.new.Next(server.Broken)
+	x.old.Next(server.Broken)
+	r := x.send("r", "/reads/1", "")
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, len(x.runs()), 2)
+	assert.Assert(t, strings.Contains(x.log.lines("answered")[0], "software=v1"))
+}
+
+// TestLateAnswersOfTheTargetAreDelivered checks an answer after the objective, and a
+// failure that stands when the time is over.
+func TestLateAnswersOfTheTargetAreDelivered(t *testing.T) {
+	x := newRolling(t)
+	x.new.Work = 500 * time.Millisecond // of 600; the objective is 300
+	x.own(x.send("r", "/reads/1", ""), "r")
+	x = newRolling(t)
+	x.new.Work = 450 * time.Millisecond
+	x.old.Work = 500 * time.Millisecond
+	x.new.Next(server.Broken)
+	r := x.send("r", "/reads/1", "")
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Equal(t, r.body, server.Body("r"))
+}
+
+// TestRetriesForTheTargetStayWithinTheBudget checks that a target that always fails costs
+// no more retries than all faults together may, and that each caller has an answer.
+func TestRetriesForTheTargetStayWithinTheBudget(t *testing.T) {
+	const requests, ratio = 60, 0.2
+	x := newRolling(t)
+	x.proxy.Retries.Ratio, x.proxy.Retries.Fixed = ratio, 0
+	faults := make([]server.Fault, requests)
+	for i := range faults {
+		faults[i] = server.Broken
+	}
+	x.new.Next(faults...)
+	failed := 0
+	for i := range requests {
+		id := fmt.Sprint("r", i)
+		r := x.send(id, "/reads/1", "")
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.body, server.Body(id))
+		if r.status != http.StatusOK {
+			failed++
+		}
+	}
+	again := len(x.old.Runs())
+	assert.Equal(t, again, requests-failed)
+	assert.Assert(t, again > 0 && again <= ratio*requests, "%d of %d", again, requests)
+}
+
+// TestLargeAnswerCountsUntilItIsPassedOn checks that roll-outs are told when its beginning
+// is there, and that it is in flight at its version until the caller has it.
+func TestLargeAnswerCountsUntilItIsPassedOn(t *testing.T) {
+	const size = 3 << 20
+	rest := make(chan struct{})
+	sendRest := sync.OnceFunc(func() { close(rest) })
+	x := newRolling(t)
+	x.target = false
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(request.OwnNames.ID, r.Header.Get(request.OwnNames.ID))
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		_, _ = w.Write(make([]byte, size/2))
+		w.(http.Flusher).Flush()
+		<-rest
+		_, _ = w.Write(make([]byte, size/2))
+	}))
+	defer old.Close()
+	defer sendRest() // which the backend server waits for
+	x.backend("u0", old.Listener.Addr().String())
+	x.software("u0", "v1")
+	x.install()
+	got := make(chan reply, 1)
+	go func() { got <- x.send("r", "/reads/1", "") }()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		x.mu.Lock()
+		told := len(x.all) == 1 && len(x.all[0].outcomes) == 1
+		x.mu.Unlock()
+		if told {
+			break
+		}
+		assert.Assert(t, time.Since(begun) < 500*time.Millisecond)
+	}
+	assert.Equal(t, x.table.InFlight("s"), 1)
+	x.admit("v2", "")
+	assert.Equal(t, x.table.InFlight("s"), 1, "also when its version has left")
+	sendRest()
+	r := <-got
+	assert.NilError(t, r.err)
+	assert.Equal(t, len(r.body), size)
+	x.idle()
+	assert.Equal(t, x.table.InFlight("s"), 0)
+	assert.Assert(t, !x.outcome().Failed)
+}
