proxy: a test of requests as a roll-out ends, which fails

Cause: an instance takes up the end of a roll-out in two steps, the table of backend servers and then the roll-outs. A request in between has a route without a target and an attempt that may go to the target only: NO_BACKEND, at once. Ruled out: load and full backend servers (the refusals took 0.13 ms, no attempt, other requests were served in the same millisecond); the target gone (its servers served on).

--- a/process/proxy/rollout_test.go
+++ b/process/proxy/rollout_test.go
@@ -112,6 +112,26 @@
 	assert.Equal(t, len(x.old.Runs()), 0)
 }
 
+// TestEndOfARolloutRefusesNobody tells of requests that were refused with "no backend
+// server" in the millisecond in which a good target was completed: one or two of some
+// thousands, now and then, on busy machines. An instance takes up the record of the last
+// step in two steps: its table of backend servers first, then the roll-outs. A request that
+// came in between had a route of the new table, which names no target, and an attempt of
+// the old roll-out, which may go nowhere else. What proved it are the refusals' times:
+// after the table was installed and before the record was noted, both at the instance
+// that wrote it. The same gap refuses requests as a roll-out is reverted.
+func TestEndOfARolloutRefusesNobody(t *testing.T) {
+	for name, inForce := range map[string]string{"completed": "v2", "reverted": "v1"} {
+		x := newRolling(t)
+		x.closed = true // the roll-outs have not been told yet
+		x.admit(inForce, "")
+		x.own(x.send("b", "/bids/1", "an offer"), "b")
+		lines := x.log.lines("answered")
+		assert.Equal(t, len(lines), 1, name)
+		assert.Assert(t, strings.Contains(lines[0], "software="+inForce), "%s: %s", name, lines[0])
+	}
+}
+
 // TestNoPlaceAtEitherVersionIsUnsent checks a request that nobody can take.
 func TestNoPlaceAtEitherVersionIsUnsent(t *testing.T) {
 	x := newRolling(t)
