balance, rollout: nobody is refused in the moment in which a roll-out ends

Cause: an attempt at a target was matched by the target that the request's route had, and a route of the new table has none; so the version in force, which it was, did not count. Ruled out: installing the roll-outs first (requests would go to the version before for that moment), one lock over both (each request would take it). Change: a query names the version that it goes to. It gets the version in force if that is the one (completed). If the table has no roll-out and another version in force (reverted), the attempt goes there though the instance had said that it would not: the promise ends with the roll-out. Software that a query names is all it ever gets; the property test of the balance checks that now for each version and not only for the present target.

--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -20,7 +20,7 @@
 	part := q.part(t.routing)
 	if part == nil {
 		t.useDefaults()
-		return nil, Refusal{Code: request.NoBackend, Retry: t.comeBack(request.NoBackend, 0)}
+		return nil, Refusal{Code: request.NoBackend, Retry: t.comeBack(request.NoBackend, 0), NoRollout: q.noRollout(t.routing)}
 	}
 	s := &t.routing.Services[part.Service]
 	object := q.Object
@@ -49,6 +49,20 @@
 // part returns the part of the query's route; nil when the routing has
 // changed so that it is not there any more.
 func (q *Query) part(r *version.Routing) *version.RoutePart {
+	s := q.service(r)
+	if s == nil {
+		return nil
+	}
+	p := &q.Route.Parts[q.Part]
+	if q.Target != "" {
+		return targetPart(r, p, s, q.Target)
+	}
+	return p
+}
+
+// service returns the service of the query's part with the version in force; nil when the
+// routing has changed so that it is not there any more.
+func (q *Query) service(r *version.Routing) *version.RoutedService {
 	if r == nil || q.Part >= len(q.Route.Parts) {
 		return nil
 	}
@@ -60,25 +74,42 @@
 	if s.Name != q.Route.Split[q.Part].Service || s.OfTarget {
 		return nil
 	}
-	if q.Target {
-		return targetPart(r, p, s)
+	return s
+}
+
+// targetIn returns the version that a roll-out of the query's service brings in a routing;
+// "" if none runs there.
+func (q *Query) targetIn(r *version.Routing) string {
+	s := q.service(r)
+	if s == nil || s.Target == version.None {
+		return ""
 	}
-	return p
+	return r.Services[s.Target].Software
+}
+
+// noRollout reports whether the query is for a target, and no roll-out of its service runs
+// in the routing.
+func (q *Query) noRollout(r *version.Routing) bool {
+	return q.Target != "" && q.service(r) != nil && q.targetIn(r) == ""
 }
 
 // targetPart returns the part for the target of a roll-out of a part's service; nil when
 // there is none any more, or it has another target now. A request that came before the
 // roll-out may have waited for its body so long that it has to go there: then the weights
 // are not known.
-func targetPart(r *version.Routing, p *version.RoutePart, s *version.RoutedService) *version.RoutePart {
+func targetPart(r *version.Routing, p *version.RoutePart, s *version.RoutedService, software string) *version.RoutePart {
 	if s.Target == version.None {
-		if p.Target != nil && p.Target.Software == s.Software {
-			return p // it was completed since the attempt began
+		if s.Software == software {
+			// It was completed since the attempt began, or the roll-outs do not know it
+			// yet: refusing would cost each request of that moment its answer.
+			return p
 		}
 		return nil
 	}
 	target := &r.Services[s.Target]
 	switch {
+	case target.Software != software:
+		return nil
 	case p.Target == nil:
 		return &version.RoutePart{Service: s.Target, Software: target.Software}
 	case p.Target.Service != s.Target || p.Target.Software != target.Software:
--- a/process/balance/home.go
+++ b/process/balance/home.go
@@ -44,7 +44,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	of := *q
-	of.Target = true
+	of.Target = q.targetIn(t.routing)
+	if of.Target == "" {
+		return 0, false
+	}
 	part := of.part(t.routing)
 	if part == nil {
 		return 0, false
--- a/process/balance/software_test.go
+++ b/process/balance/software_test.go
@@ -37,9 +37,15 @@
 	return p
 }
 
+// target returns a query for the target that the service s has now.
 func (p *place) target(object uint64) *Query {
+	return p.targetOf(object, p.config.Software["s"].Target)
+}
+
+// targetOf returns a query for a version that a roll-out brings.
+func (p *place) targetOf(object uint64, software string) *Query {
 	q := p.query(object)
-	q.Target = true
+	q.Target = software
 	return q
 }
 
@@ -90,7 +96,7 @@
 			}
 			for _, view := range views {
 				for object := range uint64(8) {
-					q := &Query{Route: view, Object: object, Left: time.Second, Target: rapid.Bool().Draw(r, "to the target")}
+					q := &Query{Route: view, Object: object, Left: time.Second, Target: rapid.SampledFrom(versions).Draw(r, "to the target")}
 					home, hasHome := p.TargetHome(q)
 					k, _ := p.Pick(q)
 					if k == nil {
@@ -98,18 +104,19 @@
 					}
 					service := view.Split[0].Service
 					may, bound := admitted[service]
-					target := view.Parts[0].Target
-					completed := target != nil && target.Software == may.InForce && k.Software == may.InForce
-					if bound && q.Target && (k.Software != may.Target || may.Target == "") && !completed {
-						r.Fatalf("%s of version %q got a request for the target %q", k.Name, k.Software, may.Target)
+					if q.Target != "" && k.Software != q.Target {
+						r.Fatalf("%s of version %q got a request for the target %q", k.Name, k.Software, q.Target)
+					}
+					if bound && k.Software != may.InForce && k.Software != may.Target {
+						r.Fatalf("%s of version %q got a request while %q and %q may", k.Name, k.Software, may.InForce, may.Target)
 					}
-					if bound && !q.Target && k.Software != may.InForce {
+					if bound && q.Target == "" && k.Software != may.InForce {
 						r.Fatalf("%s of version %q got a request while %q is in force", k.Name, k.Software, may.InForce)
 					}
-					if !bound && q.Target {
+					if !bound && q.Target != "" {
 						r.Fatalf("%s got a request for a target that nobody ordered", k.Name)
 					}
-					if hasHome && object != 0 && q.Target && k.Rank == 0 && k.life != home {
+					if hasHome && object != 0 && q.Target != "" && q.Target == may.Target && k.Rank == 0 && k.life != home {
 						r.Fatalf("the first choice %s is not the home", k.Name)
 					}
 					k.Done(Answered, nil)
@@ -130,6 +137,9 @@
 	assert.Assert(t, k != nil)
 	assert.Equal(t, k.Software, "v2")
 	k.Done(Answered, nil)
+	k, _ = p.Pick(p.targetOf(7, "v2")) // its route is of the new routing
+	assert.Equal(t, k.Software, "v2")
+	k.Done(Answered, nil)
 
 	p.admit("v1", "v2")
 	q = p.target(7)
@@ -168,9 +178,11 @@
 	k, refusal := p.Pick(q)
 	assert.Assert(t, k == nil)
 	assert.Equal(t, refusal.Code, request.NoBackend)
+	assert.Assert(t, refusal.NoRollout)
 	p.admit("v1", "absent")
 	k, refusal = p.Pick(p.target(7))
 	assert.Assert(t, k == nil)
+	assert.Assert(t, !refusal.NoRollout)
 	assert.Equal(t, refusal.Code, request.NoBackend)
 }
 
@@ -179,7 +191,7 @@
 func TestRequestOfBeforeARolloutFindsItsTarget(t *testing.T) {
 	p := twoVersions(3, 1)
 	p.admit("v1", "")
-	q := p.target(7)
+	q := p.targetOf(7, "v2")
 	p.admit("v1", "v2")
 	k, _ := p.Pick(q)
 	assert.Equal(t, k.Software, "v2")
@@ -308,7 +320,7 @@
 // TestTargetObeysWhatBindsTheVersionInForce checks homes, drains, cold turns, connections
 // and suspension for both.
 func TestTargetObeysWhatBindsTheVersionInForce(t *testing.T) {
-	for _, target := range []bool{false, true} {
+	for _, target := range []string{"", "v2"} {
 		query := func(p *place, object uint64) *Query {
 			q := p.query(object)
 			q.Target = target
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -135,9 +135,10 @@
 	Route *version.RouteView
 	// Part is the index of the route's part, as Split returned it.
 	Part int
-	// Target is set for a request that goes to the target of a roll-out of the
-	// service. If none runs any more nothing is chosen.
-	Target bool
+	// Target is the version that a request goes to since a roll-out of the service
+	// brings it; "": to the version in force. Nothing is chosen once the roll-out was
+	// reverted or replaced.
+	Target string
 	// Priority is the rank of the request, 0 the most urgent.
 	Priority int
 	// Object identifies the object that the request concerns; zero: none.
@@ -184,6 +185,9 @@
 	Code request.Code
 	// Retry is when to come back.
 	Retry time.Duration
+	// NoRollout is set if a query for a target was refused since the routing has no
+	// roll-out of the service, so that only the version in force may get requests.
+	NoRollout bool
 	// Why is what the choice saw.
 	Why Why
 }
--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -103,8 +103,9 @@
 	e.admitSoftware(c, orders, records)
 	r := version.CompileRouting(c, old)
 	services := rolloutServices(r, c.Software, orders, records)
-	// The one right after the other: in between, a request for the target of a roll-out
-	// that has just ended finds none.
+	// The table first: in between, a request may be for the target of a roll-out that has
+	// ended by the table, and gets the version that is in force now. The other way round
+	// it would go to the version that the table still has.
 	e.table.Install(r)
 	e.rollouts.Install(services)
 	e.quota.Install(r.Workspaces)
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return nil, t.lost(ctx, pick, err, sent)
 	}
-	a.pick, a.target = pick, t.query.Target
+	a.pick, a.target = pick, t.query.Target != ""
 	t.c.runs++
 	took := time.Since(sent)
 	if a.ex != nil {
--- a/process/proxy/rollout.go
+++ b/process/proxy/rollout.go
@@ -16,8 +16,8 @@
 // rolled is one attempt at a request as roll-outs see it: a *rollout.Attempt, or
 // noRollout.
 type rolled interface {
-	Target() bool
-	Decline() bool
+	Target() string
+	Decline(over bool) bool
 	Done(o rollout.Outcome)
 }
 
@@ -27,8 +27,8 @@
 // noRollout is an attempt at a request of a service whose version does not change.
 type noRollout struct{}
 
-func (noRollout) Target() bool         { return false }
-func (noRollout) Decline() bool        { return true }
+func (noRollout) Target() string       { return "" }
+func (noRollout) Decline(bool) bool    { return true }
 func (noRollout) Done(rollout.Outcome) {}
 
 // begin begins an attempt. One that is not the first at a request goes to a target only
@@ -62,14 +62,14 @@
 func (t *trial) pick() (*balance.Pick, balance.Refusal) {
 	t.query.Target = t.rolled.Target()
 	pick, refusal := t.p.Table.Pick(&t.query)
-	if pick != nil || !t.query.Target {
+	if pick != nil || t.query.Target == "" {
 		return pick, refusal
 	}
-	if !t.rolled.Decline() {
+	if !t.rolled.Decline(refusal.NoRollout) {
 		return nil, refusal
 	}
 	t.declined = true
-	t.query.Target = false
+	t.query.Target = ""
 	return t.p.Table.Pick(&t.query)
 }
 
@@ -113,5 +113,5 @@
 
 // line begins a log line on an attempt at a backend server.
 func (t *trial) line(pick *balance.Pick) *zerolog.Event {
-	return t.p.Log.Info().Str("id", t.c.id).Str("backend", pick.Name).Str("software", pick.Software).Bool("target", t.query.Target)
+	return t.p.Log.Info().Str("id", t.c.id).Str("backend", pick.Name).Str("software", pick.Software).Bool("target", t.query.Target != "")
 }
--- a/process/proxy/rollout_fixture_test.go
+++ b/process/proxy/rollout_fixture_test.go
@@ -20,8 +20,9 @@
 // recorder stands in for roll-outs: it sends requests to the target as it is told, and
 // keeps what it hears.
 type recorder struct {
-	target bool // first attempts go to the target
-	closed bool // nothing may go to the version before: further attempts go there, too
+	target bool   // first attempts go to the target
+	brings string // the version that the roll-out brings
+	closed bool   // nothing may go to the version before: further attempts go there, too
 
 	mu  sync.Mutex
 	all []*recorded
@@ -46,13 +47,18 @@
 	return a
 }
 
-func (a *recorded) Target() bool { return a.toTarget }
+func (a *recorded) Target() string {
+	if a.toTarget {
+		return a.brings
+	}
+	return ""
+}
 
-func (a *recorded) Decline() bool {
+func (a *recorded) Decline(over bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.declined++
-	return !a.closed
+	return over || !a.closed
 }
 
 func (a *recorded) Done(o rollout.Outcome) {
@@ -129,6 +135,9 @@
 
 func (x *rolling) admit(inForce, target string) {
 	x.config.Software = map[string]version.Software{"s": {InForce: inForce, Target: target}}
+	if target != "" {
+		x.brings = target // else the roll-outs have not been told yet
+	}
 	x.install()
 }
 
--- a/process/rollout/attempt.go
+++ b/process/rollout/attempt.go
@@ -12,7 +12,7 @@
 	trial  *trial
 	route  *routeTrial
 	order  int64
-	target bool
+	target string // the version that it goes to; "": it goes to the version before
 	ended  bool
 }
 
@@ -73,7 +73,7 @@
 // send notes where an attempt goes. The caller holds the lock.
 func (r *Rollouts) send(a *Attempt, to way) {
 	if to == toTarget {
-		a.target = true
+		a.target = a.s.Order.Target
 		a.s.gate.take(r.Bounds.Share, r.Now())
 		return
 	}
@@ -110,23 +110,30 @@
 	return max(saveTime, time.Duration(s.turns.every(canaryPart*r.Bounds.Share))*turnTime)
 }
 
-// Target reports whether the attempt goes to the target.
-func (a *Attempt) Target() bool { return a != nil && a.target }
+// Target returns the version that the attempt goes to if it goes to the target, else "".
+func (a *Attempt) Target() string {
+	if a == nil {
+		return ""
+	}
+	return a.target
+}
 
 // Decline sends the attempt to the version in force after all, since the target can't
 // take it. It reports whether it may go there: not while the instance has said that
-// nothing goes there any more.
-func (a *Attempt) Decline() bool {
-	if !a.Target() {
+// nothing goes there any more. Over says that the tables have no roll-out of the service
+// any more: what was said while it ran does not bind then, and the roll-outs are told of
+// its end in the next moment.
+func (a *Attempt) Decline(over bool) bool {
+	if a.Target() == "" {
 		return true
 	}
 	a.r.mu.Lock()
 	defer a.r.unlock()
 	s := a.s
-	if s.gate.closed(a.r.Now()) {
+	if !over && s.gate.closed(a.r.Now()) {
 		return false
 	}
-	a.target = false
+	a.target = ""
 	s.toBefore++
 	if s.Order != nil && s.Order.ID == a.order {
 		s.gate.giveBack()
@@ -146,7 +153,7 @@
 		return
 	}
 	a.ended = true
-	if !a.target {
+	if a.target == "" {
 		s.toBefore--
 	}
 	if o.Inconclusive {
@@ -158,7 +165,7 @@
 	if a.trial != s.trial || !s.runs() {
 		return // of a roll-out that has ended
 	}
-	if !a.target {
+	if a.target == "" {
 		s.trial.local.base(a.route.hash, c, now)
 		return
 	}
@@ -176,7 +183,7 @@
 // them were sent, so the share is kept a little more strictly than it has to be.
 func (a *Attempt) inconclusive() {
 	s := a.s
-	if !a.target && s.Order != nil && s.Order.ID == a.order {
+	if a.target == "" && s.Order != nil && s.Order.ID == a.order {
 		s.gate.all--
 	}
 }
@@ -192,7 +199,7 @@
 			c.Slow = 1
 		}
 	}
-	if a.target {
+	if a.target != "" {
 		a.route.target.add(c)
 		return c
 	}
--- a/process/rollout/doc.go
+++ b/process/rollout/doc.go
@@ -7,7 +7,7 @@
 
 	r.Install(services)                          // what the tables say now
 	a := r.Begin(service, route, first, home)    // an attempt: to the target?
-	ok := a.Decline()                            // the target can't take it: may it go back?
+	ok := a.Decline(over)                        // the target can't take it: may it go back?
 	a.Done(outcome)                              // what came of it
 	r.Tick()                                     // every TickTime: reports to owners
 	r.Hear(from, message)                        // a message of another instance
--- a/process/rollout/gate_test.go
+++ b/process/rollout/gate_test.go
@@ -45,7 +45,7 @@
 func send(r *Rollouts, n int) (target int) {
 	for range n {
 		a := r.Begin("s", "r", true, anyHome)
-		if a.Target() {
+		if a.Target() != "" {
 			target++
 		}
 		a.Done(Outcome{Took: time.Millisecond})
@@ -173,10 +173,10 @@
 		r.Hear("x", x.encode())
 		for range 20 {
 			a := r.Begin("s", "r", true, anyHome)
-			if a.Target() {
+			if a.Target() != "" {
 				target++
 			}
-			a.Done(Outcome{Failed: a.Target()})
+			a.Done(Outcome{Failed: a.Target() != ""})
 		}
 	}
 	assert.Assert(t, seq > 0)
@@ -189,7 +189,7 @@
 	*now += TickTime
 	r.Tick()
 	for range 500 {
-		assert.Assert(t, !r.Begin("s", "r", false, anyHome).Target())
+		assert.Assert(t, r.Begin("s", "r", false, anyHome).Target() == "")
 	}
 }
 
@@ -214,8 +214,8 @@
 	r, _ := alone(Owner{Name: "here"})
 	a := r.Begin("other", "r", true, anyHome)
 	assert.Assert(t, a == nil)
-	assert.Assert(t, !a.Target())
-	assert.Assert(t, a.Decline())
+	assert.Assert(t, a.Target() == "")
+	assert.Assert(t, a.Decline(false))
 	a.Done(Outcome{})
 	r.Install(canaryOf(Reverted))
 	assert.Assert(t, r.Begin("s", "r", true, anyHome) == nil)
@@ -237,8 +237,8 @@
 		r.Tick()
 	}
 	a := r.Begin("s", "r", false, anyHome)
-	assert.Assert(t, a.Target(), "a further attempt, too")
-	assert.Assert(t, !a.Decline())
+	assert.Assert(t, a.Target() != "", "a further attempt, too")
+	assert.Assert(t, !a.Decline(false))
 	a.Done(Outcome{Inconclusive: true})
 }
 
--- a/process/rollout/model_test.go
+++ b/process/rollout/model_test.go
@@ -521,10 +521,10 @@
 	}
 	a := x.r.Begin("s", routeNames[route], attempt == 1, home)
 	software := x.before
-	if a.Target() {
+	if a.Target() != "" {
 		software = x.target()
 		if len(f.homesOf(software)) == 0 {
-			if !a.Decline() {
+			if !a.Decline(false) {
 				a.Done(Outcome{Inconclusive: true})
 				return
 			}
