--- a/process/quota/owner_test.go
+++ b/process/quota/owner_test.go
@@ -86,3 +86,22 @@
 	got = a.askedFor(time.Second, 100, "late")
 	assert.Assert(t, got <= int(tolerance.spare())+rate+1, "the owner again: %d", got)
 }
+
+// TestOwnerThatMissesOthersHoldsLess tells of floods that came to 1.09 of what is tolerated:
+// the owner of a workspace was cut off alone with its bucket full, kept the rate of those that
+// it missed, and spent the whole burst on its own requests, while they went on with their
+// shares. What proved it: the requests of the worst windows by instance. The part of the
+// burst that goes with the rate of those missed is theirs, too.
+func TestOwnerThatMissesOthersHoldsLess(t *testing.T) {
+	const rate, burst = 20, 100
+	a := newAsked(workspaceWith(rate, burst), Owner{Name: "self"})
+	a.now += time.Minute
+	a.askedFor(10*time.Second, 1, "b", "c", "d") // 4 a second each, so that the bucket is full
+	before := a.askedFor(time.Second, 1, "d")    // b and c are missed from then on
+	assert.Equal(t, before, 4)
+	a.askedFor(time.Second, 1, "d")
+	got := a.askedFor(time.Second, 200, "d")
+	const kept = keptPart * 8 / rate // part of the rate
+	most := (burst+tolerance.spare())*(1-kept) + rate
+	assert.Assert(t, float64(got) <= most && got > burst/2, "%d, %.0f at most", got, most)
+}
