--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -3,81 +3,18 @@
 package balance
 
 import (
-	"errors"
 	"fmt"
 	"math"
-	"net/netip"
 	"sort"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"shalewick/conn"
 	"shalewick/request"
 	"shalewick/version"
 )
 
-// place is a table with a clock that the test moves.
-type place struct {
-	*Table
-	now       time.Duration
-	place, of int
-	config    *version.Config
-	ports     uint16 // taken by backend servers
-}
-
-func newPlace(instances int) *place {
-	p := &place{now: time.Hour, of: instances, config: &version.Config{Seq: 1, Resources: map[version.Key]version.Resource{}}}
-	p.Table = &Table{
-		Now: func() time.Duration { return p.now }, Place: func() (int, int) { return p.place, p.of }, Region: "r0",
-		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a} },
-	}
-	for i := range 3 {
-		region := fmt.Sprintf("r%d", i)
-		p.put(version.Resource{Key: version.Key{Kind: version.KindRegion, Name: region}, Region: &version.Region{}})
-		p.put(version.Resource{Key: version.Key{Kind: version.KindHall, Name: "h" + region}, Hall: &version.Hall{Region: region}})
-	}
-	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{
-		Warming: &version.Warming{Time: version.Duration(3 * time.Second), Rate: 9},
-	}})
-	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "t"}, Service: &version.Service{}})
-	p.route(version.Weighted{Service: "s", Weight: 1})
-	return p
-}
-
-func (p *place) put(r version.Resource) { p.config.Resources[r.Key] = r }
-
-func (p *place) route(split ...version.Weighted) {
-	p.put(version.Resource{Key: version.Key{Kind: version.KindRoute, Name: "r"}, Route: &version.Route{
-		Host: "a", Prefix: "/", Class: request.ClassRead, Repeatable: true, Sticky: true, Split: split,
-		Timeout: version.Duration(time.Second), Objective: version.Duration(400 * time.Millisecond), Attempts: 2,
-	}})
-}
-
-func (p *place) backend(name string, region int, change func(*version.Backend)) {
-	p.ports++
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, 1}), p.ports)
-	u := &version.Backend{Service: "s", Hall: fmt.Sprintf("hr%d", region), Address: address, Slots: 6}
-	if change != nil {
-		change(u)
-	}
-	p.put(version.Resource{Key: version.Key{Kind: version.KindBackend, Name: name}, Backend: u})
-}
-
-func (p *place) install() { p.Install(version.CompileRouting(p.config, nil)) }
-
-func (p *place) query(object uint64) *Query {
-	return &Query{Route: p.Routing().Route("a", "/"), Object: object, Left: time.Second}
-}
-
-func (p *place) pick(t *testing.T, object uint64) *Pick {
-	t.Helper()
-	k, refusal := p.Pick(p.query(object))
-	assert.Assert(t, k != nil, "refused: %v", refusal)
-	return k
-}
-
 func TestObjectStaysAtItsBackend(t *testing.T) {
 	p := newPlace(12)
 	for i := range 12 {
@@ -96,7 +33,7 @@
 	}
 }
 
-// TestOverloadKeepsObjectsAtFewBackends is the bench's day scale-1: a burst
+// TestOverloadKeepsObjectsAtFewBackends checks a burst beyond what there is room for: it
 // must not spread the objects over all backend servers, where each is worked on as
 // unseen.
 func TestOverloadKeepsObjectsAtFewBackends(t *testing.T) {
@@ -189,41 +126,6 @@
 	p.pick(t, 1)
 }
 
-func TestFailedBackendIsSuspendedAndTriedAgain(t *testing.T) {
-	p := newPlace(1)
-	p.backend("a", 0, nil)
-	p.install()
-	p.pick(t, 1).Done(Unreachable, nil)
-	k, _ := p.Pick(p.query(1))
-	assert.Assert(t, k == nil, "suspended")
-	p.now += p.Policy.SuspendLeast
-	trial := p.pick(t, 1)
-	k, _ = p.Pick(p.query(2))
-	assert.Assert(t, k == nil, "one trial at a time")
-	trial.Done(Answered, nil)
-	p.pick(t, 2)
-}
-
-// TestOneLostAnswerMovesNoObject checks that a backend server keeps its objects when
-// one of its answers is lost, and is suspended when the next one is, too.
-func TestOneLostAnswerMovesNoObject(t *testing.T) {
-	p := newPlace(1)
-	p.backend("a", 0, nil)
-	p.backend("b", 0, nil)
-	p.install()
-	first := p.pick(t, 1)
-	first.Done(Lost, nil)
-	second := p.pick(t, 1)
-	assert.Equal(t, second.Name, first.Name)
-	second.Done(Answered, nil)
-	p.now += time.Second
-	p.pick(t, 1).Done(Lost, nil)
-	again := p.pick(t, 1)
-	assert.Equal(t, again.Name, first.Name, "an answer in between")
-	again.Done(Lost, nil)
-	assert.Assert(t, p.pick(t, 1).Name != first.Name)
-}
-
 // TestRequestIsRefusedBeyondItsObjective checks that requests wait for as long as
 // they can be answered within their objective, and that further ones are refused at
 // once with a time to come back.
@@ -259,72 +161,6 @@
 	assert.Assert(t, work > 80*time.Millisecond && work < 130*time.Millisecond, "%s", work)
 }
 
-// TestSuspendedBackendIsReachedBeforeARequestTriesIt checks that no request goes
-// to a backend server that was suspended until a connection to it was opened.
-func TestSuspendedBackendIsReachedBeforeARequestTriesIt(t *testing.T) {
-	p := newPlace(1)
-	result := make(chan error)
-	p.Reach = func(*conn.Pool) error { return <-result }
-	p.backend("a", 0, nil)
-	p.install()
-	p.pick(t, 1).Done(Unreachable, nil)
-	refused := func() bool {
-		k, _ := p.Pick(p.query(1))
-		if k != nil {
-			k.Done(Abandoned, nil)
-		}
-		return k == nil
-	}
-	p.now += p.Policy.SuspendLeast
-	assert.Assert(t, refused(), "it is being reached")
-	result <- errors.New("no route")
-	p.awaitReached("a")
-	p.now += p.Policy.SuspendLeast
-	assert.Assert(t, refused(), "suspended for longer")
-	p.now += p.Policy.SuspendMost
-	assert.Assert(t, refused(), "it is being reached again")
-	result <- nil
-	p.awaitReached("a")
-	assert.Assert(t, !refused())
-}
-
-// TestLeavingBackendIsNotReached checks that no connection is opened to a suspended
-// backend that gets no further requests.
-func TestLeavingBackendIsNotReached(t *testing.T) {
-	p := newPlace(1)
-	opened := make(chan struct{}, 1)
-	p.Reach = func(*conn.Pool) error {
-		opened <- struct{}{}
-		return nil
-	}
-	p.backend("a", 0, nil)
-	p.install()
-	p.pick(t, 1).Done(Unreachable, nil)
-	p.backend("a", 0, func(u *version.Backend) {
-		u.Leaving = true
-		u.Address = p.config.Resources[version.Key{Kind: version.KindBackend, Name: "a"}].Backend.Address
-	})
-	p.install()
-	p.now += p.Policy.SuspendMost
-	k, _ := p.Pick(p.query(1))
-	assert.Assert(t, k == nil)
-	assert.Assert(t, !p.byName["a"].reaching)
-	assert.Equal(t, len(opened), 0)
-}
-
-// awaitReached waits until a backend server is not being reached any more.
-func (p *place) awaitReached(name string) {
-	for {
-		p.mu.Lock()
-		reaching := p.byName[name].reaching
-		p.mu.Unlock()
-		if !reaching {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // TestUrgentRequestIsTakenWhereAnotherIsRefused checks that the priority of routes
 // decides when their requests meet at a busy backend server.
 func TestUrgentRequestIsTakenWhereAnotherIsRefused(t *testing.T) {
@@ -376,19 +212,6 @@
 	assert.Assert(t, k != nil)
 }
 
-// TestAnswerMeanwhileExcusesAFailure checks that a request that failed does
-// not suspend a backend server that answered another one since.
-func TestAnswerMeanwhileExcusesAFailure(t *testing.T) {
-	p := newPlace(1)
-	p.backend("a", 0, nil)
-	p.install()
-	lost, other := p.pick(t, 1), p.pick(t, 2)
-	p.now += time.Second
-	other.Done(Answered, nil)
-	lost.Done(Unreachable, nil)
-	p.pick(t, 3)
-}
-
 // TestConnectionsAreShared checks that an instance takes no more than its share
 // of the connections that a backend server accepts.
 func TestConnectionsAreShared(t *testing.T) {
@@ -452,13 +275,3 @@
 	assert.Assert(t, k == nil)
 	assert.Equal(t, refusal.Code, request.NoBackend)
 }
-
-// lifeOf returns what identifies the present start of a backend server.
-func (p *place) lifeOf(name string) uint64 {
-	for i := range p.routing.Backends {
-		if p.routing.Backends[i].Name == name {
-			return p.routing.Backends[i].Life
-		}
-	}
-	return 0
-}
--- /dev/null
+++ b/process/balance/fixture_test.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/conn"
+	"shalewick/request"
+	"shalewick/version"
+)
+
+// place is a table with a clock that the test moves.
+type place struct {
+	*Table
+	now       time.Duration
+	place, of int
+	config    *version.Config
+	ports     uint16 // taken by backend servers
+}
+
+func newPlace(instances int) *place {
+	p := &place{now: time.Hour, of: instances, config: &version.Config{Seq: 1, Resources: map[version.Key]version.Resource{}}}
+	p.Table = &Table{
+		Now: func() time.Duration { return p.now }, Place: func() (int, int) { return p.place, p.of }, Region: "r0",
+		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a} },
+	}
+	for i := range 3 {
+		region := fmt.Sprintf("r%d", i)
+		p.put(version.Resource{Key: version.Key{Kind: version.KindRegion, Name: region}, Region: &version.Region{}})
+		p.put(version.Resource{Key: version.Key{Kind: version.KindHall, Name: "h" + region}, Hall: &version.Hall{Region: region}})
+	}
+	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "s"}, Service: &version.Service{
+		Warming: &version.Warming{Time: version.Duration(3 * time.Second), Rate: 9},
+	}})
+	p.put(version.Resource{Key: version.Key{Kind: version.KindService, Name: "t"}, Service: &version.Service{}})
+	p.route(version.Weighted{Service: "s", Weight: 1})
+	return p
+}
+
+func (p *place) put(r version.Resource) { p.config.Resources[r.Key] = r }
+
+func (p *place) route(split ...version.Weighted) {
+	p.put(version.Resource{Key: version.Key{Kind: version.KindRoute, Name: "r"}, Route: &version.Route{
+		Host: "a", Prefix: "/", Class: request.ClassRead, Repeatable: true, Sticky: true, Split: split,
+		Timeout: version.Duration(time.Second), Objective: version.Duration(400 * time.Millisecond), Attempts: 2,
+	}})
+}
+
+func (p *place) backend(name string, region int, change func(*version.Backend)) {
+	p.ports++
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, 1}), p.ports)
+	u := &version.Backend{Service: "s", Hall: fmt.Sprintf("hr%d", region), Address: address, Slots: 6}
+	if change != nil {
+		change(u)
+	}
+	p.put(version.Resource{Key: version.Key{Kind: version.KindBackend, Name: name}, Backend: u})
+}
+
+func (p *place) install() { p.Install(version.CompileRouting(p.config, nil)) }
+
+func (p *place) query(object uint64) *Query {
+	return &Query{Route: p.Routing().Route("a", "/"), Object: object, Left: time.Second}
+}
+
+func (p *place) pick(t *testing.T, object uint64) *Pick {
+	t.Helper()
+	k, refusal := p.Pick(p.query(object))
+	assert.Assert(t, k != nil, "refused: %v", refusal)
+	return k
+}
+
+// lifeOf returns what identifies the present start of a backend server.
+func (p *place) lifeOf(name string) uint64 {
+	for i := range p.routing.Backends {
+		if p.routing.Backends[i].Name == name {
+			return p.routing.Backends[i].Life
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/process/balance/suspend_test.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/conn"
+	"shalewick/version"
+)
+
+func TestFailedBackendIsSuspendedAndTriedAgain(t *testing.T) {
+	p := newPlace(1)
+	p.backend("a", 0, nil)
+	p.install()
+	p.pick(t, 1).Done(Unreachable, nil)
+	k, _ := p.Pick(p.query(1))
+	assert.Assert(t, k == nil, "suspended")
+	p.now += p.Policy.SuspendLeast
+	trial := p.pick(t, 1)
+	k, _ = p.Pick(p.query(2))
+	assert.Assert(t, k == nil, "one trial at a time")
+	trial.Done(Answered, nil)
+	p.pick(t, 2)
+}
+
+// TestOneLostAnswerMovesNoObject checks that a backend server keeps its objects when
+// one of its answers is lost, and is suspended when the next one is, too.
+func TestOneLostAnswerMovesNoObject(t *testing.T) {
+	p := newPlace(1)
+	p.backend("a", 0, nil)
+	p.backend("b", 0, nil)
+	p.install()
+	first := p.pick(t, 1)
+	first.Done(Lost, nil)
+	second := p.pick(t, 1)
+	assert.Equal(t, second.Name, first.Name)
+	second.Done(Answered, nil)
+	p.now += time.Second
+	p.pick(t, 1).Done(Lost, nil)
+	again := p.pick(t, 1)
+	assert.Equal(t, again.Name, first.Name, "an answer in between")
+	again.Done(Lost, nil)
+	assert.Assert(t, p.pick(t, 1).Name != first.Name)
+}
+
+// TestSuspendedBackendIsReachedBeforeARequestTriesIt checks that no request goes
+// to a backend server that was suspended until a connection to it was opened.
+func TestSuspendedBackendIsReachedBeforeARequestTriesIt(t *testing.T) {
+	p := newPlace(1)
+	result := make(chan error)
+	p.Reach = func(*conn.Pool) error { return <-result }
+	p.backend("a", 0, nil)
+	p.install()
+	p.pick(t, 1).Done(Unreachable, nil)
+	refused := func() bool {
+		k, _ := p.Pick(p.query(1))
+		if k != nil {
+			k.Done(Abandoned, nil)
+		}
+		return k == nil
+	}
+	p.now += p.Policy.SuspendLeast
+	assert.Assert(t, refused(), "it is being reached")
+	result <- errors.New("no route")
+	p.awaitReached("a")
+	p.now += p.Policy.SuspendLeast
+	assert.Assert(t, refused(), "suspended for longer")
+	p.now += p.Policy.SuspendMost
+	assert.Assert(t, refused(), "it is being reached again")
+	result <- nil
+	p.awaitReached("a")
+	assert.Assert(t, !refused())
+}
+
+// TestLeavingBackendIsNotReached checks that no connection is opened to a suspended
+// backend that gets no further requests.
+func TestLeavingBackendIsNotReached(t *testing.T) {
+	p := newPlace(1)
+	opened := make(chan struct{}, 1)
+	p.Reach = func(*conn.Pool) error {
+		opened <- struct{}{}
+		return nil
+	}
+	p.backend("a", 0, nil)
+	p.install()
+	p.pick(t, 1).Done(Unreachable, nil)
+	p.backend("a", 0, func(u *version.Backend) {
+		u.Leaving = true
+		u.Address = p.config.Resources[version.Key{Kind: version.KindBackend, Name: "a"}].Backend.Address
+	})
+	p.install()
+	p.now += p.Policy.SuspendMost
+	k, _ := p.Pick(p.query(1))
+	assert.Assert(t, k == nil)
+	assert.Assert(t, !p.byName["a"].reaching)
+	assert.Equal(t, len(opened), 0)
+}
+
+// awaitReached waits until a backend server is not being reached any more.
+func (p *place) awaitReached(name string) {
+	for {
+		p.mu.Lock()
+		reaching := p.byName[name].reaching
+		p.mu.Unlock()
+		if !reaching {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAnswerMeanwhileExcusesAFailure checks that a request that failed does
+// not suspend a backend server that answered another one since.
+func TestAnswerMeanwhileExcusesAFailure(t *testing.T) {
+	p := newPlace(1)
+	p.backend("a", 0, nil)
+	p.install()
+	lost, other := p.pick(t, 1), p.pick(t, 2)
+	p.now += time.Second
+	other.Done(Answered, nil)
+	lost.Done(Unreachable, nil)
+	p.pick(t, 3)
+}
--- a/process/proxy/proxy_test.go
+++ b/process/proxy/proxy_test.go
@@ -281,19 +281,25 @@
 	assert.Assert(t, r.took > 500*time.Millisecond && r.took < 800*time.Millisecond, "%s", r.took)
 }
 
+// leave sends a request that its caller gives up after a time, before its answer.
+func (f *fixture) leave(id string, after time.Duration) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.front.URL+"/reads/1", nil)
+	assert.NilError(f.t, err)
+	req.Host = "a.example"
+	req.Header.Set(request.OwnNames.ID, id)
+	_, err = http.DefaultClient.Do(req)
+	assert.Assert(f.t, err != nil)
+}
+
 // TestClientThatLeavesEndsItsRequest checks that a backend server sees within half a
 // second that the client left.
 func TestClientThatLeavesEndsItsRequest(t *testing.T) {
 	f := newFixture(t, 1)
 	f.backends[0].Work = 500 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.front.URL+"/reads/1", nil)
-	assert.NilError(t, err)
-	req.Host = "a.example"
-	req.Header.Set(request.OwnNames.ID, "x")
-	_, err = http.DefaultClient.Do(req)
-	assert.Assert(t, err != nil)
+	f.leave("x", 100*time.Millisecond)
 	for range 40 {
 		if f.backends[0].Left() == 1 {
 			return
--- a/process/proxy/rollout_test.go
+++ b/process/proxy/rollout_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -240,14 +239,7 @@
 func TestCallerThatLeavesTellsNothingOfTheTarget(t *testing.T) {
 	x := newRolling(t)
 	x.new.Work = 400 * time.Millisecond
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, x.front.URL+"/reads/1", nil)
-	assert.NilError(t, err)
-	req.Host = "a.example"
-	req.Header.Set(request.OwnNames.ID, "r")
-	_, err = http.DefaultClient.Do(req)
-	assert.Assert(t, err != nil)
+	x.leave("r", 50*time.Millisecond)
 	x.idle()
 	assert.Equal(t, x.outcome(), rollout.Outcome{Inconclusive: true})
 }
--- a/standin/server/badness.go
+++ b/standin/server/badness.go
@@ -51,6 +51,16 @@
 	return slices.Clone(s.sent)
 }
 
+// Between returns how many times lie from one time up to another.
+func Between(times []time.Time, from, to time.Time) (n int) {
+	for _, at := range times {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // PerSecond returns how many requests came in each of n seconds from a time on.
 func (s *Server) PerSecond(from time.Time, n int) []int {
 	out := make([]int, n)
