request, proxy: the lines of answers say what their servers ask for

Two incidents could not be told from logs: whether an answer said that its server leaves, and how much rest a refusal asked for, stood in no line.

Ruled out: a line of its own for each such answer (the bound of 100 lines a second would be theirs alone during a wave). No logic is changed: nothing decides by the notice yet. The stand-in of a backend server learns to leave and to turn everything away with rest. TestNotice, TestNoticesStandInTheLog, FuzzNotice.

--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -57,6 +57,18 @@
 	s.Counter("retries_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
+// Notice counts an answer in which a backend server of a service says that it leaves, or
+// asks for rest.
+func (s *Set) Notice(service string, n request.Notice) {
+	of := "{service=" + strconv.Quote(service) + "}"
+	if n.Leaving {
+		s.Counter("answers_leaving_total" + of).Inc(1)
+	}
+	if n.Rest > 0 {
+		s.Counter("answers_rest_total" + of).Inc(1)
+	}
+}
+
 // Counter returns the counter of a name, which may have labels in braces.
 func (s *Set) Counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, s.registry)
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -27,6 +27,7 @@
 type answer struct {
 	pick   *balance.Pick
 	target bool // it was chosen among a roll-out's target
+	notice request.Notice
 	res    *http.Response
 	whole  []byte
 	ex     *conn.Exchange // nil when whole has all
@@ -171,15 +172,16 @@
 		ex.Close()
 		return nil, t.lost(ctx, pick, errors.New("answers to other requests"), sent)
 	}
+	notice := t.notice(ex.Response)
 	if h.Get(names.NotRun) != "" || ex.Response.StatusCode == http.StatusMisdirectedRequest {
-		return nil, t.refused(ex, pick)
+		return nil, t.refused(ex, pick, notice)
 	}
 	headTook := time.Since(sent)
 	a, err := readAnswer(ex)
 	if err != nil {
 		return nil, t.lost(ctx, pick, err, sent)
 	}
-	a.pick, a.target = pick, t.query.Target != ""
+	a.pick, a.target, a.notice = pick, t.query.Target != "", notice
 	t.c.runs++
 	took := time.Since(sent)
 	if a.ex != nil {
@@ -204,22 +206,34 @@
 	t.p.Log.Info().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
 		Str("class", t.c.route.Class.String()).Str("workspace", t.c.workspaceName()).Bool("late", took > time.Duration(t.c.route.Objective)).
 		Str("backend", pick.Name).Str("software", pick.Software).Bool("target", a.target).Bool("declined", t.declined).Int("rank", pick.Rank).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
-		Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
+		Bool("leaving", a.notice.Leaving).Dur("rest", a.notice.Rest).Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
 		Dur("took", took).Msg("answered")
 }
 
 // maxForeign bounds the answers to other requests that are skipped.
 const maxForeign = 2
 
+// notice returns what an answer says of what its server wants from now on. A misdirected
+// request was answered by another server than the one that was chosen: that one's wishes
+// say nothing of the chosen one.
+func (t *trial) notice(res *http.Response) request.Notice {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return request.Notice{}
+	}
+	n := t.p.Names.Notice(res.StatusCode, res.Header)
+	t.p.Metrics.Notice(t.c.service, n)
+	return n
+}
+
 // refused notes that the backend server did not run the request.
-func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick) *request.Result {
+func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick, notice request.Notice) *request.Result {
 	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
 	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxHeldAnswer) // so that the connection can be kept
 	report := t.report(ex.Response.Header)
 	ex.Close()
 	pick.Done(balance.Refused, report)
 	t.over(pick, rollout.Outcome{Failed: misdirected, Inconclusive: !misdirected})
-	t.line(pick).Int("status", ex.Response.StatusCode).
+	t.line(pick).Int("status", ex.Response.StatusCode).Bool("leaving", notice.Leaving).Dur("rest", notice.Rest).
 		Str("load", ex.Response.Header.Get(t.p.Names.Load)).Msg("backend-refused")
 	if misdirected {
 		pick.Gone()
--- /dev/null
+++ b/process/proxy/notice_test.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/logging"
+)
+
+// TestNoticesStandInTheLog checks that the lines of answers tell what their servers asked
+// for, which no other line of the process can tell afterwards, and that they are counted.
+func TestNoticesStandInTheLog(t *testing.T) {
+	f := newFixture(t, 1)
+	var log syncBuffer
+	f.proxy.Log = logging.New(&log)
+	f.backends[0].TurnAway(time.Minute, 1500*time.Millisecond)
+	assert.Equal(t, f.send("turned-away", "/reads/1", "").status, http.StatusServiceUnavailable)
+	refused := log.lines("backend-refused")
+	assert.Equal(t, len(refused), 1)
+	assert.Assert(t, strings.Contains(refused[0], " rest=1500 "), refused[0])
+
+	f = newFixture(t, 1)
+	var other syncBuffer
+	f.proxy.Log = logging.New(&other)
+	f.backends[0].Leave()
+	f.own(f.send("served", "/reads/1", ""), "served")
+	answered := other.lines("answered")
+	assert.Equal(t, len(answered), 1)
+	assert.Assert(t, strings.Contains(answered[0], " leaving=true "), answered[0])
+	var metrics strings.Builder
+	assert.NilError(t, f.proxy.Metrics.Write(&metrics))
+	assert.Assert(t, strings.Contains(metrics.String(), `answers_leaving_total{service="s"} 1`), metrics.String())
+}
--- a/request/names.go
+++ b/request/names.go
@@ -14,6 +14,7 @@
 	Key       string // in a request: "Bearer" and the key of the caller's workspace
 	Workspace string // to a backend server: the name of that workspace
 	Load      string // running, waiting, slots of a backend server
+	Leaving   string // in each answer of a backend server that is about to end
 }
 
 // OwnNames are the header names of the product's own interface.
@@ -25,6 +26,7 @@
 	Seal:      "Shalewick-Seal",
 	NotRun:    HeaderNotRun,
 	Load:      "Shalewick-Load",
+	Leaving:   "Shalewick-Leaving",
 	Key:       "Authorization",
 	Workspace: "Shalewick-Workspace",
 }
--- /dev/null
+++ b/request/notice_test.go
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestNotice(t *testing.T) {
+	head := func(pairs ...string) http.Header {
+		h := http.Header{}
+		for i := 0; i < len(pairs); i += 2 {
+			h.Set(pairs[i], pairs[i+1])
+		}
+		return h
+	}
+	leaving, notRun := OwnNames.Leaving, OwnNames.NotRun
+	for name, x := range map[string]struct {
+		status int
+		head   http.Header
+		want   Notice
+	}{
+		"nothing":                      {200, head(), Notice{}},
+		"it leaves":                    {200, head(leaving, "1"), Notice{Leaving: true}},
+		"it does not leave":            {200, head(leaving, "0"), Notice{}},
+		"a refusal of one that leaves": {503, head(leaving, "1", "Retry-After", "2"), Notice{Leaving: true, Rest: 2 * time.Second}},
+		"rest":                         {503, head("Retry-After", "3", notRun, "1"), Notice{Rest: 3 * time.Second}},
+		"a part of a second":           {503, head("Retry-After", "0.25"), Notice{Rest: 250 * time.Millisecond}},
+		"too many, turned away":        {429, head("Retry-After", "1", notRun, "1"), Notice{Rest: time.Second}},
+		"too many, of the caller":      {429, head("Retry-After", "1"), Notice{}},
+		"of another answer":            {200, head("Retry-After", "1"), Notice{}},
+		"a date":                       {503, head("Retry-After", "Fri, 31 Dec 2027 23:59:59 GMT"), Notice{}},
+		"below zero":                   {503, head("Retry-After", "-4"), Notice{}},
+		"no number":                    {503, head("Retry-After", "NaN"), Notice{}},
+		"without end":                  {503, head("Retry-After", "+Inf"), Notice{Rest: mostRest}},
+		"too large for a time":         {503, head("Retry-After", "1e300"), Notice{Rest: mostRest}},
+	} {
+		assert.Equal(t, OwnNames.Notice(x.status, x.head), x.want, name)
+	}
+	assert.Equal(t, (&Names{}).Notice(200, head("", "1")), Notice{}, "a deployment whose servers do not say it")
+}
+
+func FuzzNotice(f *testing.F) {
+	f.Add(503, "3", "1")
+	f.Add(503, "1e400", "")
+	f.Fuzz(func(t *testing.T, status int, after, leaving string) {
+		h := http.Header{}
+		h.Set("Retry-After", after)
+		h.Set(OwnNames.Leaving, leaving)
+		n := OwnNames.Notice(status, h)
+		assert.Assert(t, n.Rest >= 0 && n.Rest <= mostRest)
+	})
+}
--- a/standin/server/badness.go
+++ b/standin/server/badness.go
@@ -48,7 +48,11 @@
 func (s *Server) Arrivals() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.sent)
+	out := make([]time.Time, len(s.sent))
+	for i, a := range s.sent {
+		out[i] = a.At
+	}
+	return out
 }
 
 // Between returns how many times lie from one time up to another.
--- /dev/null
+++ b/standin/server/notice.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: MIT
+
+package server
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Arrival is a request that came, whatever became of it.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
+// Notice is an answer in which the backend server said that it leaves, or asked for rest.
+type Notice struct {
+	ID      string // of the request
+	At      time.Time
+	Leaving bool
+	Rest    time.Duration
+}
+
+// Leave makes each answer from now on say that the backend server leaves. It serves on.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaves = true
+}
+
+// TurnAway makes the backend server refuse everything for a time, asking for rest in each
+// refusal. Its load reports say that it is idle, as it is.
+func (s *Server) TurnAway(d, rest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = time.Now().Add(d)
+	s.rest = rest
+}
+
+// notice returns the header lines that tell of the backend server's wishes, for the answer
+// to a request, and notes them.
+func (s *Server) notice(id string, f Fault) (lines string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := Notice{ID: id, At: time.Now(), Leaving: s.leaves}
+	if f == Shed && n.At.Before(s.away) {
+		n.Rest = s.rest
+	}
+	if n.Leaving {
+		lines += s.Names.Leaving + ": 1\r\n"
+	}
+	if n.Rest > 0 {
+		lines += fmt.Sprintf("Retry-After: %g\r\n", n.Rest.Seconds())
+	}
+	if lines != "" {
+		s.noticed = append(s.noticed, n)
+	}
+	return lines
+}
+
+// Came returns the requests that came, by rising time, also those that were refused.
+func (s *Server) Came() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.sent)
+}
+
+// Notices returns the answers with a notice, by rising time.
+func (s *Server) Notices() []Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.noticed)
+}
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -100,10 +100,13 @@
 		return Moved, load, false
 	}
 	now := time.Now()
-	s.sent = append(s.sent, now)
+	s.sent = append(s.sent, Arrival{ID: req.Header.Get(s.Names.ID), At: now})
 	if now.Before(s.cold) {
 		s.arrivals = append(s.arrivals, now)
 	}
+	if now.Before(s.away) {
+		return Shed, load, false
+	}
 	return f, load, f != Shed && f != ShedLate && f != Moved && f != Early
 }
 
@@ -132,7 +135,7 @@
 		if f == Moved {
 			status = "421 Misdirected Request"
 		}
-		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load)
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load, s.notice(id, f))
 		_, err := io.Copy(io.Discard, req.Body)
 		return err == nil
 	}
@@ -230,5 +233,5 @@
 func (s *Server) text(id, load string) string {
 	body := Body(id)
 	return "HTTP/1.1 200 OK\r\n" + s.Names.ID + ": " + id + "\r\n" + s.Names.Seal + ": seal-" + id + "\r\n" +
-		s.Names.Load + ": " + load + "\r\nKeep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		s.Names.Load + ": " + load + "\r\n" + s.notice(id, None) + "Keep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -76,8 +76,12 @@
 	arrivals []time.Time // while it was cold
 	closed   int         // connections whose client left before the answer
 	opened   int
-	badFrom  time.Time   // from when Bad.After counts
-	sent     []time.Time // when requests came
+	badFrom  time.Time // from when Bad.After counts
+	sent     []Arrival // what came
+	noticed  []Notice  // the answers with a notice
+	leaves   bool      // each answer says so
+	away     time.Time // until when it turns all away
+	rest     time.Duration
 	bad      []BadAnswer
 	open     map[net.Conn]bool
 	killed   bool
