--- a/process/proxy/notice_test.go
+++ b/process/proxy/notice_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"shalewick/process/logging"
+	"shalewick/standin/server"
 )
 
 // TestNoticesStandInTheLog checks that the lines of answers tell what their servers asked
@@ -37,3 +38,16 @@
 	assert.NilError(t, f.proxy.Metrics.Write(&metrics))
 	assert.Assert(t, strings.Contains(metrics.String(), `answers_leaving_total{service="s"} 1`), metrics.String())
 }
+
+// TestNoticeOfAnotherServerIsNotTheChosenOnes checks that what a server says of itself that
+// has taken over the address of the chosen one is left out.
+func TestNoticeOfAnotherServerIsNotTheChosenOnes(t *testing.T) {
+	f := newFixture(t, 1)
+	f.backends[0].Leave()
+	f.backends[0].Next(server.Moved)
+	assert.Equal(t, f.send("moved", "/reads/1", "").status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(f.backends[0].Notices()), 1)
+	var metrics strings.Builder
+	assert.NilError(t, f.proxy.Metrics.Write(&metrics))
+	assert.Assert(t, !strings.Contains(metrics.String(), "answers_leaving_total"), metrics.String())
+}
