balance, proxy: a backend server that says in an answer that it leaves is heeded

Callers saw: requests at a backend server 2.2 to 2.9 s after its answers had told their instance that it leaves, one of them a 504 as the server ended under it. Cause: instances knew who leaves from the rows of the store alone. While the store was away the row went on saying "ready", for 13 s, and what the answers said was read by nobody. Ruled out: requests held up on their way (6 ms between caller and server), a word that was read and lost again (arrivals never fell).

Change: the head of each answer is handed to the choice (Pick.Heed), before the answer is passed on. It binds the start of the server that said so, for all requests of the instance, whatever its row says: an answer is the server's own word, and newer. A row that said so, too, and no longer does, or another start takes it back; a lapsed row does not. For half of the drain time the server is the last resort for what no other can take, then it gets nothing; right before the first byte the choice is asked once more, so that a process that stood still sends nothing late. Other instances are told in the datagrams that there are, six bytes each; their word makes a server the last resort only, so that no rumour can refuse a request.

Why it holds: nothing is asked of the store or of others.

--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -12,19 +12,17 @@
 // backend is what one process knows of one backend server, over all versions. It is
 // guarded by the table's mutex.
 type backend struct {
-	policy   *Policy
-	service  *service
-	pool     *conn.Pool
-	address  string
-	software string
-	// incarnation is that of its start.
-	incarnation int64
-	inFlight    int
-	flights     *int // at all backend servers of its version
-	drained     bool
-	cold        time.Duration // as declared
-	coldUntil   time.Duration // when it stops being cold
-	turns       turns         // of this instance until then
+	policy    *Policy
+	service   *service
+	pool      *conn.Pool
+	start     startOf
+	departure *departure // nil: it did not say that it leaves
+	inFlight  int
+	flights   *int // at all backend servers of its version
+	drained   bool
+	cold      time.Duration // as declared
+	coldUntil time.Duration // when it stops being cold
+	turns     turns         // of this instance until then
 	// failures counts those in a row. Until suspended it gets nothing, and
 	// then one request at a time until one is answered.
 	failures  int
@@ -47,7 +45,7 @@
 // address, other software, or says that it was born at another time, was started anew, and
 // knows nothing of before.
 func (u *backend) sameAs(v *version.RoutedBackend) bool {
-	return u.address == v.Address && u.software == v.Software && u.incarnation == v.Incarnation
+	return u.start == startOfBackend(v)
 }
 
 // failed notes a failure, and returns for how long the backend server gets nothing.
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -12,10 +12,24 @@
 	"shalewick/version"
 )
 
-// Pick chooses a backend server, or says why there is none.
+// Pick chooses a backend server, or says why there is none. Those that want no more requests
+// by their own word come last: they get what no other can take in time, as long as they may.
 func (t *Table) Pick(q *Query) (*Pick, Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	pick, refusal := t.choose(q, wanted)
+	if pick != nil || refusal.Why.lastResort == 0 || refusal.Code == request.DeadlineNear {
+		return pick, refusal
+	}
+	if last, _ := t.choose(q, lastResort); last != nil {
+		last.LastResort = true
+		return last, Refusal{}
+	}
+	return nil, refusal
+}
+
+// choose chooses among the backend servers of one standing. The caller holds the lock.
+func (t *Table) choose(q *Query, among standing) (*Pick, Refusal) {
 	now := t.Now()
 	part := q.part(t.routing)
 	if part == nil {
@@ -28,7 +42,7 @@
 		object = rand.Uint64()
 	}
 	t.adaptShares(s, now)
-	c, why := t.candidates(q, part, s, object, now)
+	c, why := t.candidates(q, part, s, object, among, now)
 	best, ok := t.best(s, c, now)
 	if !ok {
 		why.Cold = len(c)
@@ -128,10 +142,10 @@
 	unseen    bool // the backend server has not worked on the object lately
 }
 
-// candidates lists the backend servers that may get the request now, the first
-// choices of its object only, and counts those that may not. The list is good
+// candidates lists the backend servers of one standing that may get the request now, the
+// first choices of its object only, and counts those that may not. The list is good
 // until the next call.
-func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, now time.Duration) ([]candidate, Why) {
+func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, among standing, now time.Duration) ([]candidate, Why) {
 	why := Why{Backends: len(s.Backends)}
 	c := t.scratch[:0]
 	weights := t.weights(part, s)
@@ -144,7 +158,8 @@
 			why.Closed++
 			continue
 		}
-		if t.reaching < mostReached {
+		stands := u.standing(now, t.LeaveWithin)
+		if stands != unwanted && t.reaching < mostReached {
 			t.reach(v.Name, u, now)
 		}
 		draw := v.Draw(object) / u.share.kept
@@ -153,6 +168,9 @@
 		case q.Route.Home != nil && !q.Route.Home[v.Region]:
 			why.Foreign++
 			continue
+		case stands != among:
+			why.stands(stands)
+			continue
 		case !u.usable(now):
 			why.Suspended++
 			if missed < 0 || near < missedNear {
--- a/process/balance/home.go
+++ b/process/balance/home.go
@@ -66,7 +66,7 @@
 	if index == version.None {
 		return 0, false
 	}
-	if t.states[index].failures > 0 {
+	if u := t.states[index]; u.failures > 0 || u.departure != nil {
 		index = t.usableHome(&of, part)
 	}
 	if index == version.None {
@@ -83,18 +83,18 @@
 	for k, n := rand.IntN(max(1, len(s.Backends))), 0; n < len(s.Backends); n++ {
 		i := s.Backends[(k+n)%len(s.Backends)]
 		v := &t.routing.Backends[i]
-		if !v.Closed && (q.Route.Home == nil || q.Route.Home[v.Region]) && t.states[i].usable(now) {
+		if !v.Closed && (q.Route.Home == nil || q.Route.Home[v.Region]) && t.takes(t.states[i], now) {
 			return v.Hash, true
 		}
 	}
 	return 0, false
 }
 
-// usableHome returns the home among the backend servers that did not fail lately. The
-// caller holds the lock.
+// usableHome returns the home among the backend servers that did not fail lately and want
+// requests. The caller holds the lock.
 func (t *Table) usableHome(q *Query, part *version.RoutePart) int32 {
 	now := t.Now()
-	return t.home(q, part, func(i int32) bool { return t.states[i].usable(now) })
+	return t.home(q, part, func(i int32) bool { return t.takes(t.states[i], now) })
 }
 
 // home returns the index of the first backend server in the near order of an object that
--- a/process/balance/observe.go
+++ b/process/balance/observe.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,8 +26,11 @@
 	// start, one of the age, one of the load.
 	observationBytes = 6
 	// unreachable stands in the place of the load for a backend server that could not
-	// be reached, or lost answers in a row.
+	// be reached, or lost answers in a row, and leavingTold for one that said that it
+	// leaves. Loads stay below them.
 	unreachable = 0xff
+	leavingTold = 0xfe
+	mostLoad    = leavingTold - 1
 	// mostDoubted is the share of the backend servers of a service that are doubted on
 	// the word of others at most: if more seem to fail, it may be their links.
 	mostDoubted = 1.0 / 3
@@ -45,7 +50,7 @@
 func (u *backend) observe(r *Report, now time.Duration) {
 	u.observed = observation{at: now}
 	if r != nil {
-		u.observed.load = byte(min(r.Running+r.Waiting, unreachable-1))
+		u.observed.load = byte(min(r.Running+r.Waiting, mostLoad))
 	}
 }
 
@@ -76,15 +81,48 @@
 		tell = append(tell, int32(i))
 	}
 	slices.SortFunc(tell, func(a, b int32) int { return cmp.Compare(t.states[b].observed.at, t.states[a].observed.at) })
-	var out []byte
-	for _, i := range tell[:min(len(tell), size/observationBytes)] {
+	out := t.tellNotices(size/2, now)
+	for _, i := range tell[:min(len(tell), (size-len(out))/observationBytes)] {
 		o := t.states[i].observed
-		out = binary.LittleEndian.AppendUint32(out, uint32(t.routing.Backends[i].Life))
-		out = append(out, byte((now-o.at)/observationUnit), o.load)
+		out = t.appendEntry(out, i, byte((now-o.at)/observationUnit), o.load)
 	}
 	return out
 }
 
+// appendEntry adds one entry on a backend server: a time, whose meaning the load tells, and
+// the load.
+func (t *Table) appendEntry(out []byte, index int32, units, load byte) []byte {
+	out = binary.LittleEndian.AppendUint32(out, uint32(t.routing.Backends[index].Life))
+	return append(out, units, load)
+}
+
+// tellNotices returns the entries on what backend servers said that they want, in at most
+// size bytes; if there are more, any of them. The caller holds the lock.
+func (t *Table) tellNotices(size int, now time.Duration) (out []byte) {
+	var tell []int32
+	for i, u := range t.states {
+		if u.departure.worthTelling(t.routing.Backends[i].Leaving, now) {
+			tell = append(tell, int32(i))
+		}
+	}
+	if most := size / observationBytes; len(tell) > most {
+		rand.Shuffle(len(tell), func(i, j int) { tell[i], tell[j] = tell[j], tell[i] })
+		tell = tell[:most]
+	}
+	for _, i := range tell {
+		age := min((now-t.states[i].departure.since)/observationUnit, math.MaxUint8)
+		out = t.appendEntry(out, i, byte(age), leavingTold)
+	}
+	return out
+}
+
+// worthTelling reports whether others should know that a backend server leaves: what it said
+// to this instance until its row says so, and what others told while it is new, so that no
+// rumour is passed on for ever.
+func (d *departure) worthTelling(rowLeaves bool, now time.Duration) bool {
+	return d != nil && !rowLeaves && (d.own || now-d.since < observedFor)
+}
+
 // Hear takes up the observations of another instance.
 func (t *Table) Hear(text []byte) {
 	t.mu.Lock()
@@ -99,7 +137,12 @@
 		if !known {
 			continue
 		}
-		t.hear(i, observation{at: now - time.Duration(e[4])*observationUnit, load: e[5]}, now)
+		age := time.Duration(e[4]) * observationUnit
+		if e[5] == leavingTold {
+			t.hearLeaving(i, age, now)
+			continue
+		}
+		t.hear(i, observation{at: now - age, load: e[5]}, now)
 	}
 }
 
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -26,6 +26,12 @@
 	// the number of failures in a row, and with 0 failures when it answers again.
 	// It must not call the table.
 	OnSuspend func(backend string, failures int, pause time.Duration)
+	// OnNotice, if set, is told when a backend server begins to leave or to rest by its own
+	// word; own: it was told to this instance, not by another one. It must not call the table.
+	OnNotice func(backend string, n request.Notice, own bool)
+	// LeaveWithin is how long after a backend server said in an answer that it leaves it may
+	// still get requests that no other one can take; afterwards it gets none.
+	LeaveWithin time.Duration
 	// NewPool returns connections to an address.
 	NewPool func(address string) *conn.Pool
 	// Reach, if set, opens a connection to a backend server that was suspended before a
@@ -47,6 +53,8 @@
 	scratch  []candidate          // memory of candidates, kept between decisions
 	splits   map[string][]float64 // credit of each part, by route
 	seen     seenObjects
+	// departures are the backend servers that said that they leave.
+	departures map[startOf]*departure
 }
 
 // Install makes a routing the one that is decided on.
@@ -67,9 +75,11 @@
 		if u.install(v, now) {
 			u.turns = turns{policy: &t.Policy, rate: r.Services[v.Service].Warming.Rate}
 		}
+		t.listDeparture(u, v, now)
 		byName[v.Name] = u
 		states[i] = u
 	}
+	t.forgetDepartures(now)
 	for name, u := range t.byName {
 		if byName[name] != u {
 			u.pool.CloseIdle()
@@ -91,7 +101,7 @@
 func (t *Table) newBackend(v *version.RoutedBackend, s *version.RoutedService) *backend {
 	return &backend{
 		service: t.service(s), flights: t.flight(softwareOf{s.Name, v.Software}), policy: &t.Policy,
-		pool: t.NewPool(v.Address), address: v.Address, software: v.Software, incarnation: v.Incarnation, share: share{kept: 1},
+		pool: t.NewPool(v.Address), start: startOfBackend(v), share: share{kept: 1},
 	}
 }
 
@@ -168,6 +178,9 @@
 	Unseen bool
 	// Cold is set while the backend server counts as cold.
 	Cold bool
+	// LastResort is set if it is one that wants no more requests, and no other could take
+	// this one.
+	LastResort bool
 	// Wait is the estimated time until it begins with the request, and Needs that until
 	// it has answered.
 	Wait, Needs time.Duration
--- a/process/balance/why.go
+++ b/process/balance/why.go
@@ -12,7 +12,8 @@
 // how many of them could not be taken for each reason.
 type Why struct {
 	Backends  int
-	Closed    int // leaving, or in a drained place
+	Closed    int // leaving by its row, or in a drained place
+	Leaving   int // leaving by its own answers, and nothing else against it
 	Foreign   int // in a region that is no home of the route
 	Suspended int // failed lately
 	Full      int // this instance's share of its connections is in use
@@ -23,6 +24,8 @@
 	// answer within the objective. All are zero unless there was one.
 	Best           string
 	Wait, Patience time.Duration
+
+	lastResort int // that may get what no other can take
 }
 
 // MarshalZerologObject adds the fields that are not zero to a log line.
@@ -31,7 +34,7 @@
 		name  string
 		count int
 	}{
-		{"backends", w.Backends}, {"closed", w.Closed}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
+		{"backends", w.Backends}, {"closed", w.Closed}, {"leaving", w.Leaving}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
 		{"full", w.Full}, {"tried", w.Tried}, {"cold", w.Cold},
 	} {
 		if x.count > 0 {
@@ -42,3 +45,14 @@
 		e.Str("best", w.Best).Dur("wait", w.Wait).Dur("patience", w.Patience)
 	}
 }
+
+// stands counts a backend server that was left out for how it stands to new requests.
+func (w *Why) stands(s standing) {
+	if s == wanted {
+		return
+	}
+	w.Leaving++
+	if s == lastResort {
+		w.lastResort++
+	}
+}
--- a/process/edge/belief.go
+++ b/process/edge/belief.go
@@ -8,6 +8,7 @@
 
 	"shalewick/clock"
 	"shalewick/process/cluster"
+	"shalewick/request"
 	"shalewick/version"
 )
 
@@ -68,6 +69,12 @@
 	e.log.Info().Str("backend", backend).Int("failures", failures).Dur("pause", pause).Msg("backend-suspended")
 }
 
+// logNotice writes that a backend server begins to leave by its own word, told to this
+// instance or by another one.
+func (e *Edge) logNotice(backend string, n request.Notice, own bool) {
+	e.log.Info().Str("backend", backend).Bool("own", own).Msg("backend-leaving")
+}
+
 // storeLost tells the other instances of the region that the store does not answer this one.
 func (e *Edge) storeLost() {
 	e.log.Info().Bool("relay", e.peers.Relay()).Msg("store-lost")
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -40,6 +40,11 @@
 	headerTimeout  = 10 * time.Second
 )
 
+// leaveShare divides the time within which leaving backend servers must get nothing more:
+// for so much of it those that say so in their answers may get what no other can take. The
+// rest is for what was already on its way there, and for rows that are late.
+const leaveShare = 2
+
 // Edge is one running instance.
 type Edge struct {
 	settings   Settings
@@ -131,6 +136,7 @@
 	dialer := conn.NewDialer(dialTimeout, backendSilence)
 	e.table = &balance.Table{
 		Now: e.now, Place: e.place, Region: e.settings.Region, OnSuspend: e.logSuspension,
+		OnNotice: e.logNotice, LeaveWithin: e.settings.DrainWithin / leaveShare,
 		Reach: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTime: backendIdle}
@@ -205,6 +211,7 @@
 		e.metrics.Gauge("version").Update(r.Seq)
 		e.metrics.Gauge("backends").Update(int64(len(r.Backends)))
 	}
+	e.metrics.Gauge("backends_leaving").Update(int64(e.table.Leaving()))
 	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
 	e.metrics.Gauge("requests_running").Update(e.proxy.Running())
 	e.metrics.Gauge("requests_quarantined").Update(int64(e.quarantine.Count()))
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -145,7 +145,7 @@
 	sent := time.Now()
 	ex, err := pick.Pool.Dispatch(ctx, t.request(ctx, pick), conn.Options{
 		Deadline: t.c.deadline, CloseAtOnce: true,
-		Allowed: func() bool { return true }, Release: func(bool) {},
+		Allowed: pick.Allowed, Release: func(bool) {},
 	})
 	if err != nil {
 		return nil, t.failed(ctx, pick, err, sent)
@@ -172,7 +172,7 @@
 		ex.Close()
 		return nil, t.lost(ctx, pick, errors.New("answers to other requests"), sent)
 	}
-	notice := t.notice(ex.Response)
+	notice := t.notice(ex.Response, pick)
 	if h.Get(names.NotRun) != "" || ex.Response.StatusCode == http.StatusMisdirectedRequest {
 		return nil, t.refused(ex, pick, notice)
 	}
@@ -205,7 +205,7 @@
 	took := time.Since(t.c.began)
 	t.p.Log.Info().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
 		Str("class", t.c.route.Class.String()).Str("workspace", t.c.workspaceName()).Bool("late", took > time.Duration(t.c.route.Objective)).
-		Str("backend", pick.Name).Str("software", pick.Software).Bool("target", a.target).Bool("declined", t.declined).Int("rank", pick.Rank).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
+		Str("backend", pick.Name).Str("software", pick.Software).Bool("target", a.target).Bool("declined", t.declined).Int("rank", pick.Rank).Bool("lastResort", pick.LastResort).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
 		Bool("leaving", a.notice.Leaving).Dur("rest", a.notice.Rest).Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
 		Dur("took", took).Msg("answered")
 }
@@ -213,15 +213,16 @@
 // maxForeign bounds the answers to other requests that are skipped.
 const maxForeign = 2
 
-// notice returns what an answer says of what its server wants from now on. A misdirected
-// request was answered by another server than the one that was chosen: that one's wishes
-// say nothing of the chosen one.
-func (t *trial) notice(res *http.Response) request.Notice {
+// notice takes up what an answer says of what its server wants from now on, before the answer
+// is passed on. A misdirected request was answered by another server than the one that was
+// chosen: that one's wishes say nothing of the chosen one.
+func (t *trial) notice(res *http.Response, pick *balance.Pick) request.Notice {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return request.Notice{}
 	}
 	n := t.p.Names.Notice(res.StatusCode, res.Header)
 	t.p.Metrics.Notice(t.c.service, n)
+	pick.Heed(n)
 	return n
 }
 
@@ -287,6 +288,11 @@
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
+	if errors.Is(err, conn.NotAllowed) {
+		pick.Done(balance.Abandoned, nil)
+		t.line(pick).Msg("withdrawn")
+		return t.result(request.BackendRefused, minRetry)
+	}
 	pick.Done(balance.Unreachable, nil)
 	t.line(pick).Err(err).Msg("connect-failed")
 	return t.result(request.ConnectFailed, minRetry)
--- a/version/routing.go
+++ b/version/routing.go
@@ -90,6 +90,8 @@
 	Hall        string
 	Region      int32
 	Slots       int
+	// Leaving is set for one whose row says that it leaves.
+	Leaving bool
 	// Closed is set for a backend server that is leaving or in a drained place.
 	Closed bool
 	// Drained is set when a drain of its place closes it.
@@ -192,7 +194,7 @@
 			Name: x.Name, Address: x.Backend.Address.String(), Service: service, Software: x.Backend.Software,
 			Incarnation: x.Backend.Incarnation,
 			Hall:        x.Backend.Hall, Region: r.halls[x.Backend.Hall], Slots: x.Backend.Slots,
-			Closed: x.Backend.Leaving, Cold: time.Duration(x.Backend.Cold), Hash: xxhash.Sum64String(x.Name),
+			Leaving: x.Backend.Leaving, Closed: x.Backend.Leaving, Cold: time.Duration(x.Backend.Cold), Hash: xxhash.Sum64String(x.Name),
 		}
 		u.Life = lifeOf(u.Hash, u.Incarnation)
 		for _, d := range drains {
