--- a/deploy/days/days_test.go
+++ b/deploy/days/days_test.go
@@ -25,21 +25,34 @@
 	How   string  `toml:"how"`
 	On    string  `toml:"on"`
 	Zone  string  `toml:"zone"`
+	Class string  `toml:"class"`
 }
 
-// file is a file of days.
+// day is one day.
+type day struct {
+	Name   string    `toml:"name"`
+	Slot   string    `toml:"slot"`
+	Seed   int       `toml:"seed"`
+	One    float64   `toml:"one"`
+	Zero   float64   `toml:"zero"`
+	Goal   goal      `toml:"goal"`
+	Labels []string  `toml:"labels"`
+	Plan   []trouble `toml:"plan"`
+	Faults []trouble `toml:"faults"`
+}
+
+// file is a file with one day: in a list of days, or its fields alone.
 type file struct {
-	Day []struct {
-		Name   string    `toml:"name"`
-		Slot   string    `toml:"slot"`
-		Seed   int       `toml:"seed"`
-		One    float64   `toml:"one"`
-		Zero   float64   `toml:"zero"`
-		Goal   goal      `toml:"goal"`
-		Labels []string  `toml:"labels"`
-		Plan   []trouble `toml:"plan"`
-		Faults []trouble `toml:"faults"`
-	} `toml:"day"`
+	day
+	Day []day `toml:"day"`
+}
+
+// days returns the days of a file.
+func (f *file) days() []day {
+	if f.Name != "" {
+		return append(f.Day, f.day)
+	}
+	return f.Day
 }
 
 type goal struct {
@@ -60,10 +73,11 @@
 		known, err := toml.Decode(string(text), &f)
 		assert.NilError(t, err, path)
 		assert.Equal(t, len(known.Undecoded()), 0, "%s: %v", path, known.Undecoded())
-		assert.Equal(t, len(f.Day), 1, path)
-		assert.Equal(t, f.Day[0].Name+".toml", path)
-		assert.Assert(t, len(f.Day[0].Plan)+len(f.Day[0].Faults) > 0, path)
-		for _, x := range append(f.Day[0].Plan, f.Day[0].Faults...) {
+		days := f.days()
+		assert.Equal(t, len(days), 1, path)
+		assert.Equal(t, days[0].Name+".toml", path)
+		assert.Assert(t, len(days[0].Plan)+len(days[0].Faults) > 0, path)
+		for _, x := range append(days[0].Plan, days[0].Faults...) {
 			assert.Assert(t, x.Kind != "" && x.At > 0, "%s: %+v", path, x)
 		}
 	}
