--- a/standin/server/notice.go
+++ b/standin/server/notice.go
@@ -10,14 +10,16 @@
 
 // Arrival is a request that came, whatever became of it.
 type Arrival struct {
-	ID string
-	At time.Time
+	ID    string
+	At    time.Time
+	Start int // how often the backend server had been started again
 }
 
 // Notice is an answer in which the backend server said that it leaves, or asked for rest.
 type Notice struct {
 	ID      string // of the request
 	At      time.Time
+	Start   int // how often the backend server had been started again
 	Leaving bool
 	Rest    time.Duration
 }
@@ -43,7 +45,7 @@
 func (s *Server) notice(id string, f Fault) (lines string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := Notice{ID: id, At: time.Now(), Leaving: s.leaves}
+	n := Notice{ID: id, At: time.Now(), Start: s.started, Leaving: s.leaves}
 	if f == Shed && n.At.Before(s.away) {
 		n.Rest = s.rest
 	}
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -100,7 +100,7 @@
 		return Moved, load, false
 	}
 	now := time.Now()
-	s.sent = append(s.sent, Arrival{ID: req.Header.Get(s.Names.ID), At: now})
+	s.sent = append(s.sent, Arrival{ID: req.Header.Get(s.Names.ID), At: now, Start: s.started})
 	if now.Before(s.cold) {
 		s.arrivals = append(s.arrivals, now)
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -79,6 +79,7 @@
 	badFrom  time.Time // from when Bad.After counts
 	sent     []Arrival // what came
 	noticed  []Notice  // the answers with a notice
+	started  int       // how often it was started again
 	leaves   bool      // each answer says so
 	away     time.Time // until when it turns all away
 	rest     time.Duration
@@ -116,6 +117,8 @@
 	s.seen = make(map[string]bool)
 	s.open = make(map[net.Conn]bool)
 	s.born = time.Now()
+	s.started++
+	s.leaves, s.away = false, time.Time{}
 	go s.accept(l)
 	return nil
 }
