health, front: the role entry heeds a backend server that asks for rest

Change: a refusal is Health.TurnedAway: it closes the backend server until its rest is over, for that start of it, and teaches no time; answers to what was sent before do not open it. Ruled out: closing it as for failures, which its next answer or probe ends. Why it holds: decisions read closed for each place, and only the clock or another start ends the rest. TestBackendThatAsksForRestGetsNothing: the first further request reached it before; none of five does now, and it is asked again after its second.

--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -236,6 +236,32 @@
 	}
 }
 
+// TestBackendThatAsksForRestGetsNothing tells a story of its own. Seen: a backend server that
+// refuses with a time to come back goes on getting requests, and the more, the quicker it
+// refuses. How: the time to come back is not read, and that of the refusal counts as the time
+// of an answer. Proof: here a single one refuses once, and is asked again at once, before its
+// rest is over, and afterwards.
+func TestBackendThatAsksForRestGetsNothing(t *testing.T) {
+	f := newFixture(t)
+	call := func() request.Code {
+		r, _ := f.call(t, "GET", "/lots?size=10", nil)
+		return r.Code
+	}
+	assert.Equal(t, call(), request.OK)
+	f.backend.SetFault(backend.Fault{Shed: 1, RestS: 1})
+	assert.Equal(t, call(), request.BackendRefused)
+	refused := f.backend.Refused()
+	f.backend.SetFault(backend.Fault{})
+	for range 5 {
+		assert.Assert(t, call() != request.OK)
+	}
+	assert.Equal(t, f.backend.Refused(), refused)
+	assert.Equal(t, len(f.backend.Records()), 1)
+	time.Sleep(time.Second)
+	f.front.Steer.Health.Tick(f.front.Now())
+	assert.Equal(t, call(), request.OK)
+}
+
 func TestCutAnswerBreaksTheCallerOff(t *testing.T) {
 	f := newFixture(t)
 	f.backend.SetFault(backend.Fault{Cut: 1})
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -38,6 +38,7 @@
 	cost     time.Duration
 	failures int           // in a row
 	closed   time.Duration // closed for failures until then, on the process's clock
+	rests    time.Duration // it asked for rest until then
 	awaiting []awaiting
 }
 
@@ -131,6 +132,23 @@
 	t.after(name, u, state, boot, took, now)
 }
 
+// TurnedAway notes that the backend server refused a request without running it, and for how
+// long it wants rest; zero: it did not ask. Its answers to what was sent before do not end
+// the rest. The time that a refusal took says nothing of what an answer costs: one that
+// turns everything away at once would look like the best of all.
+func (t *Table) TurnedAway(name string, rest time.Duration, state, boot string, took, now time.Duration) {
+	t.mu.Lock()
+	u := t.backends[name]
+	if u == nil {
+		t.mu.Unlock()
+		return
+	}
+	u.failures = 0
+	u.closed = 0
+	u.rests = max(u.rests, now+rest)
+	t.after(name, u, state, boot, took, now)
+}
+
 // Probed notes a load report.
 func (t *Table) Probed(name string, rep conn.Report, took time.Duration, now time.Duration) {
 	t.mu.Lock()
@@ -168,6 +186,9 @@
 	if boot == "" {
 		return Leaving{}, false
 	}
+	if u.boot != boot {
+		u.rests = 0 // another start asked for it
+	}
 	u.boot = boot
 	if state != conn.StateLeaving {
 		return Leaving{}, false
@@ -260,7 +281,7 @@
 	}
 	u := t.backends[name]
 	t.counters.Cost[place].Store(int64(u.cost))
-	t.counters.Closed[place].Store(now < u.closed || t.isLeaving(name, u))
+	t.counters.Closed[place].Store(now < u.closed || now < u.rests || t.isLeaving(name, u))
 }
 
 // Leaving reports whether a backend server has said that it takes no more work.
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,7 @@
 type Fault struct {
 	SlowMs       int     `json:"slowMs"`       // added to each request's work
 	Shed         float64 `json:"shed"`         // refused without running
+	RestS        int     `json:"restS"`        // rest that each refusal asks for
 	Leaving      bool    `json:"leaving"`      // says that it is leaving
 	LieIdle      bool    `json:"lieIdle"`      // reports no load
 	LateMs       int     `json:"lateMs"`       // answer held back after the work
@@ -76,6 +78,7 @@
 	inFlight int
 	peak     int
 	records  []Record
+	shed     atomic.Int64
 }
 
 // SetFault replaces the present fault.
@@ -92,6 +95,9 @@
 	return s.peak
 }
 
+// Refused returns how many requests were refused without running.
+func (s *Server) Refused() int { return int(s.shed.Load()) }
+
 // Records returns a copy of what was run.
 func (s *Server) Records() []Record {
 	s.mu.Lock()
@@ -158,6 +164,10 @@
 	h.Set(request.HeaderID, r.Header.Get(request.HeaderID))
 	if rand.Float64() < f.Shed || s.tooMany() {
 		h.Set(request.HeaderNotRun, "true")
+		if f.RestS > 0 {
+			h.Set("Retry-After", strconv.Itoa(f.RestS))
+		}
+		s.shed.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
