balance: a backend server that refuses though it is idle draws no load

Cause: of a refusal the load report alone was taken up, and it speaks for the server that refuses.

Change: a refusal whose report says that slots are free is not taken up as load; two in a row suspend the backend server, as two lost answers in a row do, until a connection is opened and one request tries it. Ruled out: counting such a report as full (it decays within 0.3 s), and any change to refusals of full servers, which are as before.

--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -28,6 +28,7 @@
 	failures  int
 	share     share
 	lost      int  // answers in a row that were lost
+	refused   int  // answers in a row that refused though slots were free
 	reached   bool // a connection was opened since it was suspended
 	reaching  bool // one is being opened
 	suspended time.Duration
--- a/process/balance/estimate.go
+++ b/process/balance/estimate.go
@@ -9,6 +9,9 @@
 	Running, Waiting, Slots int
 }
 
+// idle reports whether it says that slots are free. Nil is no word.
+func (r *Report) idle() bool { return r != nil && r.Running+r.Waiting < r.Slots }
+
 func (u *backend) report(r Report, now time.Duration) {
 	u.reported = float64(r.Running + r.Waiting)
 	u.reportedAt = now
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -48,13 +48,17 @@
 		t.turnedAway(p, now)
 		return
 	}
+	if u.wish != nil && (o == Answered || o == Refused) {
+		u.wish.rest.took(p.started)
+	}
+	if o == Refused && report.idle() {
+		t.refusedIdle(p, now)
+		return
+	}
 	if report != nil {
 		u.report(*report, now)
 		u.share.note(&t.Policy, *report, now)
 	}
-	if u.wish != nil && (o == Answered || o == Refused) {
-		u.wish.rest.took(p.started)
-	}
 	switch o {
 	case Answered:
 		p.recovered()
@@ -81,6 +85,17 @@
 	}
 }
 
+// refusedIdle notes a refusal of a backend server whose report says that it has slots free.
+// The report is left out, since it would draw more requests to a server that refuses them;
+// refusals in a row count as answers that are lost in a row do. One alone may be the
+// request's fault, or that of a deadline that passed on the way.
+func (t *Table) refusedIdle(p *Pick, now time.Duration) {
+	p.u.refused++
+	if p.u.refused >= t.Policy.LostInARow {
+		t.suspend(p, now)
+	}
+}
+
 // turnedAway notes an answer that asked for rest. Nothing else is learnt of it: a backend
 // server that turns everything away is idle and quick, so its load report and the time that
 // it took would send it more than any other gets (0.47 of all requests in place of 0.27, as
@@ -106,6 +121,7 @@
 	}
 	p.u.failures = 0
 	p.u.lost = 0
+	p.u.refused = 0
 }
 
 func (t *Table) tell(backend string, failures int, pause time.Duration) {
