proxy: the time of a request goes on while the machine is suspended

Callers of an instance whose machine was suspended for 5 s would have had requests that they had given up go on: backend servers were told that seconds were left, further ones were asked, and the final answer came 5 s late. Cause: deadlines were kept by the steady clock, which stands still meanwhile.

Change: what is left of a request is computed with the clock that goes on (call.left): for each attempt, the time that the backend server is told, the body, and once more before the first byte leaves. When the loop that looks at both clocks twice a second finds a suspension, requests past their deadline end at once (EndLapsed); answers that are there have been read by then. Ruled out: timers of our own for each request. Why it holds: whatever is sent is checked right before.

--- a/process/edge/use.go
+++ b/process/edge/use.go
@@ -56,7 +56,7 @@
 	var suspension clock.Suspension
 	for clock.Sleep(ctx, usePause) {
 		if lost := suspension.Note(clock.Now(), time.Now()); lost > 0 {
-			e.log.Warn().Dur("stood", lost).Msg("machine-suspended")
+			e.log.Warn().Dur("stood", lost).Int("ended", e.proxy.EndLapsed()).Msg("machine-suspended")
 		}
 		now, total := e.now(), e.proxy.Carried()
 		was := busy
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -106,7 +106,7 @@
 // allowed reports whether a further attempt is safe, within what the route allows, and
 // within the budget of retries, from which it is taken.
 func (t *trial) allowed(ctx context.Context) bool {
-	if ctx.Err() != nil || time.Until(t.c.deadline) < leastAttempt {
+	if ctx.Err() != nil || t.c.left() < leastAttempt {
 		return false
 	}
 	if t.mayHaveRun && !t.c.route.Repeatable || !t.c.body.again() {
@@ -132,7 +132,7 @@
 
 // attempt makes one attempt.
 func (t *trial) attempt(ctx context.Context) (*answer, *request.Result) {
-	t.query.Left = time.Until(t.c.deadline)
+	t.query.Left = t.c.left()
 	t.query.Elapsed = time.Since(t.c.began)
 	t.begin()
 	pick, refusal := t.pick()
@@ -144,8 +144,8 @@
 	t.query.Tried = append(t.query.Tried, pick.Name)
 	sent := time.Now()
 	ex, err := pick.Pool.Dispatch(ctx, t.request(ctx, pick), conn.Options{
-		Deadline: t.c.deadline, CloseAtOnce: true,
-		Allowed: pick.Allowed, Release: func(bool) {},
+		Deadline: time.Now().Add(t.query.Left), CloseAtOnce: true,
+		Allowed: func() bool { return t.c.left() > 0 && pick.Allowed() }, Release: func(bool) {},
 	})
 	if err != nil {
 		return nil, t.failed(ctx, pick, err, sent)
@@ -290,7 +290,7 @@
 	}
 	if errors.Is(err, conn.NotAllowed) {
 		pick.Done(balance.Abandoned, nil)
-		t.line(pick).Msg("withdrawn")
+		t.line(pick).Dur("left", t.c.left()).Msg("withdrawn")
 		return t.result(request.BackendRefused, minRetry)
 	}
 	pick.Done(balance.Unreachable, nil)
@@ -359,7 +359,7 @@
 	}
 	t.p.introduce(t.c, h)
 	h.Set(t.p.Names.Target, pick.Name)
-	h.Set(t.p.Names.Deadline, strconv.FormatInt(max(1, time.Until(t.c.deadline).Milliseconds()), 10))
+	h.Set(t.p.Names.Deadline, strconv.FormatInt(max(1, t.c.left().Milliseconds()), 10))
 	return out.WithContext(ctx)
 }
 
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -55,6 +55,7 @@
 
 	begin   beginner // in place of Rollouts, for tests
 	leaving atomic.Bool
+	calls   calls
 	running atomic.Int64
 	carried atomic.Int64
 }
@@ -101,6 +102,9 @@
 	deadline  time.Time
 	own       bool // the deadline is the caller's, below the route's timeout
 	began     time.Time
+	now       func() time.Duration // a clock that goes on while the machine is suspended
+	begun     time.Duration        // by it
+	reading   reading
 	body      *body
 	print     request.Fingerprint // zero: the body was not read
 	why       *balance.Why        // what the last choice saw, if it found no backend server
@@ -116,7 +120,7 @@
 	if p.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{w: w, r: r, id: r.Header.Get(p.Names.ID), began: time.Now()}
+	c := &call{w: w, r: r, id: r.Header.Get(p.Names.ID), began: time.Now(), now: p.Now, begun: p.Now()}
 	if c.id == "" && p.NewID != nil {
 		c.id = p.NewID()
 	}
@@ -129,6 +133,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	p.calls.add(c, cancel)
+	defer p.calls.remove(c)
 	if res := p.takeQuota(ctx, c); res != nil {
 		p.finish(c, res)
 		return
@@ -240,7 +246,7 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline)
+	c.reads(time.Now().Add(c.left()))
 	whole, err := io.ReadAll(io.LimitReader(c.r.Body, maxHeldBody+1))
 	c.body.whole = whole
 	if err != nil {
@@ -252,7 +258,7 @@
 		c.body.rest = c.r.Body
 		c.body.length = c.r.ContentLength
 	}
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	c.reads(time.Time{})
 	return nil
 }
 
