balance, proxy: an idle backend server that refuses is the last choice, not suspended

Callers would have seen: a service with one backend server that refused two requests in a row refused everything for 0.4 s and longer. Cause: a refusal was treated as a failure to answer, though it shows that the server lives.

Change: such a server gets what no other can take, for pauses that double from 0.4 to 4 s, and is one among all with its next answer; a line backend-avoided says so. Why it holds: the last choice is looked at before anything is refused.

--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -86,13 +86,23 @@
 }
 
 // refusedIdle notes a refusal of a backend server whose report says that it has slots free.
-// The report is left out, since it would draw more requests to a server that refuses them;
-// refusals in a row count as answers that are lost in a row do. One alone may be the
-// request's fault, or that of a deadline that passed on the way.
+// The report is left out, since it would draw more requests to a server that refuses them.
+// From some refusals in a row on it is the last choice, for times that double; one alone may
+// be the request's fault, or that of a deadline that passed on the way. It lives, so that
+// it is not suspended: what no other can take it still gets.
 func (t *Table) refusedIdle(p *Pick, now time.Duration) {
-	p.u.refused++
-	if p.u.refused >= t.Policy.LostInARow {
-		t.suspend(p, now)
+	u := p.u
+	u.answeredAt = now
+	refused := u.refused + 1
+	p.recovered()
+	u.refused = refused
+	over := u.refused - t.Policy.RefusedInARow
+	if over < 0 {
+		return
+	}
+	pause := min(t.Policy.SuspendLeast<<min(over, 5), t.Policy.SuspendMost)
+	if t.wishOf(u, now).rest.avoid(pause, now) && t.OnAvoid != nil {
+		t.OnAvoid(p.Name, u.refused, pause)
 	}
 }
 
--- a/process/balance/policy.go
+++ b/process/balance/policy.go
@@ -27,6 +27,10 @@
 	// is suspended; one that can't be reached is suspended at once. Origin: the
 	// bench.
 	LostInARow int
+	// RefusedInARow is the number of refusals in a row by a backend server that says that it
+	// has slots free from which it is the last choice. Origin: as LostInARow, one alone may be
+	// the request's fault.
+	RefusedInARow int
 	// SuspendLeast and SuspendMost bound for how long a backend server that failed
 	// gets nothing. Origin: a restart takes longer than the first and is
 	// noticed soon after by the second.
@@ -103,15 +107,16 @@
 		PlaceCost:   20 * time.Millisecond,
 		SeenFor:     20 * time.Second,
 
-		LostInARow:   2,
-		SuspendLeast: 400 * time.Millisecond,
-		SuspendMost:  4 * time.Second,
-		ReportLife:   1500 * time.Millisecond,
-		QuickGain:    0.2,
-		SlowGain:     0.02,
-		ServiceGain:  0.05,
-		WorkShare:    0.3,
-		FirstWork:    200 * time.Millisecond,
+		LostInARow:    2,
+		RefusedInARow: 2,
+		SuspendLeast:  400 * time.Millisecond,
+		SuspendMost:   4 * time.Second,
+		ReportLife:    1500 * time.Millisecond,
+		QuickGain:     0.2,
+		SlowGain:      0.02,
+		ServiceGain:   0.05,
+		WorkShare:     0.3,
+		FirstWork:     200 * time.Millisecond,
 
 		AfterDrain: 1500 * time.Millisecond,
 		ColdSlack:  300 * time.Millisecond,
--- a/process/balance/rest.go
+++ b/process/balance/rest.go
@@ -31,18 +31,19 @@
 	// to find out.
 	asked     bool
 	lastTried time.Duration
-	// heardUntil is until when another instance was asked for rest, and heard when it told so.
-	heardUntil, heard time.Duration
+	// avoidUntil is until when the backend server is the last choice, though it did not ask this
+	// instance for rest, and avoided when that was decided last.
+	avoidUntil, avoided time.Duration
 }
 
 // standing returns how the backend server stands to new requests. The rest that another
 // instance was asked for is not meant for this one, but a server that turns one away
-// mostly turns away all: it is the last choice.
+// mostly turns away all: it is the last choice, as is one that refuses without a word.
 func (r *rest) standing(now time.Duration) standing {
 	switch {
 	case now < r.until:
 		return unwanted
-	case r.asked && now-r.lastTried < restTrial, now < r.heardUntil:
+	case r.asked && now-r.lastTried < restTrial, now < r.avoidUntil:
 		return lastResort
 	}
 	return wanted
@@ -78,6 +79,15 @@
 	return began
 }
 
+// avoid makes the backend server the last choice for a time, and reports whether it was not
+// yet.
+func (r *rest) avoid(d, now time.Duration) bool {
+	began := now >= r.avoidUntil
+	r.avoidUntil = max(r.avoidUntil, now+d)
+	r.avoided = now
+	return began
+}
+
 // sent notes that a request goes there.
 func (r *rest) sent(now time.Duration) {
 	if r.asked {
@@ -91,8 +101,8 @@
 	if sent >= r.until {
 		r.asked = false
 	}
-	if sent >= r.heard {
-		r.heardUntil = 0
+	if sent >= r.avoided {
+		r.avoidUntil = 0
 	}
 }
 
@@ -105,10 +115,7 @@
 // left. The caller holds the lock.
 func (t *Table) hearRest(index int32, left, now time.Duration) {
 	r := &t.wishOf(t.states[index], now).rest
-	began := now >= r.heardUntil
-	r.heardUntil = max(r.heardUntil, now+left)
-	r.heard = now
-	if began {
+	if r.avoid(left, now) {
 		t.noticed(t.routing.Backends[index].Name, request.Notice{Rest: left}, false)
 	}
 }
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -29,6 +29,10 @@
 	// OnNotice, if set, is told when a backend server begins to leave or to rest by its own
 	// word; own: it was told to this instance, not by another one. It must not call the table.
 	OnNotice func(backend string, n request.Notice, own bool)
+	// OnAvoid, if set, is told when a backend server becomes the last choice for a while since
+	// it refused a number of requests in a row though it has slots free. It must not call
+	// the table.
+	OnAvoid func(backend string, refusals int, pause time.Duration)
 	// LeaveWithin is how long after a backend server said in an answer that it leaves it may
 	// still get requests that no other one can take; afterwards it gets none.
 	LeaveWithin time.Duration
--- a/process/edge/belief.go
+++ b/process/edge/belief.go
@@ -80,6 +80,12 @@
 	}
 }
 
+// logAvoided writes that a backend server gets only what no other can take for a while, since
+// it refused requests in a row though it has slots free.
+func (e *Edge) logAvoided(backend string, refusals int, pause time.Duration) {
+	e.log.Info().Str("backend", backend).Int("refusals", refusals).Dur("pause", pause).Msg("backend-avoided")
+}
+
 // storeLost tells the other instances of the region that the store does not answer this one.
 func (e *Edge) storeLost() {
 	e.log.Info().Bool("relay", e.peers.Relay()).Msg("store-lost")
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -136,7 +136,7 @@
 	dialer := conn.NewDialer(dialTimeout, backendSilence)
 	e.table = &balance.Table{
 		Now: e.now, Place: e.place, Region: e.settings.Region, OnSuspend: e.logSuspension,
-		OnNotice: e.logNotice, LeaveWithin: e.settings.DrainWithin / leaveShare,
+		OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeaveWithin: e.settings.DrainWithin / leaveShare,
 		Reach: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTime: backendIdle}
