balance, proxy, health: notices, backoff, eligibility in place of words of our own

No logic is changed. What backend servers say in their answers was named wish, rest and standing; the field says notice, backoff (Retry-After) and eligibility, and so do types, fields, the log's fields retryAfter and backedOff, the event backend-backoff and the metrics answers_retry_after_total and backends_backed_off now. Tests keep their names.

--- a/explain/story.go
+++ b/explain/story.go
@@ -39,7 +39,7 @@
 // stand alone the last one before the request matters, however old.
 var beliefs = map[string]bool{
 	"backends-changed": true, "backend-suspended": true, "backend-answers": true, "backends-lapsed": true,
-	"backend-leaving": true, "backend-rests": true, "backend-avoided": true,
+	"backend-leaving": true, "backend-backoff": true, "backend-avoided": true,
 	"instances-lost": true, "instances-found": true, "settings-reloaded": true, "stopping": true,
 	"rollout-withdrawn": true, "rollout-step": true, "rollout-event": true,
 }
--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -16,7 +16,7 @@
 	service   *service
 	pool      *conn.Pool
 	start     startOf
-	wish      *wish // nil: it said nothing
+	notices   *noticeState // nil: it said nothing
 	inFlight  int
 	flights   *int // at all backend servers of its version
 	drained   bool
--- a/process/balance/rest_test.go
+++ b/process/balance/backoff_test.go
@@ -18,7 +18,7 @@
 func (p *place) turnAway(t *testing.T, name string, d time.Duration) {
 	t.Helper()
 	k := p.pickOf(t, name)
-	k.Heed(request.Notice{Rest: d})
+	k.Heed(request.Notice{RetryAfter: d})
 	k.Done(Refused, &Report{Slots: 6})
 }
 
@@ -39,7 +39,7 @@
 	k := p.firstPick(t, "u")
 	byName, _ := p.picks()
 	assert.Equal(t, byName["u"], 0, "one at a time")
-	k.Heed(request.Notice{Rest: time.Second})
+	k.Heed(request.Notice{RetryAfter: time.Second})
 	k.Done(Refused, nil)
 	p.now += 999 * time.Millisecond
 	byName, _ = p.picks()
@@ -66,7 +66,7 @@
 
 // turnedAwayAgain lets a request that is under way be turned away, too.
 func (p *place) turnedAwayAgain(k *Pick, d time.Duration) {
-	k.Heed(request.Notice{Rest: d})
+	k.Heed(request.Notice{RetryAfter: d})
 	k.Done(Refused, nil)
 }
 
@@ -97,7 +97,7 @@
 	k := p.pickOf(t, "v")
 	k.u = u // an answer of the backend server's own, a 503 that it ran
 	u.inFlight++
-	k.Heed(request.Notice{Rest: time.Second})
+	k.Heed(request.Notice{RetryAfter: time.Second})
 	k.Done(Answered, &Report{Slots: 6})
 	assert.Equal(t, u.load(p.now), load)
 	assert.Equal(t, u.work, work)
@@ -143,7 +143,7 @@
 	k, refusal := p.Pick(p.query(1))
 	assert.Assert(t, k == nil)
 	assert.Equal(t, refusal.Code, request.NoBackend)
-	assert.Equal(t, refusal.Why.Resting, 2)
+	assert.Equal(t, refusal.Why.BackedOff, 2)
 	assert.Assert(t, refusal.Retry >= 2*time.Second && refusal.Retry < 2*time.Second+2*p.Policy.NoneComeBack, "%s", refusal.Retry)
 	p.backend("w", 0, nil)
 	p.install()
@@ -195,7 +195,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"time":    func(t *rapid.T) { p.now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond },
 			"suspend": func(*rapid.T) { p.now += time.Minute },
-			"rumour":  func(*rapid.T) { p.Hear(p.appendEntry(nil, 0, 20, restTold)) },
+			"rumour":  func(*rapid.T) { p.Hear(p.appendEntry(nil, 0, 20, backoffTold)) },
 			"row":     func(*rapid.T) { p.row("u", func(b *version.Backend) { b.Slots++ }) },
 			"start": func(*rapid.T) {
 				incarnation++
@@ -219,7 +219,7 @@
 				flying = flying[1:]
 				if d := rapid.IntRange(0, 4000).Draw(t, "rest"); d > 0 {
 					rest := time.Duration(d) * time.Millisecond
-					k.Heed(request.Notice{Rest: rest})
+					k.Heed(request.Notice{RetryAfter: rest})
 					until = max(until, p.now+rest)
 				}
 				k.Done(Refused, &Report{Slots: 6})
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -17,7 +17,7 @@
 func (t *Table) Pick(q *Query) (*Pick, Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	pick, refusal := t.choose(q, wanted)
+	pick, refusal := t.choose(q, eligible)
 	if pick != nil || refusal.Why.lastResort == 0 || refusal.Code == request.DeadlineNear {
 		return pick, refusal
 	}
@@ -28,8 +28,8 @@
 	return nil, refusal
 }
 
-// choose chooses among the backend servers of one standing. The caller holds the lock.
-func (t *Table) choose(q *Query, among standing) (*Pick, Refusal) {
+// choose chooses among the backend servers of one eligibility. The caller holds the lock.
+func (t *Table) choose(q *Query, among eligibility) (*Pick, Refusal) {
 	now := t.Now()
 	part := q.part(t.routing)
 	if part == nil {
@@ -47,8 +47,8 @@
 	if !ok {
 		why.Cold = len(c)
 		retry := t.comeBack(request.NoBackend, 0)
-		if why.allRest() {
-			retry += t.restLeft(s.Backends, now) // no sooner: it would be refused again
+		if why.allBackedOff() {
+			retry += t.backoffLeft(s.Backends, now) // no sooner: it would be refused again
 		}
 		return nil, Refusal{Code: request.NoBackend, Retry: retry, Why: why}
 	}
@@ -146,10 +146,10 @@
 	unseen    bool // the backend server has not worked on the object lately
 }
 
-// candidates lists the backend servers of one standing that may get the request now, the
+// candidates lists the backend servers of one eligibility that may get the request now, the
 // first choices of its object only, and counts those that may not. The list is good
 // until the next call.
-func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, among standing, now time.Duration) ([]candidate, Why) {
+func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, among eligibility, now time.Duration) ([]candidate, Why) {
 	why := Why{Backends: len(s.Backends)}
 	c := t.scratch[:0]
 	weights := t.weights(part, s)
@@ -162,11 +162,11 @@
 			why.Closed++
 			continue
 		}
-		stands := wanted
-		if u.wish != nil {
-			stands = t.stands(q, u, now)
+		e := eligible
+		if u.notices != nil {
+			e = t.eligibilityFor(q, u, now)
 		}
-		if stands != unwanted && t.reaching < mostReached {
+		if e != ineligible && t.reaching < mostReached {
 			t.reach(v.Name, u, now)
 		}
 		draw := v.Draw(object) / u.share.kept
@@ -175,8 +175,8 @@
 		case q.Route.Home != nil && !q.Route.Home[v.Region]:
 			why.Foreign++
 			continue
-		case stands != among:
-			why.leftOut(u, stands, now)
+		case e != among:
+			why.leftOut(u, e, now)
 			continue
 		case !u.usable(now):
 			why.Suspended++
@@ -290,8 +290,8 @@
 	u := t.states[c.index]
 	u.inFlight++
 	*u.flights++
-	if u.wish != nil {
-		u.wish.rest.sent(now)
+	if u.notices != nil {
+		u.notices.backoff.sent(now)
 	}
 	if s.Warming.Rate > 0 && now < u.coldUntil {
 		u.turns.use(now)
--- a/process/balance/departure.go
+++ b/process/balance/departure.go
@@ -24,15 +24,15 @@
 	rowLeaves bool          // its row has said so as well
 }
 
-// standing returns how the backend server stands to new requests. What was said to this
+// eligibility returns that for new requests. What was said to this
 // instance binds it; the word of others only makes the backend server the last choice, so that
 // no rumour can refuse a request.
-func (d *departure) standing(now, within time.Duration) standing {
+func (d *departure) eligibility(now, within time.Duration) eligibility {
 	switch {
 	case d.since == 0 || !d.own && now-d.heard > rumourFor:
-		return wanted
+		return eligible
 	case d.own && now-d.since >= within:
-		return unwanted
+		return ineligible
 	}
 	return lastResort
 }
@@ -89,7 +89,7 @@
 // hearLeaving takes up the word of another instance that a backend server said that it leaves,
 // some time ago. The caller holds the lock.
 func (t *Table) hearLeaving(index int32, age, now time.Duration) {
-	if t.wishOf(t.states[index], now).leaving.hear(age, now) {
+	if t.noticesOf(t.states[index], now).leaving.hear(age, now) {
 		t.noticed(t.routing.Backends[index].Name, request.Notice{Leaving: true}, false)
 	}
 }
--- a/process/balance/home.go
+++ b/process/balance/home.go
@@ -66,7 +66,7 @@
 	if index == version.None {
 		return 0, false
 	}
-	if u := t.states[index]; u.failures > 0 || u.standing(t.Now(), t.LeaveWithin) != wanted {
+	if u := t.states[index]; u.failures > 0 || u.eligibility(t.Now(), t.LeaveWithin) != eligible {
 		index = t.usableHome(&of, part)
 	}
 	if index == version.None {
--- a/process/balance/notice.go
+++ b/process/balance/notice.go
@@ -19,44 +19,44 @@
 	return startOf{v.Name, v.Address, v.Software, v.Incarnation}
 }
 
-// wish is what a start of a backend server wants by its own word (request.Notice), as it told
-// this instance or another one. It holds whatever the row of the backend server says: while
+// noticeState is what is known of the notices (request.Notice) of one start of a backend
+// server, as it told them to this instance or another one. It holds whatever the row of the backend server says: while
 // the store is away a row goes on saying "ready", and the server itself knows better. See
 // docs/design/notices.md.
-type wish struct {
+type noticeState struct {
 	leaving departure
-	rest    rest
+	backoff backoff
 	listed  time.Duration // when a routing had the backend server last
 }
 
-// wishKept is how long a wish is remembered of a backend server whose row is gone: rows lapse
+// noticeKept is how long notices are remembered of a backend server whose row is gone: rows lapse
 // while the store is away and come back as they were.
-const wishKept = time.Minute
+const noticeKept = time.Minute
 
-// standing is how a backend server stands to new requests by its own word.
-type standing uint8
+// eligibility is whether a backend server may get new requests by its own notices.
+type eligibility uint8
 
 const (
-	// wanted: it said nothing.
-	wanted standing = iota
+	// eligible: there are none that count.
+	eligible eligibility = iota
 	// lastResort: it gets what no other can take.
 	lastResort
-	// unwanted: it gets nothing.
-	unwanted
+	// ineligible: it gets nothing.
+	ineligible
 )
 
-// standing returns how the backend server stands to new requests. Within is how long after its
-// word one that leaves may still get what no other can take.
-func (u *backend) standing(now, within time.Duration) standing {
-	if u.wish == nil {
-		return wanted
+// eligibility returns that for new requests. Within is how long after its word one that leaves
+// may still get what no other can take.
+func (u *backend) eligibility(now, within time.Duration) eligibility {
+	if u.notices == nil {
+		return eligible
 	}
-	return max(u.wish.leaving.standing(now, within), u.wish.rest.standing(now))
+	return max(u.notices.leaving.eligibility(now, within), u.notices.backoff.eligibility(now))
 }
 
 // takes reports whether the backend server is one to choose among all others.
 func (t *Table) takes(u *backend, now time.Duration) bool {
-	return u.usable(now) && u.standing(now, t.LeaveWithin) == wanted
+	return u.usable(now) && u.eligibility(now, t.LeaveWithin) == eligible
 }
 
 // Heed takes up what the head of an answer says its server wants from now on. It is called
@@ -69,87 +69,87 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	w := t.wishOf(p.u, now)
+	w := t.noticesOf(p.u, now)
 	began := n.Leaving && w.leaving.told(now)
-	if n.Rest > 0 {
+	if n.RetryAfter > 0 {
 		p.turnedAway = true
-		began = w.rest.ask(n.Rest, now) || began
+		began = w.backoff.ask(n.RetryAfter, now) || began
 	}
 	if began {
 		t.noticed(p.Name, n, true)
 	}
 }
 
-// Allowed reports whether the backend server still wants the request, which is asked right
+// Allowed reports whether the backend server may still get the request, which is asked right
 // before its first byte leaves: the process may have stood still since the choice, or a
 // connection taken long, and another answer told more meanwhile.
 func (p *Pick) Allowed() bool {
 	t := p.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return p.u.standing(t.Now(), t.LeaveWithin) != unwanted
+	return p.u.eligibility(t.Now(), t.LeaveWithin) != ineligible
 }
 
-// wishOf returns the wish of a backend server, which is empty unless it is known. The caller
+// noticesOf returns what is known of the notices of a backend server, to be added to. The caller
 // holds the lock.
-func (t *Table) wishOf(u *backend, now time.Duration) *wish {
-	if u.wish != nil {
-		return u.wish
+func (t *Table) noticesOf(u *backend, now time.Duration) *noticeState {
+	if u.notices != nil {
+		return u.notices
 	}
-	if t.wishes == nil {
-		t.wishes = make(map[startOf]*wish)
+	if t.notices == nil {
+		t.notices = make(map[startOf]*noticeState)
 	}
-	w := t.wishes[u.start]
+	w := t.notices[u.start]
 	if w == nil {
-		w = &wish{listed: now}
-		t.wishes[u.start] = w
+		w = &noticeState{listed: now}
+		t.notices[u.start] = w
 	}
-	u.wish = w
+	u.notices = w
 	return w
 }
 
-// listWish gives a backend server of a new routing its wish, and compares it with its row. The
+// listNotices gives a backend server of a new routing its notices, and compares them with its row. The
 // caller holds the lock.
-func (t *Table) listWish(u *backend, v *version.RoutedBackend, now time.Duration) {
-	u.wish = t.wishes[u.start]
-	if u.wish == nil {
+func (t *Table) listNotices(u *backend, v *version.RoutedBackend, now time.Duration) {
+	u.notices = t.notices[u.start]
+	if u.notices == nil {
 		return
 	}
-	u.wish.listed = now
-	u.wish.leaving.seeRow(v.Leaving)
+	u.notices.listed = now
+	u.notices.leaving.seeRow(v.Leaving)
 }
 
-// forgetWishes drops those of backend servers that no routing has had for long, so that memory
+// forgetNotices drops those of backend servers that no routing has had for long, so that memory
 // is bounded however many follow each other. The caller holds the lock.
-func (t *Table) forgetWishes(now time.Duration) {
-	for start, w := range t.wishes {
-		if now-w.listed > wishKept {
-			delete(t.wishes, start)
+func (t *Table) forgetNotices(now time.Duration) {
+	for start, w := range t.notices {
+		if now-w.listed > noticeKept {
+			delete(t.notices, start)
 		}
 	}
 }
 
-// noticed tells of a wish that is new.
+// noticed tells of a notice that is new.
 func (t *Table) noticed(backend string, n request.Notice, own bool) {
 	if t.OnNotice != nil {
 		t.OnNotice(backend, n, own)
 	}
 }
 
-// Wishes returns the number of backend servers that say that they leave, while their rows do
-// not close them, and of those that want rest now.
-func (t *Table) Wishes() (leaving, resting int) {
+// Notices returns the number of backend servers that say that they leave, while their rows do
+// not close them, and of those to which requests are held back.
+func (t *Table) Notices() (leaving, resting int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
 	for i, u := range t.states {
-		if u.wish == nil || t.routing.Backends[i].Closed {
+		if u.notices == nil || t.routing.Backends[i].Closed {
 			continue
 		}
-		if u.wish.leaving.standing(now, t.LeaveWithin) != wanted {
+		if u.notices.leaving.eligibility(now, t.LeaveWithin) != eligible {
 			leaving++
 		}
-		if u.wish.rest.standing(now) != wanted {
+		if u.notices.backoff.eligibility(now) != eligible {
 			resting++
 		}
 	}
--- a/process/balance/notice_test.go
+++ b/process/balance/notice_test.go
@@ -100,10 +100,10 @@
 		p.put(row)
 		p.install()
 	}
-	without(wishKept)
+	without(noticeKept)
 	byName, _ := p.picks()
 	assert.Equal(t, byName["u"], 0)
-	without(wishKept + time.Second)
+	without(noticeKept + time.Second)
 	byName, _ = p.picks()
 	assert.Assert(t, byName["u"] > 0)
 	for i := range 1000 {
@@ -111,7 +111,7 @@
 		p.heed(t, "u", leaves)
 		p.now += time.Second
 	}
-	assert.Assert(t, len(p.wishes) <= int(wishKept/time.Second)+1, "%d kept", len(p.wishes))
+	assert.Assert(t, len(p.notices) <= int(noticeKept/time.Second)+1, "%d kept", len(p.notices))
 }
 
 // TestBackendThatLeavesIsTheLastResort checks that one gets what no other can take, be they
@@ -178,7 +178,7 @@
 	p.install()
 	for i, u := range p.states {
 		if i%2 == 0 {
-			p.wishOf(u, p.now).leaving.told(p.now)
+			p.noticesOf(u, p.now).leaving.told(p.now)
 			continue
 		}
 		if i%5 == 0 {
@@ -263,7 +263,7 @@
 }
 
 func (p *place) leaving() int {
-	leaving, _ := p.Wishes()
+	leaving, _ := p.Notices()
 	return leaving
 }
 
--- a/process/balance/observe.go
+++ b/process/balance/observe.go
@@ -26,12 +26,12 @@
 	observationBytes = 6
 	// unreachable stands in the place of the load for a backend server that could not
 	// be reached, or lost answers in a row; leavingTold for one that said that it leaves,
-	// and restTold for one that wants rest: the time is then what is left of it. Loads
+	// and backoffTold for one that asked for a backoff: the time is then what is left of it. Loads
 	// stay below them.
 	unreachable = 0xff
 	leavingTold = 0xfe
-	restTold    = 0xfd
-	mostLoad    = restTold - 1
+	backoffTold = 0xfd
+	mostLoad    = backoffTold - 1
 	// mostDoubted is the share of the backend servers of a service that are doubted on
 	// the word of others at most: if more seem to fail, it may be their links.
 	mostDoubted = 1.0 / 3
@@ -102,7 +102,7 @@
 func (t *Table) tellNotices(size int, now time.Duration) (out []byte) {
 	var tell []int32
 	for i, u := range t.states {
-		if u.wish != nil && u.wish.worthTelling(t.routing.Backends[i].Leaving, now) {
+		if u.notices != nil && u.notices.worthTelling(t.routing.Backends[i].Leaving, now) {
 			tell = append(tell, int32(i))
 		}
 	}
@@ -111,20 +111,20 @@
 		tell = tell[:most]
 	}
 	for _, i := range tell {
-		w := t.states[i].wish
+		w := t.states[i].notices
 		if w.leaving.worthTelling(t.routing.Backends[i].Leaving, now) {
 			out = t.appendEntry(out, i, w.leaving.units(now), leavingTold)
 		} else {
-			out = t.appendEntry(out, i, w.rest.units(now), restTold)
+			out = t.appendEntry(out, i, w.backoff.units(now), backoffTold)
 		}
 	}
 	return out
 }
 
-// worthTelling reports whether others should know of a wish. Of one that leaves and rests they
-// are told that it leaves.
-func (w *wish) worthTelling(rowLeaves bool, now time.Duration) bool {
-	return w.leaving.worthTelling(rowLeaves, now) || w.rest.units(now) > 0
+// worthTelling reports whether others should know of notices. Of one that leaves and asked
+// for a backoff they are told that it leaves.
+func (w *noticeState) worthTelling(rowLeaves bool, now time.Duration) bool {
+	return w.leaving.worthTelling(rowLeaves, now) || w.backoff.units(now) > 0
 }
 
 // Hear takes up the observations of another instance.
@@ -145,8 +145,8 @@
 		switch e[5] {
 		case leavingTold:
 			t.hearLeaving(i, age, now)
-		case restTold:
-			t.hearRest(i, time.Duration(e[4])*restUnit, now)
+		case backoffTold:
+			t.hearBackoff(i, time.Duration(e[4])*backoffUnit, now)
 		default:
 			t.hear(i, observation{at: now - age, load: e[5]}, now)
 		}
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -48,8 +48,8 @@
 		t.turnedAway(p, now)
 		return
 	}
-	if u.wish != nil && (o == Answered || o == Refused) {
-		u.wish.rest.took(p.started)
+	if u.notices != nil && (o == Answered || o == Refused) {
+		u.notices.backoff.took(p.started)
 	}
 	if o == Refused && report.idle() {
 		t.refusedIdle(p, now)
@@ -101,12 +101,12 @@
 		return
 	}
 	pause := min(t.Policy.SuspendLeast<<min(over, 5), t.Policy.SuspendMost)
-	if t.wishOf(u, now).rest.avoid(pause, now) && t.OnAvoid != nil {
+	if t.noticesOf(u, now).backoff.avoid(pause, now) && t.OnAvoid != nil {
 		t.OnAvoid(p.Name, u.refused, pause)
 	}
 }
 
-// turnedAway notes an answer that asked for rest. Nothing else is learnt of it: a backend
+// turnedAway notes an answer that asked for a backoff. Nothing else is learnt of it: a backend
 // server that turns everything away is idle and quick, so its load report and the time that
 // it took would send it more than any other gets (0.47 of all requests in place of 0.27, as
 // six of twenty did it).
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -26,7 +26,7 @@
 	// the number of failures in a row, and with 0 failures when it answers again.
 	// It must not call the table.
 	OnSuspend func(backend string, failures int, pause time.Duration)
-	// OnNotice, if set, is told when a backend server begins to leave or to rest by its own
+	// OnNotice, if set, is told when a backend server begins to leave, or a backoff begins, by its own
 	// word; own: it was told to this instance, not by another one. It must not call the table.
 	OnNotice func(backend string, n request.Notice, own bool)
 	// OnAvoid, if set, is told when a backend server becomes the last choice for a while since
@@ -57,8 +57,8 @@
 	scratch  []candidate          // memory of candidates, kept between decisions
 	splits   map[string][]float64 // credit of each part, by route
 	seen     seenObjects
-	// wishes are those that backend servers told.
-	wishes map[startOf]*wish
+	// notices are those that backend servers told.
+	notices map[startOf]*noticeState
 }
 
 // Install makes a routing the one that is decided on.
@@ -79,11 +79,11 @@
 		if u.install(v, now) {
 			u.turns = turns{policy: &t.Policy, rate: r.Services[v.Service].Warming.Rate}
 		}
-		t.listWish(u, v, now)
+		t.listNotices(u, v, now)
 		byName[v.Name] = u
 		states[i] = u
 	}
-	t.forgetWishes(now)
+	t.forgetNotices(now)
 	for name, u := range t.byName {
 		if byName[name] != u {
 			u.pool.CloseIdle()
@@ -195,7 +195,7 @@
 	life    uint64 // of the backend server
 	started time.Duration
 	held    bool // Hold was called
-	// turnedAway is set if the answer asked for rest.
+	// turnedAway is set if the answer asked for a backoff.
 	turnedAway bool
 }
 
--- a/process/balance/why.go
+++ b/process/balance/why.go
@@ -14,7 +14,7 @@
 	Backends  int
 	Closed    int // leaving by its row, or in a drained place
 	Leaving   int // leaving by its own answers
-	Resting   int // wants rest by its own answers
+	BackedOff int // asked for a backoff, or refuses though it is idle
 	Foreign   int // in a region that is no home of the route
 	Suspended int // failed lately
 	Full      int // this instance's share of its connections is in use
@@ -35,7 +35,7 @@
 		name  string
 		count int
 	}{
-		{"backends", w.Backends}, {"closed", w.Closed}, {"leaving", w.Leaving}, {"resting", w.Resting}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
+		{"backends", w.Backends}, {"closed", w.Closed}, {"leaving", w.Leaving}, {"backedOff", w.BackedOff}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
 		{"full", w.Full}, {"tried", w.Tried}, {"cold", w.Cold},
 	} {
 		if x.count > 0 {
@@ -47,13 +47,13 @@
 	}
 }
 
-// leftOut counts a backend server that was left out for how it stands to new requests.
-func (w *Why) leftOut(u *backend, s standing, now time.Duration) {
-	if s == wanted {
+// leftOut counts a backend server that was left out for its notices.
+func (w *Why) leftOut(u *backend, s eligibility, now time.Duration) {
+	if s == eligible {
 		return
 	}
-	if u.wish.leaving.standing(now, 0) == wanted {
-		w.Resting++
+	if u.notices.leaving.eligibility(now, 0) == eligible {
+		w.BackedOff++
 	} else {
 		w.Leaving++
 	}
@@ -62,7 +62,7 @@
 	}
 }
 
-// allRest reports whether nothing but rests kept backend servers from being taken.
-func (w *Why) allRest() bool {
-	return w.Resting > 0 && w.Resting == w.Backends-w.Closed-w.Leaving-w.Foreign
+// allBackedOff reports whether nothing but rests kept backend servers from being taken.
+func (w *Why) allBackedOff() bool {
+	return w.BackedOff > 0 && w.BackedOff == w.Backends-w.Closed-w.Leaving-w.Foreign
 }
--- a/process/edge/belief.go
+++ b/process/edge/belief.go
@@ -69,14 +69,14 @@
 	e.log.Info().Str("backend", backend).Int("failures", failures).Dur("pause", pause).Msg("backend-suspended")
 }
 
-// logNotice writes that a backend server begins to leave or to rest by its own word, told to
+// logNotice writes that a backend server begins to leave, or a backoff begins, by its own word, told to
 // this instance or by another one.
 func (e *Edge) logNotice(backend string, n request.Notice, own bool) {
 	if n.Leaving {
 		e.log.Info().Str("backend", backend).Bool("own", own).Msg("backend-leaving")
 	}
-	if n.Rest > 0 {
-		e.log.Info().Str("backend", backend).Bool("own", own).Dur("rest", n.Rest).Msg("backend-rests")
+	if n.RetryAfter > 0 {
+		e.log.Info().Str("backend", backend).Bool("own", own).Dur("retryAfter", n.RetryAfter).Msg("backend-backoff")
 	}
 }
 
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -211,9 +211,9 @@
 		e.metrics.Gauge("version").Update(r.Seq)
 		e.metrics.Gauge("backends").Update(int64(len(r.Backends)))
 	}
-	leaving, resting := e.table.Wishes()
+	leaving, backedOff := e.table.Notices()
 	e.metrics.Gauge("backends_leaving").Update(int64(leaving))
-	e.metrics.Gauge("backends_resting").Update(int64(resting))
+	e.metrics.Gauge("backends_backed_off").Update(int64(backedOff))
 	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
 	e.metrics.Gauge("requests_running").Update(e.proxy.Running())
 	e.metrics.Gauge("requests_quarantined").Update(int64(e.quarantine.Count()))
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -153,8 +153,8 @@
 		t.sent = wasSent
 		_, _ = io.CopyN(io.Discard, ex.Response.Body, smallBody) // so that the connection can be kept
 		ex.Close()
-		rest := request.OwnNames.Notice(ex.Response.StatusCode, h).Rest
-		t.f.Steer.Health.TurnedAway(name, rest, h.Get(request.HeaderState), h.Get(request.HeaderBoot), t.f.Now()-start, t.f.Now())
+		retryAfter := request.OwnNames.Notice(ex.Response.StatusCode, h).RetryAfter
+		t.f.Steer.Health.TurnedAway(name, retryAfter, h.Get(request.HeaderState), h.Get(request.HeaderBoot), t.f.Now()-start, t.f.Now())
 		r := t.result(request.BackendRefused)
 		r.Retry = time.Second
 		return nil, r, t.src.again()
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -248,7 +248,7 @@
 		return r.Code
 	}
 	assert.Equal(t, call(), request.OK)
-	f.backend.SetFault(backend.Fault{Shed: 1, RestS: 1})
+	f.backend.SetFault(backend.Fault{Shed: 1, RetryAfterS: 1})
 	assert.Equal(t, call(), request.BackendRefused)
 	refused := f.backend.Refused()
 	f.backend.SetFault(backend.Fault{})
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -38,7 +38,7 @@
 	cost     time.Duration
 	failures int           // in a row
 	closed   time.Duration // closed for failures until then, on the process's clock
-	rests    time.Duration // it asked for rest until then
+	backoff  time.Duration // it asked for a backoff until then
 	awaiting []awaiting
 }
 
@@ -133,10 +133,10 @@
 }
 
 // TurnedAway notes that the backend server refused a request without running it, and for how
-// long it wants rest; zero: it did not ask. Its answers to what was sent before do not end
-// the rest. The time that a refusal took says nothing of what an answer costs: one that
+// long it asked to be left alone; zero: it did not. Its answers to what was sent before do
+// not end that. The time that a refusal took says nothing of what an answer costs: one that
 // turns everything away at once would look like the best of all.
-func (t *Table) TurnedAway(name string, rest time.Duration, state, boot string, took, now time.Duration) {
+func (t *Table) TurnedAway(name string, retryAfter time.Duration, state, boot string, took, now time.Duration) {
 	t.mu.Lock()
 	u := t.backends[name]
 	if u == nil {
@@ -145,7 +145,7 @@
 	}
 	u.failures = 0
 	u.closed = 0
-	u.rests = max(u.rests, now+rest)
+	u.backoff = max(u.backoff, now+retryAfter)
 	t.after(name, u, state, boot, took, now)
 }
 
@@ -187,7 +187,7 @@
 		return Leaving{}, false
 	}
 	if u.boot != boot {
-		u.rests = 0 // another start asked for it
+		u.backoff = 0 // another start asked for it
 	}
 	u.boot = boot
 	if state != conn.StateLeaving {
@@ -281,7 +281,7 @@
 	}
 	u := t.backends[name]
 	t.counters.Cost[place].Store(int64(u.cost))
-	t.counters.Closed[place].Store(now < u.closed || now < u.rests || t.isLeaving(name, u))
+	t.counters.Closed[place].Store(now < u.closed || now < u.backoff || t.isLeaving(name, u))
 }
 
 // Leaving reports whether a backend server has said that it takes no more work.
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -64,8 +64,8 @@
 	if n.Leaving {
 		s.Counter("answers_leaving_total" + of).Inc(1)
 	}
-	if n.Rest > 0 {
-		s.Counter("answers_rest_total" + of).Inc(1)
+	if n.RetryAfter > 0 {
+		s.Counter("answers_retry_after_total" + of).Inc(1)
 	}
 }
 
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -206,7 +206,7 @@
 	t.p.Log.Info().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
 		Str("class", t.c.route.Class.String()).Str("workspace", t.c.workspaceName()).Bool("late", took > time.Duration(t.c.route.Objective)).
 		Str("backend", pick.Name).Str("software", pick.Software).Bool("target", a.target).Bool("declined", t.declined).Int("rank", pick.Rank).Bool("lastResort", pick.LastResort).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
-		Bool("leaving", a.notice.Leaving).Dur("rest", a.notice.Rest).Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
+		Bool("leaving", a.notice.Leaving).Dur("retryAfter", a.notice.RetryAfter).Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
 		Dur("took", took).Msg("answered")
 }
 
@@ -215,7 +215,7 @@
 
 // notice takes up what an answer says of what its server wants from now on, before the answer
 // is passed on. A misdirected request was answered by another server than the one that was
-// chosen: that one's wishes say nothing of the chosen one.
+// chosen: that one's notices say nothing of the chosen one.
 func (t *trial) notice(res *http.Response, pick *balance.Pick) request.Notice {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return request.Notice{}
@@ -234,7 +234,7 @@
 	ex.Close()
 	pick.Done(balance.Refused, report)
 	t.over(pick, rollout.Outcome{Failed: misdirected, Inconclusive: !misdirected})
-	t.line(pick).Int("status", ex.Response.StatusCode).Bool("leaving", notice.Leaving).Dur("rest", notice.Rest).
+	t.line(pick).Int("status", ex.Response.StatusCode).Bool("leaving", notice.Leaving).Dur("retryAfter", notice.RetryAfter).
 		Str("load", ex.Response.Header.Get(t.p.Names.Load)).Msg("backend-refused")
 	if misdirected {
 		pick.Gone()
--- a/process/proxy/notice_test.go
+++ b/process/proxy/notice_test.go
@@ -24,7 +24,7 @@
 	assert.Equal(t, f.send("turned-away", "/reads/1", "").status, http.StatusServiceUnavailable)
 	refused := log.lines("backend-refused")
 	assert.Equal(t, len(refused), 1)
-	assert.Assert(t, strings.Contains(refused[0], " rest=1500 "), refused[0])
+	assert.Assert(t, strings.Contains(refused[0], " retryAfter=1500 "), refused[0])
 
 	f = newFixture(t, 1)
 	var other syncBuffer
--- a/request/notice.go
+++ b/request/notice.go
@@ -14,8 +14,8 @@
 type Notice struct {
 	// Leaving is set if it is about to end and wants no new requests.
 	Leaving bool
-	// Rest is for how long it wants no requests of this instance. Zero: it did not ask.
-	Rest time.Duration
+	// RetryAfter is for how long it wants no requests of this instance. Zero: it did not ask.
+	RetryAfter time.Duration
 }
 
 const (
@@ -24,28 +24,28 @@
 	headerRetryAfter = "Retry-After"
 	// leavingSaid is the value with which an answer says that its server leaves.
 	leavingSaid = "1"
-	// mostRest bounds what is taken up, so that no number overflows a time: a longer rest
-	// than a day is as good as none left.
-	mostRest = 24 * time.Hour
+	// mostRetryAfter bounds what is taken up, so that no number overflows a time: a longer time
+	// than a day is as good as for ever.
+	mostRetryAfter = 24 * time.Hour
 )
 
-// Notice reads what the head of an answer says. Rest is asked for by an answer that turns
+// Notice reads what the head of an answer says. RetryAfter is asked for by an answer that turns
 // its request away: a 503, or a 429 that says that nothing was run. Other answers with a
 // time to come back mean the caller.
 func (n *Names) Notice(status int, h http.Header) Notice {
 	out := Notice{Leaving: n.Leaving != "" && h.Get(n.Leaving) == leavingSaid}
 	away := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests && h.Get(n.NotRun) != ""
 	if away {
-		out.Rest = restOf(h.Get(headerRetryAfter))
+		out.RetryAfter = retryAfterOf(h.Get(headerRetryAfter))
 	}
 	return out
 }
 
-// restOf reads a number of seconds, fractions allowed. Anything else is no rest.
-func restOf(text string) time.Duration {
+// retryAfterOf reads a number of seconds, fractions allowed. Anything else is none.
+func retryAfterOf(text string) time.Duration {
 	s, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(s) || s <= 0 {
 		return 0
 	}
-	return time.Duration(min(s, mostRest.Seconds()) * float64(time.Second))
+	return time.Duration(min(s, mostRetryAfter.Seconds()) * float64(time.Second))
 }
--- a/request/notice_test.go
+++ b/request/notice_test.go
@@ -27,17 +27,17 @@
 		"nothing":                      {200, head(), Notice{}},
 		"it leaves":                    {200, head(leaving, "1"), Notice{Leaving: true}},
 		"it does not leave":            {200, head(leaving, "0"), Notice{}},
-		"a refusal of one that leaves": {503, head(leaving, "1", "Retry-After", "2"), Notice{Leaving: true, Rest: 2 * time.Second}},
-		"rest":                         {503, head("Retry-After", "3", notRun, "1"), Notice{Rest: 3 * time.Second}},
-		"a part of a second":           {503, head("Retry-After", "0.25"), Notice{Rest: 250 * time.Millisecond}},
-		"too many, turned away":        {429, head("Retry-After", "1", notRun, "1"), Notice{Rest: time.Second}},
+		"a refusal of one that leaves": {503, head(leaving, "1", "Retry-After", "2"), Notice{Leaving: true, RetryAfter: 2 * time.Second}},
+		"rest":                         {503, head("Retry-After", "3", notRun, "1"), Notice{RetryAfter: 3 * time.Second}},
+		"a part of a second":           {503, head("Retry-After", "0.25"), Notice{RetryAfter: 250 * time.Millisecond}},
+		"too many, turned away":        {429, head("Retry-After", "1", notRun, "1"), Notice{RetryAfter: time.Second}},
 		"too many, of the caller":      {429, head("Retry-After", "1"), Notice{}},
 		"of another answer":            {200, head("Retry-After", "1"), Notice{}},
 		"a date":                       {503, head("Retry-After", "Fri, 31 Dec 2027 23:59:59 GMT"), Notice{}},
 		"below zero":                   {503, head("Retry-After", "-4"), Notice{}},
 		"no number":                    {503, head("Retry-After", "NaN"), Notice{}},
-		"without end":                  {503, head("Retry-After", "+Inf"), Notice{Rest: mostRest}},
-		"too large for a time":         {503, head("Retry-After", "1e300"), Notice{Rest: mostRest}},
+		"without end":                  {503, head("Retry-After", "+Inf"), Notice{RetryAfter: mostRetryAfter}},
+		"too large for a time":         {503, head("Retry-After", "1e300"), Notice{RetryAfter: mostRetryAfter}},
 	} {
 		assert.Equal(t, OwnNames.Notice(x.status, x.head), x.want, name)
 	}
@@ -52,6 +52,6 @@
 		h.Set("Retry-After", after)
 		h.Set(OwnNames.Leaving, leaving)
 		n := OwnNames.Notice(status, h)
-		assert.Assert(t, n.Rest >= 0 && n.Rest <= mostRest)
+		assert.Assert(t, n.RetryAfter >= 0 && n.RetryAfter <= mostRetryAfter)
 	})
 }
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -34,7 +34,7 @@
 type Fault struct {
 	SlowMs       int     `json:"slowMs"`       // added to each request's work
 	Shed         float64 `json:"shed"`         // refused without running
-	RestS        int     `json:"restS"`        // rest that each refusal asks for
+	RetryAfterS  int     `json:"retryAfterS"`  // rest that each refusal asks for
 	Leaving      bool    `json:"leaving"`      // says that it is leaving
 	LieIdle      bool    `json:"lieIdle"`      // reports no load
 	LateMs       int     `json:"lateMs"`       // answer held back after the work
@@ -164,8 +164,8 @@
 	h.Set(request.HeaderID, r.Header.Get(request.HeaderID))
 	if rand.Float64() < f.Shed || s.tooMany() {
 		h.Set(request.HeaderNotRun, "true")
-		if f.RestS > 0 {
-			h.Set("Retry-After", strconv.Itoa(f.RestS))
+		if f.RetryAfterS > 0 {
+			h.Set("Retry-After", strconv.Itoa(f.RetryAfterS))
 		}
 		s.shed.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/server/notice.go
+++ b/standin/server/notice.go
@@ -15,13 +15,13 @@
 	Start int // how often the backend server had been started again
 }
 
-// Notice is an answer in which the backend server said that it leaves, or asked for rest.
+// Notice is an answer in which the backend server said that it leaves, or asked for a backoff.
 type Notice struct {
-	ID      string // of the request
-	At      time.Time
-	Start   int // how often the backend server had been started again
-	Leaving bool
-	Rest    time.Duration
+	ID         string // of the request
+	At         time.Time
+	Start      int // how often the backend server had been started again
+	Leaving    bool
+	RetryAfter time.Duration
 }
 
 // Leave makes each answer from now on say that the backend server leaves. It serves on.
@@ -31,29 +31,29 @@
 	s.leaves = true
 }
 
-// TurnAway makes the backend server refuse everything for a time, asking for rest in each
+// TurnAway makes the backend server refuse everything for a time, asking for a backoff in each
 // refusal. Its load reports say that it is idle, as it is.
-func (s *Server) TurnAway(d, rest time.Duration) {
+func (s *Server) TurnAway(d, retryAfter time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away = time.Now().Add(d)
-	s.rest = rest
+	s.retryAfter = retryAfter
 }
 
-// notice returns the header lines that tell of the backend server's wishes, for the answer
+// notice returns the header lines that tell of the backend server's notices, for the answer
 // to a request, and notes them.
 func (s *Server) notice(id string, f Fault) (lines string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := Notice{ID: id, At: time.Now(), Start: s.started, Leaving: s.leaves}
 	if f == Shed && n.At.Before(s.away) {
-		n.Rest = s.rest
+		n.RetryAfter = s.retryAfter
 	}
 	if n.Leaving {
 		lines += s.Names.Leaving + ": 1\r\n"
 	}
-	if n.Rest > 0 {
-		lines += fmt.Sprintf("Retry-After: %g\r\n", n.Rest.Seconds())
+	if n.RetryAfter > 0 {
+		lines += fmt.Sprintf("Retry-After: %g\r\n", n.RetryAfter.Seconds())
 	}
 	if lines != "" {
 		s.noticed = append(s.noticed, n)
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -63,29 +63,29 @@
 	Crashes func(*http.Request) bool
 	OnCrash func()
 
-	mu       sync.Mutex
-	listener net.Listener
-	born     time.Time
-	faults   []Fault
-	runs     []Run
-	seen     map[string]bool
-	running  int
-	waiting  int
-	most     int
-	cold     time.Time   // until when it counts what arrives
-	arrivals []time.Time // while it was cold
-	closed   int         // connections whose client left before the answer
-	opened   int
-	badFrom  time.Time // from when Bad.After counts
-	sent     []Arrival // what came
-	noticed  []Notice  // the answers with a notice
-	started  int       // how often it was started again
-	leaves   bool      // each answer says so
-	away     time.Time // until when it turns all away
-	rest     time.Duration
-	bad      []BadAnswer
-	open     map[net.Conn]bool
-	killed   bool
+	mu         sync.Mutex
+	listener   net.Listener
+	born       time.Time
+	faults     []Fault
+	runs       []Run
+	seen       map[string]bool
+	running    int
+	waiting    int
+	most       int
+	cold       time.Time   // until when it counts what arrives
+	arrivals   []time.Time // while it was cold
+	closed     int         // connections whose client left before the answer
+	opened     int
+	badFrom    time.Time // from when Bad.After counts
+	sent       []Arrival // what came
+	noticed    []Notice  // the answers with a notice
+	started    int       // how often it was started again
+	leaves     bool      // each answer says so
+	away       time.Time // until when it turns all away
+	retryAfter time.Duration
+	bad        []BadAnswer
+	open       map[net.Conn]bool
+	killed     bool
 }
 
 // Start starts the backend server on loopback.
