--- a/process/balance/doc.go
+++ b/process/balance/doc.go
@@ -40,6 +40,12 @@
 for a time that doubles (outcome.go). Then a connection is opened to it (reach.go),
 and one request tries it.
 
+# What backend servers ask for
+
+A backend server says in its answers that it leaves, or for how long it wants to be left alone
+(notice.go). That holds for its present start and all requests of this instance, whatever its
+row says: it gets nothing more, or only what no other can take (departure.go, backoff.go).
+
 # What others saw
 
 Instances tell each other which backend servers can't be reached and which have no slot
