--- a/process/balance/notice.go
+++ b/process/balance/notice.go
@@ -69,11 +69,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
-	w := t.noticesOf(p.u, now)
-	began := n.Leaving && w.leaving.told(now)
+	known := t.noticesOf(p.u, now)
+	began := n.Leaving && known.leaving.told(now)
 	if n.RetryAfter > 0 {
 		p.turnedAway = true
-		began = w.backoff.ask(n.RetryAfter, now) || began
+		began = known.backoff.ask(n.RetryAfter, now) || began
 	}
 	if began {
 		t.noticed(p.Name, n, true)
@@ -99,13 +99,13 @@
 	if t.notices == nil {
 		t.notices = make(map[startOf]*noticeState)
 	}
-	w := t.notices[u.start]
-	if w == nil {
-		w = &noticeState{listed: now}
-		t.notices[u.start] = w
+	n := t.notices[u.start]
+	if n == nil {
+		n = &noticeState{listed: now}
+		t.notices[u.start] = n
 	}
-	u.notices = w
-	return w
+	u.notices = n
+	return n
 }
 
 // listNotices gives a backend server of a new routing its notices, and compares them with its row. The
@@ -122,8 +122,8 @@
 // forgetNotices drops those of backend servers that no routing has had for long, so that memory
 // is bounded however many follow each other. The caller holds the lock.
 func (t *Table) forgetNotices(now time.Duration) {
-	for start, w := range t.notices {
-		if now-w.listed > noticeKept {
+	for start, n := range t.notices {
+		if now-n.listed > noticeKept {
 			delete(t.notices, start)
 		}
 	}
--- a/process/balance/observe.go
+++ b/process/balance/observe.go
@@ -25,9 +25,9 @@
 	// start, one of the age, one of the load.
 	observationBytes = 6
 	// unreachable stands in the place of the load for a backend server that could not
-	// be reached, or lost answers in a row; leavingTold for one that said that it leaves,
-	// and backoffTold for one that asked for a backoff: the time is then what is left of it. Loads
-	// stay below them.
+	// be reached, or lost answers in a row; leavingTold for one that said that it leaves, and
+	// backoffTold for one that asked for a backoff: the time is then what is left of it.
+	// Loads stay below them.
 	unreachable = 0xff
 	leavingTold = 0xfe
 	backoffTold = 0xfd
@@ -111,11 +111,11 @@
 		tell = tell[:most]
 	}
 	for _, i := range tell {
-		w := t.states[i].notices
-		if w.leaving.worthTelling(t.routing.Backends[i].Leaving, now) {
-			out = t.appendEntry(out, i, w.leaving.units(now), leavingTold)
+		n := t.states[i].notices
+		if n.leaving.worthTelling(t.routing.Backends[i].Leaving, now) {
+			out = t.appendEntry(out, i, n.leaving.units(now), leavingTold)
 		} else {
-			out = t.appendEntry(out, i, w.backoff.units(now), backoffTold)
+			out = t.appendEntry(out, i, n.backoff.units(now), backoffTold)
 		}
 	}
 	return out
@@ -123,8 +123,8 @@
 
 // worthTelling reports whether others should know of notices. Of one that leaves and asked
 // for a backoff they are told that it leaves.
-func (w *noticeState) worthTelling(rowLeaves bool, now time.Duration) bool {
-	return w.leaving.worthTelling(rowLeaves, now) || w.backoff.units(now) > 0
+func (n *noticeState) worthTelling(rowLeaves bool, now time.Duration) bool {
+	return n.leaving.worthTelling(rowLeaves, now) || n.backoff.units(now) > 0
 }
 
 // Hear takes up the observations of another instance.
--- a/process/balance/why.go
+++ b/process/balance/why.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// allBackedOff reports whether nothing but rests kept backend servers from being taken.
+// allBackedOff reports whether nothing but backoffs kept backend servers from being taken.
 func (w *Why) allBackedOff() bool {
 	return w.BackedOff > 0 && w.BackedOff == w.Backends-w.Closed-w.Leaving-w.Foreign
 }
--- a/process/edge/belief.go
+++ b/process/edge/belief.go
@@ -69,8 +69,8 @@
 	e.log.Info().Str("backend", backend).Int("failures", failures).Dur("pause", pause).Msg("backend-suspended")
 }
 
-// logNotice writes that a backend server begins to leave, or a backoff begins, by its own word, told to
-// this instance or by another one.
+// logNotice writes that a backend server begins to leave, or a backoff begins, by its own
+// word, told to this instance or by another one.
 func (e *Edge) logNotice(backend string, n request.Notice, own bool) {
 	if n.Leaving {
 		e.log.Info().Str("backend", backend).Bool("own", own).Msg("backend-leaving")
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -58,7 +58,7 @@
 }
 
 // Notice counts an answer in which a backend server of a service says that it leaves, or
-// asks for rest.
+// asks to be left alone for a time.
 func (s *Set) Notice(service string, n request.Notice) {
 	of := "{service=" + strconv.Quote(service) + "}"
 	if n.Leaving {
--- /dev/null
+++ b/process/proxy/forward.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"shalewick/process/balance"
+	"shalewick/request"
+)
+
+// request builds the request for one attempt.
+func (t *trial) request(ctx context.Context, pick *balance.Pick) *http.Request {
+	in := t.c.r
+	out := &http.Request{
+		Method: in.Method, URL: target(in), Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: request.Forwardable(in.Header), Body: t.c.body.reader(), ContentLength: t.c.body.length,
+	}
+	h := out.Header
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // else one is added
+	}
+	if in.Header.Get(t.p.Names.ID) == "" && t.c.id != "" {
+		h.Set(t.p.Names.ID, t.c.id)
+	}
+	t.p.introduce(t.c, h)
+	h.Set(t.p.Names.Target, pick.Name)
+	h.Set(t.p.Names.Deadline, strconv.FormatInt(max(1, t.c.left().Milliseconds()), 10))
+	return out.WithContext(ctx)
+}
+
+// target returns a URL that is written exactly as the caller sent it.
+func target(in *http.Request) *url.URL {
+	if strings.HasPrefix(in.RequestURI, "/") && !strings.HasPrefix(in.RequestURI, "//") {
+		return &url.URL{Scheme: "http", Host: in.Host, Opaque: in.RequestURI}
+	}
+	return in.URL
+}
--- a/process/proxy/lapse.go
+++ b/process/proxy/lapse.go
@@ -17,7 +17,7 @@
 // clock that stands still while the machine is suspended; the caller's time goes on.
 func (c *call) left() time.Duration {
 	left := time.Until(c.deadline)
-	if lost := (c.now() - c.begun) - time.Since(c.classified); lost >= leastSuspended {
+	if lost := (c.now() - c.begun) - time.Since(c.began); lost >= leastSuspended {
 		left -= lost
 	}
 	return left
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -102,17 +102,15 @@
 	deadline  time.Time
 	own       bool // the deadline is the caller's, below the route's timeout
 	began     time.Time
-	// now is a clock that goes on while the machine is suspended, begun and classified are
-	// when the deadline was set, by it and by the one that does not.
-	now        func() time.Duration
-	begun      time.Duration
-	classified time.Time
-	reading    reading
-	body       *body
-	print      request.Fingerprint // zero: the body was not read
-	why        *balance.Why        // what the last choice saw, if it found no backend server
-	attempts   int                 // of which a byte may have left
-	runs       int                 // of them, those that may have run
+	// now is a clock that goes on while the machine is suspended, and begun is began by it.
+	now      func() time.Duration
+	begun    time.Duration
+	reading  reading
+	body     *body
+	print    request.Fingerprint // zero: the body was not read
+	why      *balance.Why        // what the last choice saw, if it found no backend server
+	attempts int                 // of which a byte may have left
+	runs     int                 // of them, those that may have run
 }
 
 // ServeHTTP serves one request.
@@ -193,7 +191,7 @@
 	if c.r.Header.Get("Upgrade") != "" || c.r.Method == http.MethodConnect {
 		return refuse(request.BadRequest, 0)
 	}
-	c.now, c.begun, c.classified = p.Now, p.Now(), time.Now()
+	c.now, c.begun = p.Now, p.Now()-time.Since(c.began)
 	c.deadline = c.began.Add(time.Duration(c.route.Timeout))
 	if ms, err := strconv.ParseInt(c.r.Header.Get(p.Names.Deadline), 10, 64); err == nil && ms >= 0 {
 		left := time.Duration(ms) * time.Millisecond
