proxy, metric: what notices of backend servers cost callers is counted

An operator could see how many answers say that their server leaves or wants to be left alone, not what became of the requests that met one. requests_noticed_total{service,notice,end} counts them by their end: in time, late, refused (not run), failed; two notices at most a request, four ends, a few samples a service. No decision reads it.

--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// The ends of a request, by which notices are counted.
+const (
+	EndInTime  = "in-time"
+	EndLate    = "late"
+	EndRefused = "refused" // it has not run
+	EndFailed  = "failed"
+)
+
+// Noticed counts the end of a request that met a notice of a backend server of a service: what
+// it costs callers that servers leave or turn away.
+func (s *Set) Noticed(service string, n request.Notice, end string) {
+	count := func(notice string) {
+		s.Counter(fmt.Sprintf("requests_noticed_total{service=%q,notice=%q,end=%q}", service, notice, end)).Inc(1)
+	}
+	if n.Leaving {
+		count("leaving")
+	}
+	if n.RetryAfter > 0 {
+		count("retry-after")
+	}
+}
+
 // Counter returns the counter of a name, which may have labels in braces.
 func (s *Set) Counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, s.registry)
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"shalewick/process/metric"
 	"shalewick/request"
 )
 
@@ -45,7 +46,13 @@
 	if err != nil {
 		code = request.AnswerLost
 	}
-	p.measure(c, c.route.Class, code, time.Since(c.began))
+	took := time.Since(c.began)
+	p.measure(c, c.route.Class, code, took)
+	end := metric.EndInTime
+	if took > time.Duration(c.route.Objective) {
+		end = metric.EndLate
+	}
+	p.Metrics.Noticed(c.service, c.met, end)
 	if err != nil && a.ex != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -76,6 +83,11 @@
 	if res.Ran == request.RanNo && status >= http.StatusInternalServerError {
 		status = http.StatusServiceUnavailable
 	}
+	end := metric.EndFailed
+	if res.Ran == request.RanNo {
+		end = metric.EndRefused
+	}
+	p.Metrics.Noticed(c.service, c.met, end)
 	h := c.w.Header()
 	h.Set(request.HeaderResult, res.Code.String())
 	h.Set(request.HeaderRan, string(res.Ran))
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -219,6 +219,8 @@
 	}
 	n := t.p.Names.Notice(res.StatusCode, res.Header)
 	t.p.Metrics.Notice(t.c.service, n)
+	t.c.met.Leaving = t.c.met.Leaving || n.Leaving
+	t.c.met.RetryAfter = max(t.c.met.RetryAfter, n.RetryAfter)
 	pick.Heed(n)
 	return n
 }
--- a/process/proxy/notice_test.go
+++ b/process/proxy/notice_test.go
@@ -39,6 +39,24 @@
 	assert.Assert(t, strings.Contains(metrics.String(), `answers_leaving_total{service="s"} 1`), metrics.String())
 }
 
+// TestEndsOfRequestsThatMetNoticesAreCounted checks that it can be told what it costs callers that
+// backend servers leave or turn away.
+func TestEndsOfRequestsThatMetNoticesAreCounted(t *testing.T) {
+	f := newFixture(t, 2)
+	for _, s := range f.backends {
+		s.TurnAway(time.Minute, time.Minute)
+	}
+	assert.Equal(t, f.send("refused", "/reads/1", "").status, http.StatusServiceUnavailable)
+	g := newFixture(t, 1)
+	g.backends[0].Leave()
+	g.own(g.send("served", "/reads/1", ""), "served")
+	var refused, served strings.Builder
+	assert.NilError(t, f.proxy.Metrics.Write(&refused))
+	assert.NilError(t, g.proxy.Metrics.Write(&served))
+	assert.Assert(t, strings.Contains(refused.String(), `requests_noticed_total{service="s",notice="retry-after",end="refused"} 1`), refused.String())
+	assert.Assert(t, strings.Contains(served.String(), `requests_noticed_total{service="s",notice="leaving",end="in-time"} 1`), served.String())
+}
+
 // TestNoticeOfAnotherServerIsNotTheChosenOnes checks that what a server says of itself that
 // has taken over the address of the chosen one is left out.
 func TestNoticeOfAnotherServerIsNotTheChosenOnes(t *testing.T) {
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -111,6 +111,7 @@
 	why      *balance.Why        // what the last choice saw, if it found no backend server
 	attempts int                 // of which a byte may have left
 	runs     int                 // of them, those that may have run
+	met      request.Notice      // what answers to its attempts asked for
 }
 
 // ServeHTTP serves one request.
