--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -174,6 +174,13 @@
 	s.Work = d
 }
 
+// SetQueue sets how many requests may wait for a slot from now on.
+func (s *Server) SetQueue(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Queue = n
+}
+
 // Chill makes the backend server cold for a time.
 func (s *Server) Chill(d time.Duration) {
 	s.mu.Lock()
