edge: a site's test suspends one machine of several; births that step back

The births of backend servers had no test with a suspended instance, and what is decided on a birth that steps back or is missing stood nowhere.

No behaviour changes: the clock is the same system call behind one function value.

--- a/process/balance/restart_test.go
+++ b/process/balance/restart_test.go
@@ -57,6 +57,30 @@
 	assert.Equal(t, now.inFlight, 0)
 }
 
+// TestAnyOtherBirthIsAnotherLife checks that a birth that steps back, as after the clock of its
+// machine was set back, one that is not said any more and one that is said from now on are other
+// lives as well: only equality matters, and a life taken for another one costs a warm-up, where
+// another one taken for it would be sent what the former life had promised.
+func TestAnyOtherBirthIsAnotherLife(t *testing.T) {
+	for name, births := range map[string]struct{ before, after int64 }{
+		"steps back": {before: 3, after: 2}, "is not said any more": {before: 3, after: 0}, "is said from now on": {before: 0, after: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlace(1)
+			p.backend("u", 0, func(b *version.Backend) { b.Incarnation = births.before })
+			p.install()
+			p.pickOf(t, "u").Done(Unreachable, nil)
+			before := p.byName["u"]
+			p.startAgain("u", births.after)
+			now := p.byName["u"]
+			assert.Assert(t, now != before && now.pool != before.pool)
+			assert.Equal(t, now.failures, 0)
+			p.startAgain("u", births.after)
+			assert.Assert(t, p.byName["u"] == now, "the same row is the same life")
+		})
+	}
+}
+
 // TestWordOfAFormerLifeChangesNothing checks that what another instance observed of a backend
 // server before it started again is not taken for its present life, and the other way round.
 func TestWordOfAFormerLifeChangesNothing(t *testing.T) {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -52,7 +52,7 @@
 	log        zerolog.Logger
 	logLimit   *logging.Limit
 	started    time.Time
-	born       time.Duration // when it was started, by clock.Now
+	born       time.Duration // when it was started, by the deployment's clock
 	members    *cluster.Members
 	beats      *cluster.Beats
 	peers      *cluster.Peers
@@ -92,9 +92,13 @@
 	level, _ := zerolog.ParseLevel(s.LogLevel) // checked
 	limit := logging.NewLimit(time.Now)
 	e := &Edge{
-		settings: s, deployment: d, started: time.Now(), born: clock.Now(), metrics: metric.NewSet(), logLimit: limit,
+		settings: s, deployment: d, started: time.Now(), metrics: metric.NewSet(), logLimit: limit,
 		log: logging.New(logTo).Level(level).Hook(limit).With().Str("instance", s.Instance).Logger(),
 	}
+	if e.deployment.Clock == nil {
+		e.deployment.Clock = clock.Now
+	}
+	e.born = e.deployment.Clock()
 	e.members = cluster.NewMembers(cluster.Member{
 		Name: s.Instance, Incarnation: e.started.UnixNano(), Front: s.Front, Peer: s.Peer, Hall: s.Hall, Region: s.Region,
 		Link: s.Link, Cores: s.Cores,
@@ -118,7 +122,10 @@
 // now is the clock of all that the process believes and promises: tables, leases, quotas,
 // others that live, backend servers that are cold or suspended. A suspension of the machine
 // counts, so all of it is as much older afterwards.
-func (e *Edge) now() time.Duration { return clock.Now() - e.born + time.Hour }
+func (e *Edge) now() time.Duration { return e.age() + time.Hour }
+
+// age is how long ago the process was started, with the time in which the machine was suspended.
+func (e *Edge) age() time.Duration { return e.deployment.Clock() - e.born }
 
 // build makes the parts of the process.
 func (e *Edge) build() {
--- a/process/edge/quarantine.go
+++ b/process/edge/quarantine.go
@@ -149,7 +149,7 @@
 	if e.settings.First || e.quarantine.Learned() {
 		return false
 	}
-	left := learnWait - (clock.Now() - e.born)
+	left := learnWait - e.age()
 	if left <= 0 {
 		return false
 	}
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -127,6 +127,8 @@
 // Deployment is what an adapter tells of the place that the process runs in.
 type Deployment struct {
 	Store Store
+	// Clock, if set, takes the place of clock.Now: tests suspend one machine of several by it.
+	Clock func() time.Duration
 	// Names of the tables that operators write, that backend servers write, and that
 	// the instances write: where they are, and the records of roll-outs.
 	OperatorTable, BackendTable, InstanceTable, RecordTable string
--- a/process/edge/use.go
+++ b/process/edge/use.go
@@ -55,7 +55,7 @@
 	last, carried := e.now(), e.proxy.Carried()
 	var suspension clock.Suspension
 	for clock.Sleep(ctx, usePause) {
-		if lost := suspension.Note(clock.Now(), time.Now()); lost > 0 {
+		if lost := suspension.Note(e.deployment.Clock(), time.Now()); lost > 0 {
 			e.log.Warn().Dur("stood", lost).Int("ended", e.proxy.EndLapsed()).Msg("machine-suspended")
 		}
 		now, total := e.now(), e.proxy.Carried()
