rollout: what an instance's own machine adds to answers is no fault of the target

Both versions suffer alike, but once the target has all requests nothing of the baseline comes at the same moment, so it alone is blamed. Ruled out: lost leases and owners that change (the evidence was complete), backend servers (no failures).

clock.Lateness watches how late the process wakes while a roll-out runs. In the promotion, and where the baseline itself is in a spell of hold-ups, an answer that is slow by no more than that tells nothing unless three quarters of that version's latest answers at the instance are so.

--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -44,6 +44,7 @@
 		Now: e.now, Bounds: e.settings.Rollouts, Incarnation: e.started.UnixNano(),
 		Owner: e.rolloutOwner, Live: e.liveAddresses, InFlight: e.table.InFlight,
 		Send: e.beats.SendMessage, Log: e.logRollout,
+		Late: func() time.Duration { return e.lateness.Most(e.now()) },
 	}
 }
 
@@ -229,3 +230,11 @@
 		e.rollouts.Tick()
 	}
 }
+
+// watchLateness watches how late the machine gives this process its turns, while there is a
+// roll-out, until the context ends.
+func (e *Edge) watchLateness(ctx context.Context) {
+	for e.rolling.open.wait(ctx) {
+		e.lateness.Watch(ctx, e.now, e.rolling.open.isOpen)
+	}
+}
--- a/process/edge/rolloutlog.go
+++ b/process/edge/rolloutlog.go
@@ -66,5 +66,5 @@
 	e.log.Info().Str("service", x.Service).Str("what", x.What).Str("cause", x.Cause).
 		Int64("targetRequests", x.Target.Requests).Int64("targetFailed", x.Target.Failed).Int64("targetSlow", x.Target.Slow).
 		Int64("baseRequests", x.Base.Requests).Int64("baseFailed", x.Base.Failed).Int64("baseSlow", x.Base.Slow).
-		Dur("age", x.Age).Msg("rollout-event")
+		Dur("age", x.Age).Dur("late", x.Late).Msg("rollout-event")
 }
--- a/process/rollout/attempt.go
+++ b/process/rollout/attempt.go
@@ -193,11 +193,13 @@
 	c := Counts{Requests: 1}
 	if o.Failed {
 		c.Failed = 1
-	} else if timed, slow := a.route.usual.class(o); timed {
-		c.Timed = 1
-		if slow {
-			c.Slow = 1
+	} else {
+		doubts := &a.trial.doubtsOfBase
+		if a.target != "" {
+			doubts = &a.trial.doubtsOfTarget
 		}
+		timed, slow := doubts.note(a.route.usual.class(o, a.lateness()))
+		c.Timed, c.Slow = oneIf(timed), oneIf(slow)
 	}
 	if a.target != "" {
 		a.route.target.add(c)
@@ -209,3 +211,21 @@
 	}
 	return c
 }
+
+// lateness is by how much this instance's machine may have delayed an answer, as far as that
+// matters: most of the time the baseline has answers of the same moment, some of which it delayed
+// as much, and the verdict compares. Where many are, or there are none since the target has been
+// promoted, that is too rough.
+func (a *Attempt) lateness() time.Duration {
+	if a.s.gate.phase != Promote && a.trial.doubtsOfBase.part < doubtSpell {
+		return 0
+	}
+	return a.r.late()
+}
+
+func oneIf(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/process/rollout/compare_test.go
+++ b/process/rollout/compare_test.go
@@ -159,7 +159,8 @@
 		o.Took = time.Duration(took * float64(time.Second))
 		x := sample{failed: o.Failed, took: took}
 		if !o.Failed {
-			x.timed, x.slow = u.class(o)
+			c := u.class(o, 0)
+			x.timed, x.slow = c != untold, c == slowly
 		}
 		if target {
 			w.target(x, now)
--- a/process/rollout/kinds_test.go
+++ b/process/rollout/kinds_test.go
@@ -145,7 +145,9 @@
 			return usually
 		}
 		b := k.perform(software, route, now-order.at, f.load(software))
-		if k.bad && software == "v2" && b != usually {
+		own := b
+		own.held = holdUp{} // that is not the target's
+		if k.bad && software == "v2" && own != usually {
 			out.exposed++
 			if badSince == 0 {
 				badSince = now
--- a/process/rollout/model_node_test.go
+++ b/process/rollout/model_node_test.go
@@ -21,11 +21,22 @@
 		Now: func() time.Duration { return f.now }, Bounds: f.bounds, Incarnation: int64(x.index)<<32 + int64(x.life),
 		Owner: func(string) Owner { return x.ownerIs }, Live: func() []string { return x.lives },
 		InFlight: func(string) int { return x.now[x.before] }, Send: x.send,
-		Random: f.random.Float64,
+		Random: f.random.Float64, Late: x.lateness,
 	}
 	x.read()
 }
 
+// noteHoldUp notes by how much the machine of x is late with turns, as x itself sees it.
+func (x *node) noteHoldUp(h holdUp) { x.late, x.lateAt = h.most, x.f.now }
+
+// lateness is by how much x was given its turns late within the last second, at most.
+func (x *node) lateness() time.Duration {
+	if x.lateAt == 0 || x.f.now-x.lateAt > time.Second {
+		return 0
+	}
+	return x.late
+}
+
 // live returns the instances that x takes for alive.
 func (x *node) live() []string {
 	out := []string{""}
--- a/process/rollout/model_requests_test.go
+++ b/process/rollout/model_requests_test.go
@@ -93,6 +93,12 @@
 	if unseen {
 		took = took * 2
 	}
+	if b.held.part > 0 {
+		x.noteHoldUp(b.held)
+		if f.random.Float64() < b.held.part {
+			took += time.Duration(f.random.Float64() * float64(b.held.most))
+		}
+	}
 	failed := f.random.Float64() < b.failed
 	f.count(x, software)
 	f.sentTo(software).add(f.now)
--- a/process/rollout/model_test.go
+++ b/process/rollout/model_test.go
@@ -58,6 +58,14 @@
 	factor float64 // of the usual time
 	cold   bool
 	unseen float64 // part of the requests on objects not seen
+	held   holdUp
+}
+
+// holdUp is what the machine of an instance adds to answers, whatever version they are of: it
+// gives its processes their turns late.
+type holdUp struct {
+	part float64       // of the answers that are held up
+	most time.Duration // by which they are, at most
 }
 
 // orderSeen is what went on from an order to its deadline, for the bound on the share.
@@ -98,6 +106,8 @@
 	heard   []time.Duration // when others were heard last
 	lives   []string        // as of the last beat
 	ownerIs Owner
+	late    time.Duration
+	lateAt  time.Duration // zero: it never was
 	// From unsoundFrom to unsoundTo it was frozen, dead or cut off last.
 	unsoundFrom, unsoundTo time.Duration
 }
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -80,6 +80,8 @@
 	Base    Counts
 	// Age is how old the newest of what it was decided on is.
 	Age time.Duration
+	// Late is by how much the machine gave this instance its turns late within the last moments.
+	Late time.Duration
 }
 
 // Rollouts is the roll-outs of all services at one instance. The fields are set before
@@ -101,6 +103,9 @@
 	// Log, if set, is told of what operators should see. It must not call the
 	// roll-outs.
 	Log func(e Event)
+	// Late, if set, returns by how much the machine gave this process its turns late within
+	// the last moments.
+	Late func() time.Duration
 	// Random, if set, returns a number from zero to one.
 	Random func() float64
 
@@ -239,6 +244,13 @@
 	return !s.gone && s.trial != nil && s.Order.Target != s.InForce && !(s.Record.isFor(s.Order) && s.Record.Phase == Reverted)
 }
 
+func (r *Rollouts) late() time.Duration {
+	if r.Late == nil {
+		return 0
+	}
+	return r.Late()
+}
+
 func (r *Rollouts) random() float64 {
 	if r.Random != nil {
 		return r.Random()
@@ -261,6 +273,6 @@
 // note notes an event of a service.
 func (r *Rollouts) note(s *service, what, cause string, v *verdict, age time.Duration) {
 	r.events = append(r.events, Event{
-		Service: s.Name, What: what, Cause: cause, Target: v.all.total.target, Base: v.all.total.base, Age: age,
+		Service: s.Name, What: what, Cause: cause, Target: v.all.total.target, Base: v.all.total.base, Age: age, Late: r.late(),
 	})
 }
--- a/process/rollout/trial.go
+++ b/process/rollout/trial.go
@@ -9,6 +9,8 @@
 	routes map[string]*routeTrial
 	others *routeTrial // beyond mostRoutes
 	local  verdict
+	// Of all routes together: a target's doubtful answers have to be told early.
+	doubtsOfBase, doubtsOfTarget doubts
 }
 
 // routeTrial is a route of a trial.
