rollout: owners that change, or are not agreed on, cost no leases

Cause, from a trial that printed each instance's view: (1) owners change as one instance after the other finds the store away, and each new one gave no leases for 0.8 s; (2) instances of another region hear who is cut off once in seconds, so each of two took the other one for the owner, for up to 3 s; (3) a new owner judged the evidence before it had that of the others. Ruled out: the share (it had room for 80), the verdict (nothing slow).

Now all report at once to an owner that is new to them, and it gives leases as soon as all that live have; who is asked as owner and is not, who owns and hears nothing, and who owns no more, says who he is; a target is given up for lack of evidence only by one that has owned the roll-out for 1.3 s, at most 2 s late. Evidence that waits for its judgement counts when routes are named that lack some; only an owner that gives leases names them.

--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -196,6 +196,11 @@
 	b.send(near, b.members.tell(false))
 }
 
+// Introduce tells the instance at an address of this one alone.
+func (b *Beats) Introduce(address string) {
+	b.send([]Member{{Peer: address}}, b.members.introduction())
+}
+
 func (b *Beats) send(to []Member, d datagram) {
 	text, err := marshal(d)
 	if err != nil {
--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -44,7 +44,8 @@
 		Now: e.now, Bounds: e.settings.Rollouts, Incarnation: e.started.UnixNano(),
 		Owner: e.rolloutOwner, Live: e.liveAddresses, InFlight: e.table.InFlight,
 		Send: e.beats.SendMessage, Log: e.logRollout,
-		Late: func() time.Duration { return e.lateness.Most(e.now()) },
+		Introduce: e.beats.Introduce,
+		Late:      func() time.Duration { return e.lateness.Most(e.now()) },
 	}
 }
 
--- a/process/rollout/decider.go
+++ b/process/rollout/decider.go
@@ -2,7 +2,10 @@
 
 package rollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // decider is what the owner of a service knows of its roll-out. It is lost with the
 // owner: the next one has it again after a round of reports.
@@ -183,22 +186,58 @@
 	if o.here() && !s.owner.here() {
 		s.ownsSince = now
 	}
+	if s.owner.here() && !o.here() {
+		s.gaveUp = true
+	}
+	if o.Name != s.owner.Name {
+		s.reports.newOwner = now
+	}
 	s.owner = o
 }
 
 // informed reports whether this instance knows as owner what the others have counted. One
 // that takes the roll-out over has to hear from them first: the owner before may have
-// been about to stop the target.
-func (s *service) informed(now time.Duration) bool {
-	fromTheBegin := s.seen != 0 && s.ownsSince-s.seen < reportPause
-	return fromTheBegin || now-s.ownsSince >= InformTime
+// been about to stop the target. It has once all that live have reported to it, which they do
+// at once when the owner changes; it waits no longer than InformTime for those that don't.
+func (s *service) informed(live []string, now time.Duration) bool {
+	return s.ownedFromTheBegin() || now-s.ownsSince >= InformTime || s.decider.heardAll(live, s.ownsSince)
+}
+
+// ownedFromTheBegin reports whether nobody has owned the roll-out before.
+func (s *service) ownedFromTheBegin() bool { return s.seen != 0 && s.ownsSince-s.seen < reportPause }
+
+// takesOver reports whether this instance has owned the roll-out for so short a time that it may
+// lack evidence which others have.
+func (s *service) takesOver(now time.Duration) bool {
+	return !s.ownedFromTheBegin() && now-s.ownsSince < takeOverTime
+}
+
+// heardLately returns the other instances that have reported to this one lately.
+func (d *decider) heardLately(now time.Duration) (out []string) {
+	for address, p := range d.newest {
+		if address != "" && now-p.heardAt < idleAfter {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// heardAll reports whether all instances of a list have reported since a time.
+func (d *decider) heardAll(live []string, since time.Duration) bool {
+	for _, address := range live {
+		if p := d.newest[address]; p == nil || p.heardAt < since {
+			return false
+		}
+	}
+	return true
 }
 
 // answer answers a report. Without most of the instances, or their counts, it gives no
 // lease. The caller holds the lock.
 func (r *Rollouts) answer(s *service, seq byte, now time.Duration) *answer {
 	x := &answer{service: s.hash, order: s.Order.ID, seq: seq, halted: s.decider.halted, stamp: r.stamp(now)}
-	if !r.mostly() || !s.informed(now) {
+	if !r.mostly() || !s.informed(r.live, now) {
 		x.seq = 0
 	}
 	if !s.Record.isFor(s.Order) {
@@ -218,11 +257,21 @@
 	return x
 }
 
-// lacking are the routes that lack evidence, and whether it is lacking in all.
+// lacking are the routes that lack evidence, and whether it is lacking in all. Answers that wait
+// for their judgement count: all that an owner knows which has just taken over are such.
 func (d *decider) lacking() (all bool, some []routeHash) {
+	waiting := make(map[routeHash]Counts, len(d.verdict.routes))
+	for _, p := range d.pending {
+		c := waiting[p.route]
+		c.add(p.counts)
+		waiting[p.route] = c
+	}
 	total := d.verdict.all.total
+	total.target.add(d.waiting())
 	for h, t := range d.verdict.routes {
-		if t.lacks(total) && len(some) < mostRoutes {
+		route := t.total
+		route.target.add(waiting[h])
+		if route.lacks(total) && len(some) < mostRoutes {
 			some = append(some, h)
 		}
 	}
@@ -230,12 +279,12 @@
 }
 
 // lacks reports whether a route with a part of the requests of all lacks evidence.
-func (t *track) lacks(all pair) bool {
+func (p pair) lacks(all pair) bool {
 	enough := min(routeAnswers, max(leastRouteAnswers, all.target.Requests/answersForOne))
-	if t.total.target.Requests >= enough {
+	if p.target.Requests >= enough {
 		return false
 	}
-	came := t.total.target.Requests + t.total.base.Requests
+	came := p.target.Requests + p.base.Requests
 	return float64(came) >= routePart*float64(all.target.Requests+all.base.Requests)
 }
 
--- a/process/rollout/exchange.go
+++ b/process/rollout/exchange.go
@@ -21,6 +21,9 @@
 	came       bool          // a request has come since the order
 	cameAt     time.Duration // of the last request
 	lapsed     bool          // it was logged that the lease has lapsed
+	// newOwner is since when the owner is another one than before, until it gives a lease. Zero:
+	// it has.
+	newOwner time.Duration
 }
 
 // next returns the number of a report that is made now. Zero is none.
@@ -49,6 +52,8 @@
 	switch {
 	case phase == Promote || phase == Completed:
 		return now-p.at >= hastyPause-tickJitter
+	case p.newOwner > 0 && now-p.newOwner < InformTime:
+		pause = p.pauseToNewOwner()
 	case !p.came || now-p.cameAt > idleAfter:
 		return p.hasty
 	case p.hasty || p.soon:
@@ -57,6 +62,15 @@
 	return now-p.at >= pause-tickJitter
 }
 
+// pauseToNewOwner is the pause until the next report to an owner that has given no lease yet: none
+// before the first one, then longer and longer ones, since all instances report to it at once.
+func (p *reports) pauseToNewOwner() time.Duration {
+	if p.at < p.newOwner {
+		return 0
+	}
+	return max(hastyPause, p.at-p.newOwner)
+}
+
 // localAlarm is the sum at which one of n instances stops by itself: each may err, so
 // it takes more than at the owner.
 func localAlarm(n int) float64 { return alarm + math.Log(float64(max(1, n))) }
@@ -79,13 +93,16 @@
 	now := r.Now()
 	r.noteLive(live, now)
 	var out []message
+	var strangers []string
 	for name, x := range seen {
 		if s := r.services[name]; s != nil {
 			s.ownedBy(x.owner, now)
 			out = append(out, r.tick(s, x.inFlight, now)...)
+			strangers = append(strangers, r.strangers(s, now)...)
 		}
 	}
 	r.unlock()
+	r.introduce(strangers)
 	for _, m := range out {
 		r.Send(m.address, m.text)
 	}
@@ -147,6 +164,45 @@
 	return []message{{s.owner.Address, x.encode()}}
 }
 
+// introduce tells instances who this one is. The lock is free.
+func (r *Rollouts) introduce(addresses []string) {
+	if r.Introduce == nil {
+		return
+	}
+	for _, address := range addresses {
+		r.Introduce(address)
+	}
+}
+
+// strangers returns the instances that have not reported to this one since it owns the service,
+// or report no more: they may take another one for the owner, since those of other regions hear
+// of each other seldom. Those that have been silent for longer have no requests of the service,
+// or are gone. One that has just ceased to own it tells all that reported to it. The caller holds
+// the lock.
+func (r *Rollouts) strangers(s *service, now time.Duration) (out []string) {
+	if s.gaveUp {
+		s.gaveUp = false
+		return s.decider.heardLately(now)
+	}
+	if !s.runs() || !s.owner.here() || now-s.introduced < reportPause {
+		return nil
+	}
+	isNew := now-s.ownsSince >= strangerTime && now-s.ownsSince < strangerMost
+	for _, address := range r.live {
+		p := s.decider.newest[address]
+		heard := p != nil && p.heardAt >= s.ownsSince
+		silence := time.Duration(0)
+		if heard {
+			silence = now - p.heardAt
+		}
+		if address != "" && (isNew && !heard || silence > 2*reportPause && silence < idleAfter) {
+			out = append(out, address)
+			s.introduced = now
+		}
+	}
+	return out
+}
+
 // tickOwner reports to this instance itself.
 func (r *Rollouts) tickOwner(s *service, inFlight int, now time.Duration) []message {
 	x := r.report(s, inFlight, now)
@@ -254,7 +310,11 @@
 	now := r.Now()
 	s := r.byHash[x.service]
 	if s == nil || s.trial == nil || s.Order.ID != x.order || !s.owner.here() {
+		disagree := s != nil && s.runs() && !s.owner.here()
 		r.mu.Unlock()
+		if disagree {
+			r.introduce([]string{from})
+		}
 		return
 	}
 	var out []message
@@ -309,6 +369,7 @@
 	lease := time.Duration(0)
 	if known {
 		lease = r.Bounds.lease()
+		s.reports.newOwner = 0
 	}
 	s.gate.hear(x, lease, sentAt, now)
 	s.reports.echo, s.reports.echoOf = x.stamp, s.owner.Name
--- a/process/rollout/gate.go
+++ b/process/rollout/gate.go
@@ -157,11 +157,11 @@
 		g.halt()
 		return
 	}
-	if lease > 0 {
+	if lease > 0 { // an owner that gives none does not know yet what is lacking, either
 		g.lease = max(g.lease, sentAt+lease)
+		g.lacking, g.allLacking = x.lacking, x.allLacking
 	}
 	g.stamp, g.stampAt = x.stamp, now
-	g.lacking, g.allLacking = x.lacking, x.allLacking
 	if x.timed {
 		g.bound = max(1, now+x.left)
 	}
--- a/process/rollout/model_node_test.go
+++ b/process/rollout/model_node_test.go
@@ -19,13 +19,22 @@
 	x.nextAt = f.now + time.Duration(f.random.Int64N(int64(TickTime)))
 	x.r = &Rollouts{
 		Now: func() time.Duration { return f.now }, Bounds: f.bounds, Incarnation: int64(x.index)<<32 + int64(x.life),
-		Owner: func(string) Owner { return x.ownerIs }, Live: func() []string { return x.lives },
+		Owner: x.ownerNow, Live: func() []string { return x.lives },
 		InFlight: func(string) int { return x.now[x.before] }, Send: x.send,
-		Random: f.random.Float64, Late: x.lateness,
+		Random: f.random.Float64, Late: x.lateness, Introduce: x.introduce,
 	}
 	x.read()
 }
 
+// ownerNow is who owns the roll-out as x knows now: by the rank that is looked up each beat only,
+// to save time.
+func (x *node) ownerNow(string) Owner {
+	if x.f.ownerFor != nil {
+		return x.owner()
+	}
+	return x.ownerIs
+}
+
 // noteHoldUp notes by how much the machine of x is late with turns, as x itself sees it.
 func (x *node) noteHoldUp(h holdUp) { x.late, x.lateAt = h.most, x.f.now }
 
@@ -70,6 +79,13 @@
 
 func (x *node) owner() Owner {
 	best := x
+	if x.f.ownerFor != nil {
+		best = x.f.ownerFor(x)
+		if best == x {
+			return Owner{Name: x.name}
+		}
+		return Owner{Name: best.name, Address: best.name}
+	}
 	for _, o := range x.f.nodes {
 		if o != x && !x.takesForAlive(o) {
 			continue
@@ -101,6 +117,24 @@
 	})
 }
 
+// introduce tells the node at an address who x is.
+func (x *node) introduce(address string) {
+	f := x.f
+	f.bytes[x.name] += introductionBytes + headers
+	if f.introduced == nil || x.cutOut || f.random.Float64() < f.loss {
+		return
+	}
+	o := f.byName[address]
+	f.after(time.Millisecond+time.Duration(f.random.Int64N(int64(24*time.Millisecond))), func() {
+		if !o.dead && !o.cutIn {
+			o.do(func() { f.introduced(x, o) })
+		}
+	})
+}
+
+// introductionBytes is the usual size of such a datagram.
+const introductionBytes = 110
+
 // do runs something at the node, or once it is no longer frozen.
 func (x *node) do(f func()) {
 	if x.frozen {
--- a/process/rollout/model_test.go
+++ b/process/rollout/model_test.go
@@ -48,6 +48,10 @@
 	// onWrite, if set, sees the next write of an owner. It tells whether the write is
 	// done.
 	onWrite func(x *node) bool
+	// ownerFor, if set, says which node a node takes for the owner, in place of the rank.
+	ownerFor func(x *node) *node
+	// introduced, if set, is called when a node has told another one who it is.
+	introduced func(x, to *node)
 	// soundSince is since when the store answers.
 	soundSince time.Duration
 }
--- a/process/rollout/policy.go
+++ b/process/rollout/policy.go
@@ -25,6 +25,16 @@
 	// the others before it gives leases or decides: what it has not heard of is no lack of
 	// evidence.
 	InformTime = reportPause + 300*time.Millisecond
+	// strangerTime is how long an owner waits for the first report of an instance before it tells
+	// that one who it is, and strangerMost until when it does so. Origin: those that agree report
+	// within a tick and a way between regions; four words, one of which gets through.
+	strangerTime = 3 * TickTime
+	strangerMost = 2 * time.Second
+	// takeOverTime is how long an owner that takes a roll-out over needs until it may give a
+	// target up for lack of evidence: it has heard of all, and judged it. Owners that change
+	// again and again give up takeOverMost after they should have.
+	takeOverTime = InformTime + settleTime
+	takeOverMost = 2 * time.Second
 	// mostTime is for how long at least an instance remembers how many there were. Origin:
 	// longer than links between regions are cut, mostly.
 	mostTime = 5 * time.Minute
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -100,6 +100,9 @@
 	InFlight func(service string) int
 	// Send sends a message to an address. Messages may be lost.
 	Send func(address string, message []byte)
+	// Introduce, if set, tells the instance at an address who this one is, and whether it is cut
+	// off from the store: the two do not agree on the owner.
+	Introduce func(address string)
 	// Log, if set, is told of what operators should see. It must not call the
 	// roll-outs.
 	Log func(e Event)
@@ -136,8 +139,12 @@
 	seen  time.Duration
 	turns turns
 	owner Owner
-	// ownsSince is since when this instance is the owner, if it is.
-	ownsSince time.Duration
+	// ownsSince is since when this instance is the owner, if it is, and introduced when it told
+	// who it is to those that had not reported to it since, last.
+	ownsSince, introduced time.Duration
+	// gaveUp: another instance is the owner now, and those that reported to this one may not know
+	// it.
+	gaveUp bool
 	// toBefore is the number of attempts at the version before that have not ended.
 	toBefore int
 	trial    *trial
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -83,7 +83,7 @@
 	case record.isFor(order) && s.decider.halted:
 		return s.revert(s.decider.cause)
 	case record.isFor(order) && record.Phase == Canary:
-		return r.endCanary(s, store)
+		return r.endCanary(s, store, now)
 	case record.isFor(order):
 		return r.endPromotion(s, store, now)
 	case record != nil && !record.Phase.Ended() && record.Target == order.Target:
@@ -191,7 +191,7 @@
 func (s *service) unbounded() time.Duration { return time.Duration(s.Record.Deadline) + lateOrder }
 
 // endCanary promotes the target when it is time, and gives it up when it is too late.
-func (r *Rollouts) endCanary(s *service, store time.Duration) *Record {
+func (r *Rollouts) endCanary(s *service, store, now time.Duration) *Record {
 	if store < s.promoteAt(r.Bounds.Share) {
 		return nil
 	}
@@ -202,7 +202,8 @@
 		x.Evidence = s.decider.evidence()
 		return &x
 	}
-	if store < time.Duration(s.Record.Deadline)-revertBefore {
+	late := store - (time.Duration(s.Record.Deadline) - revertBefore)
+	if late < 0 || late < takeOverMost && s.takesOver(now) {
 		return nil
 	}
 	if lack == "" {
@@ -225,7 +226,7 @@
 		return fmt.Sprintf("target has %d slots, of %d that are needed beside", s.turns.slots, s.InForceSlots)
 	}
 	for _, t := range s.decider.verdict.routes {
-		if t.lacks(total) {
+		if t.total.lacks(total) {
 			return fmt.Sprintf("too little evidence: a route with %d answers of the target", t.total.target.Requests)
 		}
 	}
