--- a/process/rollout/exchange.go
+++ b/process/rollout/exchange.go
@@ -68,7 +68,7 @@
 	if p.at < p.newOwner {
 		return 0
 	}
-	return max(hastyPause, p.at-p.newOwner)
+	return 2 * max(hastyPause, p.at-p.newOwner)
 }
 
 // localAlarm is the sum at which one of n instances stops by itself: each may err, so
