--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -20,3 +20,21 @@
 	now += 11 * time.Second
 	assert.Assert(t, w.Retry("s", now))
 }
+
+// TestSuspensionGivesNoRetriesTwice lets a clock jump by less than the span, as after a suspension
+// of the machine: what was retried within the span goes on counting, whatever part of it the
+// machine stood still.
+func TestSuspensionGivesNoRetriesTwice(t *testing.T) {
+	const span, jump = 10 * time.Second, 5 * time.Second
+	w := &Window{Span: span, Fixed: 2, Instances: func() int { return 1 }}
+	now := time.Hour
+	for range 2 {
+		assert.Assert(t, w.Retry("s", now))
+	}
+	now += jump
+	assert.Assert(t, !w.Retry("s", now), "the retries are 5 s old")
+	now += jump - time.Second
+	assert.Assert(t, !w.Retry("s", now), "they are 9 s old")
+	now += jump
+	assert.Assert(t, w.Retry("s", now))
+}
