balance: load reports of four figures are read, the fourth is the host's pace

Callers at servers that tell how long work takes on their host now were refused or late where others had room: a report was read only if it had three figures, so nothing was known of these servers' load.

Ruled out: telling each other the pace. It changes within half a second (correlation 0.08 after 0.6 s), which is what a beat takes. Weighed: no aging.

Change: a typed report with the pace, bad counts drop the report and a bad pace only the pace, both counted and logged; the expected time of a choice is the usual work at the host's pace, which returns to the usual within 0.3 s; what an answer took is divided by its pace before it is learned.

--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -37,6 +37,7 @@
 	reported    float64
 	reportedAt  time.Duration
 	ownAtReport int
+	pace        pace // of its host
 	answeredAt  time.Duration
 	observed    observation   // the newest, by whatever instance
 	work        time.Duration // usual time of an answer, without waiting
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -204,10 +204,11 @@
 		u := t.states[x.index]
 		x.place = k
 		x.wait = u.wait(now, v.Slots)
-		x.cost = x.wait + time.Duration(k)*t.Policy.PlaceCost
+		work := u.workNow(now)
+		x.cost = x.wait + time.Duration(k)*t.Policy.PlaceCost + work - u.usualWork()
 		x.unseen = q.Route.Sticky && !t.seen.has(object, v.Life, now, t.Policy.SeenFor)
 		if k > 0 && x.unseen {
-			x.cost += time.Duration(t.Policy.UnseenCost * float64(u.usualWork()))
+			x.cost += time.Duration(t.Policy.UnseenCost * float64(work))
 		}
 	}
 	return c, why
@@ -302,7 +303,7 @@
 	}
 	return &Pick{
 		Name: v.Name, Address: v.Address, Software: v.Software, Incarnation: v.Incarnation, Region: t.routing.Regions[v.Region], Pool: u.pool,
-		Rank: c.place, Unseen: c.unseen, Cold: now < u.coldUntil, Wait: c.wait, Needs: t.needs(c),
+		Rank: c.place, Unseen: c.unseen, Cold: now < u.coldUntil, Wait: c.wait, Needs: t.needs(c, now),
 		table: t, u: u, object: object, life: v.Life, started: now,
 	}
 }
--- a/process/balance/estimate.go
+++ b/process/balance/estimate.go
@@ -4,18 +4,11 @@
 
 import "time"
 
-// Report is a backend server's word on its load.
-type Report struct {
-	Running, Waiting, Slots int
-}
-
-// idle reports whether it says that slots are free. Nil is no word.
-func (r *Report) idle() bool { return r != nil && r.Running+r.Waiting < r.Slots }
-
 func (u *backend) report(r Report, now time.Duration) {
 	u.reported = float64(r.Running + r.Waiting)
 	u.reportedAt = now
 	u.ownAtReport = u.inFlight
+	u.pace.note(r, now)
 }
 
 // load estimates the requests that run or wait at the backend server.
@@ -36,7 +29,12 @@
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(ahead / float64(slots) * float64(u.usualWork()))
+	return time.Duration(ahead / float64(slots) * float64(u.workNow(now)))
+}
+
+// workNow is the usual time of work as its host's pace makes it now.
+func (u *backend) workNow(now time.Duration) time.Duration {
+	return time.Duration(u.pace.expected(now, u.policy.PaceLife) * float64(u.usualWork()))
 }
 
 // usualWork is the usual time of an answer on an object that was seen, without
@@ -53,8 +51,8 @@
 }
 
 // needs estimates how long a backend server would take to answer a request.
-func (t *Table) needs(c candidate) time.Duration {
-	work := t.states[c.index].usualWork()
+func (t *Table) needs(c candidate, now time.Duration) time.Duration {
+	work := t.states[c.index].workNow(now)
 	if c.unseen {
 		work += time.Duration(t.Policy.UnseenCost * float64(work))
 	}
@@ -76,8 +74,10 @@
 	s.work += time.Duration(gain * float64(work-s.work))
 }
 
-// learn notes how long an answer took.
-func (u *backend) learn(took time.Duration) {
+// learn notes how long an answer took, at the pace that its host had then: the usual time of
+// work is that of a host at its usual pace.
+func (u *backend) learn(took time.Duration, pace float64) {
+	took = time.Duration(float64(took) / pace)
 	gain := u.policy.QuickGain
 	if took > u.usualWork() {
 		gain = u.policy.SlowGain
--- a/process/balance/fixture_test.go
+++ b/process/balance/fixture_test.go
@@ -75,6 +75,16 @@
 	return k
 }
 
+// pickOther picks a backend server other than one that had the request already.
+func (p *place) pickOther(t *testing.T, object uint64, tried string) *Pick {
+	t.Helper()
+	q := p.query(object)
+	q.Tried = []string{tried}
+	k, refusal := p.Pick(q)
+	assert.Assert(t, k != nil, "refused: %v", refusal)
+	return k
+}
+
 // lifeOf returns what identifies the present start of a backend server.
 func (p *place) lifeOf(name string) uint64 {
 	for i := range p.routing.Backends {
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -64,7 +64,7 @@
 		p.recovered()
 		u.answeredAt = now
 		u.observe(report, now)
-		u.learn(now - p.started)
+		u.learn(now-p.started, report.paceOr(u.pace.expected(now, t.Policy.PaceLife)))
 		t.seen.note(p.object, p.life, now)
 	case Refused:
 		u.answeredAt = now
--- a/process/balance/policy.go
+++ b/process/balance/policy.go
@@ -38,6 +38,9 @@
 	// ReportLife is the time in which a load report loses half of its worth.
 	// Origin: some ten times the usual work.
 	ReportLife time.Duration
+	// PaceLife is the time in which what was told of a host's pace falls to 1/e of its
+	// worth: hosts change their pace many times a second.
+	PaceLife time.Duration
 	// QuickGain and SlowGain are the weights of a new answer in the usual time
 	// of work, when it came sooner than usual and when it came later. They
 	// differ since an answer's time may contain waiting, or work on an object
@@ -112,6 +115,7 @@
 		SuspendLeast:  400 * time.Millisecond,
 		SuspendMost:   4 * time.Second,
 		ReportLife:    1500 * time.Millisecond,
+		PaceLife:      300 * time.Millisecond,
 		QuickGain:     0.2,
 		SlowGain:      0.02,
 		ServiceGain:   0.05,
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -57,6 +57,12 @@
 	s.Counter("retries_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
+// BadReport counts an answer of a backend server of a service whose load report can't be
+// used, or not whole.
+func (s *Set) BadReport(service string) {
+	s.Counter("load_reports_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
+}
+
 // Notice counts an answer in which a backend server of a service says that it leaves, or
 // asks to be left alone for a time.
 func (s *Set) Notice(service string, n request.Notice) {
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -6,8 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -185,7 +183,7 @@
 		pick.Hold()
 		took = headTook
 	}
-	pick.Done(balance.Answered, t.report(h))
+	pick.Done(balance.Answered, t.report(h, pick))
 	t.answered(a, took)
 	if t.p.Quarantine != nil {
 		t.p.Quarantine.Answered(t.c.print)
@@ -229,7 +227,7 @@
 func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick, notice request.Notice) *request.Result {
 	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
 	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxHeldAnswer) // so that the connection can be kept
-	report := t.report(ex.Response.Header)
+	report := t.report(ex.Response.Header, pick)
 	ex.Close()
 	pick.Done(balance.Refused, report)
 	t.over(pick, rollout.Outcome{Failed: misdirected, Inconclusive: !misdirected})
@@ -259,18 +257,11 @@
 }
 
 // report reads a backend server's word on its load.
-func (t *trial) report(h http.Header) *balance.Report {
-	fields := strings.Split(h.Get(t.p.Names.Load), ",")
-	if len(fields) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, f := range fields {
-		v, err := strconv.Atoi(strings.TrimSpace(f))
-		if err != nil || v < 0 {
-			return nil
-		}
-		n[i] = v
+func (t *trial) report(h http.Header, pick *balance.Pick) *balance.Report {
+	r, err := balance.ParseReport(h.Get(t.p.Names.Load))
+	if err != nil {
+		t.p.Metrics.BadReport(t.c.service)
+		t.line(pick).Err(err).Msg("load-report-skipped")
 	}
-	return &balance.Report{Running: n[0], Waiting: n[1], Slots: n[2]}
+	return r
 }
--- /dev/null
+++ b/process/proxy/load_test.go
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/logging"
+)
+
+// TestLoadReportsAreCheckedAlone checks that an answer is passed on whatever its load report
+// says, and that only a report that can't be read is counted and logged.
+func TestLoadReportsAreCheckedAlone(t *testing.T) {
+	for pace, bad := range map[string]int{"": 0, "250": 0, "fast": 1} {
+		f := newFixture(t, 1)
+		var log syncBuffer
+		f.proxy.Log = logging.New(&log)
+		f.backends[0].Pace = pace
+		f.own(f.send("served", "/reads/1", ""), "served")
+		assert.Equal(t, len(log.lines("load-report-skipped")), bad, "pace %q", pace)
+		var metrics strings.Builder
+		assert.NilError(t, f.proxy.Metrics.Write(&metrics))
+		counted := strings.Contains(metrics.String(), `load_reports_bad_total{service="s"} 1`)
+		assert.Equal(t, counted, bad == 1, metrics.String())
+	}
+}
--- a/request/names.go
+++ b/request/names.go
@@ -13,7 +13,7 @@
 	NotRun    string // in a backend server's refusal: it was not run
 	Key       string // in a request: "Bearer" and the key of the caller's workspace
 	Workspace string // to a backend server: the name of that workspace
-	Load      string // running, waiting, slots of a backend server
+	Load      string // of a backend server: running, waiting, slots, and maybe its host's pace
 	Leaving   string // in each answer of a backend server that is about to end
 }
 
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -96,6 +96,9 @@
 		f, s.faults = s.faults[0], s.faults[1:]
 	}
 	load = fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.Slots)
+	if s.Pace != "" {
+		load += "," + s.Pace
+	}
 	if want := req.Header.Get(s.Names.Target); want != "" && want != s.Name {
 		return Moved, load, false
 	}
