held: what is held for slow callers and backend servers is bounded

Callers that read slowly filled an instance until it was killed, with all that was in flight: each body and each answer was held whole up to 1 MB, nothing bounded the sum, and the kernel's buffers took megabytes more for each connection.

Change: process/held, a budget of a fifth of the memory setting, taken before bytes are read and given back when they are written. What does not fit is passed on as it comes. Who waits for the other side for a second is cut off when there is no room, who holds most first; who takes nothing for 5 s always. Requests beyond it are refused at once (MEMORY_FULL, not run). Answers under way count as load of their backend server.

An answer that is passed on is delivered after the request's deadline as well.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -95,6 +95,9 @@
 	defer out.Close()
 	settings := live.Settings().Edge()
 	settings.LogLevel = level
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(settings.Memory / 2)
+	}
 	e, err := edge.Start(settings, live.Deployment(conn.NewDialer(storeDial, storeSilence).DialContext), out)
 	if err != nil {
 		return err
--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -135,6 +135,16 @@
 	ex.Response = res
 }
 
+// Deliver lets the rest of an answer be read until a time, though the context ends: an answer
+// that has begun is delivered, also late. The error says that the context had ended before.
+func (ex *Exchange) Deliver(until time.Time) error {
+	if ex.stop != nil && !ex.stop() {
+		return errors.New("the exchange was broken off")
+	}
+	ex.stop = nil
+	return errors.Trace(ex.link.SetDeadline(until))
+}
+
 // maxSkipped bounds an answer to another request that is dropped, in bytes.
 const maxSkipped = 1 << 20
 
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -38,6 +38,8 @@
 			end.Get("version"), end.Get("confirmed"), end.Get("host"), end.Get("path"))
 	case request.OverQuota:
 		return quotaText(end)
+	case request.MemoryFull:
+		return "no memory: instance " + end.Get("instance") + " holds as much as it may of requests and answers whose callers or backend servers are slow to read; see its lines memory-freed and its gauges held_bytes"
 	case request.Quarantined:
 		return fmt.Sprintf("%s backend servers of service %s had ended while they ran this request (%s, %s), so it is sent to none until an operator lets it through",
 			orZero(end.Get("crashes")), end.Get("service"), end.Get("request"), end.Get("path"))
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -22,13 +22,15 @@
 )
 
 // Hold makes the request count as in flight after Done, until Release: the backend
-// server is still sending the rest of a large answer.
+// server is still sending the rest of an answer. So one whose answers are read slowly gets
+// less.
 func (p *Pick) Hold() { p.held = true }
 
 // Release ends what Hold began. It is called once.
 func (p *Pick) Release() {
 	p.table.mu.Lock()
 	defer p.table.mu.Unlock()
+	p.u.inFlight--
 	*p.u.flights--
 }
 
@@ -40,8 +42,8 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	u := p.u
-	u.inFlight--
 	if !p.held {
+		u.inFlight--
 		*u.flights--
 	}
 	if p.turnedAway {
--- a/process/edge/drain.go
+++ b/process/edge/drain.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"shalewick/conn"
 )
 
 const (
@@ -45,6 +47,9 @@
 func (l *drainListener) Accept() (net.Conn, error) {
 	c, err := l.TCPListener.Accept()
 	until := l.until.Load()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(conn.SocketBuffer) // it works all the same where it can't be set
+	}
 	if until == nil {
 		return c, err
 	}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"shalewick/process/balance"
 	"shalewick/process/cluster"
 	"shalewick/process/crash"
+	"shalewick/process/held"
 	"shalewick/process/logging"
 	"shalewick/process/metric"
 	"shalewick/process/proxy"
@@ -45,6 +47,10 @@
 // rest is for what was already on its way there, and for rows that are late.
 const leaveShare = 2
 
+// heldShare divides an instance's memory into what may be held of requests and answers. The
+// rest is for what is known of the fleet, for connections without a request, and for garbage.
+const heldShare = 5
+
 // Edge is one running instance.
 type Edge struct {
 	settings   Settings
@@ -68,6 +74,7 @@
 	quarantineRows quarantineRows
 	asking         asking
 	placed         placed
+	held           *held.Budget // nil: no bound
 	metrics        *metric.Set
 	leaving        atomic.Bool
 	compiling      sync.Mutex
@@ -155,8 +162,11 @@
 	e.rollouts = e.newRollouts()
 	e.quarantine = e.newQuarantine()
 	e.beats.Message = e.hearMessage
+	if e.settings.Memory > 0 {
+		e.held = &held.Budget{Limit: e.settings.Memory / heldShare, Now: e.now, OnCut: e.logCutOff}
+	}
 	e.proxy = &proxy.Proxy{
-		Quota: e.quota, Rollouts: e.rollouts, Quarantine: e.quarantine,
+		Quota: e.quota, Rollouts: e.rollouts, Quarantine: e.quarantine, Held: e.held,
 		Crashes: &crash.Watch{Now: e.now, OnCrash: e.backendCrashed},
 		Names:   e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, Age: e.follower.Age,
 		Retries: &retry.Window{
@@ -223,6 +233,9 @@
 	e.metrics.Gauge("backends_leaving").Update(int64(leaving))
 	e.metrics.Gauge("backends_backed_off").Update(int64(backedOff))
 	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
+	for _, k := range []held.Kind{held.Requests, held.Bodies, held.Answers} {
+		e.metrics.Gauge("held_bytes{kind=" + strconv.Quote(k.String()) + "}").Update(e.held.Held(k))
+	}
 	e.metrics.Gauge("requests_running").Update(e.proxy.Running())
 	e.metrics.Gauge("requests_quarantined").Update(int64(e.quarantine.Count()))
 	e.metrics.Gauge("rollouts_running").Update(e.rolling.running.Load())
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -36,6 +36,9 @@
 	// Link is what the instance's network link carries, in Mbit/s, and Cores its share
 	// of processors. Zero: not known.
 	Link, Cores float64
+	// Memory is what the process may take, in bytes. Zero: not known, and what is held of
+	// requests and answers has no bound.
+	Memory int64
 
 	// Seeds are Control addresses of some instances, for a start without the
 	// store.
@@ -88,8 +91,8 @@
 	if s.RetryRatio < 0 || s.RetryFixed < 0 || s.RetrySpan <= 0 {
 		return errors.New("retry ratio and fixed: must not be negative, and the span above 0")
 	}
-	if s.Link < 0 || s.Cores < 0 {
-		return errors.New("link and cores: must not be negative")
+	if s.Link < 0 || s.Cores < 0 || s.Memory < 0 {
+		return errors.New("link, cores and memory: must not be negative")
 	}
 	if t := s.QuotaTolerance; t.Window < 0 || t.Over < 0 || t.Slack < 0 {
 		return errors.New("quota window, over and slack: must not be negative")
--- a/process/edge/use.go
+++ b/process/edge/use.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shalewick/clock"
+	"shalewick/process/held"
 )
 
 const (
@@ -48,13 +49,20 @@
 	return now < u.until
 }
 
-// watchUse tells the other instances whether this one is busy until the context ends.
+// logCutOff writes whose request was cut off, and why.
+func (e *Edge) logCutOff(c held.Cut) {
+	e.log.Info().Str("owner", c.Owner).Str("waitedFor", c.Kind.String()).Int64("held", c.Held).Dur("stalled", c.Stalled).Msg("memory-freed")
+}
+
+// watchUse tells the other instances whether this one is busy until the context ends, and cuts
+// off requests that hold memory for backend servers that do not read.
 func (e *Edge) watchUse(ctx context.Context) {
 	var u use
 	busy := false
 	last, carried := e.now(), e.proxy.Carried()
 	var suspension clock.Suspension
 	for clock.Sleep(ctx, usePause) {
+		e.held.CutStalled()
 		if lost := suspension.Note(e.deployment.Clock(), time.Now()); lost > 0 {
 			e.log.Warn().Dur("stood", lost).Int("ended", e.proxy.EndLapsed()).Msg("machine-suspended")
 		}
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -63,6 +63,12 @@
 	s.Counter("load_reports_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
+// CutOff counts a request that was cut off since the side that a kind names did not send or
+// read.
+func (s *Set) CutOff(kind string) {
+	s.Counter("requests_cut_off_total{waited_for=" + strconv.Quote(kind) + "}").Inc(1)
+}
+
 // Notice counts an answer in which a backend server of a service says that it leaves, or
 // asks to be left alone for a time.
 func (s *Set) Notice(service string, n request.Notice) {
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -4,20 +4,17 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
+	"shalewick/process/held"
 	"shalewick/process/metric"
 	"shalewick/request"
 )
 
-// writeTime bounds the writing of an answer, whatever the request's deadline was, since
-// late answers are delivered: a caller whose connection is silent must not hold up
-// a planned stop.
-const writeTime = 15 * time.Second
-
 // relay passes an answer on. One that is cut short breaks the caller's
 // connection off, so that it never looks whole.
 func (p *Proxy) relay(c *call, a *answer) {
@@ -31,14 +28,14 @@
 	if p.leaving.Load() {
 		h.Set("Connection", "close")
 	}
-	// An error means that the caller is gone, which the write tells as well.
-	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeTime))
 	c.w.WriteHeader(a.res.StatusCode)
 	p.carried.Add(max(int64(len(a.whole)), a.res.ContentLength))
-	_, err := c.w.Write(a.whole)
+	err := c.write(a.whole)
 	if a.ex != nil {
 		if err == nil {
-			_, err = io.Copy(c.w, a.ex.Response.Body)
+			a.whole = nil
+			c.lease.Free(held.Answers)
+			err = c.passOn(a.ex)
 		}
 		a.close()
 	}
@@ -46,6 +43,9 @@
 	if err != nil {
 		code = request.AnswerLost
 	}
+	if errors.Is(err, errCutOff) && !c.cut.Load() {
+		p.noteCutOff(c, held.Answers)
+	}
 	took := time.Since(c.began)
 	p.measure(c, c.route.Class, code, took)
 	end := metric.EndInTime
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -13,12 +13,13 @@
 
 	"shalewick/conn"
 	"shalewick/process/balance"
+	"shalewick/process/held"
 	"shalewick/process/rollout"
 	"shalewick/request"
 )
 
-// answer is a backend server's answer. Either whole has all of the body, or the
-// rest is still to be read from the exchange.
+// answer is a backend server's answer. Either whole has all of the body, or its beginning,
+// and the rest is still to be read from the exchange.
 type answer struct {
 	pick   *balance.Pick
 	target bool // it was chosen among a roll-out's target
@@ -172,7 +173,7 @@
 		return nil, t.refused(ex, pick, notice)
 	}
 	headTook := time.Since(sent)
-	a, err := readAnswer(ex)
+	a, err := readAnswer(ex, t.c.lease)
 	if err != nil {
 		return nil, t.lost(ctx, pick, err, sent)
 	}
@@ -240,16 +241,17 @@
 	return t.result(request.BackendRefused, minRetry)
 }
 
-// readAnswer takes in an answer, whole unless it is large.
-func readAnswer(ex *conn.Exchange) (*answer, error) {
+// readAnswer takes in an answer, whole unless it is large or there is no room to hold it.
+func readAnswer(ex *conn.Exchange, lease *held.Lease) (*answer, error) {
 	a := &answer{res: ex.Response, ex: ex}
 	var err error
-	a.whole, err = io.ReadAll(io.LimitReader(ex.Response.Body, maxHeldAnswer+1))
+	whole := false
+	a.whole, whole, err = held.Read(lease, held.Answers, ex.Response.Body, ex.Response.ContentLength, maxHeldAnswer)
 	if err != nil {
 		ex.Close()
 		return nil, err
 	}
-	if len(a.whole) <= maxHeldAnswer {
+	if whole {
 		a.ex = nil
 		ex.Close()
 	}
--- a/process/proxy/forward.go
+++ b/process/proxy/forward.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"shalewick/process/balance"
+	"shalewick/process/held"
 	"shalewick/request"
 )
 
@@ -18,7 +19,7 @@
 	in := t.c.r
 	out := &http.Request{
 		Method: in.Method, URL: target(in), Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: request.Forwardable(in.Header), Body: t.c.body.reader(), ContentLength: t.c.body.length,
+		Header: request.Forwardable(in.Header), Body: held.Watch(t.c.lease, t.c.body.reader()), ContentLength: t.c.body.length,
 	}
 	h := out.Header
 	if _, ok := h["User-Agent"]; !ok {
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -18,6 +18,7 @@
 
 	"shalewick/process/balance"
 	"shalewick/process/crash"
+	"shalewick/process/held"
 	"shalewick/process/metric"
 	"shalewick/process/quarantine"
 	"shalewick/process/quota"
@@ -40,9 +41,11 @@
 	Crashes *crash.Watch
 	// Quarantine, if set, says which requests crash what runs them.
 	Quarantine *quarantine.Quarantine
-	Metrics    *metric.Set
-	Log        zerolog.Logger
-	Now        func() time.Duration
+	// Held, if set, bounds what is held of requests and answers.
+	Held    *held.Budget
+	Metrics *metric.Set
+	Log     zerolog.Logger
+	Now     func() time.Duration
 	// Fresh, if set, reports whether the configuration in force may be acted
 	// on; otherwise requests are refused.
 	Fresh func() bool
@@ -75,10 +78,10 @@
 
 // Bounds of what is held in memory, in bytes.
 const (
-	// maxHeldBody is the size up to which a request's body is held whole, so
+	// maxHeldBody is the size up to which a request's body is held whole if there is room, so
 	// that it can be sent again.
 	maxHeldBody = 1 << 20
-	// maxHeldAnswer is the size up to which an answer is held whole.
+	// maxHeldAnswer is the size up to which an answer is held whole if there is room.
 	maxHeldAnswer = 1 << 20
 )
 
@@ -106,6 +109,8 @@
 	now      func() time.Duration
 	begun    time.Duration
 	reading  reading
+	lease    *held.Lease // of what is held of it
+	cut      atomic.Bool // its caller was cut off
 	body     *body
 	print    request.Fingerprint // zero: the body was not read
 	why      *balance.Why        // what the last choice saw, if it found no backend server
@@ -135,6 +140,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	if res := p.admit(c, cancel); res != nil {
+		p.finish(c, res)
+		return
+	}
+	defer c.lease.End()
 	p.calls.add(c, cancel)
 	defer p.calls.remove(c)
 	if res := p.takeQuota(ctx, c); res != nil {
@@ -154,6 +164,8 @@
 	}
 	a, res := p.run(ctx, c)
 	p.settleQuota(c)
+	c.body = nil // no further attempt needs it
+	c.lease.Free(held.Bodies)
 	if res != nil {
 		p.finish(c, res)
 		return
@@ -243,21 +255,21 @@
 	return io.NopCloser(io.MultiReader(whole, b.rest))
 }
 
-// readBody reads the body up to maxHeldBody.
+// readBody reads the body up to maxHeldBody, or as far as there is room.
 func (p *Proxy) readBody(c *call) *request.Result {
 	c.body = &body{}
 	if c.r.ContentLength == 0 {
 		return nil
 	}
 	c.reads(time.Now().Add(c.left()))
-	whole, err := io.ReadAll(io.LimitReader(c.r.Body, maxHeldBody+1))
-	c.body.whole = whole
+	text, whole, err := held.Read(c.lease, held.Bodies, waitedFor{c.r.Body, c.lease}, c.r.ContentLength, maxHeldBody)
+	c.body.whole = text
 	if err != nil {
 		return bodyResult(err)
 	}
-	c.body.length = int64(len(whole))
+	c.body.length = int64(len(text))
 	p.carried.Add(max(c.body.length, c.r.ContentLength))
-	if len(whole) > maxHeldBody {
+	if !whole {
 		c.body.rest = c.r.Body
 		c.body.length = c.r.ContentLength
 	}
--- a/request/result.go
+++ b/request/result.go
@@ -35,6 +35,7 @@
 	DeadlineNear Code = 21
 	NoBackend    Code = 22
 	OverQuota    Code = 23
+	MemoryFull   Code = 24
 
 	NoVersion      Code = 30
 	Unconfirmed    Code = 31
@@ -99,6 +100,7 @@
 	DeadlineNear:   {"DEADLINE_NEAR", http.StatusServiceUnavailable, "no slot can be had before the deadline"},
 	NoBackend:      {"NO_BACKEND", http.StatusServiceUnavailable, "no backend server of the service takes work"},
 	OverQuota:      {"OVER_QUOTA", http.StatusTooManyRequests, "the workspace has used up its rate and burst"},
+	MemoryFull:     {"MEMORY_FULL", http.StatusServiceUnavailable, "the instance holds as much of requests and answers as it may"},
 	KeyUnconfirmed: {"KEY_UNCONFIRMED", http.StatusServiceUnavailable, "no workspace is known to have the key, and nobody has confirmed the instance's configuration lately"},
 	NoVersion:      {"NO_VERSION", http.StatusServiceUnavailable, "the instance has no configuration yet"},
 	Unconfirmed:    {"UNCONFIRMED", http.StatusServiceUnavailable, "nobody has confirmed the instance's configuration lately"},
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -4,12 +4,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -229,12 +231,32 @@
 		_, _ = io.WriteString(c, "this is no answer\r\n\r\n")
 		return false
 	}
-	_, err := io.WriteString(c, text)
+	if _, err := io.WriteString(c, text); err != nil {
+		return false
+	}
+	_, err := c.Write(padding(s.Size))
 	return err == nil
 }
 
+// padding returns so many bytes, the same memory each time.
+func padding(size int) []byte {
+	if size == 0 {
+		return nil
+	}
+	onePadding.Do(func() { paddingBytes = bytes.Repeat([]byte{'x'}, mostSize) })
+	return paddingBytes[:size]
+}
+
+// mostSize bounds Server.Size.
+const mostSize = 16 << 20
+
+var (
+	onePadding   sync.Once
+	paddingBytes []byte
+)
+
 func (s *Server) text(id, load string) string {
 	body := Body(id)
 	return "HTTP/1.1 200 OK\r\n" + s.Names.ID + ": " + id + "\r\n" + s.Names.Seal + ": seal-" + id + "\r\n" +
-		s.Names.Load + ": " + load + "\r\n" + s.notice(id, None) + "Keep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		s.Names.Load + ": " + load + "\r\n" + s.notice(id, None) + "Keep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)+s.Size) + "\r\n\r\n" + body
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -55,6 +55,7 @@
 	Queue    int           // requests that may wait for a slot
 	Work     time.Duration // for an object that was seen
 	First    time.Duration // for one that was not
+	Size     int           // bytes that are added to each answer
 	Pace     string        // the fourth figure of its load reports; "": they have none
 	Software string        // the version of the software that it runs
 	Bad      Badness       // of that version
