clock, cluster, state: clocks, ticks and polls wake and ask less

Change: the kernel is asked once a second, and when the time of day and monotonic time move apart, as by a suspension (TestSampledClockSeesSuspensions); ticks of probes come only while one is open; polls of one period wake together.

--- a/clock/boot.go
+++ b/clock/boot.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -14,9 +15,16 @@
 // monotonic time leaves a suspension out; so it is the clock of all that has to be old after
 // one: leases, tables, what is believed of others.
 //
-// It is a system call: 0.27 to 0.77 us where time.Now takes 0.06 to 0.1, both on a busy
-// machine (BenchmarkNow).
+// The kernel is asked once a second, and whenever the time of day and Go's monotonic time have
+// moved apart, as they do by a suspension. In between time.Now tells it, which is no
+// system call.
 func Now() time.Duration {
+	t := time.Now()
+	return shared.now(t.Sub(loaded()), t.UnixNano(), asked)
+}
+
+// asked asks the kernel.
+func asked() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return fallback() // kernels before 2.6.39 lack the clock
@@ -24,6 +32,40 @@
 	return time.Duration(ts.Nano())
 }
 
+const (
+	// askPause is how long an answer of the kernel is good for, by Go's monotonic time.
+	askPause = time.Second
+	// leastApart is by how much the time of day and monotonic time move apart in a suspension
+	// that matters; adjustments of the time of day stay far below it within askPause.
+	leastApart = 10 * time.Millisecond
+)
+
+// sampled is a clock that is asked seldom. The zero value is ready.
+type sampled struct{ last atomic.Pointer[sample] }
+
+// sample is an answer of the kernel with the readings of the other clocks at that moment.
+type sample struct {
+	boot, steady time.Duration
+	wall         int64 // time of day, ns
+}
+
+var shared sampled
+
+// now returns the time at a reading of the other clocks: Go's monotonic one, and the time of day
+// in nanoseconds.
+func (s *sampled) now(steady time.Duration, wall int64, ask func() time.Duration) time.Duration {
+	if last := s.last.Load(); last != nil {
+		passed := steady - last.steady
+		apart := time.Duration(wall-last.wall) - passed
+		if passed >= 0 && passed < askPause && apart.Abs() < leastApart {
+			return last.boot + passed
+		}
+	}
+	boot := ask()
+	s.last.Store(&sample{boot: boot, steady: steady, wall: wall})
+	return boot
+}
+
 var loaded = sync.OnceValue(time.Now)
 
 // fallback is a clock that leaves suspensions out.
--- a/clock/boot_test.go
+++ b/clock/boot_test.go
@@ -48,3 +48,24 @@
 		}
 	})
 }
+
+// TestSampledClockSeesSuspensions checks that a suspension counts at the first reading after it,
+// that steps of the time of day do not count, and that the kernel is asked seldom. Each
+// reading was a system call, and an instance of a large fleet reads the clock thousands of
+// times a second.
+func TestSampledClockSeesSuspensions(t *testing.T) {
+	var s sampled
+	steady, wall, boot, asks := time.Minute, int64(1e18), time.Hour, 0
+	now := func() time.Duration {
+		return s.now(steady, wall, func() time.Duration { asks++; return boot })
+	}
+	for range 1000 {
+		steady, wall, boot = steady+time.Millisecond, wall+int64(time.Millisecond), boot+time.Millisecond
+		assert.Equal(t, now(), boot)
+	}
+	assert.Assert(t, asks <= 2, "%d", asks)
+	wall, boot = wall+int64(3*time.Second), boot+3*time.Second // suspended
+	assert.Equal(t, now(), boot)
+	wall -= int64(5 * time.Second) // the time of day was set back
+	assert.Equal(t, now(), boot)
+}
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -24,3 +26,14 @@
 		return false
 	}
 }
+
+// phase is where the grid of SleepAligned begins in this process, so that processes that start
+// together do not all wake at the same moments.
+var phase = sync.OnceValue(func() time.Duration { return rand.N(time.Second) })
+
+// SleepAligned waits for the next multiple of a period, and reports whether the context goes on.
+// Loops that only look whether there is something to do wake together by it: each wake-up by
+// itself costs more than what most of them do.
+func SleepAligned(ctx context.Context, period time.Duration) bool {
+	return Sleep(ctx, period-(Now()+phase())%period)
+}
--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -64,6 +64,7 @@
 	members *Members
 	socket  *net.UDPConn
 	sent    atomic.Int64
+	more    chan struct{} // there is something to look at before the next beat
 }
 
 // Sent returns the number of datagrams that were sent.
@@ -79,7 +80,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "listen for beats")
 	}
-	return &Beats{members: members, socket: s}, nil
+	return &Beats{members: members, socket: s, more: make(chan struct{}, 1)}, nil
 }
 
 // Run sends and receives until the context ends.
@@ -97,16 +98,36 @@
 // pause waits until the next beat, and looks at the answers of those that were probed meanwhile.
 // It reports whether the context goes on.
 func (b *Beats) pause(ctx context.Context, d time.Duration) bool {
-	if !b.members.Probes() {
-		return clock.Sleep(ctx, d)
-	}
-	for ; d > 0; d -= Tick {
-		if !clock.Sleep(ctx, min(d, Tick)) {
+	for end := b.members.now() + d; ; {
+		left := end - b.members.now()
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		if !b.members.pending() {
+			if !b.awaitMore(ctx, left) {
+				return false
+			}
+			continue
+		}
+		due := b.members.now() + min(left, Tick)
+		if !clock.Sleep(ctx, min(left, Tick)) {
 			return false
 		}
-		b.sendOut(b.members.tick())
+		b.sendOut(b.members.tick(b.members.now()-due > stoodStill))
 	}
-	return true
+}
+
+// awaitMore waits for a time, or until there is something to look at. It reports whether the
+// context goes on.
+func (b *Beats) awaitMore(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-b.more:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
 }
 
 func (b *Beats) sendOut(all []outgoing) {
@@ -138,6 +159,12 @@
 			go b.Ask(d.Self.Peer)
 		}
 		b.sendOut(b.members.respond(&d))
+		if b.members.pending() {
+			select {
+			case b.more <- struct{}{}:
+			default: // it is known already
+			}
+		}
 		if b.Hear != nil && len(d.Observations) > 0 {
 			b.Hear(d.Observations)
 		}
--- a/process/cluster/bench_test.go
+++ b/process/cluster/bench_test.go
@@ -39,7 +39,7 @@
 			"sources": func() { m.Sources() },
 			"relay":   func() { m.Relay() },
 			"live":    func() { m.Live() },
-			"tick":    func() { m.tick() },
+			"tick":    func() { m.tick(false) },
 			"beat": func() {
 				m.listeners()
 				m.probeSome(m.tell(false))
--- a/process/cluster/gossip_test.go
+++ b/process/cluster/gossip_test.go
@@ -125,8 +125,9 @@
 				continue
 			}
 			if f.now >= x.tick {
+				late := f.now-x.tick > stoodStill
 				x.tick = f.now + Tick
-				f.sendOut(x, x.members.tick())
+				f.sendOut(x, x.members.tick(late))
 			}
 			if f.now < x.next {
 				continue
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -88,7 +88,6 @@
 	treeAt   time.Duration
 	treeOf   Member
 	forgot   time.Duration // when forget last looked
-	ticked   time.Duration // when tick was called last; zero: never
 	anyHeard time.Duration // when any of the region spoke last; zero: never
 }
 
--- a/process/cluster/probe.go
+++ b/process/cluster/probe.go
@@ -31,8 +31,7 @@
 	// have got no answer.
 	helpers  = 6
 	mustMiss = 3
-	// stoodStill is how late a tick must be for all that is under way to be dropped: answers may
-	// wait unread.
+	// stoodStill is how late a tick must be for all that is under way to be dropped.
 	stoodStill = 2 * Tick
 	// failedFor is how long an instance counts as not alive after a call to it failed, unless it
 	// is found to be lost.
@@ -203,13 +202,27 @@
 	}
 }
 
-// tick looks at the answers that have come, and returns what to send. It is called each Tick.
-func (m *Members) tick() []outgoing {
+// pending reports whether there is something to look at: tick is then to be called after a Tick.
+func (m *Members) pending() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.probing) > 0 || len(m.checks) > 0 {
+		return true
+	}
+	for k := range m.doubted {
+		if k.evidence.told < forwardTicks {
+			return true
+		}
+	}
+	return false
+}
+
+// tick looks at the answers that have come, and returns what to send. Late says that it was called
+// so late that answers may wait unread.
+func (m *Members) tick(late bool) []outgoing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	late := m.ticked != 0 && now-m.ticked > Tick+stoodStill
-	m.ticked = now
 	if late {
 		m.probing, m.checks = nil, nil
 	}
--- a/process/edge/quota.go
+++ b/process/edge/quota.go
@@ -45,7 +45,7 @@
 
 // tickQuota tells and asks the owners of limits until the context ends.
 func (e *Edge) tickQuota(ctx context.Context) {
-	for clock.Sleep(ctx, quota.TickTime) {
+	for clock.SleepAligned(ctx, quota.TickTime) {
 		e.quota.Tick()
 	}
 }
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -208,11 +208,11 @@
 	var pause gatherPause
 	for ctx.Err() == nil {
 		if !f.wanted(name) {
-			clock.Sleep(ctx, idlePoll)
+			clock.SleepAligned(ctx, idlePoll)
 			continue
 		}
 		if !f.Peers.Relay() && !f.Stale() {
-			clock.Sleep(ctx, f.pollPause())
+			clock.SleepAligned(ctx, f.pollPause())
 			continue
 		}
 		careful := failed != 0 && f.Now()-failed < carefulFor
@@ -296,14 +296,14 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if i > 0 && f.standsBy() {
-			clock.Sleep(ctx, idlePoll)
+			clock.SleepAligned(ctx, idlePoll)
 			continue
 		}
 		asked, cancel := context.WithTimeout(ctx, peerWait+answerSlack)
 		d, ok, err := f.Peers.Changes(asked, i, f.question())
 		cancel()
 		if !ok {
-			clock.Sleep(ctx, f.pollPause())
+			clock.SleepAligned(ctx, f.pollPause())
 			continue
 		}
 		if err != nil {
