balance: uploads stay in the hall as far as its backend servers go

Half of all uploads crossed to another hall of the region, though no caller gained by it: the weights of a region's requests say nothing of halls.

Change: for uploads the weight of the region goes to the own hall's backend servers up to the hall's share of it, and the rest is as before. Other routes stay, since what their servers have seen is worth more than their few bytes.

--- a/process/balance/candidate.go
+++ b/process/balance/candidate.go
@@ -51,7 +51,7 @@
 func (t *Table) candidates(q *Query, part *version.RoutePart, s *version.RoutedService, object uint64, among eligibility, now time.Duration, whole bool) ([]candidate, Why) {
 	x := search{
 		t: t, q: q, s: s, object: object, among: among, now: now, bound: t.connections(s), c: t.scratch[:0],
-		weights: t.weightsOf(part, s), near: &t.nearGroups, far: &t.farGroups, why: Why{Backends: len(s.Backends)}, missed: version.None,
+		weights: t.weightsFor(q.Route, part, s), near: &t.nearGroups, far: &t.farGroups, why: Why{Backends: len(s.Backends)}, missed: version.None,
 	}
 	x.orderGroups()
 	if whole {
--- a/process/balance/home.go
+++ b/process/balance/home.go
@@ -103,7 +103,7 @@
 // the lock.
 func (t *Table) home(q *Query, part *version.RoutePart, among func(index int32) bool) int32 {
 	s := &t.routing.Services[part.Service]
-	w := t.weightsOf(part, s)
+	w := t.weightsFor(q.Route, part, s)
 	best, least := version.None, math.Inf(1)
 	for g := range version.GroupCount {
 		members := s.Groups.Members(g)
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -18,8 +18,8 @@
 	// Place returns the place of this instance, from 0, among those that share
 	// what must be shared, and their number; zero: not known yet.
 	Place func() (place, of int)
-	// Region is the name of the region of this instance. If it is empty, Hall
-	// names its hall, whose region the configuration tells.
+	// Region and Hall are the names of the region and the hall of this instance. If Region is
+	// empty, the configuration tells it by the hall.
 	Region string
 	Hall   string
 	// OnSuspend, if set, is told when a backend server gets nothing for a while, with
@@ -54,7 +54,9 @@
 	flights  map[softwareOf]*int // requests in flight
 	homes    targetHomes
 	scratch  []candidate // memory of candidates, kept between decisions
-	looked   int         // backend servers that choices looked at
+	// hallWeights are the weights for uploads by those that they were made from.
+	hallWeights map[*version.Weights]*version.Weights
+	looked      int // backend servers that choices looked at
 	// Memory of the distances of groups from an object.
 	nearGroups, farGroups [version.GroupCount]float64
 	splits                map[string][]float64 // credit of each part, by route
@@ -90,6 +92,7 @@
 	t.seeRows(now)
 	t.forgetNotices(now)
 	t.homes.clear()
+	clear(t.hallWeights)
 	t.region = r.Region(t.Region)
 	if t.Region == "" {
 		t.region = r.RegionOfHall(t.Hall)
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -152,7 +152,7 @@
 	e.lapses.keep = keepLapsed(e.settings.DrainWithin)
 	dialer := conn.NewDialer(dialTimeout, backendSilence)
 	e.table = &balance.Table{
-		Now: e.now, Place: e.place, Region: e.settings.Region, OnSuspend: e.logSuspension,
+		Now: e.now, Place: e.place, Region: e.settings.Region, Hall: e.settings.Hall, OnSuspend: e.logSuspension,
 		OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeaveWithin: e.settings.DrainWithin / leaveShare,
 		Reach: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
--- a/version/group.go
+++ b/version/group.go
@@ -28,8 +28,8 @@
 // Members returns the indexes in RoutedService.Backends of the members of a group.
 func (g *Groups) Members(group int) []int32 { return g.members[g.start[group]:g.start[group+1]] }
 
-// group returns that of a backend server of the service.
-func (s *RoutedService) group(u *RoutedBackend) int {
+// Group returns that of a backend server of the service.
+func (s *RoutedService) Group(u *RoutedBackend) int {
 	if len(s.Backends) <= ungroupedUpTo {
 		return 0
 	}
@@ -40,7 +40,7 @@
 func (r *Routing) groups(s *RoutedService) *Groups {
 	g := &Groups{members: make([]int32, len(s.Backends))}
 	for _, i := range s.Backends {
-		g.start[s.group(&r.Backends[i])+1]++
+		g.start[s.Group(&r.Backends[i])+1]++
 	}
 	for i := range GroupCount {
 		g.start[i+1] += g.start[i]
@@ -48,7 +48,7 @@
 	next := g.start
 	for k, i := range s.Backends {
 		u := &r.Backends[i]
-		group := s.group(u)
+		group := s.Group(u)
 		g.members[next[group]] = int32(k)
 		next[group]++
 		if !u.Closed {
--- a/version/weight.go
+++ b/version/weight.go
@@ -116,7 +116,7 @@
 				w.Backends[k] = max(leastWeight, shares[from][u.Region]*float64(u.Slots)/c)
 			}
 			if !u.Closed {
-				w.Groups[s.group(u)] += w.Backends[k]
+				w.Groups[s.Group(u)] += w.Backends[k]
 			}
 		}
 	}
