proxy: a test of refusals on connections that have rested

The bound of writing an answer is shorter now than connections may rest. It passes on the code as it is: net/http takes the bound off between requests.

--- a/process/proxy/held_test.go
+++ b/process/proxy/held_test.go
@@ -145,3 +145,23 @@
 	assert.Equal(t, len(runs), 1)
 	assert.Assert(t, runs[0].Body == body)
 }
+
+// TestRefusalAfterAPauseIsDelivered checks that a caller whose connection has rested gets whatever its
+// next request ends with: the time in which the answer before had to be written must not end the
+// connection.
+func TestRefusalAfterAPauseIsDelivered(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1)
+	f.own(f.send("first", "/reads/1", ""), "first")
+	c := f.slowly(slowGet, "")
+	_, err := http.ReadResponse(c.r, nil)
+	assert.NilError(t, err)
+	_, err = io.CopyN(io.Discard, c.r, int64(len("answer to slow")))
+	assert.NilError(t, err)
+	time.Sleep(held.StalledMost + 500*time.Millisecond)
+	_, err = io.WriteString(c, "GET /nowhere HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(c.r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusNotFound)
+}
