--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -38,9 +38,8 @@
 	// it was heard, when each tells all others at each beat.
 	aliveFor = 1800 * time.Millisecond
 	// aliveTold is that time for a region in which the news that an instance lives
-	// reaches some only by way of others. Model, with one datagram of ten lost:
-	// news of 60 instances is 2.06 s old at most in 20 s. In larger regions instances are
-	// probed, and aliveFar is how long one that leaves counts as at work.
+	// reaches some only by way of others. In larger regions instances are probed, and aliveFar is
+	// how long one that leaves counts as at work.
 	aliveTold = 2400 * time.Millisecond
 	aliveFar  = 3600 * time.Millisecond
 	// grace is how long an instance counts as alive that was only read of.
--- a/process/state/pause.go
+++ b/process/state/pause.go
@@ -54,3 +54,46 @@
 	}
 	g.changed = at
 }
+
+// What large fleets save by.
+const (
+	// gatherPerRow and gatherPerInstance are how long changes gather before another instance is
+	// asked again, for each row and each instance that there is, within the same bounds: in a large
+	// fleet some row changes all the time, and each instance would ask each time.
+	gatherPerRow      = 50 * time.Microsecond
+	gatherPerInstance = 500 * time.Microsecond
+	// manyRows and manyInstances are how many there must be for the further sources to stand by: they
+	// are asked only while the first has not answered for standbyAfter, since each would tell all
+	// changes again.
+	manyRows      = 2000
+	manyInstances = 200
+	standbyAfter  = 1500 * time.Millisecond
+)
+
+// size returns the number of rows of all tables.
+func (f *Follower) size() (n int) {
+	for _, t := range f.Tables {
+		n += t.Len()
+	}
+	return n
+}
+
+// peerGather returns how long changes gather before another instance is asked again.
+func (f *Follower) peerGather() time.Duration {
+	pause := max(time.Duration(f.size())*gatherPerRow, time.Duration(f.instances())*gatherPerInstance)
+	return min(max(gatherLeast, pause), gatherMost)
+}
+
+func (f *Follower) instances() int {
+	if f.Instances == nil {
+		return 0
+	}
+	return f.Instances()
+}
+
+// standsBy reports whether the sources after the first are not asked.
+func (f *Follower) standsBy() bool {
+	answered := time.Duration(f.answered.Load())
+	many := f.size() >= manyRows || f.instances() >= manyInstances
+	return many && answered != 0 && f.Now()-answered < standbyAfter
+}
