held, state: large buffers are used again; a test sets its scene before it starts

Suspected, not shown: each answer of 1 MB left almost 2 MB of garbage, which a starved process collects late. Now buffers of large answers are used again once they were written.

TestHeadDoesNotWaitForASilentRelay failed in the same run: the others fell silent after the follower had begun to ask, so that one might have answered before. The scene is set first now; what is asserted is the same.

--- a/process/held/read.go
+++ b/process/held/read.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 )
 
 const (
@@ -23,7 +24,7 @@
 	if length < 0 || length > most {
 		length = most
 	}
-	text = make([]byte, 0, min(first, length+1))
+	text = make([]byte, 0, min(first, length+1)) // a small one is not worth pooling
 	for {
 		n, err := r.Read(text[len(text):cap(text)])
 		text = text[:len(text)+n]
@@ -41,12 +42,42 @@
 		if !l.Grow(k, size-int64(cap(text))) {
 			return text, false, nil
 		}
-		larger := make([]byte, len(text), size)
-		copy(larger, text)
+		larger := append(take(size), text...)
+		Release(text)
 		text = larger
 	}
 }
 
+// pooled are the buffers of large bodies and answers by their size, those of growth from first on and
+// that of the most that is held. Each answer of a megabyte would otherwise leave almost two
+// of garbage, of which a busy machine holds many before it is collected.
+var pooled sync.Map // of int64 to *sync.Pool
+
+// leastPooled is the size of the smallest buffer that is used again, in bytes.
+const leastPooled = 32 << 10
+
+// take returns an empty buffer of a size.
+func take(size int64) []byte {
+	if pool, ok := pooled.Load(size); ok {
+		if b, ok := pool.(*sync.Pool).Get().(*[]byte); ok {
+			return (*b)[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+// Release lets the buffer of what Read returned be used again. Nobody may read it any more.
+func Release(text []byte) {
+	size := int64(cap(text))
+	if size < leastPooled || !powerOfTwo(size) && !powerOfTwo(size-1) {
+		return // of a size that few have
+	}
+	pool, _ := pooled.LoadOrStore(size, new(sync.Pool))
+	pool.(*sync.Pool).Put(&text)
+}
+
+func powerOfTwo(n int64) bool { return n&(n-1) == 0 }
+
 // grown returns the next size of a buffer that is full. One byte more than is expected tells
 // the end.
 func grown(size, length, most int64) int64 {
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -31,9 +31,10 @@
 	c.w.WriteHeader(a.res.StatusCode)
 	p.carried.Add(max(int64(len(a.whole)), a.res.ContentLength))
 	err := c.write(a.whole)
+	held.Release(a.whole)
+	a.whole = nil
 	if a.ex != nil {
 		if err == nil {
-			a.whole = nil
 			c.lease.Free(held.Answers)
 			err = c.passOn(a.ex)
 		}
--- a/process/state/start_test.go
+++ b/process/state/start_test.go
@@ -118,8 +118,7 @@
 // TestHeadDoesNotWaitForASilentRelay checks that an instance from which others
 // learn asks the store itself soon after its start if nobody answers it.
 func TestHeadDoesNotWaitForASilentRelay(t *testing.T) {
-	f, store, peers := follow(t)
-	peers.set(func(s *script) { s.silent, s.head = true, true })
+	f, store, _ := follow(t, func(s *script) { s.silent, s.head = true, true })
 	reaches(t, f, 1, 4*headLeast)
 	assert.Assert(t, store.count() > 0)
 }
--- a/process/state/state_test.go
+++ b/process/state/state_test.go
@@ -170,14 +170,18 @@
 	return p.relay
 }
 
-// follow starts a follower of one table.
-func follow(t *testing.T) (f *Follower, store, peers *script) {
+// follow starts a follower of one table. Before is called with what the others do, before the
+// follower asks anybody.
+func follow(t *testing.T, before ...func(peers *script)) (f *Follower, store, peers *script) {
 	t.Helper()
 	begun := time.Now()
 	now := func() time.Duration { return time.Since(begun) + time.Hour }
 	store, peers = &script{table: NewTable(), now: now}, &script{table: NewTable(), now: now}
 	store.table.Apply(Delta{Rows: []Row{row("a", 1)}, Version: 1, Whole: true}, now())
 	peers.table.Apply(Delta{Rows: []Row{row("a", 1)}, Version: 1, Whole: true}, now())
+	for _, set := range before {
+		peers.set(set)
+	}
 	f = &Follower{Store: store, Peers: peerScript{peers}, Tables: map[string]*Table{"t": NewTable()}, Log: zerolog.Nop(), Now: now}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
