--- a/process/state/start_test.go
+++ b/process/state/start_test.go
@@ -21,8 +21,7 @@
 	f, store, _ := follow(t)
 	reaches(t, f, 1, time.Second)
 	assert.Equal(t, store.count(), 0)
-	f, store, peers := follow(t)
-	peers.set(func(s *script) { s.silent = true })
+	f, store, _ = follow(t, func(s *script) { s.silent = true })
 	reaches(t, f, 1, startMost+time.Second)
 	assert.Assert(t, store.count() > 0)
 }
