--- a/process/held/budget.go
+++ b/process/held/budget.go
@@ -218,7 +218,7 @@
 	}
 }
 
-// carryOut cuts off what was chosen. The caller does not hold the lock.
+// carryOut cuts leases off. The caller does not hold the lock.
 func (b *Budget) carryOut(cuts []cutting) {
 	for _, c := range cuts {
 		c.cutOff(c.cut.Kind)
