quota: a pace misses no more than its present depth

Callers were refused with OVER_QUOTA for half a second at 20 requests a second in a share of 130: their instance had turned to another owner just before it found the others. The pace that it keeps to then begins as used up, with the depth of the larger share, and had to fill that at the smaller rate.

Change: what is missing is bounded by the depth of now.

--- a/process/quota/rate.go
+++ b/process/quota/rate.go
@@ -36,9 +36,10 @@
 }
 
 // has reports whether one more event may come through, if no more than rate a second
-// come and depth at once. The caller adds it to used.
+// come and depth at once. The caller adds it to used. No more than the depth is missing, also
+// where that was larger before.
 func (p *pace) has(rate, depth float64, now time.Duration) bool {
-	p.used = max(0, p.used-rate*(now-p.at).Seconds())
+	p.used = max(0, min(p.used, depth)-rate*(now-p.at).Seconds())
 	p.at = now
 	return p.used+1 <= max(1, depth)
 }
