balance: an answer that is being sent takes no slot

Callers were refused with QUEUE_FULL for as long as others read large answers slowly: 577 of 582 quick callers beside 2,000 that read a byte a second, at one of three instances (platform/soak, TestSlowReadersMeetStops as first written).

Cause: an answer whose rest is on its way counted as a request that takes a slot, so that the wait for a slot was reckoned at up to 5.8 s while no backend server worked. Ruled out: memory (92 MB), the other instances' stop (the refusals began before it).

Change: such answers still count as in flight, for the bound of connections and for roll-outs, and no longer as work ahead.

--- a/process/balance/backend.go
+++ b/process/balance/backend.go
@@ -17,6 +17,7 @@
 	start     startOf
 	notices   *noticeState // nil: it said nothing
 	inFlight  int
+	sending   int  // of those in flight: answered, but for the rest of a large answer
 	flights   *int // at all backend servers of its version
 	drained   bool
 	cold      time.Duration // as declared
--- a/process/balance/estimate.go
+++ b/process/balance/estimate.go
@@ -7,19 +7,24 @@
 func (u *backend) report(r Report, now time.Duration) {
 	u.reported = float64(r.Running + r.Waiting)
 	u.reportedAt = now
-	u.ownAtReport = u.inFlight
+	u.ownAtReport = u.working()
 	u.pace.note(r, now)
 }
 
+// working is the number of own requests that run or wait at the backend server. Answers that are
+// still being sent do not count: their work is done, and callers that read slowly would seem to
+// fill it.
+func (u *backend) working() int { return u.inFlight - u.sending }
+
 // load estimates the requests that run or wait at the backend server.
 func (u *backend) load(now time.Duration) float64 {
-	own := float64(u.inFlight)
+	own := float64(u.working())
 	age := now - u.reportedAt
 	if u.reportedAt == 0 || age > 4*u.policy.ReportLife {
 		return own
 	}
 	decay := float64(u.policy.ReportLife) / float64(u.policy.ReportLife+age)
-	estimate := u.reported*decay + float64(u.inFlight-u.ownAtReport)
+	estimate := u.reported*decay + float64(u.working()-u.ownAtReport)
 	return max(own, estimate)
 }
 
--- a/process/balance/observe.go
+++ b/process/balance/observe.go
@@ -181,7 +181,7 @@
 	if o.at > u.reportedAt {
 		u.reported = float64(o.load)
 		u.reportedAt = o.at
-		u.ownAtReport = u.inFlight
+		u.ownAtReport = u.working()
 	}
 }
 
--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -22,15 +22,20 @@
 )
 
 // Hold makes the request count as in flight after Done, until Release: the backend
-// server is still sending the rest of an answer. So one whose answers are read slowly gets
-// less.
-func (p *Pick) Hold() { p.held = true }
+// server is still sending the rest of an answer. It takes a connection, and no slot.
+func (p *Pick) Hold() {
+	p.table.mu.Lock()
+	defer p.table.mu.Unlock()
+	p.held = true
+	p.u.sending++
+}
 
 // Release ends what Hold began. It is called once.
 func (p *Pick) Release() {
 	p.table.mu.Lock()
 	defer p.table.mu.Unlock()
 	p.u.inFlight--
+	p.u.sending--
 	*p.u.flights--
 }
 
