held: bodies and answers leave room for new requests

Quick callers were refused with MEMORY_FULL in the first second of 2,000 that send a byte a second (7 of 473): answers of 1 MB to other quick callers had taken all that was free, and nobody had stalled for long enough to be cut off.

Change: a quarter of the budget is left to the fixed cost of requests. An answer that isn't held is passed on as it comes, so it costs its caller nothing.

--- a/process/held/budget.go
+++ b/process/held/budget.go
@@ -31,6 +31,8 @@
 	Overhead = 64 << 10
 	// ownerShare divides what is free into what one owner may hold.
 	ownerShare = 8
+	// admitShare divides the limit into what bodies and answers leave to new requests.
+	admitShare = 4
 	// stalledLeast is how long a lease must have waited for the other side to be cut off for
 	// want of room.
 	stalledLeast = time.Second
@@ -86,8 +88,8 @@
 		o = &owner{name: name, leases: make(map[*Lease]struct{})}
 	}
 	l.owner = o
-	cuts := b.makeRoom(o, Overhead)
-	ok := b.fits(o, Overhead)
+	cuts := b.makeRoom(o, Overhead, 0)
+	ok := b.fits(o, Overhead, 0)
 	if ok {
 		b.owners[name] = o
 		o.leases[l] = struct{}{}
@@ -139,11 +141,11 @@
 	return free
 }
 
-// fits reports whether an owner may hold n bytes more. One that holds nothing may have all that
-// is free. The caller holds the lock.
-func (b *Budget) fits(o *owner, n int64) bool {
+// fits reports whether an owner may hold n bytes more, beside a reserve that is left to others. One
+// that holds nothing may have all that is free. The caller holds the lock.
+func (b *Budget) fits(o *owner, n, reserve int64) bool {
 	free := b.free()
-	return n <= free && (o.held == 0 || o.held+n <= free/ownerShare)
+	return n+reserve <= free && (o.held == 0 || o.held+n <= free/ownerShare)
 }
 
 // add notes bytes of a lease; n may be negative. The caller holds the lock.
@@ -157,12 +159,12 @@
 	}
 }
 
-// makeRoom chooses leases to cut off until n bytes fit for an owner, or there are none left.
-// The caller holds the lock, and carries the cuts out without it.
-func (b *Budget) makeRoom(o *owner, n int64) (cuts []cutting) {
+// makeRoom chooses leases to cut off until n bytes fit for an owner beside a reserve, or there are
+// none left. The caller holds the lock, and carries the cuts out without it.
+func (b *Budget) makeRoom(o *owner, n, reserve int64) (cuts []cutting) {
 	now := b.Now()
-	for !b.fits(o, n) {
-		l := b.victim(o, n > b.free(), now)
+	for !b.fits(o, n, reserve) {
+		l := b.victim(o, n+reserve > b.free(), now)
 		if l == nil {
 			return cuts
 		}
--- a/process/held/budget_test.go
+++ b/process/held/budget_test.go
@@ -65,6 +65,26 @@
 	}
 }
 
+// TestAnswersLeaveRoomForRequests tells of quick callers that were refused with MEMORY_FULL in the
+// first second of 2,000 slow ones: the answers of other quick callers, of 1 MB each, had taken all
+// that was free, while nobody had stalled for long enough to be cut off.
+func TestAnswersLeaveRoomForRequests(t *testing.T) {
+	const requests = 400
+	f := newFixture(requests)
+	var readers []*Lease
+	for i := range 20 {
+		readers = append(readers, f.admit(t, fmt.Sprint("reader", i)))
+	}
+	for _, l := range readers {
+		for l.Grow(Answers, Overhead) {
+			continue
+		}
+	}
+	for i := range requests/admitShare - 1 {
+		f.admit(t, fmt.Sprint("late", i))
+	}
+}
+
 // TestStalledAreCutOffForOthers checks that a request finds room though others hold it all, once
 // these have stalled, and that those who move are left alone.
 func TestStalledAreCutOffForOthers(t *testing.T) {
--- a/process/held/lease.go
+++ b/process/held/lease.go
@@ -18,7 +18,9 @@
 	isCut    bool
 }
 
-// Grow takes n bytes more. It returns false, and takes none, if there is no room.
+// Grow takes n bytes more. It returns false, and takes none, if there is no room beside what is
+// left to new requests: an answer that is not held is passed on as it comes, while a request
+// that finds no room is refused.
 func (l *Lease) Grow(k Kind, n int64) bool {
 	if l == nil {
 		return true
@@ -26,8 +28,9 @@
 	b := l.budget
 	b.mu.Lock()
 	l.waits = false // it moves right now, so that it does not cut itself off
-	cuts := b.makeRoom(l.owner, n)
-	ok := b.fits(l.owner, n) && !l.isCut
+	reserve := b.Limit / admitShare
+	cuts := b.makeRoom(l.owner, n, reserve)
+	ok := b.fits(l.owner, n, reserve) && !l.isCut
 	if ok {
 		b.add(l, k, n)
 	}
