--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -144,7 +144,7 @@
 		_, err := io.Copy(io.Discard, req.Body)
 		return err == nil
 	}
-	body, err := io.ReadAll(req.Body)
+	body, err := s.readAll(req.Body)
 	if err != nil {
 		s.end()
 		return false
@@ -175,6 +175,28 @@
 	return s.write(c, f, id, load)
 }
 
+// readAll reads a body, slowly if the backend server does so.
+func (s *Server) readAll(r io.Reader) (body []byte, err error) {
+	s.mu.Lock()
+	pause := s.ReadPause
+	s.mu.Unlock()
+	if pause == 0 {
+		return io.ReadAll(r)
+	}
+	for {
+		var b [1]byte
+		_, err := io.ReadFull(r, b[:])
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, b[0])
+		time.Sleep(pause)
+	}
+}
+
 func (s *Server) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -49,17 +49,19 @@
 
 // Server is one backend server. The fields up to Seed are set before Start.
 type Server struct {
-	Name     string
-	Names    request.Names
-	Slots    int
-	Queue    int           // requests that may wait for a slot
-	Work     time.Duration // for an object that was seen
-	First    time.Duration // for one that was not
-	Size     int           // bytes that are added to each answer
-	Pace     string        // the fourth figure of its load reports; "": they have none
-	Software string        // the version of the software that it runs
-	Bad      Badness       // of that version
-	Seed     uint64        // which answers are bad
+	Name  string
+	Names request.Names
+	Slots int
+	Queue int           // requests that may wait for a slot
+	Work  time.Duration // for an object that was seen
+	First time.Duration // for one that was not
+	Size  int           // bytes that are added to each answer
+	// ReadPause is the pause after each byte of a body; zero: it reads at once.
+	ReadPause time.Duration
+	Pace      string  // the fourth figure of its load reports; "": they have none
+	Software  string  // the version of the software that it runs
+	Bad       Badness // of that version
+	Seed      uint64  // which answers are bad
 	// Crashes, if set, says which requests end the process that runs them, crashAfter
 	// after it began. OnCrash, if set, is told of the end.
 	Crashes func(*http.Request) bool
@@ -176,6 +178,13 @@
 	s.Work = d
 }
 
+// SetReadPause sets the pause after each byte of a body from now on.
+func (s *Server) SetReadPause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ReadPause = d
+}
+
 // SetQueue sets how many requests may wait for a slot from now on.
 func (s *Server) SetQueue(n int) {
 	s.mu.Lock()
