edge, cluster, state: small instances of a large fleet do without the backend servers

Change: a question names the tables that its asker declines. A small instance of a fleet of more than 100 is spare while enough large ones of its region are alive and not busy; it is ready without backend servers, and follows them once a caller comes, a roll-out runs, or large ones are few, and for 20 s after that. Relays and heads are large wherever there are two, since small ones may lack a table.

--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -27,13 +27,15 @@
 type question struct {
 	After  map[string]int64 `json:"after"`
 	AgesMs map[string]int64 `json:"agesMs,omitempty"`
-	WaitMs int64            `json:"waitMs"`
-	From   Member           `json:"from"`
+	// Without are the tables to leave out.
+	Without []string `json:"without,omitempty"`
+	WaitMs  int64    `json:"waitMs"`
+	From    Member   `json:"from"`
 }
 
 // asked returns the question as the follower takes it.
 func (q *question) asked() state.Question {
-	out := state.Question{After: q.After, Ages: make(map[string]time.Duration, len(q.AgesMs))}
+	out := state.Question{After: q.After, Without: q.Without, Ages: make(map[string]time.Duration, len(q.AgesMs))}
 	out.Wait = min(time.Duration(q.WaitMs)*time.Millisecond, maxWait)
 	for name, age := range q.AgesMs {
 		out.Ages[name] = time.Duration(age) * time.Millisecond
@@ -78,7 +80,7 @@
 		return nil, false, nil
 	}
 	m := sources[i]
-	q := question{After: asked.After, AgesMs: make(map[string]int64, len(asked.Ages)), WaitMs: asked.Wait.Milliseconds(), From: p.Members.Self()}
+	q := question{After: asked.After, Without: asked.Without, AgesMs: make(map[string]int64, len(asked.Ages)), WaitMs: asked.Wait.Milliseconds(), From: p.Members.Self()}
 	for name, age := range asked.Ages {
 		q.AgesMs[name] = age.Milliseconds()
 	}
--- a/process/cluster/sources.go
+++ b/process/cluster/sources.go
@@ -25,7 +25,8 @@
 // same tree.
 type tree struct {
 	relays map[string]*known // by region
-	hall   []*known          // of the own hall, by hash
+	hall   []*known          // of the own hall, by hash; in a large fleet the large ones first
+	large  int               // how many of these are large
 }
 
 // treeFor is how long a tree of a large fleet is good for: each look at it would walk all
@@ -49,32 +50,74 @@
 
 func (m *Members) growNew() tree {
 	t := tree{relays: make(map[string]*known)}
+	rooms := m.rooms()
 	m.eachLive(func(k *known) {
-		if b := t.relays[k.Region]; b == nil || k.before(b) {
+		if b := t.relays[k.Region]; b == nil || rooms.before(k, b) {
 			t.relays[k.Region] = k
 		}
 		if k.Hall == m.self.Hall && k.Region == m.self.Region {
 			t.hall = append(t.hall, k)
+			if rooms.large(k) {
+				t.large++
+			}
+		}
+	})
+	slices.SortFunc(t.hall, func(a, b *known) int {
+		if x, y := rooms.large(a), rooms.large(b); x != y {
+			return boolOrder(x)
 		}
+		return cmp.Compare(a.hash, b.hash)
 	})
-	slices.SortFunc(t.hall, func(a, b *known) int { return cmp.Compare(a.hash, b.hash) })
 	return t
 }
 
+func boolOrder(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// rooms is the largest instance of each region of a large fleet. Those that are small beside it
+// may not follow all tables (Capacity), so they pass them on last. Nil: all count alike.
+type rooms map[string]Room
+
+// rooms returns what the instances that are alive can carry. The caller holds the lock.
+func (m *Members) rooms() rooms {
+	if len(m.order) <= MostIntroduced {
+		return nil
+	}
+	out := make(rooms)
+	m.eachLive(func(k *known) {
+		r := out[k.Region]
+		r.include(&k.Member)
+		out[k.Region] = r
+	})
+	return out
+}
+
+func (r rooms) large(k *known) bool { return r == nil || r[k.Region].Fills(&k.Member) }
+
 // before reports whether an instance is the relay of its region rather than
-// another one: it is not cut off from the store, or both are, and its hash is
-// lower.
-func (k *known) before(o *known) bool {
+// another one: it is not cut off from the store, or both are, it is large, or both are, and its
+// hash is lower.
+func (r rooms) before(k, o *known) bool {
 	if k.Cut != o.Cut {
 		return !k.Cut
 	}
+	if a, b := r.large(k), r.large(o); a != b {
+		return a
+	}
 	return k.hash < o.hash
 }
 
 // heads returns those of the hall that ask the relay of the region: two at least,
-// so that the others have two to ask.
+// so that the others have two to ask, and none that is small if there are enough others.
 func (t *tree) heads() []*known {
 	n := (len(t.hall) + membersPerHead - 1) / membersPerHead
+	if t.large >= headsAsked {
+		n = min(n, t.large)
+	}
 	return t.hall[:min(len(t.hall), max(headsAsked, n))]
 }
 
--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -62,7 +62,7 @@
 	backends := e.follower.Tables[e.deployment.BackendTable]
 	_, operatorKnown := operator.Version()
 	_, backendsKnown := backends.Version()
-	if !operatorKnown || !backendsKnown {
+	if !operatorKnown || !backendsKnown && !e.spare.is.Load() {
 		return
 	}
 	e.compiling.Lock()
--- a/process/edge/directory.go
+++ b/process/edge/directory.go
@@ -78,10 +78,6 @@
 	return live
 }
 
-// roomyShare is the part of what the largest instance of a region can carry from which
-// an instance is named.
-const roomyShare = 0.5
-
 // entries returns how many instances are named to clients while none is busy.
 func entries(live []cluster.Member) int {
 	regions := make(map[string][]cluster.Member)
@@ -102,7 +98,8 @@
 // what an instance learns of backend servers, it learns from its own requests: few
 // instances that see many know far more than many that see few.
 func roomy(from, region []cluster.Member) []cluster.Member {
-	large := filter(from, largest(region).fills)
+	most := cluster.Largest(region)
+	large := filter(from, func(m cluster.Member) bool { return most.Fills(&m) })
 	free := filter(large, func(m cluster.Member) bool { return !m.Busy })
 	if len(free) >= enoughInHall || len(free) == len(large) {
 		return free
@@ -110,25 +107,6 @@
 	return nil // all are needed
 }
 
-// room is what an instance can carry.
-type room struct {
-	link, cores float64
-}
-
-// largest returns the most that any of some instances can carry.
-func largest(of []cluster.Member) (r room) {
-	for _, m := range of {
-		r.link = max(r.link, m.Link)
-		r.cores = max(r.cores, m.Cores)
-	}
-	return r
-}
-
-// fills reports whether an instance can carry much, compared with that.
-func (r room) fills(m cluster.Member) bool {
-	return m.Link >= roomyShare*r.link && m.Cores >= roomyShare*r.cores
-}
-
 func inRegion(ms []cluster.Member, region string) []cluster.Member {
 	return filter(ms, func(m cluster.Member) bool { return m.Region == region })
 }
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -79,6 +79,7 @@
 	leaving        atomic.Bool
 	// followsInstances is set if the fleet is so large that the table of instances is followed.
 	followsInstances atomic.Bool
+	spare            spare
 	compiling        sync.Mutex
 	lapses           lapses            // guarded by compiling
 	skipped          map[string]string // rows that can't be used now, with the reason; guarded by compiling
@@ -142,6 +143,7 @@
 	e.peers = cluster.NewPeers(e.members, conn.NewDialer(dialTimeout, peerSilence).DialContext)
 	e.follower = &state.Follower{
 		Store: e.deployment.Store, Peers: e.peers, Log: e.log, Now: e.now, Wanted: e.wantsTable, Instances: e.members.Count,
+		Declines: func(table string) bool { return table == e.deployment.BackendTable && e.isSpare() },
 		Tables: map[string]*state.Table{
 			e.deployment.OperatorTable: state.NewTable(), e.deployment.BackendTable: state.NewTable(),
 			e.deployment.RecordTable: state.NewTable(), e.deployment.InstanceTable: state.NewTable(),
@@ -193,7 +195,7 @@
 		address string
 		handler http.Handler
 	}{
-		{e.settings.Front, e.proxy}, {e.settings.Ready, mux}, {e.settings.Directory, mux},
+		{e.settings.Front, e.wakeFor(e.proxy)}, {e.settings.Ready, mux}, {e.settings.Directory, mux},
 		{e.settings.Control, control}, {e.settings.Peer, control},
 	} {
 		l, err := net.Listen("tcp4", x.address)
@@ -235,6 +237,10 @@
 	e.metrics.Gauge("backends_leaving").Update(int64(leaving))
 	e.metrics.Gauge("backends_backed_off").Update(int64(backedOff))
 	e.metrics.Gauge("datagrams_sent").Update(e.beats.Sent())
+	e.metrics.Gauge("spare").Update(0)
+	if e.spare.is.Load() {
+		e.metrics.Gauge("spare").Update(1)
+	}
 	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
 	for _, k := range []held.Kind{held.Requests, held.Bodies, held.Answers} {
 		e.metrics.Gauge("held_bytes{kind=" + strconv.Quote(k.String()) + "}").Update(e.held.Held(k))
--- a/process/edge/place.go
+++ b/process/edge/place.go
@@ -48,14 +48,14 @@
 // and their number; zero if it is none of them.
 func placeAmongLarge(known []cluster.Member, self string) (place, of int) {
 	found := false
-	rooms := make(map[string]room) // by region
+	rooms := make(map[string]cluster.Room) // by region
 	for _, m := range known {
 		r, ok := rooms[m.Region]
 		if !ok {
-			r = largest(inRegion(known, m.Region))
+			r = cluster.Largest(inRegion(known, m.Region))
 			rooms[m.Region] = r
 		}
-		if !r.fills(m) {
+		if !r.Fills(&m) {
 			continue
 		}
 		of++
--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -90,6 +90,8 @@
 		return e.rolling.wanted.Load()
 	case e.deployment.InstanceTable:
 		return e.followsInstances.Load()
+	case e.deployment.BackendTable:
+		return !e.isSpare()
 	}
 	return true
 }
--- /dev/null
+++ b/process/edge/spare_test.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"shalewick/process/balance"
+	"shalewick/process/cluster"
+	"shalewick/process/state"
+)
+
+// newFleet returns an instance of a fleet of one region of which every tenth is large, and a clock.
+// It is small unless large is set.
+func newFleet(t *testing.T, instances int, large bool) (*Edge, *time.Duration) {
+	t.Helper()
+	now := 2 * spareStart
+	clock := func() time.Duration { return now }
+	member := func(i int) cluster.Member {
+		m := memberOf(i, 1)
+		m.Cores, m.Link = 0.16, 20
+		if i%10 == 0 {
+			m.Cores, m.Link = 1.6, 1000
+		}
+		return m
+	}
+	self := member(1)
+	if large {
+		self = member(10)
+	}
+	e := &Edge{log: zerolog.Nop(), settings: Settings{Instance: self.Name, Region: "r0"}, deployment: Deployment{
+		BackendTable: "backends", OperatorTable: "operator", InstanceTable: "instances", RecordTable: "records", Clock: clock,
+	}}
+	e.table = &balance.Table{Now: e.now}
+	e.members = cluster.NewMembers(self, e.now)
+	e.follower = &state.Follower{Tables: map[string]*state.Table{
+		"backends": state.NewTable(), "operator": state.NewTable(), "records": state.NewTable(), "instances": state.NewTable(),
+	}}
+	e.followsInstances.Store(instances > smallFleet)
+	for i := range instances {
+		if m := member(i); m.Name != self.Name {
+			e.members.Learn(false, m)
+		}
+	}
+	return e, &now
+}
+
+// TestSmallInstancesOfALargeFleetAreSpare checks who does without the backend servers.
+func TestSmallInstancesOfALargeFleetAreSpare(t *testing.T) {
+	for _, x := range []struct {
+		instances   int
+		large, want bool
+	}{{30, false, false}, {30, true, false}, {100, false, false}, {330, false, true}, {330, true, false}, {985, false, true}} {
+		e, _ := newFleet(t, x.instances, x.large)
+		assert.Equal(t, e.isSpare(), x.want, "%d instances, large %t", x.instances, x.large)
+		assert.Equal(t, e.wantsTable("backends"), !x.want)
+		assert.Assert(t, e.wantsTable("operator"))
+	}
+}
+
+// TestSpareInstanceWakes checks that a spare instance follows the backend servers once callers
+// come, a roll-out begins, or few large ones are free, and for a while after that.
+func TestSpareInstanceWakes(t *testing.T) {
+	const instances = 330
+	busy := func(e *Edge, busy bool) {
+		for _, m := range e.members.Known() {
+			if m.Cores > 1 {
+				m.Busy = busy
+				m.Incarnation++
+				e.members.Learn(true, m)
+			}
+		}
+	}
+	for name, x := range map[string]struct{ begin, end func(*Edge) }{
+		"a request": {func(e *Edge) {
+			h := e.wakeFor(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+		}, func(*Edge) {}},
+		"a roll-out":    {func(e *Edge) { e.rolling.wanted.Store(true) }, func(e *Edge) { e.rolling.wanted.Store(false) }},
+		"large busy":    {func(e *Edge) { busy(e, true) }, func(e *Edge) { busy(e, false) }},
+		"few instances": {func(e *Edge) { e.followsInstances.Store(false) }, func(e *Edge) { e.followsInstances.Store(true) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, now := newFleet(t, instances, false)
+			assert.Assert(t, e.isSpare())
+			x.begin(e)
+			*now += spareLook
+			assert.Assert(t, !e.isSpare())
+			x.end(e)
+			*now += spareAfter / 2
+			assert.Assert(t, !e.isSpare(), "too soon")
+			*now += spareAfter
+			assert.Assert(t, e.isSpare())
+		})
+	}
+}
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,8 @@
 	After map[string]int64
 	// Ages are how long ago these were confirmed, as far as the asker knows.
 	Ages map[string]time.Duration
+	// Without are tables that the asker has no use for.
+	Without []string
 	// Wait is how long the question may be held until there is news.
 	Wait time.Duration
 }
@@ -123,6 +126,8 @@
 	// asked for it, and it counts neither as unknown nor as stale; what others tell of it
 	// is taken up all the same. Nil: all are, always.
 	Wanted func(table string) bool
+	// Declines, if set, reports whether others are asked to leave a table out that is not wanted.
+	Declines func(table string) bool
 	// Instances, if set, returns how many instances there are, as far as is known.
 	Instances func() int
 
@@ -324,6 +329,10 @@
 	q := Question{After: make(map[string]int64, len(f.Tables)), Ages: make(map[string]time.Duration, len(f.Tables)), Wait: peerWait}
 	now := f.Now()
 	for name, t := range f.Tables {
+		if f.Declines != nil && f.Declines(name) {
+			q.Without = append(q.Without, name)
+			continue
+		}
 		if v, known := t.Version(); known {
 			q.After[name] = v
 			q.Ages[name] = now - t.Confirmed()
@@ -337,14 +346,13 @@
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
 	if !f.knowsNewer(q.Ages) {
-		f.awaitAnyNews(ctx, q.After)
+		f.awaitAnyNews(ctx, &q)
 	}
-	after := q.After
 	out := make(map[string]Delta)
 	now := f.Now()
 	for name, t := range f.Tables {
-		if _, known := t.Version(); known {
-			out[name] = t.Since(after[name], now)
+		if _, known := t.Version(); known && !slices.Contains(q.Without, name) {
+			out[name] = t.Since(q.After[name], now)
 		}
 	}
 	return out
@@ -366,12 +374,15 @@
 
 // awaitAnyNews waits until there is news of a table for the asker, or the context
 // ends.
-func (f *Follower) awaitAnyNews(ctx context.Context, after map[string]int64) {
+func (f *Follower) awaitAnyNews(ctx context.Context, q *Question) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for name, t := range f.Tables {
+		if slices.Contains(q.Without, name) {
+			continue
+		}
 		go func() {
-			t.AwaitNews(ctx, after[name])
+			t.AwaitNews(ctx, q.After[name])
 			cancel()
 		}()
 	}
