edge, platform: the product decides which document stays in force

The adapter of the platform decided that the last good document stays beside a bad one, and that an older one is refused; it may only know the platform's names and formats. process/edge/document.go decides now, for any adapter, and the adapter says what is wrong with a document. The tests of it run over both as before.

A refused document is read again after new settings were taken up, which was each time that the zones had changed. An older one has the reason older in place of document; the second check of the same, with an event of its own, is gone.

--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -85,16 +85,12 @@
 // compile puts what the rows say in force. What can't be read leaves the last
 // good version in force.
 func (e *Edge) compile(operator, backends []state.Row) {
-	c, problems := e.deployment.Configuration(operator, backends)
+	c, problems := e.documents.Configuration(operator, backends)
 	e.logSkipped(problems)
 	if c == nil {
 		return
 	}
 	old := e.table.Routing()
-	if old != nil && c.Seq < old.Seq {
-		e.log.Warn().Int64("version", c.Seq).Int64("inForce", old.Seq).Msg("older-version-skipped")
-		return
-	}
 	orders, records := e.ordersAndRecords(c)
 	if old == nil && (e.awaitsRecords(orders, records) || e.awaitsQuarantine()) {
 		return
@@ -165,5 +161,8 @@
 		return
 	}
 	e.log.Info().Msg("settings-reloaded")
+	e.compiling.Lock()
+	e.documents.Reread()
+	e.compiling.Unlock()
 	e.recompile()
 }
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -81,6 +81,7 @@
 	followsInstances atomic.Bool
 	spare            spare
 	compiling        sync.Mutex
+	documents        Documents         // guarded by compiling
 	lapses           lapses            // guarded by compiling
 	skipped          map[string]string // rows that can't be used now, with the reason; guarded by compiling
 	// skippedCounts are the gauges of such rows by reason; guarded by compiling.
@@ -151,6 +152,7 @@
 	}
 	e.peers.Follower = e.follower
 	e.peers.OnCut = e.storeLost
+	e.documents = Documents{Key: e.deployment.DocumentKey, Translate: e.deployment.Configuration}
 	e.lapses.keep = keepLapsed(e.settings.DrainWithin)
 	dialer := conn.NewDialer(dialTimeout, backendSilence)
 	e.table = &balance.Table{
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -138,6 +138,8 @@
 	// Names of the tables that operators write, that backend servers write, and that
 	// the instances write: where they are, and the records of roll-outs.
 	OperatorTable, BackendTable, InstanceTable, RecordTable string
+	// DocumentKey is the key of the operator's own document in OperatorTable.
+	DocumentKey string
 	// Status returns the row by which operators learn where a roll-out stands.
 	Status func(r rollout.Record) (state.Written, error)
 	// QuarantineTable is the table of requests that crash backend servers, and
@@ -147,7 +149,7 @@
 	// Headers are the names of the headers of requests.
 	Headers request.Names
 	// Configuration translates rows. The errors tell of rows that were
-	// skipped; without a configuration nothing is taken up.
+	// skipped; without a good document there is no configuration, and one error.
 	Configuration func(operator, backends []state.Row) (*version.Config, []error)
 	// ReadyPath and DirectoryPath are the paths of the calls that come.
 	ReadyPath, DirectoryPath string
