edge, version, state: spare instances pass requests on to large ones

With backend servers left out, a request that comes to a spare instance was refused and woke it, so that it followed all rows again.

Change: a spare instance has the large ones of its region in place of each service's backend servers, and passes on what comes, by the usual choice, retries and deadlines. It wakes for roll-outs, for workspaces (their keys are not passed on), and when few large ones are alive and free. Its table of backend servers is forgotten.

--- a/process/cluster/room.go
+++ b/process/cluster/room.go
@@ -34,6 +34,8 @@
 	// Large is the number of others that can carry much, compared with the largest, and may be at
 	// work, and Free that of those of them that are alive and not busy.
 	Large, Free int
+	// Named are the free ones by name, or if there are none those that are alive.
+	Named []Member
 	// Self reports whether this instance is large, too.
 	Self bool
 }
@@ -51,15 +53,24 @@
 			most.include(&k.Member)
 		}
 	}
+	var busy []Member
 	for _, k := range m.order {
 		if k.Region != m.self.Region || k.Leaving || !most.Fills(&k.Member) {
 			continue
 		}
 		c.Large++
-		if m.alive(k, now) && !k.Busy {
+		switch {
+		case !m.alive(k, now):
+		case k.Busy:
+			busy = append(busy, k.Member)
+		default:
 			c.Free++
+			c.Named = append(c.Named, k.Member)
 		}
 	}
+	if c.Free == 0 {
+		c.Named = busy
+	}
 	c.Self = most.Fills(&m.self)
 	return c
 }
--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -62,18 +62,25 @@
 	backends := e.follower.Tables[e.deployment.BackendTable]
 	_, operatorKnown := operator.Version()
 	_, backendsKnown := backends.Version()
-	if !operatorKnown || !backendsKnown && !e.spare.is.Load() {
+	spare := e.spare.is.Load()
+	if !operatorKnown || !backendsKnown && !spare {
 		return
 	}
 	e.compiling.Lock()
 	defer e.compiling.Unlock()
+	if spare {
+		backends.Forget()
+		e.lapses = lapses{keep: e.lapses.keep}
+		e.compile(operator.Rows(), nil, spare)
+		return
+	}
 	now := e.now()
 	present := backends.Rows()
 	rows, again := e.lapses.rows(present, backends.Returned(), now)
 	if len(rows) > len(present) {
 		e.log.Info().Int("kept", len(rows)-len(present)).Dur("until", again-now).Msg("backends-lapsed")
 	}
-	e.compile(operator.Rows(), rows)
+	e.compile(operator.Rows(), rows, spare)
 	if e.lapseEnd != nil {
 		e.lapseEnd.Stop()
 	}
@@ -82,21 +89,26 @@
 	}
 }
 
-// compile puts what the rows say in force. What can't be read leaves the last
-// good version in force.
-func (e *Edge) compile(operator, backends []state.Row) {
+// compile puts what the rows say in force, on a spare instance with other instances in place of
+// backend servers. What can't be read leaves the last good version in force.
+func (e *Edge) compile(operator, backends []state.Row, spare bool) {
 	c, problems := e.documents.Configuration(operator, backends)
 	e.logSkipped(problems)
 	if c == nil {
 		return
 	}
+	e.spare.keyed.Store(len(c.List(version.KindWorkspace)) > 0)
 	old := e.table.Routing()
 	orders, records := e.ordersAndRecords(c)
 	if old == nil && (e.awaitsRecords(orders, records) || e.awaitsQuarantine()) {
 		return
 	}
 	e.letThrough(c)
-	e.admitSoftware(c, orders, records)
+	if spare {
+		e.spare.addOnward(c) // these serve by whatever software is in force
+	} else {
+		e.admitSoftware(c, orders, records)
+	}
 	r := version.CompileRouting(c, old)
 	services := rolloutServices(r, c.Software, orders, records)
 	// The table first: in between, a request may be for the target of a roll-out that has
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -197,7 +197,7 @@
 		address string
 		handler http.Handler
 	}{
-		{e.settings.Front, e.wakeFor(e.proxy)}, {e.settings.Ready, mux}, {e.settings.Directory, mux},
+		{e.settings.Front, e.proxy}, {e.settings.Ready, mux}, {e.settings.Directory, mux},
 		{e.settings.Control, control}, {e.settings.Peer, control},
 	} {
 		l, err := net.Listen("tcp4", x.address)
--- a/process/edge/spare.go
+++ b/process/edge/spare.go
@@ -3,11 +3,15 @@
 package edge
 
 import (
-	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"shalewick/process/cluster"
+	"shalewick/version"
 )
 
 const (
@@ -23,15 +27,24 @@
 	// needed, and freeShare the part of the large ones that must be free.
 	leastFree = 2 * enoughInHall
 	freeShare = 0.5
+	// mostOnward is how many large instances a spare one passes requests on to.
+	mostOnward = 32
+	// onwardSlots is how many requests one of them takes from it at a time.
+	onwardSlots = 1000
 )
 
 // spare is whether an instance has no use for the backend servers: it is one of the small ones
-// of a large fleet, callers are sent to large ones, and no caller came here. There each row of a
-// backend server would go to ten times as many instances as use it. The zero value is ready.
+// of a large fleet, and callers are sent to large ones. There each row of a backend server would go
+// to ten times as many instances as use it. Requests that come all the same are passed on to large
+// ones, which stand in for the backend servers. The zero value is ready.
 type spare struct {
 	is     atomic.Bool
+	keyed  atomic.Bool  // callers show keys, which are not passed on
 	looked atomic.Int64 // when that was found out, by Edge.now; zero: never
 	needed atomic.Int64 // until when it is needed; zero: it never was
+
+	mu     sync.Mutex
+	onward []cluster.Member // by name
 }
 
 // isSpare reports whether this instance does without the backend servers.
@@ -42,16 +55,23 @@
 	}
 	e.spare.looked.Store(int64(now))
 	large := e.followsInstances.Load() || e.members.Count() > smallFleet
-	if !large || e.rolling.wanted.Load() || servesCallers(e.members.Capacity()) {
+	var c cluster.Capacity
+	if large {
+		c = e.members.Capacity()
+	}
+	if !large || e.rolling.wanted.Load() || e.spare.keyed.Load() || servesCallers(c) {
 		lasts := spareAfter
 		if e.age() < spareStart {
 			lasts = 0
 		}
-		e.need(now + lasts)
+		e.spare.needed.Store(int64(now + lasts))
 	}
 	is := large && now > time.Duration(e.spare.needed.Load())
+	others := e.spare.take(c.Named)
 	if e.spare.is.Swap(is) != is {
-		e.log.Info().Bool("spare", is).Msg("spare")
+		e.log.Info().Bool("spare", is).Int("large", c.Large).Int("free", c.Free).Msg("spare")
+		go e.recompile()
+	} else if is && others {
 		go e.recompile()
 	}
 	return is
@@ -62,19 +82,33 @@
 	return c.Self || c.Free < max(leastFree, int(freeShare*float64(c.Large)))
 }
 
-// need notes that this instance needs the backend servers until a moment.
-func (e *Edge) need(until time.Duration) {
-	e.spare.needed.Store(max(int64(until), e.spare.needed.Load()))
+// take takes up which instances stand in, and reports whether they are others than before.
+func (s *spare) take(large []cluster.Member) bool {
+	large = large[:min(len(large), mostOnward)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	same := slices.EqualFunc(large, s.onward, func(a, b cluster.Member) bool {
+		return a.Name == b.Name && a.Incarnation == b.Incarnation
+	})
+	s.onward = large
+	return !same
 }
 
-// wakeFor wakes a spare instance for a request. It is refused if nothing is known yet.
-func (e *Edge) wakeFor(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.spare.is.Load() {
-			e.need(e.now() + spareAfter)
-			e.spare.looked.Store(0)
-			e.isSpare()
+// addOnward lets large instances stand in for the backend servers of a configuration.
+func (s *spare) addOnward(c *version.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Onward = true
+	for _, service := range c.List(version.KindService) {
+		for _, m := range s.onward {
+			address, err := netip.ParseAddrPort(m.Front)
+			if err != nil {
+				continue // it takes no requests; it was told by an instance of another release
+			}
+			c.Announced = append(c.Announced, version.NewAnnounced(service.Name+"/"+m.Name, m.Incarnation, &version.Backend{
+				Service: service.Name, Hall: m.Hall, Address: address, Slots: onwardSlots, Incarnation: m.Incarnation,
+			}))
 		}
-		next.ServeHTTP(w, r)
-	})
+	}
+	slices.SortFunc(c.Announced, func(a, b *version.Announced) int { return strings.Compare(a.Name, b.Name) })
 }
--- a/process/state/table.go
+++ b/process/state/table.go
@@ -202,6 +202,16 @@
 	return len(t.rows)
 }
 
+// Forget forgets all that is known of the table.
+func (t *Table) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.rows)
+	clear(t.goneAt)
+	clear(t.touched)
+	t.sorted, t.known, t.version, t.floor, t.confirmed, t.returned = nil, false, 0, 0, 0, 0
+}
+
 // Version returns the version up to which the table is complete, and whether
 // it was ever read whole.
 func (t *Table) Version() (int64, bool) {
--- a/version/config.go
+++ b/version/config.go
@@ -55,6 +55,9 @@
 	// Announced are backend servers that announce themselves, beside those among the resources,
 	// ordered by name. They are not part of snapshots.
 	Announced []*Announced
+	// Onward says that these are other instances, which pass requests on to the backend servers:
+	// several may have one address. It is not part of snapshots.
+	Onward bool
 	// Software says by service which versions of its software may get requests. Of a
 	// service that is not there all backend servers may. It is not part of what
 	// operators declare, and not of snapshots: it follows from the roll-outs' state.
--- a/version/routing.go
+++ b/version/routing.go
@@ -184,7 +184,10 @@
 
 func (r *Routing) addBackends(c *Config, services map[string]int32) {
 	drains := c.List(KindDrain)
-	all := newestByAddress(c.Backends())
+	all := c.Backends()
+	if !c.Onward {
+		all = newestByAddress(all)
+	}
 	r.Backends = make([]RoutedBackend, 0, len(all))
 	for _, x := range all {
 		service := r.serviceOf(x.Backend, services, c.Software)
