--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -86,6 +86,8 @@
 	tree     *tree               // of a large fleet, as of treeAt and for what this instance was then
 	treeAt   time.Duration
 	treeOf   Member
+	roomsOf  rooms // as of roomsAt
+	roomsAt  time.Duration
 	forgot   time.Duration // when forget last looked
 	anyHeard time.Duration // when any of the region spoke last; zero: never
 	doubtAt  time.Duration // when one did not answer twice, or was found to be lost, last; zero: never
--- a/process/cluster/sources.go
+++ b/process/cluster/sources.go
@@ -82,18 +82,23 @@
 // may not follow all tables (Capacity), so they pass them on last. Nil: all count alike.
 type rooms map[string]Room
 
+// roomsFor is how long what they can carry is good for: it changes as instances come and go.
+const roomsFor = time.Second
+
 // rooms returns what the instances that are alive can carry. The caller holds the lock.
 func (m *Members) rooms() rooms {
 	if len(m.order) <= MostIntroduced {
 		return nil
 	}
-	out := make(rooms)
-	m.eachLive(func(k *known) {
-		r := out[k.Region]
-		r.include(&k.Member)
-		out[k.Region] = r
-	})
-	return out
+	if now := m.now(); m.roomsOf == nil || now-m.roomsAt >= roomsFor {
+		m.roomsOf, m.roomsAt = make(rooms), now
+		m.eachLive(func(k *known) {
+			r := m.roomsOf[k.Region]
+			r.include(&k.Member)
+			m.roomsOf[k.Region] = r
+		})
+	}
+	return m.roomsOf
 }
 
 func (r rooms) large(k *known) bool { return r == nil || r[k.Region].Fills(&k.Member) }
