--- a/process/edge/spare.go
+++ b/process/edge/spare.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -27,8 +28,10 @@
 	// needed, and freeShare the part of the large ones that must be free.
 	leastFree = 2 * enoughInHall
 	freeShare = 0.5
-	// mostOnward is how many large instances a spare one passes requests on to.
-	mostOnward = 32
+	// mostOnward is how many large instances a spare one passes requests on to, and leastOnward how
+	// many of them must be left; till then it keeps them, since each change is a new version.
+	mostOnward  = 8
+	leastOnward = 4
 	// onwardSlots is how many requests one of them takes from it at a time.
 	onwardSlots = 1000
 )
@@ -44,7 +47,7 @@
 	needed atomic.Int64 // until when it is needed; zero: it never was
 
 	mu     sync.Mutex
-	onward []cluster.Member // by name
+	onward []cluster.Member
 }
 
 // isSpare reports whether this instance does without the backend servers.
@@ -82,16 +85,24 @@
 	return c.Self || c.Free < max(leastFree, int(freeShare*float64(c.Large)))
 }
 
-// take takes up which instances stand in, and reports whether they are others than before.
+// take takes up which large instances there are, and reports whether requests are to be passed on
+// to others than before.
 func (s *spare) take(large []cluster.Member) bool {
-	large = large[:min(len(large), mostOnward)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	same := slices.EqualFunc(large, s.onward, func(a, b cluster.Member) bool {
-		return a.Name == b.Name && a.Incarnation == b.Incarnation
-	})
-	s.onward = large
-	return !same
+	left := 0
+	for _, m := range s.onward {
+		if slices.ContainsFunc(large, func(x cluster.Member) bool { return x.Name == m.Name && x.Incarnation == m.Incarnation }) {
+			left++
+		}
+	}
+	if left >= min(leastOnward, len(large)) && left > 0 {
+		return false
+	}
+	rand.Shuffle(len(large), func(i, j int) { large[i], large[j] = large[j], large[i] })
+	changed := len(s.onward) > 0 || len(large) > 0
+	s.onward = large[:min(len(large), mostOnward)]
+	return changed
 }
 
 // addOnward lets large instances stand in for the backend servers of a configuration.
