request, proxy: read the rate limit that a backend server names

On call it could not be told what answers said of a limit, nor until when. Nothing is decided by it yet.

--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -63,6 +63,16 @@
 	s.Counter("load_reports_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
+// RateLimit counts an answer in which a backend server of a service names a rate limit.
+func (s *Set) RateLimit(service string) {
+	s.Counter("answers_rate_limit_total{service=" + strconv.Quote(service) + "}").Inc(1)
+}
+
+// BadRateLimit counts an answer of a backend server of a service whose rate limit can't be used.
+func (s *Set) BadRateLimit(service string) {
+	s.Counter("rate_limits_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
+}
+
 // CutOff counts a request that was cut off since the side that a kind names did not send or
 // read.
 func (s *Set) CutOff(kind string) {
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -24,6 +24,7 @@
 	pick   *balance.Pick
 	target bool // it was chosen among a roll-out's target
 	notice request.Notice
+	limit  float64 // the rate limit that it names, in requests a second; zero: none
 	res    *http.Response
 	whole  []byte
 	ex     *conn.Exchange // nil when whole has all
@@ -169,15 +170,16 @@
 		return nil, t.lost(ctx, pick, errors.New("answers to other requests"), sent)
 	}
 	notice := t.notice(ex.Response, pick)
+	limit := t.rateLimit(ex.Response, pick)
 	if h.Get(names.NotRun) != "" || ex.Response.StatusCode == http.StatusMisdirectedRequest {
-		return nil, t.refused(ex, pick, notice)
+		return nil, t.refused(ex, pick, notice, limit)
 	}
 	headTook := time.Since(sent)
 	a, err := readAnswer(ex, t.c.lease)
 	if err != nil {
 		return nil, t.lost(ctx, pick, err, sent)
 	}
-	a.pick, a.target, a.notice = pick, t.query.Target != "", notice
+	a.pick, a.target, a.notice, a.limit = pick, t.query.Target != "", notice, limit
 	t.c.runs++
 	took := time.Since(sent)
 	if a.ex != nil {
@@ -202,7 +204,7 @@
 	t.p.Log.Info().Str("id", t.c.id).Str("object", t.c.r.Header.Get(names.Affinity)).Str("service", t.c.service).
 		Str("class", t.c.route.Class.String()).Str("workspace", t.c.workspaceName()).Bool("late", took > time.Duration(t.c.route.Objective)).
 		Str("backend", pick.Name).Str("software", pick.Software).Bool("target", a.target).Bool("declined", t.declined).Int("rank", pick.Rank).Bool("lastResort", pick.LastResort).Bool("unseen", pick.Unseen).Dur("wait", pick.Wait).Str("load", a.res.Header.Get(names.Load)).
-		Bool("leaving", a.notice.Leaving).Dur("retryAfter", a.notice.RetryAfter).Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
+		Bool("leaving", a.notice.Leaving).Dur("retryAfter", a.notice.RetryAfter).Float64("limit", a.limit).Int("status", a.res.StatusCode).Int64("version", t.c.version).Int("attempts", t.c.attempts).
 		Dur("took", took).Msg("answered")
 }
 
@@ -224,15 +226,33 @@
 	return n
 }
 
+// rateLimit reads the rate limit that an answer names; zero: none. A misdirected request was
+// answered by another server than the chosen one.
+func (t *trial) rateLimit(res *http.Response, pick *balance.Pick) float64 {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return 0
+	}
+	limit, err := t.p.Names.RateLimit(res.Header)
+	if err != nil {
+		t.p.Metrics.BadRateLimit(t.c.service)
+		t.line(pick).Err(err).Msg("rate-limit-skipped")
+		return 0
+	}
+	if limit > 0 {
+		t.p.Metrics.RateLimit(t.c.service)
+	}
+	return limit
+}
+
 // refused notes that the backend server did not run the request.
-func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick, notice request.Notice) *request.Result {
+func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick, notice request.Notice, limit float64) *request.Result {
 	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
 	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxHeldAnswer) // so that the connection can be kept
 	report := t.report(ex.Response.Header, pick)
 	ex.Close()
 	pick.Done(balance.Refused, report)
 	t.over(pick, rollout.Outcome{Failed: misdirected, Inconclusive: !misdirected})
-	t.line(pick).Int("status", ex.Response.StatusCode).Bool("leaving", notice.Leaving).Dur("retryAfter", notice.RetryAfter).
+	t.line(pick).Int("status", ex.Response.StatusCode).Bool("leaving", notice.Leaving).Dur("retryAfter", notice.RetryAfter).Float64("limit", limit).
 		Str("load", ex.Response.Header.Get(t.p.Names.Load)).Msg("backend-refused")
 	if misdirected {
 		pick.Gone()
--- a/request/names.go
+++ b/request/names.go
@@ -15,6 +15,7 @@
 	Workspace string // to a backend server: the name of that workspace
 	Load      string // of a backend server: running, waiting, slots, and maybe its host's pace
 	Leaving   string // in each answer of a backend server that is about to end
+	Limit     string // of a backend server: the requests a second that it takes from all instances
 }
 
 // OwnNames are the header names of the product's own interface.
@@ -27,6 +28,7 @@
 	NotRun:    HeaderNotRun,
 	Load:      "Shalewick-Load",
 	Leaving:   "Shalewick-Leaving",
+	Limit:     "Shalewick-Limit",
 	Key:       "Authorization",
 	Workspace: "Shalewick-Workspace",
 }
