--- a/standin/server/notice.go
+++ b/standin/server/notice.go
@@ -15,13 +15,15 @@
 	Start int // how often the backend server had been started again
 }
 
-// Notice is an answer in which the backend server said that it leaves, or asked for a backoff.
+// Notice is an answer in which the backend server said that it leaves, asked for a backoff, or named
+// a rate limit.
 type Notice struct {
 	ID         string // of the request
 	At         time.Time
 	Start      int // how often the backend server had been started again
 	Leaving    bool
 	RetryAfter time.Duration
+	Limit      float64 // requests a second; zero: it named none
 }
 
 // Leave makes each answer from now on say that the backend server leaves. It serves on.
@@ -40,12 +42,19 @@
 	s.retryAfter = retryAfter
 }
 
+// SetLimit makes each answer from now on name a rate limit in requests a second; zero: none.
+func (s *Server) SetLimit(limit float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
 // notice returns the header lines that tell of the backend server's notices, for the answer
 // to a request, and notes them.
 func (s *Server) notice(id string, f Fault) (lines string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := Notice{ID: id, At: time.Now(), Start: s.started, Leaving: s.leaves}
+	n := Notice{ID: id, At: time.Now(), Start: s.started, Leaving: s.leaves, Limit: s.limit}
 	if f == Shed && n.At.Before(s.away) {
 		n.RetryAfter = s.retryAfter
 	}
@@ -55,6 +64,9 @@
 	if n.RetryAfter > 0 {
 		lines += fmt.Sprintf("Retry-After: %g\r\n", n.RetryAfter.Seconds())
 	}
+	if n.Limit > 0 {
+		lines += fmt.Sprintf("%s: %g\r\n", s.Names.Limit, n.Limit)
+	}
 	if lines != "" {
 		s.noticed = append(s.noticed, n)
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -87,6 +87,7 @@
 	leaves     bool      // each answer says so
 	away       time.Time // until when it turns all away
 	retryAfter time.Duration
+	limit      float64 // each answer names it, in requests a second; zero: none
 	bad        []BadAnswer
 	open       map[net.Conn]bool
 	killed     bool
@@ -122,7 +123,7 @@
 	s.open = make(map[net.Conn]bool)
 	s.born = time.Now()
 	s.started++
-	s.leaves, s.away = false, time.Time{}
+	s.leaves, s.away, s.limit = false, time.Time{}, 0
 	go s.accept(l)
 	return nil
 }
