ratelimit, balance, proxy, edge: keep the rate limits that backend servers name

Class: a wish of a backend server for the whole fleet, met by instances that each know only themselves.

Ruled out: equal shares, which lose most of a limit below one an instance, and process/quota, whose instances hold tokens ahead and let requests in before they have one.

--- a/process/balance/candidate.go
+++ b/process/balance/candidate.go
@@ -232,6 +232,8 @@
 		x.why.Full++
 	case slices.Contains(x.q.Tried, v.Name):
 		x.why.Tried++
+	case x.t.overLimit(x.q, v):
+		x.why.Limited++
 	default:
 		return takesIt
 	}
--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -51,8 +51,8 @@
 		why := refused()
 		why.Cold = len(c)
 		retry := t.comeBack(request.NoBackend, 0)
-		if why.allBackedOff() {
-			retry += t.backoffLeft(s.Backends, now) // no sooner: it would be refused again
+		if why.allHeldBack() {
+			retry += t.heldBackFor(q, s.Backends, now) // no sooner: it would be refused again
 		}
 		return nil, Refusal{Code: request.NoBackend, Retry: retry, Why: why}
 	}
@@ -70,6 +70,19 @@
 	return t.take(q, best, s, now), Refusal{}
 }
 
+// heldBackFor returns when one of some backend servers, all of which are backed off from or limited, may take
+// the request of a query. The caller holds the lock.
+func (t *Table) heldBackFor(q *Query, backends []int32, now time.Duration) time.Duration {
+	backoff, limit := t.backoffLeft(backends, now), t.limitLeft(q, backends)
+	if limit > 0 {
+		limit += rand.N(limit) // one has room for few at a time
+	}
+	if backoff == 0 || limit == 0 {
+		return max(backoff, limit)
+	}
+	return min(backoff, limit)
+}
+
 // part returns the part of the query's route; nil when the routing has
 // changed so that it is not there any more.
 func (q *Query) part(r *version.Routing) *version.RoutePart {
--- a/process/balance/observe.go
+++ b/process/balance/observe.go
@@ -26,12 +26,13 @@
 	observationBytes = 6
 	// unreachable stands in the place of the load for a backend server that could not
 	// be reached, or lost answers in a row; leavingTold for one that said that it leaves, and
-	// backoffTold for one that asked for a backoff: the time is then what is left of it.
-	// Loads stay below them.
+	// backoffTold for one that asked for a backoff: the time is then what is left of it; and
+	// limitTold for one that names a rate limit. Loads stay below them.
 	unreachable = 0xff
 	leavingTold = 0xfe
 	backoffTold = 0xfd
-	mostLoad    = backoffTold - 1
+	limitTold   = 0xfc
+	mostLoad    = limitTold - 1
 	// mostDoubted is the share of the backend servers of a service that are doubted on
 	// the word of others at most: if more seem to fail, it may be their links.
 	mostDoubted = 1.0 / 3
@@ -102,17 +103,28 @@
 func (t *Table) tellNotices(size int, now time.Duration) (out []byte) {
 	var tell []int32
 	for i, u := range t.states {
-		if u != nil && u.notices != nil && u.notices.worthTelling(t.routing.Backends[i].Leaving, now) {
+		if u == nil {
+			continue
+		}
+		_, limited := t.limitUnits(int32(i), now)
+		if limited || u.notices != nil && u.notices.worthTelling(t.routing.Backends[i].Leaving, now) {
 			tell = append(tell, int32(i))
 		}
 	}
-	if most := size / observationBytes; len(tell) > most {
+	if len(tell)*observationBytes > size {
 		rand.Shuffle(len(tell), func(i, j int) { tell[i], tell[j] = tell[j], tell[i] })
-		tell = tell[:most]
 	}
+	room := func() bool { return len(out)+observationBytes <= size }
 	for _, i := range tell {
+		if units, limited := t.limitUnits(i, now); limited && room() {
+			out = t.appendEntry(out, i, units, limitTold)
+		}
 		n := t.states[i].notices
-		if n.leaving.worthTelling(t.routing.Backends[i].Leaving, now) {
+		rowLeaves := t.routing.Backends[i].Leaving
+		if n == nil || !n.worthTelling(rowLeaves, now) || !room() {
+			continue
+		}
+		if n.leaving.worthTelling(rowLeaves, now) {
 			out = t.appendEntry(out, i, n.leaving.units(now), leavingTold)
 		} else {
 			out = t.appendEntry(out, i, n.backoff.units(now), backoffTold)
@@ -148,6 +160,8 @@
 		switch e[5] {
 		case leavingTold:
 			t.hearLeaving(i, age, now)
+		case limitTold:
+			t.hearLimited(i, age, now)
 		case backoffTold:
 			t.hearBackoff(i, time.Duration(e[4])*backoffUnit, now)
 		default:
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shalewick/conn"
+	"shalewick/process/ratelimit"
 	"shalewick/request"
 	"shalewick/version"
 )
@@ -33,6 +34,9 @@
 	// it refused a number of requests in a row though it has slots free. It must not call
 	// the table.
 	OnAvoid func(backend string, refusals int, pause time.Duration)
+	// Limits, if set, are the rate limits that backend servers name. They are asked with the table
+	// locked.
+	Limits *ratelimit.Limiter
 	// LeaveWithin is how long after a backend server said in an answer that it leaves it may
 	// still get requests that no other one can take; afterwards it gets none.
 	LeaveWithin time.Duration
@@ -221,6 +225,8 @@
 	Object uint64
 	// Tried are the names of the backend servers that had the request already.
 	Tried []string
+	// Unlimited leaves out backend servers that name a rate limit.
+	Unlimited bool
 	// Left is the time until the request's deadline.
 	Left time.Duration
 	// Elapsed is the time since the request came.
--- a/process/balance/why.go
+++ b/process/balance/why.go
@@ -15,6 +15,7 @@
 	Closed    int // leaving by its row, or in a drained place
 	Leaving   int // leaving by its own answers
 	BackedOff int // asked for a backoff, or refuses though it is idle
+	Limited   int // has no room within the rate limit that it names
 	Foreign   int // in a region that is no home of the route
 	Suspended int // failed lately
 	Full      int // this instance's share of its connections is in use
@@ -35,7 +36,7 @@
 		name  string
 		count int
 	}{
-		{"backends", w.Backends}, {"closed", w.Closed}, {"leaving", w.Leaving}, {"backedOff", w.BackedOff}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
+		{"backends", w.Backends}, {"closed", w.Closed}, {"leaving", w.Leaving}, {"backedOff", w.BackedOff}, {"limited", w.Limited}, {"foreign", w.Foreign}, {"suspended", w.Suspended},
 		{"full", w.Full}, {"tried", w.Tried}, {"cold", w.Cold},
 	} {
 		if x.count > 0 {
@@ -62,7 +63,8 @@
 	}
 }
 
-// allBackedOff reports whether nothing but backoffs kept backend servers from being taken.
-func (w *Why) allBackedOff() bool {
-	return w.BackedOff > 0 && w.BackedOff == w.Backends-w.Closed-w.Leaving-w.Foreign
+// allHeldBack reports whether nothing but backoffs and rate limits kept backend servers from being taken.
+func (w *Why) allHeldBack() bool {
+	held := w.BackedOff + w.Limited
+	return held > 0 && held == w.Backends-w.Closed-w.Leaving-w.Foreign
 }
--- a/process/cluster/owner.go
+++ b/process/cluster/owner.go
@@ -54,6 +54,30 @@
 	return ownerAmong(grown, number)
 }
 
+// NearestOwner returns who owns the thing with a number among the live instances of a region, or of all if
+// none lives there, whatever their age: who asks too early or too late is told so.
+func (m *Members) NearestOwner(region string, number uint64) Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far *known
+	before := func(k, o *known) bool { return o == nil || rank(k.hash, number) < rank(o.hash, number) }
+	m.eachLive(func(k *known) {
+		if k.Region == region && before(k, near) {
+			near = k
+		}
+		if before(k, far) {
+			far = k
+		}
+	})
+	switch {
+	case near != nil:
+		return near.Member
+	case far != nil:
+		return far.Member
+	}
+	return Member{}
+}
+
 // grown returns the live instances that may own something: those of age, and those that
 // started with the oldest one; all that live if all have just started. The caller holds
 // the lock.
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -26,6 +26,7 @@
 	"shalewick/process/proxy"
 	"shalewick/process/quarantine"
 	"shalewick/process/quota"
+	"shalewick/process/ratelimit"
 	"shalewick/process/rollout"
 	"shalewick/process/rolloutview"
 	"shalewick/process/state"
@@ -66,6 +67,7 @@
 	table      *balance.Table
 	proxy      *proxy.Proxy
 	quota      *quota.Quota
+	limits     *ratelimit.Limiter
 	rollouts   *rollout.Rollouts
 	rolling    rolling
 	lateness   clock.Lateness // noted while an order waits for its end
@@ -155,8 +157,10 @@
 	e.documents = Documents{Key: e.deployment.DocumentKey, Translate: e.deployment.Configuration}
 	e.lapses.keep = keepLapsed(e.settings.DrainWithin)
 	dialer := conn.NewDialer(dialTimeout, backendSilence)
+	e.limits = e.newLimits()
 	e.table = &balance.Table{
-		Now: e.now, Place: e.place, Region: e.settings.Region, Hall: e.settings.Hall, OnSuspend: e.logSuspension,
+		Limits: e.limits,
+		Now:    e.now, Place: e.place, Region: e.settings.Region, Hall: e.settings.Hall, OnSuspend: e.logSuspension,
 		OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeaveWithin: e.settings.DrainWithin / leaveShare,
 		Reach: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
@@ -172,7 +176,7 @@
 		e.held = &held.Budget{Limit: e.settings.Memory / heldShare, Now: e.now, OnCut: e.logCutOff}
 	}
 	e.proxy = &proxy.Proxy{
-		Quota: e.quota, Rollouts: e.rollouts, Quarantine: e.quarantine, Held: e.held,
+		Quota: e.quota, Limits: e.limits, Rollouts: e.rollouts, Quarantine: e.quarantine, Held: e.held,
 		Crashes: &crash.Watch{Now: e.now, OnCrash: e.backendCrashed},
 		Names:   e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, Age: e.follower.Age,
 		Retries: &retry.Window{
@@ -222,7 +226,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
-		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.followInstances, e.askSeeds, e.watchMembers, e.tickQuota, e.watchUse,
+		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.followInstances, e.askSeeds, e.watchMembers, e.tickQuota, e.tickLimits, e.watchUse,
 		e.tickRollouts, e.writeSteps, e.checkSilent, e.tickQuarantine, e.learnQuarantine, e.keepQuarantine,
 	} {
 		e.loops.Go(func() { loop(ctx) })
@@ -238,6 +242,7 @@
 	leaving, backedOff := e.table.Notices()
 	e.metrics.Gauge("backends_leaving").Update(int64(leaving))
 	e.metrics.Gauge("backends_backed_off").Update(int64(backedOff))
+	e.gaugeLimits()
 	e.metrics.Gauge("datagrams_sent").Update(e.beats.Sent())
 	e.metrics.Gauge("spare").Update(0)
 	if e.spare.is.Load() {
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -47,6 +47,9 @@
 	// rolled is the present attempt as roll-outs see it.
 	rolled rolled
 	begun  bool // an attempt has begun
+	// permit is as of when a permit for the present attempt holds; zero: it has none. SentAt is when the attempt
+	// was sent at the earliest, by the proxy's clock.
+	permit, sentAt time.Duration
 	// declined is set if a roll-out's target could not take the request.
 	declined bool
 }
@@ -132,7 +135,7 @@
 	t.query.Left = t.c.left()
 	t.query.Elapsed = time.Since(t.c.began)
 	t.begin()
-	pick, refusal := t.pick()
+	pick, refusal := t.pickPermitted(ctx)
 	if pick == nil {
 		t.rolled.Done(rollout.Outcome{Inconclusive: true})
 		t.c.why = &refusal.Why
@@ -140,9 +143,10 @@
 	}
 	t.query.Tried = append(t.query.Tried, pick.Name)
 	sent := time.Now()
+	t.sentAt = t.p.Now()
 	ex, err := pick.Pool.Dispatch(ctx, t.request(ctx, pick), conn.Options{
 		Deadline: time.Now().Add(t.query.Left), CloseAtOnce: true,
-		Allowed: func() bool { return t.c.left() > 0 && pick.Allowed() }, Release: func(bool) {},
+		Allowed: func() bool { return t.c.left() > 0 && pick.Allowed() && t.withinLimit(pick) }, Release: func(bool) {},
 	})
 	if err != nil {
 		return nil, t.failed(ctx, pick, err, sent)
@@ -226,24 +230,6 @@
 	return n
 }
 
-// rateLimit reads the rate limit that an answer names; zero: none. A misdirected request was
-// answered by another server than the chosen one.
-func (t *trial) rateLimit(res *http.Response, pick *balance.Pick) float64 {
-	if res.StatusCode == http.StatusMisdirectedRequest {
-		return 0
-	}
-	limit, err := t.p.Names.RateLimit(res.Header)
-	if err != nil {
-		t.p.Metrics.BadRateLimit(t.c.service)
-		t.line(pick).Err(err).Msg("rate-limit-skipped")
-		return 0
-	}
-	if limit > 0 {
-		t.p.Metrics.RateLimit(t.c.service)
-	}
-	return limit
-}
-
 // refused notes that the backend server did not run the request.
 func (t *trial) refused(ex *conn.Exchange, pick *balance.Pick, notice request.Notice, limit float64) *request.Result {
 	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -24,6 +24,7 @@
 		return t.lost(ctx, pick, err, sent)
 	}
 	t.over(pick, rollout.Outcome{Inconclusive: true})
+	t.returnPermit(pick)
 	if t.c.r.Context().Err() != nil {
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"shalewick/process/metric"
 	"shalewick/process/quarantine"
 	"shalewick/process/quota"
+	"shalewick/process/ratelimit"
 	"shalewick/process/rollout"
 	"shalewick/request"
 	"shalewick/retry"
@@ -35,6 +36,8 @@
 	Retries *retry.Window
 	// Quota, if set, keeps workspaces within their rates.
 	Quota *quota.Quota
+	// Limits, if set, are the rate limits that backend servers name; those of the table.
+	Limits *ratelimit.Limiter
 	// Rollouts, if set, says which requests go to the target of a roll-out.
 	Rollouts *rollout.Rollouts
 	// Crashes, if set, is told of requests that were lost at backend servers.
--- a/process/proxy/proxy_test.go
+++ b/process/proxy/proxy_test.go
@@ -126,7 +126,10 @@
 	took   time.Duration
 }
 
-func (f *fixture) send(id, path, body string) reply {
+func (f *fixture) send(id, path, body string) reply { return f.sendFor("7", id, path, body) }
+
+// sendFor sends a request that concerns an object.
+func (f *fixture) sendFor(object, id, path, body string) reply {
 	f.t.Helper()
 	method := http.MethodGet
 	if body != "" {
@@ -136,7 +139,7 @@
 	assert.NilError(f.t, err)
 	req.Host = "a.example"
 	req.Header.Set(request.OwnNames.ID, id)
-	req.Header.Set(request.OwnNames.Affinity, "7")
+	req.Header.Set(request.OwnNames.Affinity, object)
 	begun := time.Now()
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
--- /dev/null
+++ b/process/ratelimit/exchange.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: MIT
+
+package ratelimit
+
+// Hear takes up a message from an address, and reports whether it was one of this package.
+func (l *Limiter) Hear(from string, text []byte) bool {
+	if len(text) == 0 || text[0] < kindAsk || text[0] > kindReport {
+		return false
+	}
+	if text[0] == kindAnswer {
+		l.hearAnswer(text)
+		return true
+	}
+	if out := l.hearAsk(from, text); out != nil {
+		l.Send(from, out)
+	}
+	return true
+}
+
+// hearAsk answers an ask; nil: there is nothing to say.
+func (l *Limiter) hearAsk(from string, text []byte) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	x, err := decodeAsk(text, now)
+	if err != nil || x.start == 0 {
+		return nil // it is of no instance of this version
+	}
+	k := l.backends[x.start]
+	if k == nil {
+		if !x.word.limited(now) {
+			k = &backend{} // nothing is known of it, nor worth keeping
+		} else {
+			k = l.add(x.start)
+		}
+	}
+	k.used = now
+	l.learn(k, x.word, false)
+	if text[0] == kindReport {
+		return nil
+	}
+	out := answer{seq: x.seq, start: x.start, status: notOwner, wait: retryOwner, word: k.word}
+	if o := l.Owner(x.region, x.start); o.Name == "" || o.Address != "" {
+		return out.encode(now)
+	}
+	if k.bucket != nil {
+		if again, ok := k.bucket.asker(from).repeated(x.seq); ok {
+			return again.encode(now)
+		}
+	}
+	out.status, out.wait = l.grant(k, from, int(x.priority), now)
+	if k.bucket != nil {
+		k.bucket.asker(from).keep(out)
+	}
+	return out.encode(now)
+}
+
+// hearAnswer takes up the answer to an ask. If nobody waits for it any more, a permit is kept for another
+// request.
+func (l *Limiter) hearAnswer(text []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	x, err := decodeAnswer(text, now)
+	if err != nil {
+		return
+	}
+	k := l.backends[x.start]
+	if k == nil {
+		return
+	}
+	l.learn(k, x.word, false)
+	p := l.pending[x.seq]
+	if p == nil || p.backend != k {
+		return
+	}
+	delete(l.pending, x.seq)
+	l.count(x.status)
+	switch {
+	case x.status != granted:
+		k.block(p.priority, x.wait, now)
+	case p.left:
+		k.spare = append(k.spare, now)
+	}
+	p.answered <- x.status == granted
+}
+
+// Tick tells owners of limits that have ended, and forgets what is of no use any more.
+func (l *Limiter) Tick() {
+	if !l.any.Load() {
+		return
+	}
+	type message struct {
+		address string
+		text    []byte
+	}
+	var out []message
+	l.mu.Lock()
+	now := l.Now()
+	l.share(now)
+	for start, k := range l.backends {
+		if k.bucket != nil && l.Owner(k.Region, start).Address != "" {
+			k.bucket = nil
+		}
+		if k.reports > 0 {
+			k.reports--
+			if o := l.Owner(k.Region, start); o.Address != "" {
+				x := ask{start: start, word: k.word, region: k.Region}
+				out = append(out, message{o.Address, x.encode(kindReport, now)})
+			}
+		}
+		if now-k.used > forgetAfter {
+			delete(l.backends, start)
+		}
+	}
+	for seq, p := range l.pending {
+		if now-p.asked > permitFor {
+			delete(l.pending, seq)
+		}
+	}
+	l.any.Store(len(l.backends) > 0)
+	l.mu.Unlock()
+	for _, m := range out {
+		l.Send(m.address, m.text)
+	}
+}
