--- a/standin/server/notice.go
+++ b/standin/server/notice.go
@@ -42,6 +42,9 @@
 	s.retryAfter = retryAfter
 }
 
+// HeaderName is a header of the stand-in's own: answers that name a rate limit say whose it is.
+const HeaderName = "Standin-Name"
+
 // SetLimit makes each answer from now on name a rate limit in requests a second; zero: none.
 func (s *Server) SetLimit(limit float64) {
 	s.mu.Lock()
@@ -65,7 +68,7 @@
 		lines += fmt.Sprintf("Retry-After: %g\r\n", n.RetryAfter.Seconds())
 	}
 	if n.Limit > 0 {
-		lines += fmt.Sprintf("%s: %g\r\n", s.Names.Limit, n.Limit)
+		lines += fmt.Sprintf("%s: %g\r\n%s: %s\r\n", s.Names.Limit, n.Limit, HeaderName, s.Name)
 	}
 	if lines != "" {
 		s.noticed = append(s.noticed, n)
