--- a/explain/cause.go
+++ b/explain/cause.go
@@ -116,7 +116,7 @@
 func noBackendKind(end *Line) string {
 	kind, most := "no backend server", 0
 	for _, x := range []struct{ field, kind string }{
-		{"cold", "backend servers cold"}, {"suspended", "backend servers suspended"}, {"closed", "backend servers leaving"}, {"leaving", "backend servers leaving"}, {"backedOff", "backend servers that turn away"},
+		{"cold", "backend servers cold"}, {"suspended", "backend servers suspended"}, {"closed", "backend servers leaving"}, {"leaving", "backend servers leaving"}, {"backedOff", "backend servers that turn away"}, {"limited", "backend servers at their rate limit"},
 		{"full", "connections in use"}, {"tried", "all were tried"}, {"foreign", "no home region"},
 	} {
 		if n, _ := strconv.Atoi(end.Get(x.field)); n > most { // zero when it is not there
@@ -152,7 +152,7 @@
 	var out []string
 	for _, x := range []struct{ field, text string }{
 		{"closed", "leaving or in a drained place"}, {"leaving", "leaving by their own answers"},
-		{"backedOff", "backed off from, since they turned requests away"}, {"foreign", "outside the route's home regions"},
+		{"backedOff", "backed off from, since they turned requests away"}, {"limited", "with no room within the rate limit that they name"}, {"foreign", "outside the route's home regions"},
 		{"suspended", "suspended after failures"}, {"full", "without a free connection of this instance"},
 		{"tried", "tried already"}, {"cold", "cold with no turn left"},
 	} {
