platform, state, tablestore: read the store's era, and say when the store is behind

On call it could not be told at which version the store answered, nor in which era: a failed question was logged once, as the first one failed. store-behind has both versions as a read begins and ceases to be older than what is known; the gauge store_epoch has the era. Nothing is decided by it yet. The stand-in of the store learns to come back from an older copy.

--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -256,5 +256,6 @@
 	e.metrics.Gauge("requests_quarantined").Update(int64(e.quarantine.Count()))
 	e.metrics.Gauge("rollouts_running").Update(e.rolling.running.Load())
 	e.metrics.Gauge("log_lines_left_out").Update(e.logLimit.LeftOut())
+	e.metrics.Gauge("store_epoch").Update(e.deployment.Store.Epoch())
 	e.metrics.Gauge("configuration_age_ms").Update(e.follower.Age().Milliseconds())
 }
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -123,6 +123,9 @@
 	// Clock returns the store's steady clock, the same for all instances. Ok is false
 	// while nothing is known of it.
 	Clock() (now time.Duration, ok bool)
+	// Epoch rises each time that the store comes back from an older copy, and has lost what it
+	// had acknowledged since; zero while the store tells none.
+	Epoch() int64
 }
 
 // Question is a client's question where to go.
--- a/process/state/follower.go
+++ b/process/state/follower.go
@@ -20,6 +20,9 @@
 // asked for.
 const Compacted = errors.ConstError("history is gone")
 
+// Behind is the error of an answer that is older than what is known already.
+const Behind = errors.ConstError("the store is behind")
+
 // Conflict is the error of a write that was not carried out, since some row was not at
 // the version that it was made against.
 const Conflict = errors.ConstError("a row has changed meanwhile")
@@ -204,6 +207,7 @@
 func (f *Follower) followStore(ctx context.Context, name string, t *Table) {
 	failures := 0
 	failed := time.Duration(0) // when a question failed last; zero: never
+	behind := false            // the last question was answered at a version below the known one
 	var pause gatherPause
 	for ctx.Err() == nil {
 		if !f.wanted(name) {
@@ -224,6 +228,10 @@
 		if (err == nil) != (failures == 0) {
 			f.Log.Info().Str("table", name).Bool("answered", err == nil).AnErr("error", err).Msg("store")
 		}
+		if now := errors.Is(err, Behind); now != behind {
+			behind = now
+			f.Log.Info().Str("table", name).Bool("behind", behind).AnErr("error", err).Msg("store-behind")
+		}
 		if err == nil {
 			failures = 0
 			pause.note(changed, f.Now())
@@ -280,7 +288,7 @@
 		return false, err
 	}
 	if d.Whole && d.Version < after {
-		return false, errors.Errorf("table %s read at %d, which is behind %d", name, d.Version, after)
+		return false, errors.WithType(errors.Errorf("table %s read at %d, which is behind %d", name, d.Version, after), Behind)
 	}
 	now := f.Now()
 	if !d.Whole {
--- a/standin/tablestore/serve.go
+++ b/standin/tablestore/serve.go
@@ -22,7 +22,25 @@
 	return s.trouble
 }
 
+// headerEra is in all answers. It rises by one each time that the store comes back from an older copy.
+const headerEra = "Store-Era"
+
+// tellEra adds an era to an answer; zero: none.
+func tellEra(w http.ResponseWriter, era int64) {
+	if era != 0 {
+		w.Header().Set(headerEra, strconv.FormatInt(era, 10))
+	}
+}
+
+// present returns the era.
+func (s *Store) present() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	tellEra(w, s.present())
 	if !s.count(r) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
@@ -83,6 +101,7 @@
 	s.mu.Lock()
 	at := max(0, s.version-t.Behind)
 	rows := s.rows(q.Get("table"), at)
+	tellEra(w, s.era)
 	s.mu.Unlock()
 	limit, err := strconv.Atoi(q.Get("limit"))
 	if err != nil || limit <= 0 {
@@ -102,6 +121,7 @@
 	for {
 		s.mu.Lock()
 		changed, version, floor, hold := s.changed, s.version, s.floor, s.trouble.Hold
+		tellEra(w, s.era)
 		rows := []Row{}
 		for _, x := range s.log {
 			if x.Table == q.Get("table") && x.Ver > after && !hold {
@@ -117,6 +137,10 @@
 			answer(w, map[string]any{"rows": rows, "ver": version, "now_s": s.Clock().Seconds()})
 			return
 		}
+		if after > version {
+			w.WriteHeader(http.StatusGone) // the store has gone back
+			return
+		}
 		select {
 		case <-changed:
 			if s.fail(w, r, s.struck(r)) { // trouble strikes questions that are held, too
@@ -147,6 +171,8 @@
 	Put      []Row `json:"put"`
 	Delete   []Row `json:"delete"`
 	Across   bool  `json:"across"`
+
+	era int64 // in which it was carried out
 }
 
 // check returns the status with which a transaction is refused, or 0.
@@ -182,6 +208,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	version, present, ok := s.commit(&x)
+	tellEra(w, x.era)
 	if ok {
 		s.noteWriter(r, &x)
 	}
@@ -203,6 +230,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ok = true
+	x.era = s.era
 	for _, e := range x.Expected {
 		found := Row{Table: e.Table, Part: e.Part, Key: e.Key}
 		for _, r := range s.rows(e.Table, s.version) {
--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -5,7 +5,8 @@
 tables under a version that rises with each transaction, and a feed of what
 changed; calls beyond its rates are refused. It misbehaves on demand: refuses,
 resets, is silent, is slow, loses answers of writes or carries them out late,
-forgets its history, reads behind, and turns some callers away. It is for tests.
+forgets its history, reads behind, turns some callers away, and comes back from an older copy.
+It is for tests.
 */
 package tablestore
 
@@ -27,6 +28,8 @@
 	Value []byte `json:"value,omitempty"`
 	Ver   int64  `json:"ver"`
 	Gone  bool   `json:"gone,omitempty"`
+
+	at time.Time // when it was written
 }
 
 // Trouble says how the store misbehaves. The zero value is a well one.
@@ -53,6 +56,7 @@
 type Store struct {
 	mu       sync.Mutex
 	version  int64
+	era      int64 // in all answers; zero: in none
 	floor    int64 // the history up to here is forgotten
 	log      []Row
 	trouble  Trouble
@@ -145,6 +149,29 @@
 	s.wake()
 }
 
+// GoBack makes the store come back from a copy of some time ago: what was written since is gone, its
+// versions are given out again, and the era rises.
+func (s *Store) GoBack(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := time.Now().Add(-age)
+	s.log = slices.DeleteFunc(s.log, func(r Row) bool { return r.at.After(from) })
+	s.version = 0
+	for _, r := range s.log {
+		s.version = max(s.version, r.Ver)
+	}
+	s.floor = min(s.floor, s.version)
+	s.era++
+	s.wake()
+}
+
+// SetEra sets the era in all answers; zero: none has it.
+func (s *Store) SetEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
 // Calls returns the number of calls of a path.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -195,6 +222,7 @@
 }
 
 func (s *Store) append(r Row) {
+	r.at = time.Now()
 	s.log = append(s.log, r)
 	s.wake()
 }
