state: a source tells what was removed before it read the table

An instance that learned from one which had read the table whole after a row was removed kept the row for ever: the source has no trace of the removal, and answered with what it has that is newer. Found by the model of a store that goes back, where it happens at each change; without that it takes a relay that has just started and an asker that is behind its first read. The versions up to a first whole read now count as those whose removals are forgotten, so that whoever asks from before gets the whole table. Fails before: TestNewSourceTellsWhatWasRemovedBeforeItsTime, 2 rows in place of 1.

--- a/process/state/table.go
+++ b/process/state/table.go
@@ -83,6 +83,9 @@
 	}
 	advanced := d.Version > t.version
 	learned := d.Whole && !t.known
+	if learned {
+		t.floor = d.Version // what was removed before is not known
+	}
 	t.version = max(t.version, d.Version)
 	t.known = t.known || d.Whole
 	before := t.confirmed
