state: a source that read the table again tells what came and went meanwhile

The rest of the fault before: a source that was at version 10 and read the table whole at 20 has no trace of a row that came at 12 and went, and an asker at 15 kept it for ever. Whoever asks from between the two gets the whole table; others as before. Fails before: TestSourceThatReadAgainTellsWhatCameAndWentMeanwhile, 1 row in place of 0.

--- a/process/state/floor_test.go
+++ b/process/state/floor_test.go
@@ -19,3 +19,16 @@
 	old.Apply(fresh.Since(10, now), now)
 	assert.Equal(t, len(old.Rows()), 1)
 }
+
+// TestSourceThatReadAgainTellsWhatCameAndWentMeanwhile guards against the same by an instance that read the table whole again
+// after the history was gone.
+func TestSourceThatReadAgainTellsWhatCameAndWentMeanwhile(t *testing.T) {
+	now := time.Hour
+	asker, source := NewTable(), NewTable()
+	source.Apply(Delta{Whole: true, Version: 10}, now)
+	asker.Apply(Delta{Whole: true, Version: 15, Rows: []Row{{Key: "a", Version: 12}}}, now)
+	source.Apply(Delta{Whole: true, Version: 20}, now)
+	asker.Apply(source.Since(15, now), now)
+	assert.Equal(t, len(asker.Rows()), 0)
+	assert.Assert(t, !source.Since(10, now).Whole, "who was no further than the source has no such rows")
+}
--- a/process/state/table.go
+++ b/process/state/table.go
@@ -46,6 +46,7 @@
 	rows      map[string]Row // those gone as well, for goneKept
 	goneAt    map[string]time.Duration
 	floor     int64 // removals up to this version may be forgotten
+	gap       gap
 	version   int64
 	confirmed time.Duration // when the store last said that version is the newest
 	returned  time.Duration // when it last did so after it had been away; zero: never
@@ -85,6 +86,8 @@
 	learned := d.Whole && !t.known
 	if learned {
 		t.floor = d.Version // what was removed before is not known
+	} else if d.Whole {
+		t.gap.add(t.version, d.Version, now)
 	}
 	t.version = max(t.version, d.Version)
 	t.known = t.known || d.Whole
@@ -104,6 +107,25 @@
 	return changed
 }
 
+// gap is the versions between which a table was read whole: rows that came and went between them
+// left no trace.
+type gap struct {
+	from, to int64
+	at       time.Duration
+}
+
+// add adds a whole read at a version by a table that was at an older one. A gap is forgotten with
+// the removals of its time.
+func (g *gap) add(from, to int64, now time.Duration) {
+	if g.to == 0 || now-g.at > goneKept {
+		g.from = from
+	}
+	g.from, g.to, g.at = min(g.from, from), to, now
+}
+
+// has reports whether a table that is complete up to a version may have rows that went unseen.
+func (g *gap) has(version int64) bool { return version > g.from && version < g.to }
+
 // confirm notes that the store said at a moment that the version is the newest.
 func (t *Table) confirm(now, said time.Duration) {
 	if t.confirmed != 0 && said-t.confirmed > awayAfter {
@@ -163,7 +185,7 @@
 func (t *Table) Since(after int64, now time.Duration) Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := Delta{Version: t.version, Age: now - t.confirmed, Whole: after < t.floor || after == 0}
+	d := Delta{Version: t.version, Age: now - t.confirmed, Whole: after < t.floor || after == 0 || t.gap.has(after)}
 	for _, r := range t.rows {
 		if d.Whole && !r.Gone || !d.Whole && r.Version > after {
 			d.Rows = append(d.Rows, r)
