state, platform, edge, rollout: the store's era goes before its versions

Cause: the store came back from an older copy at a lower version; each whole read was dropped as one of a replica that is behind, on all instances, until it had given out as many versions again, 7 s later. Class: an order of versions that outlives the history which it orders. Ruled out by the evidence: that the store turned the instances away, and that what was taken up was dropped later.

Versions have the era in their high bits, so that every place that compares them follows the later history; across epochs only whole tables are taken up, questions and conditions of another era are not asked.

--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -82,10 +82,12 @@
 	// followsInstances is set if the fleet is so large that the table of instances is followed.
 	followsInstances atomic.Bool
 	spare            spare
-	compiling        sync.Mutex
-	documents        Documents         // guarded by compiling
-	lapses           lapses            // guarded by compiling
-	skipped          map[string]string // rows that can't be used now, with the reason; guarded by compiling
+	// introduceAgain tells introduce that the store may have lost the own row.
+	introduceAgain chan struct{}
+	compiling      sync.Mutex
+	documents      Documents         // guarded by compiling
+	lapses         lapses            // guarded by compiling
+	skipped        map[string]string // rows that can't be used now, with the reason; guarded by compiling
 	// skippedCounts are the gauges of such rows by reason; guarded by compiling.
 	skippedCounts map[string]int64
 	lapseEnd      *time.Timer // compiles again when lapsed rows are given up; guarded by compiling
@@ -106,7 +108,7 @@
 	level, _ := zerolog.ParseLevel(s.LogLevel) // checked
 	limit := logging.NewLimit(time.Now)
 	e := &Edge{
-		settings: s, deployment: d, started: time.Now(), metrics: metric.NewSet(), logLimit: limit,
+		settings: s, deployment: d, started: time.Now(), metrics: metric.NewSet(), logLimit: limit, introduceAgain: make(chan struct{}, 1),
 		log: logging.New(logTo).Level(level).Hook(limit).With().Str("instance", s.Instance).Logger(),
 	}
 	if e.deployment.Clock == nil {
@@ -148,8 +150,10 @@
 		Store: e.deployment.Store, Peers: e.peers, Log: e.log, Now: e.now, Wanted: e.wantsTable, Instances: e.members.Count,
 		Declines: func(table string) bool { return table == e.deployment.BackendTable && e.isSpare() },
 		Tables: map[string]*state.Table{
-			e.deployment.OperatorTable: state.NewTable(), e.deployment.BackendTable: state.NewTable(),
-			e.deployment.RecordTable: state.NewTable(), e.deployment.InstanceTable: state.NewTable(),
+			e.deployment.OperatorTable: state.NewHoldingTable(state.Hold{Missing: holdOperator, Older: holdOperator}),
+			e.deployment.BackendTable:  state.NewHoldingTable(state.Hold{Missing: keepLapsed(e.settings.DrainWithin), Older: holdBackends}),
+			e.deployment.RecordTable:   state.NewHoldingTable(state.Hold{}),
+			e.deployment.InstanceTable: state.NewTable(),
 		},
 	}
 	e.peers.Follower = e.follower
@@ -226,7 +230,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
-		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.followInstances, e.askSeeds, e.watchMembers, e.tickQuota, e.tickLimits, e.watchUse,
+		e.follower.Run, e.beats.Run, e.takeUp, e.introduce, e.followInstances, e.askSeeds, e.watchMembers, e.tickQuota, e.tickLimits, e.watchEpoch, e.watchUse,
 		e.tickRollouts, e.writeSteps, e.checkSilent, e.tickQuarantine, e.learnQuarantine, e.keepQuarantine,
 	} {
 		e.loops.Go(func() { loop(ctx) })
--- /dev/null
+++ b/process/edge/epoch.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+
+package edge
+
+import (
+	"context"
+	"time"
+
+	"shalewick/clock"
+	"shalewick/process/state"
+)
+
+const (
+	// holdOperator is how long what the operator had written is held, unless it is written again, when the
+	// store comes back from an older copy.
+	holdOperator = 10 * time.Second
+	// holdBackends is that time for backend servers that the copy has as they were before: one that
+	// has died lapses in the store before.
+	holdBackends = 10 * time.Second
+	// watchEpochPause is the pause between two looks at the epoch of the store.
+	watchEpochPause = 250 * time.Millisecond
+	// lostWithin is how long before a copy at most what it lacks was written.
+	lostWithin = time.Minute
+)
+
+// epoch returns the newest epoch of the store that the instance knows, by itself or from others.
+func (e *Edge) epoch() int64 {
+	newest := e.deployment.Store.Epoch()
+	for _, t := range e.follower.Tables {
+		v, _ := t.Version()
+		newest = max(newest, state.Epoch(v))
+	}
+	return newest
+}
+
+// watchEpoch writes again what the store has lost of this instance whenever it has come back from an older
+// copy, until the context ends.
+func (e *Edge) watchEpoch(ctx context.Context) {
+	known := e.epoch()
+	for clock.SleepAligned(ctx, watchEpochPause) {
+		now := e.epoch()
+		if now == known {
+			continue
+		}
+		if known != 0 {
+			e.storeWentBack(known, now)
+		}
+		known = now
+	}
+}
+
+// storeWentBack lets what the store may have lost be written again.
+func (e *Edge) storeWentBack(from, to int64) {
+	held := 0
+	for _, t := range e.follower.Tables {
+		held += len(t.Held())
+	}
+	e.log.Info().Int64("from", from).Int64("to", to).Int("held", held).Msg("store-went-back")
+	e.quarantineRows.reset()
+	if !e.followsInstances.Load() || e.age() < lostWithin {
+		select {
+		case e.introduceAgain <- struct{}{}:
+		default: // it is about to
+		}
+	}
+}
+
+// recordsBehind reports whether the records of roll-outs are known from an epoch that is over, so that the store may lack
+// them.
+func (e *Edge) recordsBehind() bool {
+	v, known := e.records().Version()
+	return known && state.Epoch(v) < e.deployment.Store.Epoch()
+}
--- a/process/edge/introduce.go
+++ b/process/edge/introduce.go
@@ -49,7 +49,7 @@
 		if written && read {
 			read = e.followsInstances.Load() // then there is nothing to read again
 			pause = firstPause
-			clock.Sleep(ctx, rereadInstances)
+			written = !e.awaitsIntroduction(ctx)
 			continue
 		}
 		clock.Sleep(ctx, pause/2+rand.N(pause))
@@ -57,6 +57,18 @@
 	}
 }
 
+// awaitsIntroduction waits until rows are read again, and reports whether the own one has to be written again before.
+func (e *Edge) awaitsIntroduction(ctx context.Context) bool {
+	select {
+	case <-e.introduceAgain:
+		clock.Sleep(ctx, rand.N(longestPause)) // all others write as well
+		return true
+	case <-time.After(rereadInstances):
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (e *Edge) writeRow(ctx context.Context) error {
 	value, err := json.Marshal(e.members.Self())
 	if err != nil {
--- a/process/edge/quarantinerow.go
+++ b/process/edge/quarantinerow.go
@@ -46,6 +46,13 @@
 	delete(r.stamps, f)
 }
 
+// reset forgets what the store has: it came back from an older copy.
+func (r *quarantineRows) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.stamps)
+}
+
 // compare returns the entries that are newer than their rows, and the rows of which there is
 // no entry any more.
 func (r *quarantineRows) compare(entries []quarantine.Entry) (missing []quarantine.Entry, left []request.Fingerprint) {
--- a/process/edge/record.go
+++ b/process/edge/record.go
@@ -17,6 +17,7 @@
 type knownRecord struct {
 	record   *rollout.Record
 	revision int64
+	held     bool // the store has lost it, or has it as it was before
 }
 
 // running reports whether the roll-out has not ended.
@@ -24,24 +25,29 @@
 
 // answers reports whether the record says how a roll-out ended that an order asked for.
 func (k knownRecord) answers(o *rollout.Order) bool {
-	return k.record != nil && k.record.Phase.Ended() && k.record.Order == o.ID
+	return k.record != nil && k.record.Phase.Ended() && k.record.For(o)
 }
 
 // records returns the table of the records of roll-outs.
 func (e *Edge) records() *state.Table { return e.follower.Tables[e.deployment.RecordTable] }
 
 // knownRecords returns what the table says, by service, and what of it can't be read.
-func knownRecords(rows []state.Row) (map[string]knownRecord, []error) {
+func knownRecords(table *state.Table) (map[string]knownRecord, []error) {
+	held := table.Held()
 	out := make(map[string]knownRecord)
 	var problems []error
-	for _, row := range rows {
+	for _, row := range table.Rows() {
 		r := new(rollout.Record)
 		if err := json.Unmarshal(row.Value, r); err != nil {
 			problems = append(problems, errors.Annotatef(err, "record of the roll-out of %s", row.Key))
 			continue
 		}
 		r.Service = row.Key
-		out[row.Key] = knownRecord{record: r, revision: row.Version}
+		k := knownRecord{record: r, revision: row.Version}
+		if stored, lost := held[row.Key]; lost {
+			k.revision, k.held = stored, true
+		}
+		out[row.Key] = k
 	}
 	return out, problems
 }
--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -87,7 +87,7 @@
 func (e *Edge) wantsTable(name string) bool {
 	switch name {
 	case e.deployment.RecordTable:
-		return e.rolling.wanted.Load()
+		return e.rolling.wanted.Load() || e.recordsBehind()
 	case e.deployment.InstanceTable:
 		return e.followsInstances.Load()
 	case e.deployment.BackendTable:
@@ -98,7 +98,7 @@
 
 // ordersAndRecords returns the operators' orders and the records of roll-outs, by service.
 func (e *Edge) ordersAndRecords(c *version.Config) (map[string]*rollout.Order, map[string]knownRecord) {
-	records, problems := knownRecords(e.records().Rows())
+	records, problems := knownRecords(e.records())
 	for _, p := range problems {
 		e.log.Warn().Err(p).Msg("rollout-record-skipped")
 	}
@@ -177,7 +177,7 @@
 	for _, name := range rollingNames(orders, records) {
 		s := rollout.Service{
 			Name: name, Order: orders[name], Record: records[name].record, Revision: records[name].revision,
-			InForce: software[name].InForce,
+			InForce: software[name].InForce, Held: records[name].held,
 		}
 		s.InForceSlots, s.Homes = slotsAndHomes(r, name)
 		s.Unknown = !r.HasService(name)
@@ -187,11 +187,11 @@
 }
 
 // rollingNames returns the services that have an order, or a record of a roll-out that
-// has not ended.
+// has not ended or has to be written again.
 func rollingNames(orders map[string]*rollout.Order, records map[string]knownRecord) []string {
 	names := slices.Collect(maps.Keys(orders))
 	for name, k := range records {
-		if orders[name] == nil && k.running() {
+		if orders[name] == nil && (k.running() || k.held) {
 			names = append(names, name)
 		}
 	}
--- a/process/edge/software.go
+++ b/process/edge/software.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"shalewick/process/rollout"
+	"shalewick/process/state"
 	"shalewick/version"
 )
 
@@ -20,7 +21,7 @@
 		if key.Kind != version.KindRollout {
 			continue
 		}
-		out[x.Rollout.Service] = &rollout.Order{ID: x.Version, Target: x.Rollout.Target, Within: time.Duration(x.Rollout.Within)}
+		out[x.Rollout.Service] = &rollout.Order{ID: state.Number(x.Version), Epoch: state.Epoch(x.Version), Target: x.Rollout.Target, Within: time.Duration(x.Rollout.Within)}
 	}
 	return out
 }
--- a/process/edge/step.go
+++ b/process/edge/step.go
@@ -108,7 +108,7 @@
 // heard reports whether there was time to hear of the roll-outs that run what others
 // know of them.
 func (w *stepWriter) heard() bool {
-	records, _ := knownRecords(w.edge.records().Rows()) // what can't be read is logged elsewhere
+	records, _ := knownRecords(w.edge.records()) // what can't be read is logged elsewhere
 	now := w.edge.now()
 	for name, o := range w.owned {
 		if records[name].running() && now < o.from {
--- a/process/rollout/record.go
+++ b/process/rollout/record.go
@@ -24,9 +24,12 @@
 
 // Order is what an operator asks for.
 type Order struct {
-	// ID is the version of the order's row: an order that is written again is a new
+	// ID is the number of the order's row in its epoch: an order that is written again is a new
 	// one.
-	ID     int64
+	ID int64
+	// Epoch is that of the store's history. An order of another epoch is the same if it asks for
+	// the same: the store has lost it, and the operator has written it again.
+	Epoch  int64
 	Target string
 	Within time.Duration
 }
@@ -37,7 +40,10 @@
 	Service string `json:"service"`
 	// Order is the ID of the order that it is for.
 	Order  int64  `json:"order"`
+	Epoch  int64  `json:"epoch,omitempty"`
 	Target string `json:"target"`
+	// Within is the order's time; zero: an older release wrote the record.
+	Within version.Duration `json:"within,omitempty"`
 	// Before is the version that was in force when the order came.
 	Before string `json:"before"`
 	Phase  Phase  `json:"phase"`
@@ -59,5 +65,21 @@
 	return r.Before
 }
 
-// isFor reports whether the record, which may be nil, is that of an order.
-func (r *Record) isFor(o *Order) bool { return r != nil && o != nil && r.Order == o.ID }
+// For reports whether the record is that of an order.
+func (r *Record) For(o *Order) bool {
+	if r.Epoch == o.Epoch {
+		return r.Order == o.ID
+	}
+	return r.Target == o.Target && (r.Within == 0 || time.Duration(r.Within) == o.Within)
+}
+
+// isFor reports whether the record is that of an order. Both may be nil.
+func (r *Record) isFor(o *Order) bool { return r != nil && o != nil && r.For(o) }
+
+// same reports whether an order is another one written again since the store lost it, or that one itself.
+func (o *Order) same(other *Order) bool {
+	if o.Epoch == other.Epoch {
+		return o.ID == other.ID
+	}
+	return o.Target == other.Target && o.Within == other.Within
+}
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -48,6 +48,8 @@
 	// none.
 	Record   *Record
 	Revision int64
+	// Held is set if the store has lost the record, or has it as it was before.
+	Held bool
 	// InForce is the version that serves, as Admit said.
 	InForce string
 	// InForceSlots are those of the version in force's backend servers that take work, and
@@ -190,7 +192,8 @@
 	}
 	old := s.Order
 	goesOn := old != nil && x.Order != nil && old.Target == x.Order.Target && !ended(s.Record) && !ended(x.Record)
-	if x.Order != nil && (old == nil || old.ID != x.Order.ID) {
+	same := old != nil && x.Order != nil && x.Order.same(old)
+	if x.Order != nil && !same {
 		s.seen = r.seenAt(now)
 	}
 	s.Service = x
@@ -199,7 +202,7 @@
 	case x.Order == nil:
 		s.trial = nil
 		return
-	case old != nil && old.ID == x.Order.ID && s.trial != nil:
+	case same && s.trial != nil:
 	case goesOn && s.trial != nil:
 		s.gate = s.gate.renewed()
 	default:
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"shalewick/version"
 )
 
 // TestGoodTargetIsCompleted moves fleets of several sizes to a good target.
@@ -43,3 +45,46 @@
 		assert.Equal(t, f.phase(), Reverted)
 	}
 }
+
+// TestLostRecordIsWrittenAgain guards against roll-outs whose record the store has lost, or has under an order that was written
+// again since.
+func TestLostRecordIsWrittenAgain(t *testing.T) {
+	for _, phase := range []Phase{Canary, Promote, Completed, Reverted} {
+		for name, c := range map[string]struct {
+			held  bool
+			order *Order
+		}{
+			"record lost":              {held: true, order: &Order{ID: 1, Target: "v2", Within: time.Minute}},
+			"order written again":      {order: &Order{ID: 9, Epoch: 1, Target: "v2", Within: time.Minute}},
+			"both":                     {held: true, order: &Order{ID: 9, Epoch: 1, Target: "v2", Within: time.Minute}},
+			"order not there any more": {held: true},
+		} {
+			t.Run(string(phase)+", "+name, func(t *testing.T) {
+				r, now := alone(Owner{Name: "here"})
+				s := canaryOf(phase)[0]
+				s.Record.Within = version.Duration(time.Minute)
+				r.Install([]Service{s})
+				before := *s.Record
+				s.Held, s.Order, s.Revision = c.held, c.order, 1<<50
+				r.Install([]Service{s})
+				got := r.Proposals(*now)
+				assert.Equal(t, len(got), 1)
+				want := before
+				if c.order != nil {
+					want.Order, want.Epoch = c.order.ID, c.order.Epoch
+				}
+				assert.DeepEqual(t, got[0].Record, want)
+				assert.Equal(t, got[0].Revision, s.Revision)
+			})
+		}
+	}
+}
+
+// TestAnotherOrderOfALaterEpochIsNoOldOne guards against orders that are taken for one that has ended.
+func TestAnotherOrderOfALaterEpochIsNoOldOne(t *testing.T) {
+	record := &Record{Order: 5, Epoch: 1, Target: "v2", Within: version.Duration(time.Minute), Phase: Completed}
+	assert.Assert(t, record.isFor(&Order{ID: 5, Epoch: 1, Target: "v2", Within: time.Minute}))
+	assert.Assert(t, record.isFor(&Order{ID: 7, Epoch: 2, Target: "v2", Within: time.Minute}), "it was written again")
+	assert.Assert(t, !record.isFor(&Order{ID: 5, Epoch: 2, Target: "v3", Within: time.Minute}), "the number was given out again")
+	assert.Assert(t, !record.isFor(&Order{ID: 7, Epoch: 1, Target: "v2", Within: time.Minute}), "it was ordered again")
+}
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -74,6 +74,8 @@
 // step returns the record as it should be, or nil if it should be as it is.
 func (r *Rollouts) step(s *service, store, now time.Duration) *Record {
 	switch order, record := s.Order, s.Record; {
+	case s.lost():
+		return s.restored()
 	case order == nil && (record == nil || record.Phase.Ended()):
 		return nil
 	case order == nil:
@@ -92,6 +94,24 @@
 	return s.firstStep(store, now)
 }
 
+// lost reports whether the store lacks the record as it is known here, or has it under an order that the operator
+// has written again since.
+func (s *service) lost() bool {
+	if s.Record == nil {
+		return false
+	}
+	return s.Held || s.Record.isFor(s.Order) && s.Record.Epoch != s.Order.Epoch
+}
+
+// restored returns the record as it has to be written again.
+func (s *service) restored() *Record {
+	x := *s.Record
+	if s.Record.isFor(s.Order) {
+		x.Order, x.Epoch = s.Order.ID, s.Order.Epoch
+	}
+	return &x
+}
+
 // revert returns the record with the roll-out given up.
 func (s *service) revert(cause string) *Record {
 	x := *s.Record
@@ -111,7 +131,8 @@
 func (s *service) firstStep(store, now time.Duration) *Record {
 	began := s.orderedAt(store, now)
 	x := &Record{
-		Service: s.Name, Order: s.Order.ID, Target: s.Order.Target, Before: s.InForce, Phase: Canary,
+		Service: s.Name, Order: s.Order.ID, Epoch: s.Order.Epoch, Target: s.Order.Target, Within: version.Duration(s.Order.Within),
+		Before: s.InForce, Phase: Canary,
 		Began: version.Duration(began), Deadline: version.Duration(s.deadline(began)),
 	}
 	if s.Record != nil {
@@ -161,7 +182,7 @@
 // reorder returns the record for an order that asks again for what runs.
 func (s *service) reorder(store, now time.Duration) *Record {
 	x := *s.Record
-	x.Order = s.Order.ID
+	x.Order, x.Epoch, x.Within = s.Order.ID, s.Order.Epoch, version.Duration(s.Order.Within)
 	x.Deadline = version.Duration(s.deadline(s.orderedAt(store, now)))
 	if s.decider.halted {
 		x.Phase, x.Cause = Reverted, s.decider.cause
--- a/process/state/doc.go
+++ b/process/state/doc.go
@@ -9,6 +9,10 @@
 higher version, never by a lower one, and what is older than the table as a
 whole is not taken up. So it does not matter from whom a row is learned.
 
+A store may come back from an older copy and give versions out again. Its epoch rises then, and a
+Version has the epoch in its high bits (VersionOf), so that the later history counts
+everywhere. What a table had is held until it is written again, for a bounded time (Hold).
+
 A Source is where rows come from: a store, or another instance. Both are
 asked the same question, "what has changed after this version", and both
 answer with a Delta, which says how old it is.
--- /dev/null
+++ b/process/state/epoch_test.go
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: MIT
+
+package state
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// goingBack is a store that may come back from an older copy.
+type goingBack struct {
+	epoch, number int64
+	log           []Row
+}
+
+func (s *goingBack) write(key, value string) {
+	s.number++
+	s.log = append(s.log, Row{Key: key, Value: []byte(value), Version: VersionOf(s.epoch, s.number), Gone: value == ""})
+}
+
+// goBack loses all after a number.
+func (s *goingBack) goBack(number int64) {
+	s.epoch++
+	s.number = number
+	kept := s.log[:0]
+	for _, r := range s.log {
+		if Number(r.Version) <= number {
+			r.Version = VersionOf(s.epoch, Number(r.Version))
+			kept = append(kept, r)
+		}
+	}
+	s.log = kept
+}
+
+func (s *goingBack) version() int64 { return VersionOf(s.epoch, s.number) }
+
+// read returns the whole table.
+func (s *goingBack) read() Delta {
+	last := make(map[string]Row)
+	for _, r := range s.log {
+		last[r.Key] = r
+	}
+	d := Delta{Whole: true, Version: s.version()}
+	for _, r := range last {
+		if !r.Gone {
+			d.Rows = append(d.Rows, r)
+		}
+	}
+	return d
+}
+
+// changes returns what a table takes up that asks the store as a follower does.
+func (s *goingBack) changes(t *Table) Delta {
+	after, known := t.Version()
+	if !known || Epoch(after) != s.epoch {
+		return s.read()
+	}
+	d := Delta{Version: s.version()}
+	for _, r := range s.log {
+		if r.Version > after {
+			d.Rows = append(d.Rows, r)
+		}
+	}
+	return d
+}
+
+func values(t *Table) map[string]string {
+	out := make(map[string]string)
+	for _, r := range t.Rows() {
+		out[r.Key] = string(r.Value)
+	}
+	return out
+}
+
+// TestTablesFollowAStoreThatGoesBack guards against tables that keep the lost history alive or tell it on, and against
+// a copy that takes back what was known before it was written again. Tables learn from the store or from each other,
+// while the store writes, and goes back now and then.
+func TestTablesFollowAStoreThatGoesBack(t *testing.T) {
+	hold := Hold{Missing: 2 * time.Second, Older: 10 * time.Second}
+	rapid.Check(t, func(r *rapid.T) {
+		store := &goingBack{epoch: 1}
+		tables := make([]*Table, 4)
+		for i := range tables {
+			tables[i] = NewHoldingTable(hold)
+		}
+		now := time.Hour
+		// Each value tells when it was written, so that an older one is told from a newer one.
+		serial := 0
+		lost := make(map[string]string)
+		back := time.Duration(0)
+		unsure := make(map[string]bool)
+		step := func() {
+			now += time.Duration(rapid.IntRange(1, 400).Draw(r, "ms")) * time.Millisecond
+			x := tables[rapid.IntRange(0, len(tables)-1).Draw(r, "table")]
+			switch rapid.IntRange(0, 9).Draw(r, "what") {
+			case 0, 1:
+				key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(r, "key")
+				serial++
+				value := fmt.Sprint(serial)
+				if rapid.IntRange(0, 4).Draw(r, "gone") == 0 {
+					value = ""
+				}
+				store.write(key, value)
+				delete(lost, key)
+			case 2:
+				for _, key := range slices.Sorted(maps.Keys(lost)) { // its writer writes it again
+					store.write(key, lost[key])
+					delete(lost, key)
+					break
+				}
+			case 3, 4, 5:
+				x.Apply(store.changes(x), now)
+			default:
+				y := tables[rapid.IntRange(0, len(tables)-1).Draw(r, "other")]
+				after, _ := x.Version()
+				if _, known := y.Version(); known {
+					x.Apply(y.Since(after, now), now)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 3).Draw(r, "drills") {
+			follower := tables[0]
+			follower.Apply(store.changes(follower), now)
+			for range rapid.IntRange(0, 40).Draw(r, "steps") {
+				step()
+				follower.Apply(store.changes(follower), now)
+			}
+			before := values(follower)
+			for key := range follower.Held() { // since the drill before, and maybe not for long any more
+				delete(before, key)
+				unsure[key] = true
+			}
+			copied := store.number - int64(rapid.IntRange(0, 6).Draw(r, "lost versions"))
+			for _, row := range store.log {
+				if Number(row.Version) > copied && !row.Gone {
+					lost[row.Key] = before[row.Key]
+				}
+			}
+			written := make(map[string]bool)
+			store.goBack(max(0, copied))
+			back = now
+			from := len(store.log)
+			for range rapid.IntRange(0, 6).Draw(r, "steps after") {
+				step()
+				for _, row := range store.log[min(from, len(store.log)):] {
+					written[row.Key] = true
+				}
+				for key, value := range values(follower) {
+					if now-back < hold.Missing && !written[key] && !unsure[key] && value != before[key] {
+						r.Fatalf("%s is %q, was %q, and nobody has written it since", key, value, before[key])
+					}
+				}
+				for key, value := range before {
+					if now-back < hold.Missing && !written[key] && values(follower)[key] != value {
+						r.Fatalf("%s is gone, was %q, and nobody has written it since", key, value)
+					}
+				}
+				follower.Apply(store.changes(follower), now)
+			}
+		}
+		now += hold.Older + time.Second
+		want := make(map[string]string)
+		for _, row := range store.read().Rows {
+			want[row.Key] = string(row.Value)
+		}
+		tables[0].Apply(store.changes(tables[0]), now)
+		for i, x := range tables[1:] {
+			after, _ := x.Version()
+			x.Apply(tables[i].Since(after, now), now)
+		}
+		for i, x := range tables {
+			now += hold.Older + time.Second
+			x.Apply(Delta{Version: store.version()}, now)
+			assert.DeepEqual(r, values(x), want)
+			v, _ := x.Version()
+			if v != store.version() {
+				r.Fatalf("table %d is at %d, the store at %d", i, v, store.version())
+			}
+		}
+	})
+}
+
+// TestHeldRowTellsWhatTheStoreHas guards against writes on the condition of a version that the store has lost.
+func TestHeldRowTellsWhatTheStoreHas(t *testing.T) {
+	x := NewHoldingTable(Hold{})
+	now := time.Hour
+	x.Apply(Delta{Whole: true, Version: VersionOf(1, 50), Rows: []Row{{Key: "a", Value: []byte("1"), Version: VersionOf(1, 40)}}}, now)
+	x.Apply(Delta{Version: VersionOf(1, 60), Rows: []Row{
+		{Key: "a", Value: []byte("2"), Version: VersionOf(1, 60)}, {Key: "b", Value: []byte("3"), Version: VersionOf(1, 60)},
+	}}, now)
+	x.Apply(Delta{Whole: true, Version: VersionOf(2, 55), Rows: []Row{{Key: "a", Value: []byte("1"), Version: VersionOf(2, 40)}}}, now)
+	rows := x.Rows()
+	assert.Equal(t, len(rows), 2)
+	assert.Equal(t, string(rows[0].Value), "2")
+	assert.DeepEqual(t, x.Held(), map[string]int64{"a": VersionOf(2, 40), "b": VersionOf(2, 0)})
+	x.Apply(Delta{Rows: []Row{{Key: "b", Value: []byte("3"), Version: VersionOf(2, 56)}}}, now+time.Hour)
+	assert.DeepEqual(t, x.Held(), map[string]int64{"a": VersionOf(2, 40)})
+}
+
+// TestOlderEpochIsNoConfirmation guards against instances that missed that the store went back, and whose word would
+// count as that of the store.
+func TestOlderEpochIsNoConfirmation(t *testing.T) {
+	x := NewTable()
+	x.Apply(Delta{Whole: true, Version: VersionOf(2, 10)}, time.Hour)
+	changed := x.Apply(Delta{Version: VersionOf(1, 90), Rows: []Row{{Key: "a", Version: VersionOf(1, 90)}}}, 2*time.Hour)
+	assert.Assert(t, !changed)
+	assert.Equal(t, x.Confirmed(), time.Hour)
+	assert.Equal(t, len(x.Rows()), 0)
+	d := x.Since(VersionOf(1, 90), 2*time.Hour)
+	assert.Assert(t, d.Whole, "whoever asks from an older epoch may have rows that are gone")
+}
--- a/process/state/table.go
+++ b/process/state/table.go
@@ -32,6 +32,15 @@
 	Age time.Duration `json:"age,omitempty"`
 }
 
+// epoch returns the epoch that a delta is of.
+func (d *Delta) epoch() int64 {
+	newest := d.Version
+	for _, r := range d.Rows {
+		newest = max(newest, r.Version)
+	}
+	return Epoch(newest)
+}
+
 // awayAfter is the time without a word of the store from which it counts as
 // having been away. Questions are held for up to storeWait, so a store that
 // answers confirms a table more often than that.
@@ -57,36 +66,72 @@
 	// of those that have changed since.
 	sorted  []Row
 	touched map[string]struct{}
+	// What follows is of a store that may come back from an older copy.
+	now        time.Duration // of the last delta
+	hold       *Hold         // nil: nothing is held
+	held       *held         // nil: nothing is
+	holdSeen   time.Duration // when what is held was last looked at
+	past       map[string][]past
+	pastForgot time.Duration
 }
 
 // NewTable returns a table of which nothing is known.
 func NewTable() *Table {
 	return &Table{
 		rows: make(map[string]Row), goneAt: make(map[string]time.Duration), touched: make(map[string]struct{}),
-		advanced: make(chan struct{}), changed: make(chan struct{}),
+		advanced: make(chan struct{}), changed: make(chan struct{}), past: make(map[string][]past),
 	}
 }
 
+// NewHoldingTable returns a table of which nothing is known, and which holds what it had when the
+// store comes back from an older copy.
+func NewHoldingTable(h Hold) *Table {
+	t := NewTable()
+	t.hold = &h
+	return t
+}
+
 // Apply takes a delta up that was received at a moment, both on the process's
 // clock. It reports whether a row changed.
 func (t *Table) Apply(d Delta, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.now = max(t.now, now)
+	changed := t.expireHolds(t.now)
+	changed = t.take(d, now) || changed
+	return changed
+}
+
+// take takes a delta up. The caller holds the lock.
+func (t *Table) take(d Delta, now time.Duration) bool {
 	if d.Whole && d.Version < t.version {
 		return false // read from a replica that is behind
 	}
 	changed := false
+	began := false // a new epoch
+	switch epoch, known := d.epoch(), Epoch(t.version); {
+	case epoch < known:
+		return false // of what the store has lost
+	case epoch > known && t.known && d.Whole:
+		t.beginEpoch(d.Version, now)
+		began, changed = true, true
+	case epoch > known && t.known && d.Version != 0:
+		return false // it does not tell what is gone
+	}
 	for _, r := range d.Rows {
 		changed = t.applyRow(r, now) || changed
 	}
 	if d.Whole {
 		changed = t.dropOthers(d, now) || changed
 	}
+	if began {
+		t.compareEpoch(now)
+	}
 	advanced := d.Version > t.version
 	learned := d.Whole && !t.known
 	if learned {
 		t.floor = d.Version // what was removed before is not known
-	} else if d.Whole {
+	} else if d.Whole && !began {
 		t.gap.add(t.version, d.Version, now)
 	}
 	t.version = max(t.version, d.Version)
@@ -96,6 +141,7 @@
 		t.confirm(now, now-d.Age)
 	}
 	t.forget(now)
+	t.forgetPast(now)
 	if changed || advanced || t.confirmed > before {
 		close(t.advanced)
 		t.advanced = make(chan struct{})
@@ -142,6 +188,9 @@
 	if !ok && r.Gone && r.Version <= t.floor {
 		return false
 	}
+	if ok && !old.Gone {
+		t.remember(old, now)
+	}
 	t.rows[r.Key] = r
 	t.touched[r.Key] = struct{}{}
 	delete(t.goneAt, r.Key)
@@ -162,6 +211,7 @@
 		if present[key] || r.Gone || r.Version > d.Version {
 			continue
 		}
+		t.remember(r, now)
 		t.rows[key] = Row{Key: key, Version: d.Version, Gone: true}
 		t.touched[key] = struct{}{}
 		t.goneAt[key] = now
@@ -185,7 +235,8 @@
 func (t *Table) Since(after int64, now time.Duration) Delta {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := Delta{Version: t.version, Age: now - t.confirmed, Whole: after < t.floor || after == 0 || t.gap.has(after)}
+	whole := after < t.floor || after == 0 || t.gap.has(after) || Epoch(after) < Epoch(t.version)
+	d := Delta{Version: t.version, Age: now - t.confirmed, Whole: whole}
 	for _, r := range t.rows {
 		if d.Whole && !r.Gone || !d.Whole && r.Version > after {
 			d.Rows = append(d.Rows, r)
@@ -194,13 +245,20 @@
 	return d
 }
 
-// Rows returns the rows that are there, by key. Callers share the list and must not change it.
-// What did not change since the last call is copied, not looked up.
+// Rows returns the rows that count, by key: those that are there, and those that are held. Callers share
+// the list and must not change it.
 func (t *Table) Rows() []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.refresh(t.now)
+	return t.sorted
+}
+
+// refresh brings sorted up to date. What did not change since the last call is copied, not looked
+// up. The caller holds the lock.
+func (t *Table) refresh(now time.Duration) {
 	if len(t.touched) == 0 {
-		return t.sorted
+		return
 	}
 	before := t.sorted
 	t.sorted = make([]Row, 0, len(before)+len(t.touched))
@@ -211,13 +269,12 @@
 			n++
 		}
 		before = before[n:]
-		if r, known := t.rows[key]; known && !r.Gone {
+		if r, there := t.effective(key, now); there {
 			t.sorted = append(t.sorted, r)
 		}
 	}
 	t.sorted = append(t.sorted, before...)
 	clear(t.touched)
-	return t.sorted
 }
 
 // Len returns the number of rows, those that are gone and still remembered included.
@@ -234,6 +291,8 @@
 	clear(t.rows)
 	clear(t.goneAt)
 	clear(t.touched)
+	clear(t.past)
+	t.held = nil
 	t.sorted, t.known, t.version, t.floor, t.confirmed, t.returned = nil, false, 0, 0, 0, 0
 }
 
