--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -262,6 +262,22 @@
 	assert.Equal(t, call(), request.OK)
 }
 
+// TestEntryKeepsTheRateLimitThatABackendNames guards against requests of shalewick entry beyond the limit that a backend
+// server's answers name.
+func TestEntryKeepsTheRateLimitThatABackendNames(t *testing.T) {
+	const limit = 4
+	f := newFixture(t)
+	f.backend.SetFault(backend.Fault{Limit: limit})
+	f.call(t, "GET", "/lots?size=10", nil)
+	begun := time.Now()
+	for time.Since(begun) < 2*time.Second {
+		f.call(t, "GET", "/lots?size=10", nil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	got := len(f.backend.Records())
+	assert.Assert(t, float64(got) <= 1.5*limit*time.Since(begun).Seconds()+5, "%d requests in %s", got, time.Since(begun))
+}
+
 func TestCutAnswerBreaksTheCallerOff(t *testing.T) {
 	f := newFixture(t)
 	f.backend.SetFault(backend.Fault{Cut: 1})
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -35,6 +35,7 @@
 	SlowMs       int     `json:"slowMs"`       // added to each request's work
 	Shed         float64 `json:"shed"`         // refused without running
 	RetryAfterS  int     `json:"retryAfterS"`  // rest that each refusal asks for
+	Limit        float64 `json:"limit"`        // names it in each answer, in requests a second; 0: none
 	Leaving      bool    `json:"leaving"`      // says that it is leaving
 	LieIdle      bool    `json:"lieIdle"`      // reports no load
 	LateMs       int     `json:"lateMs"`       // answer held back after the work
@@ -162,6 +163,9 @@
 	h.Set(request.HeaderState, f.state())
 	h.Set(request.HeaderBoot, s.boot)
 	h.Set(request.HeaderID, r.Header.Get(request.HeaderID))
+	if f.Limit > 0 {
+		h.Set(request.OwnNames.Limit, strconv.FormatFloat(f.Limit, 'g', -1, 64))
+	}
 	if rand.Float64() < f.Shed || s.tooMany() {
 		h.Set(request.HeaderNotRun, "true")
 		if f.RetryAfterS > 0 {
