--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -70,8 +70,8 @@
 	return t.take(q, best, s, now), Refusal{}
 }
 
-// heldBackFor returns when one of some backend servers, all of which are backed off from or limited, may take
-// the request of a query. The caller holds the lock.
+// heldBackFor returns when one of some backend servers, all of which are backed off from or
+// limited, may take the request of a query. The caller holds the lock.
 func (t *Table) heldBackFor(q *Query, backends []int32, now time.Duration) time.Duration {
 	backoff, limit := t.backoffLeft(backends, now), t.limitLeft(q, backends)
 	if limit > 0 {
--- a/process/balance/limit.go
+++ b/process/balance/limit.go
@@ -30,8 +30,8 @@
 	return t.Limits.Blocked(v.Life, q.Priority) > 0
 }
 
-// limitLeft returns the shortest time until one of some backend servers may have room within its rate limit for
-// the request of a query. The caller holds the lock.
+// limitLeft returns the shortest time until one of some backend servers may have room within its
+// rate limit for the request of a query. The caller holds the lock.
 func (t *Table) limitLeft(q *Query, backends []int32) time.Duration {
 	least := time.Duration(0)
 	if t.Limits == nil {
@@ -46,8 +46,8 @@
 	return least
 }
 
-// limitUnits returns how long ago a backend server said that it is limited, as observations carry it; not if
-// others need not hear of that. The caller holds the lock.
+// limitUnits returns how long ago a backend server said that it is limited, as observations carry
+// it; not if others need not hear of that. The caller holds the lock.
 func (t *Table) limitUnits(index int32, now time.Duration) (units byte, tell bool) {
 	if t.Limits == nil {
 		return 0, false
@@ -56,8 +56,8 @@
 	return byte((now - at) / observationUnit), tell
 }
 
-// hearLimited takes up that another instance was told by a backend server that it is limited. The caller holds the
-// lock.
+// hearLimited takes up that another instance was told by a backend server that it is limited. The
+// caller holds the lock.
 func (t *Table) hearLimited(index int32, age, now time.Duration) {
 	if t.Limits != nil {
 		t.Limits.HearLimited(t.limitable(&t.routing.Backends[index]), now-age)
--- a/process/balance/why.go
+++ b/process/balance/why.go
@@ -63,7 +63,8 @@
 	}
 }
 
-// allHeldBack reports whether nothing but backoffs and rate limits kept backend servers from being taken.
+// allHeldBack reports whether nothing but backoffs and rate limits kept backend servers from being
+// taken.
 func (w *Why) allHeldBack() bool {
 	held := w.BackedOff + w.Limited
 	return held > 0 && held == w.Backends-w.Closed-w.Leaving-w.Foreign
--- a/process/cluster/owner.go
+++ b/process/cluster/owner.go
@@ -54,8 +54,8 @@
 	return ownerAmong(grown, number)
 }
 
-// NearestOwner returns who owns the thing with a number among the live instances of a region, or of all if
-// none lives there, whatever their age: who asks too early or too late is told so.
+// NearestOwner returns who owns the thing with a number among the live instances of a region, or of
+// all if none lives there, whatever their age: who asks too early or too late is told so.
 func (m *Members) NearestOwner(region string, number uint64) Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/process/edge/epoch.go
+++ b/process/edge/epoch.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// holdOperator is how long what the operator had written is held, unless it is written again, when the
-	// store comes back from an older copy.
+	// holdOperator is how long what the operator had written is held, unless it is written again,
+	// when the store comes back from an older copy.
 	holdOperator = 10 * time.Second
 	// holdBackends is that time for backend servers that the copy has as they were before: one that
 	// has died lapses in the store before.
@@ -33,8 +33,8 @@
 	return newest
 }
 
-// watchEpoch writes again what the store has lost of this instance whenever it has come back from an older
-// copy, until the context ends.
+// watchEpoch writes again what the store has lost of this instance whenever it has come back from
+// an older copy, until the context ends.
 func (e *Edge) watchEpoch(ctx context.Context) {
 	known := e.epoch()
 	for clock.SleepAligned(ctx, watchEpochPause) {
@@ -65,8 +65,8 @@
 	}
 }
 
-// recordsBehind reports whether the records of roll-outs are known from an epoch that is over, so that the store may lack
-// them.
+// recordsBehind reports whether the records of roll-outs are known from an epoch that is over, so
+// that the store may lack them.
 func (e *Edge) recordsBehind() bool {
 	v, known := e.records().Version()
 	return known && state.Epoch(v) < e.deployment.Store.Epoch()
--- a/process/edge/introduce.go
+++ b/process/edge/introduce.go
@@ -57,7 +57,8 @@
 	}
 }
 
-// awaitsIntroduction waits until rows are read again, and reports whether the own one has to be written again before.
+// awaitsIntroduction waits until rows are read again, and reports whether the own one has to be
+// written again before.
 func (e *Edge) awaitsIntroduction(ctx context.Context) bool {
 	select {
 	case <-e.introduceAgain:
--- a/process/edge/limit.go
+++ b/process/edge/limit.go
@@ -25,8 +25,8 @@
 	return ratelimit.Owner{Name: m.Name, Address: m.Peer}
 }
 
-// logLimited writes that a backend server's rate limit begins, changes or, with zero, ends; own: it told this
-// instance so, not another one. A limit that others told without its rate is infinite.
+// logLimited writes that a backend server's rate limit begins, changes or, with zero, ends; own: it
+// told this instance so, not another one. A limit that others told without its rate is infinite.
 func (e *Edge) logLimited(backend string, limit float64, own bool) {
 	e.log.Info().Str("backend", backend).Float64("limit", limit).Bool("own", own).Msg("backend-limited")
 }
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -262,8 +262,8 @@
 	assert.Equal(t, call(), request.OK)
 }
 
-// TestEntryKeepsTheRateLimitThatABackendNames guards against requests of shalewick entry beyond the limit that a backend
-// server's answers name.
+// TestEntryKeepsTheRateLimitThatABackendNames guards against requests of shalewick entry beyond the
+// limit that a backend server's answers name.
 func TestEntryKeepsTheRateLimitThatABackendNames(t *testing.T) {
 	const limit = 4
 	f := newFixture(t)
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -47,8 +47,8 @@
 	// rolled is the present attempt as roll-outs see it.
 	rolled rolled
 	begun  bool // an attempt has begun
-	// permit is as of when a permit for the present attempt holds; zero: it has none. SentAt is when the attempt
-	// was sent at the earliest, by the proxy's clock.
+	// permit is as of when a permit for the present attempt holds; zero: it has none. SentAt is
+	// when the attempt was sent at the earliest, by the proxy's clock.
 	permit, sentAt time.Duration
 	// declined is set if a roll-out's target could not take the request.
 	declined bool
--- a/process/proxy/limit.go
+++ b/process/proxy/limit.go
@@ -10,11 +10,13 @@
 	"shalewick/process/balance"
 )
 
-// permitTries is the number of backend servers that name a rate limit for which an attempt asks for a permit; each
-// may cost it the way to another region and back. After them it goes to one that names none.
+// permitTries is the number of backend servers that name a rate limit for which an attempt asks for
+// a permit; each may cost it the way to another region and back. After them it goes to one that
+// names none.
 const permitTries = 2
 
-// pickPermitted chooses a backend server as pick does. For one that names a rate limit it gets a permit.
+// pickPermitted chooses a backend server as pick does. For one that names a rate limit it gets a
+// permit.
 func (t *trial) pickPermitted(ctx context.Context) (*balance.Pick, balance.Refusal) {
 	defer func() { t.query.Unlimited = false }()
 	for tries := 0; ; tries++ {
@@ -42,8 +44,8 @@
 	return ok
 }
 
-// withinLimit reports whether the request may leave now for a backend server, which may have named a rate
-// limit since it was chosen.
+// withinLimit reports whether the request may leave now for a backend server, which may have named
+// a rate limit since it was chosen.
 func (t *trial) withinLimit(pick *balance.Pick) bool {
 	return t.p.Limits == nil || t.p.Limits.Valid(pick.Limited().Start, t.permit)
 }
@@ -55,8 +57,8 @@
 	}
 }
 
-// rateLimit takes up the rate limit that an answer names, and returns it; zero: none. A misdirected request
-// was answered by another server than the chosen one.
+// rateLimit takes up the rate limit that an answer names, and returns it; zero: none. A misdirected
+// request was answered by another server than the chosen one.
 func (t *trial) rateLimit(res *http.Response, pick *balance.Pick) float64 {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return 0
--- a/process/proxy/limit_test.go
+++ b/process/proxy/limit_test.go
@@ -29,8 +29,9 @@
 	return l
 }
 
-// TestLimitedServiceRefusesAtOnceAndSpreadsCallers guards against requests that wait for a service all of whose
-// servers are limited, and against callers that are all told to come back at one moment.
+// TestLimitedServiceRefusesAtOnceAndSpreadsCallers guards against requests that wait for a service
+// all of whose servers are limited, and against callers that are all told to come back at one
+// moment.
 func TestLimitedServiceRefusesAtOnceAndSpreadsCallers(t *testing.T) {
 	f := newFixture(t, 2)
 	f.limited()
@@ -69,8 +70,8 @@
 	assert.Assert(t, len(waits) > refused/4, "%d waits for %d refusals", len(waits), refused)
 }
 
-// TestFurtherAttemptsKeepTheLimit guards against further attempts, which go where the first one did not, that are sent without a
-// permit.
+// TestFurtherAttemptsKeepTheLimit guards against further attempts, which go where the first one did
+// not, that are sent without a permit.
 func TestFurtherAttemptsKeepTheLimit(t *testing.T) {
 	f := newFixture(t, 2)
 	f.limited()
@@ -94,8 +95,8 @@
 	assert.Assert(t, float64(n) <= time.Since(from).Seconds()+3, "%d requests", n)
 }
 
-// TestRequestChosenBeforeTheLimitWasNamedNeedsAPermit guards against requests that wait for a connection while their server names
-// a limit.
+// TestRequestChosenBeforeTheLimitWasNamedNeedsAPermit guards against requests that wait for a
+// connection while their server names a limit.
 func TestRequestChosenBeforeTheLimitWasNamedNeedsAPermit(t *testing.T) {
 	f := newFixture(t, 1)
 	limiter := f.limited()
@@ -107,8 +108,8 @@
 	assert.Assert(t, !trial.withinLimit(pick))
 }
 
-// TestLimitsOfOtherServersAndBadOnesChangeNothing guards against a limit that is not the chosen server's word, or none that can be
-// read.
+// TestLimitsOfOtherServersAndBadOnesChangeNothing guards against a limit that is not the chosen
+// server's word, or none that can be read.
 func TestLimitsOfOtherServersAndBadOnesChangeNothing(t *testing.T) {
 	f := newFixture(t, 1)
 	limiter := f.limited()
--- a/process/ratelimit/bucket.go
+++ b/process/ratelimit/bucket.go
@@ -9,8 +9,8 @@
 	// go on as the owner until news of a start or a death has reached it (3.7 s in a region of 103).
 	takeoverTime = 4 * time.Second
 	takeoverPace = 0.5
-	// leastDepth and depthTime make the depth of a bucket: permits that may be given at once are leastDepth
-	// and what the limit allows in depthTime.
+	// leastDepth and depthTime make the depth of a bucket: permits that may be given at once are
+	// leastDepth and what the limit allows in depthTime.
 	leastDepth = 2.0
 	depthTime  = 250 * time.Millisecond
 	// asksPerPermit is how many asks an owner wants for each permit: more cost messages, fewer leave
--- a/process/ratelimit/doc.go
+++ b/process/ratelimit/doc.go
@@ -12,15 +12,17 @@
 
 # Permits
 
-For each limited backend server one instance, its owner, has a token bucket (bucket.go). The others
-ask it for a permit for each request, in datagrams (wire.go), and wait for the answer for a bounded time. A request
-without a permit goes to another backend server. With a denial the owner says for how long not to ask again, so
-that the asks that reach it stay near three for each permit, however many instances there are.
+For each limited backend server one instance, its owner, has a token bucket (bucket.go). The
+others ask it for a permit for each request, in datagrams (wire.go), and wait for the answer for
+a bounded time. A request without a permit goes to another backend server. With a denial the
+owner says for how long not to ask again, so that the asks that reach it stay near three for
+each permit, however many instances there are.
 
 # Limits
 
-What is known of a limit is a word (word.go), which the backend server said within an interval of
-time. Words travel with asks and answers, and as rumours beside other observations of
-backend servers. docs/design/rate-limits.md tells what happens when instances die, are cut off or disagree.
+What is known of a limit is a word (word.go), which the backend server said within an interval
+of time. Words travel with asks and answers, and as rumours beside other observations of backend
+servers. docs/design/rate-limits.md tells what happens when instances die, are cut off or
+disagree.
 */
 package ratelimit
--- a/process/ratelimit/exchange.go
+++ b/process/ratelimit/exchange.go
@@ -55,8 +55,8 @@
 	return out.encode(now)
 }
 
-// hearAnswer takes up the answer to an ask. If nobody waits for it any more, a permit is kept for another
-// request.
+// hearAnswer takes up the answer to an ask. If nobody waits for it any more, a permit is kept for
+// another request.
 func (l *Limiter) hearAnswer(text []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/process/ratelimit/fleet_test.go
+++ b/process/ratelimit/fleet_test.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// TestLimitIsUsedByFleetsOfEachSize guards against shares of a limit that no instance can use, or that add up to more than it:
-// limits far below and far above one request a second and instance.
+// TestLimitIsUsedByFleetsOfEachSize guards against shares of a limit that no instance can use, or
+// that add up to more than it: limits far below and far above one request a second and instance.
 func TestLimitIsUsedByFleetsOfEachSize(t *testing.T) {
 	for _, size := range []int{1, 12, 90, 985} {
 		for _, limit := range []float64{0.5, 3, 4.7, 100} {
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestLimitHoldsWhileInstancesDieStartAndAreCutOff guards against owners that disagree on who owns a limit, and permits that are lost or
-// doubled as instances come and go.
+// TestLimitHoldsWhileInstancesDieStartAndAreCutOff guards against owners that disagree on who owns
+// a limit, and permits that are lost or doubled as instances come and go.
 func TestLimitHoldsWhileInstancesDieStartAndAreCutOff(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		size := rapid.SampledFrom([]int{2, 3, 12, 40}).Draw(r, "instances")
@@ -99,7 +99,8 @@
 	assert.Assert(t, used >= 0.8 && used <= 1.1, "%.2f of the limit used", used) // 11 of 12 instances are left
 }
 
-// TestLimitFollowsWhatTheBackendServerSays guards against limits that stay as they were when they rise, fall or end.
+// TestLimitFollowsWhatTheBackendServerSays guards against limits that stay as they were when they
+// rise, fall or end.
 func TestLimitFollowsWhatTheBackendServerSays(t *testing.T) {
 	m := newModel(6, 12, 60, nil)
 	begun := m.now
@@ -118,7 +119,8 @@
 	}
 }
 
-// TestUrgentRequestsGetPermitsFirst guards against less urgent requests that use up a limit which more urgent ones want.
+// TestUrgentRequestsGetPermitsFirst guards against less urgent requests that use up a limit which
+// more urgent ones want.
 func TestUrgentRequestsGetPermitsFirst(t *testing.T) {
 	b := newBucket(0)
 	now := time.Minute
@@ -152,8 +154,8 @@
 	assert.Assert(t, !l.Limited(1))
 }
 
-// TestRumourDoesNotHideALimit guards against owners that know of a limit only that there is one, from a word newer than that of an
-// asker who knows its number, and so grant everything.
+// TestRumourDoesNotHideALimit guards against owners that know of a limit only that there is one,
+// from a word newer than that of an asker who knows its number, and so grant everything.
 func TestRumourDoesNotHideALimit(t *testing.T) {
 	now := time.Hour
 	l := &Limiter{
@@ -169,7 +171,8 @@
 	}
 }
 
-// TestAnotherStartIsNotLimited guards against a limit that outlives the start of a backend server that named it.
+// TestAnotherStartIsNotLimited guards against a limit that outlives the start of a backend server
+// that named it.
 func TestAnotherStartIsNotLimited(t *testing.T) {
 	l := &Limiter{Now: func() time.Duration { return time.Hour }}
 	l.Answered(Backend{Start: 1, Name: "b"}, 3, time.Minute)
@@ -177,7 +180,8 @@
 	assert.Assert(t, !l.Limited(2))
 }
 
-// TestUnusedPermitIsUsedByAnother guards against permits that are lost with the connection or the caller.
+// TestUnusedPermitIsUsedByAnother guards against permits that are lost with the connection or the
+// caller.
 func TestUnusedPermitIsUsedByAnother(t *testing.T) {
 	now := time.Hour
 	l := &Limiter{
--- a/process/ratelimit/limiter.go
+++ b/process/ratelimit/limiter.go
@@ -56,8 +56,8 @@
 	Instances func() int
 	// Send sends a message to an address. Messages may be lost.
 	Send func(address string, message []byte)
-	// OnLimit, if set, is told of a limit that begins, changes or, with zero, ends; own: the backend server
-	// told it to this instance. It must not call the limiter.
+	// OnLimit, if set, is told of a limit that begins, changes or, with zero, ends; own: the
+	// backend server told it to this instance. It must not call the limiter.
 	OnLimit func(backend string, limit float64, own bool)
 
 	random    func() float64 // rand.Float64, but in a model
@@ -170,8 +170,8 @@
 	return k != nil && k.word.limited(l.Now())
 }
 
-// Blocked returns for how long requests of a priority get no permit for a start of a backend server; zero: it
-// takes them, or may be asked.
+// Blocked returns for how long requests of a priority get no permit for a start of a backend
+// server; zero: it takes them, or may be asked.
 func (l *Limiter) Blocked(start uint64, priority int) time.Duration {
 	if !l.any.Load() {
 		return 0
@@ -208,8 +208,8 @@
 	return len(k.spare) > 0
 }
 
-// Acquire gets a permit for a request of a priority to a backend server, for which it may wait a moment, and
-// returns as of when it holds. One that is not limited needs none.
+// Acquire gets a permit for a request of a priority to a backend server, for which it may wait a
+// moment, and returns as of when it holds. One that is not limited needs none.
 func (l *Limiter) Acquire(ctx context.Context, b Backend, priority int) (at time.Duration, ok bool) {
 	l.mu.Lock()
 	now := l.Now()
@@ -232,7 +232,8 @@
 	return l.Now(), l.giveUp(d.pending)
 }
 
-// decision is what becomes of a request that wants a permit: granted or not, or an ask that was not sent yet.
+// decision is what becomes of a request that wants a permit: granted or not, or an ask that was not
+// sent yet.
 type decision struct {
 	granted bool
 	at      time.Duration // as of when it is
@@ -297,8 +298,8 @@
 	return granted, 0
 }
 
-// share returns the part of the instances that there were lately which this one knows to be at work now; zero while
-// it does not know the others. The caller holds the lock.
+// share returns the part of the instances that there were lately which this one knows to be at work
+// now; zero while it does not know the others. The caller holds the lock.
 func (l *Limiter) share(now time.Duration) float64 {
 	n := l.Instances()
 	if n >= l.most || now-l.countedAt > countedFor {
@@ -320,7 +321,8 @@
 	return p.left
 }
 
-// giveUp ends an ask that was not answered in time, and reports whether it was granted in the last moment.
+// giveUp ends an ask that was not answered in time, and reports whether it was granted in the last
+// moment.
 func (l *Limiter) giveUp(p *pending) bool {
 	if !l.leave(p) {
 		return <-p.answered
@@ -349,7 +351,8 @@
 	}
 }
 
-// Valid reports whether a request to a start of a backend server may leave now with a permit that holds as of a time.
+// Valid reports whether a request to a start of a backend server may leave now with a permit that
+// holds as of a time.
 func (l *Limiter) Valid(start uint64, at time.Duration) bool {
 	return !l.Limited(start) || at != 0 && l.Now()-at < permitFor
 }
@@ -386,7 +389,8 @@
 	return n
 }
 
-// ToldAt returns when a start of a backend server said that it is limited, if others should hear of that.
+// ToldAt returns when a start of a backend server said that it is limited, if others should hear of
+// that.
 func (l *Limiter) ToldAt(start uint64) (at time.Duration, ok bool) {
 	if !l.any.Load() {
 		return 0, false
--- a/process/ratelimit/model_test.go
+++ b/process/ratelimit/model_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// model is a fleet of instances on one clock whose callers all want one backend server. Datagrams take a while
-// and some are lost.
+// model is a fleet of instances on one clock whose callers all want one backend server. Datagrams
+// take a while and some are lost.
 type model struct {
 	now    time.Duration
 	random *rand.Rand
@@ -82,7 +82,8 @@
 	modelWork    = 150 * time.Millisecond
 	modelBeat    = 500 * time.Millisecond
 	toldPerBeat  = 4
-	// deathKnown and birthKnown are how long it takes until all know that an instance has died, or has started.
+	// deathKnown and birthKnown are how long it takes until all know that an instance has died, or
+	// has started.
 	deathKnown = 2 * time.Second
 	birthKnown = 3 * time.Second
 )
@@ -325,8 +326,8 @@
 // contact is how long after a backend server first names its limit, and after a fault, it counts.
 const contact = 3 * time.Second
 
-// over returns by how many requests the worst window of 4 s, between two times, is beyond what a limit allows, of
-// instances that were told half a second before and are not excused.
+// over returns by how many requests the worst window of 4 s, between two times, is beyond what a
+// limit allows, of instances that were told half a second before and are not excused.
 func (m *model) over(limit float64, from, to time.Duration) float64 {
 	const window = 4 * time.Second
 	allowed := 1.5*limit*window.Seconds() + 5
--- a/process/ratelimit/word.go
+++ b/process/ratelimit/word.go
@@ -23,7 +23,8 @@
 type word struct {
 	limit    float64       // requests a second; zero: it named none
 	from, to time.Duration // to is zero if there was no word
-	// heard is when it was limited last by the word of others, who did not tell the number; zero: never.
+	// heard is when it was limited last by the word of others, who did not tell the number; zero:
+	// never.
 	heard time.Duration
 }
 
--- a/process/rollout/record.go
+++ b/process/rollout/record.go
@@ -76,7 +76,8 @@
 // isFor reports whether the record is that of an order. Both may be nil.
 func (r *Record) isFor(o *Order) bool { return r != nil && o != nil && r.For(o) }
 
-// same reports whether an order is another one written again since the store lost it, or that one itself.
+// same reports whether an order is another one written again since the store lost it, or that one
+// itself.
 func (o *Order) same(other *Order) bool {
 	if o.Epoch == other.Epoch {
 		return o.ID == other.ID
--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestLostRecordIsWrittenAgain guards against roll-outs whose record the store has lost, or has under an order that was written
-// again since.
+// TestLostRecordIsWrittenAgain guards against roll-outs whose record the store has lost, or has
+// under an order that was written again since.
 func TestLostRecordIsWrittenAgain(t *testing.T) {
 	for _, phase := range []Phase{Canary, Promote, Completed, Reverted} {
 		for name, c := range map[string]struct {
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -94,8 +94,8 @@
 	return s.firstStep(store, now)
 }
 
-// lost reports whether the store lacks the record as it is known here, or has it under an order that the operator
-// has written again since.
+// lost reports whether the store lacks the record as it is known here, or has it under an order
+// that the operator has written again since.
 func (s *service) lost() bool {
 	if s.Record == nil {
 		return false
--- a/process/state/epoch.go
+++ b/process/state/epoch.go
@@ -3,8 +3,8 @@
 package state
 
 // A store may come back from an older copy, and give the versions since out again. Each time its
-// epoch rises. A version of this package has the epoch in its high bits and the store's own number below, so
-// that versions compare as the histories follow each other.
+// epoch rises. A version of this package has the epoch in its high bits and the store's own number
+// below, so that versions compare as the histories follow each other.
 
 // numberBits is the size of a store's own number.
 const numberBits = 44
--- a/process/state/epoch_test.go
+++ b/process/state/epoch_test.go
@@ -78,9 +78,9 @@
 	return out
 }
 
-// TestTablesFollowAStoreThatGoesBack guards against tables that keep the lost history alive or tell it on, and against
-// a copy that takes back what was known before it was written again. Tables learn from the store or from each other,
-// while the store writes, and goes back now and then.
+// TestTablesFollowAStoreThatGoesBack guards against tables that keep the lost history alive or tell
+// it on, and against a copy that takes back what was known before it was written again. Tables
+// learn from the store or from each other, while the store writes, and goes back now and then.
 func TestTablesFollowAStoreThatGoesBack(t *testing.T) {
 	hold := Hold{Missing: 2 * time.Second, Older: 10 * time.Second}
 	rapid.Check(t, func(r *rapid.T) {
@@ -186,7 +186,8 @@
 	})
 }
 
-// TestHeldRowTellsWhatTheStoreHas guards against writes on the condition of a version that the store has lost.
+// TestHeldRowTellsWhatTheStoreHas guards against writes on the condition of a version that the
+// store has lost.
 func TestHeldRowTellsWhatTheStoreHas(t *testing.T) {
 	x := NewHoldingTable(Hold{})
 	now := time.Hour
@@ -203,8 +204,8 @@
 	assert.DeepEqual(t, x.Held(), map[string]int64{"a": VersionOf(2, 40)})
 }
 
-// TestOlderEpochIsNoConfirmation guards against instances that missed that the store went back, and whose word would
-// count as that of the store.
+// TestOlderEpochIsNoConfirmation guards against instances that missed that the store went back, and
+// whose word would count as that of the store.
 func TestOlderEpochIsNoConfirmation(t *testing.T) {
 	x := NewTable()
 	x.Apply(Delta{Whole: true, Version: VersionOf(2, 10)}, time.Hour)
--- a/process/state/floor_test.go
+++ b/process/state/floor_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestNewSourceTellsWhatWasRemovedBeforeItsTime guards against rows that stay for ever at whoever learns from an instance that
-// read the table first after they were removed.
+// TestNewSourceTellsWhatWasRemovedBeforeItsTime guards against rows that stay for ever at whoever
+// learns from an instance that read the table first after they were removed.
 func TestNewSourceTellsWhatWasRemovedBeforeItsTime(t *testing.T) {
 	now := time.Hour
 	old, fresh := NewTable(), NewTable()
@@ -20,8 +20,8 @@
 	assert.Equal(t, len(old.Rows()), 1)
 }
 
-// TestSourceThatReadAgainTellsWhatCameAndWentMeanwhile guards against the same by an instance that read the table whole again
-// after the history was gone.
+// TestSourceThatReadAgainTellsWhatCameAndWentMeanwhile guards against the same by an instance that
+// read the table whole again after the history was gone.
 func TestSourceThatReadAgainTellsWhatCameAndWentMeanwhile(t *testing.T) {
 	now := time.Hour
 	asker, source := NewTable(), NewTable()
--- a/process/state/hold.go
+++ b/process/state/hold.go
@@ -90,8 +90,9 @@
 	t.floor = version // what was removed before is not known
 }
 
-// compareEpoch notes which rows of the present epoch are as they once were, and remembers those of the epoch
-// before that it has otherwise: the store may come back from a copy once more. The caller holds the lock.
+// compareEpoch notes which rows of the present epoch are as they once were, and remembers those of
+// the epoch before that it has otherwise: the store may come back from a copy once more. The caller
+// holds the lock.
 func (t *Table) compareEpoch(now time.Duration) {
 	if t.held == nil {
 		return
@@ -133,8 +134,8 @@
 	return r, there && !r.Gone
 }
 
-// heldFor returns the row that is held in place of that of the present epoch, if there is one. The caller holds the
-// lock.
+// heldFor returns the row that is held in place of that of the present epoch, if there is one. The
+// caller holds the lock.
 func (t *Table) heldFor(key string, r Row, there bool, now time.Duration) (Row, bool) {
 	if t.held == nil {
 		return Row{}, false
@@ -146,8 +147,9 @@
 	return b, t.holds(b, r, there, now)
 }
 
-// Held returns the rows of Rows that are held: the store has lost them, or has them as they were before. By key it
-// tells the version that the store has, which a write has to expect; its number is zero if the store has none.
+// Held returns the rows of Rows that are held: the store has lost them, or has them as they were
+// before. By key it tells the version that the store has, which a write has to expect; its number
+// is zero if the store has none.
 func (t *Table) Held() map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -185,7 +187,8 @@
 	return h.older[r.Key] == r.Version && within(t.hold.Older)
 }
 
-// wasBefore reports whether a row is as it was at some time before the epoch. The caller holds the lock.
+// wasBefore reports whether a row is as it was at some time before the epoch. The caller holds the
+// lock.
 func (t *Table) wasBefore(r Row) bool {
 	hash := xxhash.Sum64(r.Value)
 	for _, p := range t.past[r.Key] {
--- a/process/state/table.go
+++ b/process/state/table.go
@@ -245,8 +245,8 @@
 	return d
 }
 
-// Rows returns the rows that count, by key: those that are there, and those that are held. Callers share
-// the list and must not change it.
+// Rows returns the rows that count, by key: those that are there, and those that are held. Callers
+// share the list and must not change it.
 func (t *Table) Rows() []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/request/ratelimit.go
+++ b/request/ratelimit.go
@@ -13,9 +13,9 @@
 // is a mistake of the backend server's: none takes so many.
 const maxRateLimit = 1e6
 
-// RateLimit reads the requests a second that the head of an answer says its backend server takes from
-// all instances together; zero: it names no limit. A header that is there twice, is no decimal number, is
-// not above zero or is beyond maxRateLimit is an error.
+// RateLimit reads the requests a second that the head of an answer says its backend server takes
+// from all instances together; zero: it names no limit. A header that is there twice, is no decimal
+// number, is not above zero or is beyond maxRateLimit is an error.
 func (n *Names) RateLimit(h http.Header) (float64, error) {
 	if n.Limit == "" {
 		return 0, nil
