edge: a copy's earlier start of a backend server does not replace a later one

Cause: the copy has the row of an earlier start, which an instance that came after that start has never known, so that it took it for new and forgot what the present start had told it. While rows are held a start that was born earlier than the known one does not take its place.

--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -97,6 +97,10 @@
 	if c == nil {
 		return
 	}
+	if e.follower.Tables[e.deployment.BackendTable].Holding() {
+		laterStarts(c.Announced, e.announced)
+	}
+	e.announced = c.Announced
 	e.spare.keyed.Store(len(c.List(version.KindWorkspace)) > 0)
 	old := e.table.Routing()
 	orders, records := e.ordersAndRecords(c)
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -31,6 +31,7 @@
 	"shalewick/process/rolloutview"
 	"shalewick/process/state"
 	"shalewick/retry"
+	"shalewick/version"
 )
 
 // Times of connections.
@@ -85,9 +86,11 @@
 	// introduceAgain tells introduce that the store may have lost the own row.
 	introduceAgain chan struct{}
 	compiling      sync.Mutex
-	documents      Documents         // guarded by compiling
-	lapses         lapses            // guarded by compiling
-	skipped        map[string]string // rows that can't be used now, with the reason; guarded by compiling
+	documents      Documents // guarded by compiling
+	lapses         lapses    // guarded by compiling
+	// announced are the backend servers of the last compilation, by name; guarded by compiling.
+	announced []*version.Announced
+	skipped   map[string]string // rows that can't be used now, with the reason; guarded by compiling
 	// skippedCounts are the gauges of such rows by reason; guarded by compiling.
 	skippedCounts map[string]int64
 	lapseEnd      *time.Timer // compiles again when lapsed rows are given up; guarded by compiling
--- a/process/edge/epoch.go
+++ b/process/edge/epoch.go
@@ -8,6 +8,7 @@
 
 	"shalewick/clock"
 	"shalewick/process/state"
+	"shalewick/version"
 )
 
 const (
@@ -65,6 +66,24 @@
 	}
 }
 
+// laterStarts puts the start of a backend server that was known before in the place of an earlier
+// one, which a copy has: the instance may have come after that one ended, and would take it for
+// new. Both lists are ordered by name.
+func laterStarts(now, before []*version.Announced) {
+	for i, x := range now {
+		for len(before) > 0 && before[0].Name < x.Name {
+			before = before[1:]
+		}
+		if len(before) == 0 {
+			return
+		}
+		known := before[0]
+		if known.Name == x.Name && x.Backend.Incarnation != 0 && x.Backend.Incarnation < known.Backend.Incarnation {
+			now[i] = known
+		}
+	}
+}
+
 // recordsBehind reports whether the records of roll-outs are known from an epoch that is over, so
 // that the store may lack them.
 func (e *Edge) recordsBehind() bool {
--- a/process/state/hold.go
+++ b/process/state/hold.go
@@ -171,6 +171,14 @@
 	return out
 }
 
+// Holding reports whether the store came back from an older copy so lately that rows which it has as they
+// once were are held.
+func (t *Table) Holding() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held != nil && (t.hold.Older == 0 || t.now-t.held.since < t.hold.Older)
+}
+
 // holds reports whether a row of the epoch before is held in place of that of the present one, if
 // there is one. The caller holds the lock.
 func (t *Table) holds(before, r Row, there bool, now time.Duration) bool {
