rollout: an order that is still held renames no record

Found by reading. An owner that holds an order of the epoch before, while another one has written the record under the order's new number, would write it back under the old one. Only a later epoch renames. Fails before: TestHeldOrderRenamesNoRecord, 1 proposal in place of 0.

--- a/process/rollout/rollout_test.go
+++ b/process/rollout/rollout_test.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// TestHeldOrderRenamesNoRecord guards against an owner that still holds an order of the epoch before,
+// and would write the record back under that.
+func TestHeldOrderRenamesNoRecord(t *testing.T) {
+	r, now := alone(Owner{Name: "here"})
+	s := canaryOf(Completed)[0]
+	s.Record.Order, s.Record.Epoch, s.Record.Within = 9, 1, version.Duration(time.Minute)
+	r.Install([]Service{s})
+	assert.Equal(t, len(r.Proposals(*now)), 0)
+}
+
 // TestAnotherOrderOfALaterEpochIsNoOldOne guards against orders that are taken for one that has ended.
 func TestAnotherOrderOfALaterEpochIsNoOldOne(t *testing.T) {
 	record := &Record{Order: 5, Epoch: 1, Target: "v2", Within: version.Duration(time.Minute), Phase: Completed}
--- a/process/rollout/step.go
+++ b/process/rollout/step.go
@@ -100,13 +100,13 @@
 	if s.Record == nil {
 		return false
 	}
-	return s.Held || s.Record.isFor(s.Order) && s.Record.Epoch != s.Order.Epoch
+	return s.Held || s.Record.isFor(s.Order) && s.Record.Epoch < s.Order.Epoch
 }
 
 // restored returns the record as it has to be written again.
 func (s *service) restored() *Record {
 	x := *s.Record
-	if s.Record.isFor(s.Order) {
+	if s.Record.isFor(s.Order) && s.Record.Epoch < s.Order.Epoch {
 		x.Order, x.Epoch = s.Order.ID, s.Order.Epoch
 	}
 	return &x
