--- a/process/balance/limit.go
+++ b/process/balance/limit.go
@@ -9,8 +9,8 @@
 	"shalewick/version"
 )
 
-// Limited returns the start of the backend server as rate limits know it.
-func (p *Pick) Limited() ratelimit.Backend {
+// Limitable returns the start of the backend server as rate limits know it.
+func (p *Pick) Limitable() ratelimit.Backend {
 	return ratelimit.Backend{Start: p.life, Name: p.Name, Region: p.Region}
 }
 
--- a/process/proxy/limit.go
+++ b/process/proxy/limit.go
@@ -33,13 +33,13 @@
 // permitted reports whether the request may go to a backend server, which may name a rate limit.
 func (t *trial) permitted(ctx context.Context, pick *balance.Pick) bool {
 	t.permit = 0
-	if t.p.Limits == nil || !t.p.Limits.Limited(pick.Limited().Start) {
+	if t.p.Limits == nil || !t.p.Limits.Limited(pick.Limitable().Start) {
 		return true
 	}
 	if t.query.Unlimited {
 		return false // it named one since it was chosen
 	}
-	at, ok := t.p.Limits.Acquire(ctx, pick.Limited(), t.query.Priority)
+	at, ok := t.p.Limits.Acquire(ctx, pick.Limitable(), t.query.Priority)
 	t.permit = at
 	return ok
 }
@@ -47,13 +47,13 @@
 // withinLimit reports whether the request may leave now for a backend server, which may have named
 // a rate limit since it was chosen.
 func (t *trial) withinLimit(pick *balance.Pick) bool {
-	return t.p.Limits == nil || t.p.Limits.Valid(pick.Limited().Start, t.permit)
+	return t.p.Limits == nil || t.p.Limits.Valid(pick.Limitable().Start, t.permit)
 }
 
 // returnPermit gives back a permit with which nothing was sent.
 func (t *trial) returnPermit(pick *balance.Pick) {
 	if t.p.Limits != nil {
-		t.p.Limits.Return(pick.Limited().Start, t.permit)
+		t.p.Limits.Return(pick.Limitable().Start, t.permit)
 	}
 }
 
@@ -73,7 +73,7 @@
 		t.p.Metrics.RateLimit(t.c.service)
 	}
 	if t.p.Limits != nil {
-		t.p.Limits.Answered(pick.Limited(), limit, t.sentAt)
+		t.p.Limits.Answered(pick.Limitable(), limit, t.sentAt)
 	}
 	return limit
 }
