--- a/process/ratelimit/model_test.go
+++ b/process/ratelimit/model_test.go
@@ -14,15 +14,17 @@
 // model is a fleet of instances on one clock whose callers all want one backend server. Datagrams
 // take a while and some are lost.
 type model struct {
-	now    time.Duration
-	random *rand.Rand
-	loss   float64
-	demand float64 // requests a second that want the backend server, of all instances
-	nodes  []*node
-	events events
-	limit  func(now time.Duration) float64 // that the backend server names
-	came   []arrival
-	asks   int
+	now     time.Duration
+	random  *rand.Rand
+	loss    float64
+	demand  float64 // requests a second that want the backend server, of all instances
+	nodes   []*node
+	events  events
+	limit   func(now time.Duration) float64 // that the backend server names
+	came    []arrival
+	asks    int
+	changes int    // starts, deaths and cuts since the model began
+	calm    *Owner // while there were none
 }
 
 // node is one instance.
@@ -105,6 +107,9 @@
 		random: m.random.Float64,
 	}
 	m.nodes = append(m.nodes, n)
+	if at >= time.Hour {
+		m.changes++
+	}
 	m.after(time.Duration(m.random.Int64N(int64(modelBeat))), n.beat)
 	m.after(m.pause(), n.want)
 	return n
@@ -149,6 +154,24 @@
 }
 
 func (n *node) owner(region string, _ uint64) Owner {
+	m := n.m
+	if m.changes > 0 {
+		return n.findOwner(region)
+	}
+	if m.calm == nil {
+		o := n.findOwner(region)
+		if o.Address == "" {
+			o = Owner{Name: n.name, Address: n.name}
+		}
+		m.calm = &o
+	}
+	if m.calm.Name == n.name {
+		return Owner{Name: n.name}
+	}
+	return *m.calm
+}
+
+func (n *node) findOwner(region string) Owner {
 	var best *node
 	lowest := uint64(0)
 	for pass := range 2 {
@@ -168,6 +191,9 @@
 }
 
 func (n *node) instances() (count int) {
+	if n.m.changes == 0 {
+		return len(n.m.nodes)
+	}
 	for _, o := range n.m.nodes {
 		if n.knows(o) {
 			count++
@@ -308,10 +334,12 @@
 // kill ends an instance.
 func (m *model) kill(n *node) {
 	n.dead, n.changed = true, m.now
+	m.changes++
 }
 
 // cut separates some instances from the others for a time. It excuses them.
 func (m *model) cut(cut []*node, d time.Duration) {
+	m.changes++
 	for _, n := range cut {
 		n.group, n.changed = 1, m.now
 		n.excused = append(n.excused, span{m.now, m.now + d + contact})
