--- a/process/proxy/limit.go
+++ b/process/proxy/limit.go
@@ -37,15 +37,15 @@
 		return true
 	}
 	if t.query.Unlimited {
-		return false // it named one since it was chosen
+		return false // its limit began after the pick
 	}
 	at, ok := t.p.Limits.Acquire(ctx, pick.Limitable(), t.query.Priority)
 	t.permit = at
 	return ok
 }
 
-// withinLimit reports whether the request may leave now for a backend server, which may have named
-// a rate limit since it was chosen.
+// withinLimit reports whether the request may leave now for a backend server, whose rate limit may
+// have begun after the pick.
 func (t *trial) withinLimit(pick *balance.Pick) bool {
 	return t.p.Limits == nil || t.p.Limits.Valid(pick.Limitable().Start, t.permit)
 }
