proof: run the load generator as a process of its own

What was seen: beside 8 busy processes TestNoBackendAboveSlots answered 4,443 to 9,732 of 18,200 reads (6,067 are wanted); most others heard nothing within their timeout of 3 s. One run of two failed.

Cause: the generator ran in the test's process, which is built with the race detector. It took a whole processor, sent its requests late and overran their timeouts. In the failed run: actual send after the planned one 31 ms (p50) and 1,845 ms (p99), end after the timeout 883 ms (p99), accepted connection to first byte at the instances 354 ms (mean). Ruled out: late instances (wait for a slot 100 ms, timers 1.1 ms late in the mean, p99 11.7 ms) and late backend servers (46 ms to the header of the response). The same test built without the race detector answered 15,305 and 14,239 beside 8 and 13,925 beside 24 busy processes; the instances are the same in both builds.

Change: `load` measures planned and actual send and the overrun of timeouts, and counts the client's own timeouts apart from an instance's 504; instances have histograms of the stages of a request and of scheduling delay. Rate, mix, timeouts, checks and bounds are unchanged.

--- a/load/load.go
+++ b/load/load.go
@@ -78,6 +78,12 @@
 	return k, nil
 }
 
+// String formats the kind as ParseKind parses it.
+func (k Kind) String() string {
+	return fmt.Sprintf("name=%s,service=%s,method=%s,path=%s,weight=%d,once=%t,body=%d,answer=%d,timeout=%s",
+		k.Name, k.Service, k.Method, k.Path, k.Weight, k.AtMostOnce, k.BodySize, k.ResponseSize, k.Timeout)
+}
+
 // Options configures a run.
 type Options struct {
 	// Clients are used in turn; each represents many callers at one location.
@@ -98,9 +104,13 @@
 	Code request.Code
 	Ran  request.Ran
 	// Wrong describes what was wrong with the response; "" if nothing was.
-	Wrong   string
-	Due     time.Duration // since the start of the run
-	Latency time.Duration // since Due
+	Wrong string
+	// TimedOut reports that the client's own timeout passed without a response of an
+	// instance.
+	TimedOut bool
+	Due      time.Duration // since the start of the run
+	Sent     time.Duration // since the start of the run; later than Due if the generator is late
+	Latency  time.Duration // since Due
 }
 
 // Run sends the requests and returns their outcomes once all have ended. It stops
@@ -128,9 +138,11 @@
 		tag := fmt.Sprintf("%s-%d;", run, i)
 		client := o.Clients[i%len(o.Clients)]
 		wg.Go(func() {
+			sentAt := time.Since(start)
 			out := send(ctx, client, &o.Mix[kind], tag)
 			out.Kind = kind
 			out.Due = due.Sub(start)
+			out.Sent = sentAt
 			out.Latency = time.Since(due)
 			outcomes[i] = out
 		})
@@ -167,6 +179,7 @@
 		out.Code, out.Ran = reqErr.Code, reqErr.Ran
 		if out.Code == request.OK {
 			out.Code = codeWithoutResponse(reqErr.Err)
+			out.TimedOut = out.Code == request.DeadlinePassed
 		}
 		return out
 	}
@@ -207,7 +220,13 @@
 	Answered  int
 	Refused   map[request.Code]int // by code
 	Unknown   int                  // requests without a response that may have run
+	TimedOut  int                  // requests to which no instance responded in time
 	Latencies *hdrhistogram.Histogram
+	// SendDelays is how much later than planned the generator sent the requests, and
+	// Overruns how much later than its timeout a request ended. Both are delays of the
+	// generator's own process.
+	SendDelays *hdrhistogram.Histogram
+	Overruns   *hdrhistogram.Histogram
 }
 
 // Report is the result of a run.
@@ -227,6 +246,8 @@
 // maxLatencyMicros is the largest latency that the histograms record.
 const maxLatencyMicros = 10 * 60 * 1e6
 
+func newLatencies() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatencyMicros, 3) }
+
 // Verify compares the outcomes with the records of the backend servers.
 func Verify(mix []Kind, outcomes []Outcome, records []backend.Record) *Report {
 	ran, done := make(map[string]int), make(map[string]int) // by tag
@@ -239,12 +260,15 @@
 	r := &Report{}
 	for _, k := range mix {
 		r.Lines = append(r.Lines, Line{
-			Name: k.Name, Refused: make(map[request.Code]int), Latencies: hdrhistogram.New(1, maxLatencyMicros, 3),
+			Name: k.Name, Refused: make(map[request.Code]int), Latencies: newLatencies(),
+			SendDelays: newLatencies(), Overruns: newLatencies(),
 		})
 	}
 	for _, o := range outcomes {
 		l := &r.Lines[o.Kind]
 		l.Sent++
+		_ = l.SendDelays.RecordValue(max(0, o.Sent-o.Due).Microseconds())
+		_ = l.Overruns.RecordValue(max(0, o.Due+o.Latency-o.Sent-mix[o.Kind].Timeout).Microseconds())
 		if mix[o.Kind].AtMostOnce && ran[o.Tag] > 1 {
 			r.addFault(&r.Doubled, "ran %d times: %+v", ran[o.Tag], o)
 		}
@@ -260,6 +284,9 @@
 			continue
 		}
 		l.Refused[o.Code]++
+		if o.TimedOut {
+			l.TimedOut++
+		}
 		if o.Ran == request.RanUnknown {
 			l.Unknown++
 		}
--- a/load/print.go
+++ b/load/print.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
 
 	"shalewick/standin/backend"
@@ -29,6 +30,11 @@
 		fmt.Fprintf(w, "%-12s %8d %8d %8d %8.2f %8.2f %8.2f  %s\n", l.Name, l.Sent, l.Answered, l.Unknown,
 			ms(50), ms(99), ms(99.9), strings.Join(refused, " "))
 	}
+	for _, l := range r.Lines {
+		ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		fmt.Fprintf(w, "%-12s timed_out=%d send_delay_p50=%.2f send_delay_p99=%.2f overrun_p99=%.2f\n", l.Name, l.TimedOut,
+			ms(l.SendDelays, 50), ms(l.SendDelays, 99), ms(l.Overruns, 99))
+	}
 	fmt.Fprintf(w, "lost=%d doubled=%d mixed=%d false_not_run=%d\n", r.Lost, r.Doubled, r.Mixed, r.FalseNotRun)
 	for _, e := range r.Examples {
 		fmt.Fprintln(w, "  fault:", e)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -241,7 +241,9 @@
 			lastPurge = now
 			e.ledger.Purge()
 		}
+		due := e.now() + wait
 		clock.Sleep(ctx, wait)
+		e.metrics.SchedulingDelay(max(0, e.now()-due))
 	}
 }
 
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -6,12 +6,14 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"shalewick/process/metric"
 	"shalewick/process/peer"
 )
 
@@ -61,12 +63,29 @@
 	e.grpc = grpc.NewServer(options...)
 	peer.RegisterPeerServer(e.grpc, &peerServer{entry: e})
 	go func() { _ = e.grpc.Serve(peerListener) }() // ends when the entry stops
-	e.frontServer = e.serveHTTP(frontListener, http.HandlerFunc(e.serveCaller))
-	e.serveHTTP(adminListener, adminHandler)
+	e.frontServer = e.newServer(http.HandlerFunc(e.serveCaller))
+	e.frontServer.ConnState = e.firstByteRecorder()
+	e.serve(e.frontServer, frontListener)
+	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
 }
 
-func (e *Entry) serveHTTP(l net.Listener, h http.Handler) *http.Server {
+// firstByteRecorder returns a callback that records how long a new connection waits
+// until the first byte of its first request is read.
+func (e *Entry) firstByteRecorder() func(net.Conn, http.ConnState) {
+	var acceptedAt sync.Map // time.Duration by net.Conn
+	return func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			acceptedAt.Store(c, e.now())
+			return
+		}
+		if at, ok := acceptedAt.LoadAndDelete(c); ok && state == http.StateActive {
+			e.metrics.Stage(metric.StageFirstByte, e.now()-at.(time.Duration))
+		}
+	}
+}
+
+func (e *Entry) newServer(h http.Handler) *http.Server {
 	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
@@ -74,6 +93,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	e.servers = append(e.servers, s)
-	go func() { _ = s.Serve(l) }() // ends when the entry stops
 	return s
 }
+
+func (e *Entry) serve(s *http.Server, l net.Listener) {
+	go func() { _ = s.Serve(l) }() // ends when the entry stops
+}
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"shalewick/conn"
+	"shalewick/process/metric"
 	"shalewick/process/steer"
 	"shalewick/request"
 	"shalewick/retry"
@@ -126,7 +127,9 @@
 
 // attempt makes one attempt. Retryable reports whether a retry is safe.
 func (fw *forwarder) attempt(ctx context.Context) (resp *response, res *request.Result, retryable bool) {
+	start := fw.front.Now()
 	place, res := fw.front.Steer.Place(ctx, &fw.placement)
+	fw.front.Metrics.Stage(metric.StagePlacement, fw.front.Now()-start)
 	if res != nil {
 		if fw.sent {
 			res.Ran = request.RanUnknown // an earlier attempt may have run
@@ -135,8 +138,9 @@
 	}
 	name := place.Name()
 	fw.placement.Tried[0], fw.placement.Tried[1] = name, fw.placement.Tried[0]
-	start := fw.front.Now()
+	start = fw.front.Now()
 	exchange, err := place.Dispatch(ctx, fw.newRequest(ctx, fw.call.deadline), fw.call.deadline)
+	fw.front.Metrics.Stage(metric.StageDispatch, fw.front.Now()-start)
 	if err != nil {
 		res, retryable := fw.classifyDispatchError(ctx, name, err)
 		return nil, res, retryable
@@ -190,8 +194,10 @@
 // health table.
 func (fw *forwarder) receive(exchange *conn.Exchange, name string, start time.Duration) (*response, *request.Result, bool) {
 	httpResp := exchange.Response
+	begun := fw.front.Now()
 	resp, err := readResponse(exchange)
 	now := fw.front.Now()
+	fw.front.Metrics.Stage(metric.StageResponse, now-begun)
 	if err != nil {
 		fw.front.Steer.Health.RecordFailure(name, now)
 		return nil, fw.newResult(lostResponseCode(err, fw.call.deadline)), fw.repeatable()
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -53,6 +53,24 @@
 	s.histogram("latency_us{"+labels+"}", reservoir).Update(took.Microseconds())
 }
 
+// Stages of a request at an instance, the values of the label stage.
+const (
+	StageFirstByte = "first-byte" // from accepting a connection to the first byte of its first request
+	StagePlacement = "placement"  // waiting for a slot of a backend server
+	StageDispatch  = "dispatch"   // from the connection to the header of the response
+	StageResponse  = "response"   // reading the body of the response
+)
+
+// Stage records the duration of one stage of a request.
+func (s *Set) Stage(stage string, took time.Duration) {
+	s.histogram("stage_us{stage="+strconv.Quote(stage)+"}", reservoir).Update(took.Microseconds())
+}
+
+// SchedulingDelay records by how much a timer of the process fired late.
+func (s *Set) SchedulingDelay(delay time.Duration) {
+	s.histogram(`scheduling_delay_us{source="timer"}`, reservoir).Update(delay.Microseconds())
+}
+
 // Retry counts a retry of a request.
 func (s *Set) Retry(service string) {
 	s.Counter("retries_total{service=" + strconv.Quote(service) + "}").Inc(1)
--- a/proof/cluster_test.go
+++ b/proof/cluster_test.go
@@ -3,15 +3,20 @@
 package proof
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -310,26 +315,80 @@
 }
 
 // runUnderLoad runs a script while load is sent. It verifies the outcomes against
-// the records of the backend servers.
+// the records of the backend servers. The load generator is a process of the command:
+// in the test's own process, which has the race detector, it needs several times the
+// processor time of the entries, and on a busy machine its requests time out before
+// they are sent.
 func (c *cluster) runUnderLoad(o load.Options, script func()) (*load.Report, []load.Outcome) {
 	c.t.Helper()
-	var outcomes []load.Outcome
-	var err error
-	done := make(chan struct{})
-	go func() {
-		outcomes, err = load.Run(context.Background(), o)
-		close(done)
-	}()
+	file := filepath.Join(c.t.TempDir(), "outcomes")
+	args := []string{"load", "--outcomes", file, "--rate", strconv.FormatFloat(o.Rate, 'g', -1, 64), "--duration", o.Duration.String()}
+	args = append(args, "--entries", strings.Join(o.Clients[0].Seeds, ","))
+	for _, cl := range o.Clients {
+		args = append(args, "--clients", cl.Address)
+	}
+	for _, k := range o.Mix {
+		args = append(args, "--kind", k.String())
+	}
+	generator := startCommand(c.t, "load", args...)
 	script()
-	<-done
-	assert.NilError(c.t, err)
+	<-generator.Done()
+	b, err := os.ReadFile(file)
+	assert.NilError(c.t, err, "%s", generator.Log(c.t))
+	var outcomes []load.Outcome
+	assert.NilError(c.t, json.Unmarshal(b, &outcomes))
 	rep := load.Verify(o.Mix, outcomes, c.records())
 	var table bytes.Buffer
 	rep.Print(&table)
 	c.t.Logf("\n%s", table.String())
+	c.logDelays()
 	return rep, outcomes
 }
 
+// logDelays logs where requests spent their time at the entries: the metrics of stages and of
+// scheduling delay, over all entries that run.
+func (c *cluster) logDelays() {
+	type sum struct{ count, total, p50, p99 float64 }
+	sums := make(map[string]*sum)
+	for _, e := range c.entries {
+		res, err := http.Get("http://" + e.admin + "/metrics")
+		if err != nil {
+			continue // it was killed
+		}
+		lines := bufio.NewScanner(res.Body)
+		for lines.Scan() {
+			m := delayMetric.FindStringSubmatch(lines.Text())
+			if m == nil {
+				continue
+			}
+			if sums[m[2]] == nil {
+				sums[m[2]] = &sum{}
+			}
+			s := sums[m[2]]
+			v, err := strconv.ParseFloat(m[4], 64)
+			assert.NilError(c.t, err)
+			switch m[1] + m[3] {
+			case "_count":
+				s.count += v
+			case "_sum":
+				s.total += v
+			case "0.5":
+				s.p50 = max(s.p50, v)
+			case "0.99":
+				s.p99 = max(s.p99, v)
+			}
+		}
+		_ = res.Body.Close()
+	}
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		s := sums[name]
+		c.t.Logf("%-10s %8.0f times, mean %8.2f ms, largest p50 %8.2f ms, largest p99 %8.2f ms", name, s.count, s.total/s.count/1000, s.p50/1000, s.p99/1000)
+	}
+}
+
+// delayMetric matches the samples of the histograms of delays: suffix, label, quantile and value.
+var delayMetric = regexp.MustCompile(`^shalewick_(?:stage|scheduling_delay)_us(_count|_sum|)\{(?:stage|source)="([a-z-]+)"(?:,quantile="(0\.[0-9]+)")?\} ([0-9]+)$`)
+
 // records returns the requests that the backend servers ran, from their journal. A
 // record that has no end, since its backend server was killed, ends at the last line's time.
 func (c *cluster) records() []backend.Record {
