entry: keep to the rate limits that backend servers name

What callers saw: nothing at once; a backend server that asks all instances together for 4 requests a second got 79 to 89 in 2 s from one instance, and is overrun while it is in need.

Cause: process/front read neither a limit nor its end from responses, and the proxy of the route resources had no limiter.

Change: process/ratelimit, the package of shalewick-edge, in steer (choice, permit, check before the first byte, Retry-After), front (limit of each response) and the proxy of route resources. Its messages travel over the authenticated gRPC connections between instances. The rank of rendezvous hashing and the gauges of rate limits have one copy for both programs.

--- a/load/crossing.go
+++ b/load/crossing.go
@@ -36,13 +36,18 @@
 		concurrent = max(concurrent, running)
 	}
 	slices.SortFunc(starts, time.Time.Compare)
-	first := 0
-	// starts[first] is the earliest start within the second that ends at t.
-	for i, t := range starts {
-		for t.Sub(starts[first]) >= time.Second {
+	return concurrent, MaxWithin(starts, time.Second)
+}
+
+// MaxWithin returns the largest number of ascending times that lie within one window.
+func MaxWithin(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	// times[first] is the earliest time within the window that ends at t.
+	for i, t := range times {
+		for t.Sub(times[first]) >= window {
 			first++
 		}
-		perSecond = max(perSecond, i-first+1)
+		most = max(most, i-first+1)
 	}
-	return concurrent, perSecond
+	return most
 }
--- a/process/cluster/owner.go
+++ b/process/cluster/owner.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"shalewick/version"
 )
 
 // minOwnerAge is the age, by wall-clock time, at which an instance may own something: by then all
@@ -60,7 +62,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var inRegion, anywhere *peerState
-	before := func(ps, o *peerState) bool { return o == nil || rank(ps.hash, number) < rank(o.hash, number) }
+	before := func(ps, o *peerState) bool {
+		return o == nil || version.RendezvousRank(ps.hash, number) < version.RendezvousRank(o.hash, number)
+	}
 	m.eachLive(func(ps *peerState) {
 		if ps.Region == region && before(ps, inRegion) {
 			inRegion = ps
@@ -117,23 +121,13 @@
 	var best Member
 	lowest := uint64(math.MaxUint64)
 	for _, ps := range list {
-		if r := rank(ps.hash, number); r < lowest {
+		if r := version.RendezvousRank(ps.hash, number); r < lowest {
 			best, lowest = ps.Member, r
 		}
 	}
 	return best
 }
 
-// rank mixes the hash of a name with a number (the finalizer of MurmurHash3).
-func rank(hash, number uint64) uint64 {
-	x := hash ^ (number+1)*0x9e3779b97f4a7c15
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // messagePrefix is the first byte of a datagram that carries a message of another package. It is
 // unused in MessagePack, so no other datagram starts with it.
 const messagePrefix = 0xc1
--- a/process/edge/ratelimit.go
+++ b/process/edge/ratelimit.go
@@ -43,9 +43,5 @@
 
 // updateLimitGauges sets the metrics of rate limits.
 func (e *Edge) updateLimitGauges() {
-	n := e.limits.Counts()
-	e.metrics.Gauge("backends_limited").Update(int64(e.limits.LimitedCount()))
-	e.metrics.Gauge(`permits{result="granted"}`).Update(n.Granted)
-	e.metrics.Gauge(`permits{result="denied"}`).Update(n.Denied)
-	e.metrics.Gauge(`permits{result="unanswered"}`).Update(n.Unanswered)
+	e.metrics.RateLimits(e.limits.LimitedCount(), e.limits.Counts())
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,6 +27,7 @@
 	"shalewick/process/metric"
 	"shalewick/process/peer"
 	"shalewick/process/platform"
+	"shalewick/process/ratelimit"
 	"shalewick/process/slots"
 	"shalewick/process/steer"
 	"shalewick/process/ticket"
@@ -45,6 +47,8 @@
 	slots      *slots.Table
 	health     *health.Table
 	steer      *steer.Steerer
+	limits     *ratelimit.Limiter
+	owners     atomic.Pointer[limitOwners]
 	ledger     *ticket.Ledger
 	metrics    *metric.Set
 	front      *front.Front
@@ -103,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
-		e.exchangeLoop, e.pushLoop, e.platformLoop, e.splitLoop, e.borrowLoop, e.probeLoop, e.tickLoop,
+		e.limitLoop, e.exchangeLoop, e.pushLoop, e.platformLoop, e.splitLoop, e.borrowLoop, e.probeLoop, e.tickLoop,
 	} {
 		e.loops.Go(func() { loop(ctx) })
 	}
@@ -125,8 +129,9 @@
 	})
 	e.health = &health.Table{OnLeaving: e.onLeaving}
 	e.slots = &slots.Table{Self: id, OnFree: func(int32) { e.steer.Wake() }, AwaitResponse: e.health.AwaitResponse}
+	e.limits = e.newLimits()
 	e.steer = &steer.Steerer{
-		Now: e.now, Slots: e.slots, Health: e.health, Region: e.region,
+		Now: e.now, Slots: e.slots, Health: e.health, Region: e.region, Limits: e.limits,
 		OnShortage: func() { notify(e.tokenShortage) },
 	}
 	e.store = &config.Store{Now: e.now, OnInstall: e.onInstall}
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -50,14 +50,14 @@
 	rt := &routes{entry: e}
 	dialer := conn.NewDialer(routeDialTimeout, routeAckTimeout)
 	rt.table = &balance.Table{
-		Now: e.now, MemberIndex: rt.memberIndex, Hall: e.settings.Hall,
+		Now: e.now, MemberIndex: rt.memberIndex, Hall: e.settings.Hall, Limits: e.limits,
 		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: routeIdleTimeout}
 		},
 	}
 	rt.proxy = &proxy.Proxy{
-		Names: request.OwnNames, Table: rt.table, Metrics: e.metrics, Log: e.log, Now: e.now,
+		Names: request.OwnNames, Table: rt.table, Limits: e.limits, Metrics: e.metrics, Log: e.log, Now: e.now,
 		ConfigFresh: e.steer.ConfigFresh, NewID: rand.Text, OnResponse: rt.onResponse, ConfigAge: rt.configAge,
 		RetryBudget: &retry.Window{Span: retryWindow, Ratio: retryRatio, Fixed: retryFixed, Instances: rt.instanceCount},
 	}
--- a/process/entry/server.go
+++ b/process/entry/server.go
@@ -110,6 +110,14 @@
 	return &peer.InheritReply{}, nil
 }
 
+// RateLimit handles a message of another instance's rate limiter.
+func (p *peerServer) RateLimit(_ context.Context, in *peer.RateLimitMessage) (*peer.RateLimitReply, error) {
+	if !p.entry.limits.Receive(in.GetFrom(), in.GetText()) {
+		return nil, status.Error(codes.InvalidArgument, "not a message of package ratelimit")
+	}
+	return &peer.RateLimitReply{}, nil
+}
+
 // Status returns the status of this instance.
 func (p *peerServer) Status(context.Context, *peer.StatusRequest) (*peer.StatusReply, error) {
 	return p.entry.status(), nil
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -154,6 +154,7 @@
 		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 		return nil, fw.newResult(request.AnswerWrong), fw.repeatable()
 	}
+	fw.recordRateLimit(place, h, start)
 	if h.Get(request.HeaderNotRun) == "true" {
 		fw.sent = wasSent
 		_, _ = io.CopyN(io.Discard, exchange.Response.Body, maxBufferedBody) // drained so that the connection can be reused
@@ -167,6 +168,20 @@
 	return fw.receive(exchange, name, start)
 }
 
+// recordRateLimit records the rate limit that a response names, or that it names none.
+func (fw *forwarder) recordRateLimit(place *steer.Placement, h http.Header, sentAt time.Duration) {
+	limit, err := request.OwnNames.RateLimit(h)
+	if err != nil {
+		fw.front.Metrics.InvalidRateLimit(fw.call.service)
+		fw.front.Log.Info().Str("id", fw.call.id).Str("backend", place.Name()).Err(err).Msg("rate-limit-skipped")
+		return
+	}
+	if limit > 0 {
+		fw.front.Metrics.RateLimit(fw.call.service)
+	}
+	place.RecordRateLimit(limit, sentAt)
+}
+
 // readResponse reads up to maxBufferedBody of a response. If that is all of
 // it, the exchange is closed.
 func readResponse(exchange *conn.Exchange) (*response, error) {
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -23,6 +23,7 @@
 	"shalewick/process/member"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
+	"shalewick/process/ratelimit"
 	"shalewick/process/slots"
 	"shalewick/process/steer"
 	"shalewick/process/ticket"
@@ -78,6 +79,10 @@
 	s := &steer.Steerer{Now: now, Region: func(*version.View) int32 { return 0 }, OnShortage: func() {}}
 	f.slots = &slots.Table{Self: "m", OnFree: func(int32) { s.Wake() }}
 	s.Slots, s.Health = f.slots, &health.Table{OnLeaving: func(health.Leaving) {}}
+	s.Limits = &ratelimit.Limiter{
+		Now: now, Instances: func() int { return 1 }, Send: func(string, []byte) {},
+		Owner: func(string, uint64) ratelimit.Owner { return ratelimit.Owner{Name: "m"} },
+	}
 	s.Install(v)
 	s.Confirm(now() + time.Hour)
 	tokenSplit, _ := slots.Plan(&slots.Split{}, slots.PlanInput{Live: []slots.Candidate{{ID: "m", Region: "north"}}, View: v})
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"shalewick/process/ratelimit"
 	"shalewick/request"
 )
 
@@ -87,6 +88,15 @@
 	s.Counter("answers_rate_limit_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
+// RateLimits sets the gauges of rate limits: how many backend servers are limited, and this
+// instance's permit requests by result.
+func (s *Set) RateLimits(limited int, n ratelimit.Counts) {
+	s.Gauge("backends_limited").Update(int64(limited))
+	s.Gauge(`permits{result="granted"}`).Update(n.Granted)
+	s.Gauge(`permits{result="denied"}`).Update(n.Denied)
+	s.Gauge(`permits{result="unanswered"}`).Update(n.Unanswered)
+}
+
 // InvalidRateLimit counts a response of a backend server whose rate limit is invalid.
 func (s *Set) InvalidRateLimit(service string) {
 	s.Counter("rate_limits_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
--- a/process/steer/steer.go
+++ b/process/steer/steer.go
@@ -10,9 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"shalewick/conn"
 	"shalewick/process/health"
 	"shalewick/process/queue"
+	"shalewick/process/ratelimit"
 	"shalewick/process/slots"
 	"shalewick/request"
 	"shalewick/version"
@@ -34,6 +37,8 @@
 	Region func(*version.View) int32
 	Slots  *slots.Table
 	Health *health.Table
+	// Limits, if set, enforces the rate limits that backend servers name.
+	Limits *ratelimit.Limiter
 	// OnShortage is called when no token was free for a request.
 	OnShortage func()
 
@@ -146,6 +151,9 @@
 	steerer  *Steerer
 	grant    slots.Grant
 	placedAt time.Duration
+	// permitFrom is the time from which the permit of a rate-limited backend server is
+	// valid; zero if there is none.
+	permitFrom time.Duration
 }
 
 // Retry-after times of rejections.
@@ -172,10 +180,10 @@
 	}
 	q := av.Queues[svc]
 	if q.Len() == 0 || r.isRetry() {
-		if p, open := s.try(r); p != nil {
+		if p, open := s.tryWithPermit(ctx, r); p != nil {
 			return p, nil
 		} else if !open {
-			return nil, reject(request.NoBackend, noBackendRetryAfter)
+			return nil, reject(request.NoBackend, s.noBackendRetryAfter(r))
 		}
 	}
 	if r.isRetry() {
@@ -197,8 +205,9 @@
 }
 
 // try makes one decision and acquires the tokens. It reports open as false if no
-// backend server accepts requests.
-func (s *Steerer) try(r *Request) (p *Placement, open bool) {
+// backend server accepts requests. With skipLimited it uses no backend server that has
+// a rate limit.
+func (s *Steerer) try(r *Request, skipLimited bool) (p *Placement, open bool) {
 	const attempts = 3 // another request may take a token between decision and acquisition
 	for range attempts {
 		av := s.active.Load()
@@ -209,7 +218,8 @@
 		now := s.Now()
 		query := version.Query{
 			Service: svc, Region: region, Random: rand.Uint64(), ViewAge: now - av.Since,
-			Exclude: [2]int32{av.backendIndex(r.Tried[0]), av.backendIndex(r.Tried[1])},
+			Exclude:     [2]int32{av.backendIndex(r.Tried[0]), av.backendIndex(r.Tried[1])},
+			RateLimited: s.rateLimited(av, r, skipLimited),
 		}
 		c := av.View.Decide(&query, av.Counters)
 		s.recordShortage(av, &query, &c)
@@ -273,10 +283,10 @@
 	lastStart := time.NewTimer(time.Until(r.Deadline) - q.EstimateWait(0, 1))
 	defer lastStart.Stop()
 	for {
-		if p, open := s.try(r); p != nil {
+		if p, open := s.tryWithPermit(ctx, r); p != nil {
 			return p, nil
 		} else if !open {
-			return nil, reject(request.NoBackend, noBackendRetryAfter)
+			return nil, reject(request.NoBackend, s.noBackendRetryAfter(r))
 		}
 		select {
 		case <-waiter.Ready:
@@ -305,11 +315,17 @@
 
 // Dispatch sends the request to the backend server.
 func (p *Placement) Dispatch(ctx context.Context, req *http.Request, deadline time.Time) (*conn.Exchange, error) {
-	return p.Version.Conns[p.Backend].Dispatch(ctx, req, conn.Options{
+	ex, err := p.Version.Conns[p.Backend].Dispatch(ctx, req, conn.Options{
 		Deadline: deadline,
-		Allowed:  func() bool { return p.steerer.ConfigFresh() && p.steerer.Slots.Valid(&p.grant, p.steerer.Now()) },
-		Release:  p.release,
+		Allowed: func() bool {
+			return p.steerer.ConfigFresh() && p.steerer.Slots.Valid(&p.grant, p.steerer.Now()) && p.permitValid()
+		},
+		Release: p.release,
 	})
+	if dispatchErr := (*conn.DispatchError)(nil); errors.As(err, &dispatchErr) && !dispatchErr.Sent {
+		p.returnPermit()
+	}
+	return ex, err
 }
 
 // Name returns the name of the backend server.
--- a/version/decide.go
+++ b/version/decide.go
@@ -30,8 +30,11 @@
 
 // Query holds the inputs of one decision.
 type Query struct {
-	Service int32
-	Region  int32 // region of the deciding instance
+	// RateLimited, if set, reports whether its rate limit keeps a backend server from
+	// getting the request.
+	RateLimited func(backend int32) bool
+	Service     int32
+	Region      int32 // region of the deciding instance
 	// Random is a new random number for each decision. It determines whether the
 	// request belongs to a shifted share, whether the decision explores, and at which
 	// backend server the search starts.
@@ -167,7 +170,7 @@
 			at -= len(backends)
 		}
 		b := backends[at]
-		if v.Backends[b].Drained || counters.Closed[b].Load() {
+		if v.Backends[b].Drained || counters.Closed[b].Load() || q.RateLimited != nil && q.RateLimited(b) {
 			continue
 		}
 		c.AnyOpen = true
--- a/version/view.go
+++ b/version/view.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // None is the index that stands for no element.
@@ -54,6 +56,8 @@
 	Address string
 	Pool    int32
 	Drained bool // by a drain resource
+	// IncarnationHash is as in RoutedBackend.
+	IncarnationHash uint64
 }
 
 // HallView is a hall with names replaced by indexes.
@@ -215,6 +219,7 @@
 		v.Backends = append(v.Backends, BackendView{
 			Name: r.Name, Service: svc, Hall: hall, Region: region,
 			Address: r.Backend.Address.String(), Pool: pool,
+			IncarnationHash: incarnationHash(xxhash.Sum64String(r.Name), r.Backend.Incarnation),
 		})
 		s.ByRegion[region] = append(s.ByRegion[region], int32(i))
 	}
