edge: serve a few new connections at a time

What callers saw: requests for 1 MB on established connections took over 2 s, or 504, while callers that ignore Retry-After opened 12,000 connections a second for uploads that are rejected.

Cause: each accepted connection is a goroutine at once, and a response of 1 MB needs some hundred turns of the scheduler, each behind those of the new connections.

Change: an instance accepts while at most two new connections per processor are served, each counted until its first response or for 2 ms.

--- a/process/edge/drain.go
+++ b/process/edge/drain.go
@@ -31,6 +31,7 @@
 // to be accepted are accepted first.
 type drainListener struct {
 	*net.TCPListener
+	limiter       *acceptLimiter
 	drainDeadline atomic.Pointer[time.Time] // nil: not draining
 }
 
@@ -44,7 +45,13 @@
 // Accept returns the next connection. It closes the listener once it is drained, and then returns
 // net.ErrClosed.
 func (l *drainListener) Accept() (net.Conn, error) {
+	l.limiter.acquire()
 	c, err := l.TCPListener.Accept()
+	if err == nil {
+		l.limiter.add(c)
+	} else {
+		l.limiter.cancel()
+	}
 	deadline := l.drainDeadline.Load()
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(conn.SocketBufferSize) // connections work without it too
--- a/process/edge/drain_test.go
+++ b/process/edge/drain_test.go
@@ -29,7 +29,7 @@
 func TestDrainServesWaitingConnections(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &drainListener{TCPListener: inner.(*net.TCPListener)}
+	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter()}
 	unblock := make(chan struct{})
 	var conns newConnections
 	s := &http.Server{
@@ -76,7 +76,7 @@
 func TestDrainEndsUnderContinuousConnections(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &drainListener{TCPListener: inner.(*net.TCPListener)}
+	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter()}
 	l.Drain()
 	start := time.Now()
 	go func() {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -223,8 +223,12 @@
 		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
 		if e.front == nil {
 			e.front = s
-			s.ConnState = e.newConns.onStateChange
-			e.frontListener = &drainListener{TCPListener: l.(*net.TCPListener)}
+			limiter := newAcceptLimiter()
+			s.ConnState = func(c net.Conn, state http.ConnState) {
+				e.newConns.onStateChange(c, state)
+				limiter.onStateChange(c, state)
+			}
+			e.frontListener = &drainListener{TCPListener: l.(*net.TCPListener), limiter: limiter}
 			l = e.frontListener
 		}
 		e.servers = append(e.servers, s)
