ratelimit: ask for the next permit when it is available

What callers saw: nothing, as others serve them; a backend server of a limit of 0.5 a second that had ended got no request from 1.5 to 3 s after its end, in 1 of 3 runs of TestBackendRateLimitIsRespected beside 8 busy processes.

Cause: a denial's wait, requesters / (3 x rate) times 0.5 to 1.5, was counted from the denial, whatever the time until the next permit: both add up.

TestEndOfLimitIsNoticed, new, fails before: 2.95 and 3.75 s, 2.5 allowed. The arrivals of the model have a random sequence of their own, since TestLimitFollowsBackend measured the luck of arrivals otherwise; it passes on both codes with its seed and bounds.

--- a/process/ratelimit/bucket.go
+++ b/process/ratelimit/bucket.go
@@ -82,11 +82,14 @@
 	if now-b.urgentAt >= urgentReserveTime || priority <= b.urgent {
 		b.urgent, b.urgentAt = priority, now
 	}
-	return false, b.retryAfter(rate, now, random)
+	return false, b.retryAfter((needed-b.tokens)/rate, rate, now, random)
 }
 
-// retryAfter returns a wait that spreads the permit requests of all requesters over time.
-func (b *bucket) retryAfter(rate float64, now time.Duration, random float64) time.Duration {
+// retryAfter returns a wait until the next permit, in untilNext seconds, and spreads the permit
+// requests of all requesters over the time after it, so that about requestsPerPermit of them arrive
+// for each permit. A request before the next permit would be in vain, and one long after it would
+// delay the response that tells whether the limit still holds.
+func (b *bucket) retryAfter(untilNext, rate float64, now time.Duration, random float64) time.Duration {
 	requesters := 0
 	for name, r := range b.requesters {
 		if now-r.lastRequest > requesterTTL {
@@ -95,7 +98,8 @@
 		}
 		requesters++
 	}
-	seconds := float64(requesters) / (requestsPerPermit * rate) * (0.5 + random)
+	spread := max(minWait.Seconds(), (float64(requesters)/requestsPerPermit-1)/rate)
+	seconds := untilNext + random*spread
 	return min(max(minWait, time.Duration(min(seconds, maxWait.Seconds())*float64(time.Second))), maxWait)
 }
 
--- a/process/ratelimit/fleet_test.go
+++ b/process/ratelimit/fleet_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -222,3 +223,36 @@
 		l.Tick()
 	})
 }
+
+// TestEndOfLimitIsNoticed guards against a backend server that gets hardly any requests long after
+// its limit has ended. Its end shows only in the response to a request with a permit, and instances
+// that were denied asked for the next permit long after it was available.
+func TestEndOfLimitIsNoticed(t *testing.T) {
+	const runs = 50
+	for _, c := range []struct {
+		instances int
+		limit     float64
+	}{{3, 0.5}, {12, 0.5}, {3, 4.7}, {12, 4}} {
+		// A permit is available within one interval of the limit. The request for it and the
+		// response take some time.
+		within := time.Duration(float64(time.Second)/c.limit) + 500*time.Millisecond
+		latest := time.Duration(0)
+		for seed := range uint64(runs) {
+			m := newModel(seed, c.instances, 180, nil)
+			end := m.now + 12*time.Second
+			m.limitAt = func(now time.Duration) float64 {
+				if now < end {
+					return c.limit
+				}
+				return 0
+			}
+			m.run(12 * time.Second)
+			for m.now < end+2*maxWait && !slices.ContainsFunc(m.nodes, func(n *node) bool { return n.LimitedCount() == 0 }) {
+				m.run(50 * time.Millisecond)
+			}
+			latest = max(latest, m.now-end)
+		}
+		t.Logf("%d instances, limit %g: noticed after %v at the latest", c.instances, c.limit, latest)
+		assert.Check(t, latest <= within, "%d instances, limit %g: %v, %v is allowed", c.instances, c.limit, latest, within)
+	}
+}
--- a/process/ratelimit/model_test.go
+++ b/process/ratelimit/model_test.go
@@ -14,17 +14,18 @@
 // model simulates a fleet of instances on one clock, whose callers all send requests to one
 // backend server. Datagrams are delayed and may be lost.
 type model struct {
-	now         time.Duration
-	random      *rand.Rand
-	loss        float64
-	demand      float64 // requests per second to the backend server, of all instances
-	nodes       []*node
-	events      events
-	limitAt     func(now time.Duration) float64 // that the backend server names
-	arrivals    []arrival
-	requests    int    // permit requests sent
-	changes     int    // starts, crashes and partitions since the model started
-	steadyOwner *Owner // the owner while there were none
+	now           time.Duration
+	random        *rand.Rand
+	arrivalRandom *rand.Rand // of the arrivals of requests, which do not depend on decisions
+	loss          float64
+	demand        float64 // requests per second to the backend server, of all instances
+	nodes         []*node
+	events        events
+	limitAt       func(now time.Duration) float64 // that the backend server names
+	arrivals      []arrival
+	requests      int    // permit requests sent
+	changes       int    // starts, crashes and partitions since the model started
+	steadyOwner   *Owner // the owner while there were none
 }
 
 // node is one instance.
@@ -91,7 +92,9 @@
 )
 
 func newModel(seed uint64, size int, demand float64, limit func(time.Duration) float64) *model {
-	m := &model{now: time.Hour, random: rand.New(rand.NewPCG(seed, 7)), demand: demand, limitAt: limit}
+	m := &model{
+		now: time.Hour, random: rand.New(rand.NewPCG(seed, 7)), arrivalRandom: rand.New(rand.NewPCG(seed, 8)), demand: demand, limitAt: limit,
+	}
 	for range size {
 		m.start(m.now - time.Minute)
 	}
@@ -134,7 +137,7 @@
 // interArrival draws the time until the next request at an instance.
 func (m *model) interArrival() time.Duration {
 	rate := m.demand / float64(len(m.nodes))
-	return time.Duration(m.random.ExpFloat64() / rate * float64(time.Second))
+	return time.Duration(m.arrivalRandom.ExpFloat64() / rate * float64(time.Second))
 }
 
 // considersLive reports whether an instance considers another one live.
