--- a/process/balance/choose.go
+++ b/process/balance/choose.go
@@ -29,7 +29,7 @@
 }
 
 // Unavailable reports whether Pick would find no backend server for the query, and with which
-// refusal. It assigns nothing, and leaves rate limits and waits to Pick. A query whose service has
+// refusal. It assigns nothing, and leaves waits and warming to Pick. A query whose service has
 // a rollout is never unavailable, since the target of the rollout may accept it.
 func (t *Table) Unavailable(q *Query) (Refusal, bool) {
 	t.mu.Lock()
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -129,13 +129,14 @@
 func (fw *forwarder) attempt(ctx context.Context) (resp *response, res *request.Result, retryable bool) {
 	start := fw.front.Now()
 	place, res := fw.front.Steer.Place(ctx, &fw.placement)
-	fw.front.Metrics.Stage(metric.StagePlacement, fw.front.Now()-start)
 	if res != nil {
+		fw.front.Metrics.Stage(metric.StageRejection, fw.front.Now()-start)
 		if fw.sent {
 			res.Ran = request.RanUnknown // an earlier attempt may have run
 		}
 		return nil, res, false
 	}
+	fw.front.Metrics.Stage(metric.StagePlacement, fw.front.Now()-start)
 	name := place.Name()
 	fw.placement.Tried[0], fw.placement.Tried[1] = name, fw.placement.Tried[0]
 	start = fw.front.Now()
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -58,6 +58,7 @@
 const (
 	StageFirstByte = "first-byte" // from accepting a connection to the first byte of its first request
 	StagePlacement = "placement"  // waiting for a slot of a backend server
+	StageRejection = "rejection"  // waiting for a slot in vain
 	StageDispatch  = "dispatch"   // from the connection to the header of the response
 	StageResponse  = "response"   // reading the body of the response
 )
