--- a/proof/limit_test.go
+++ b/proof/limit_test.go
@@ -27,6 +27,34 @@
 // as many requests as its rate limit allows all of them together, or that keep to the limit after
 // its end. All backend servers are wanted, and one entry is killed while the limits hold.
 func TestEntriesKeepBackendRateLimitTogether(t *testing.T) {
+	for _, u := range runLimited(t) {
+		allowed := limitFactor*u.limit*limitWindow.Seconds() + limitExtra
+		assert.Check(t, float64(u.most) <= allowed, "limit of %g: %.0f are allowed", u.limit, allowed)
+		assert.Check(t, float64(u.after) > 2*u.limit, "the limit of %g outlasts its end", u.limit)
+	}
+}
+
+// TestEntriesUseBackendRateLimit guards against entries that send a backend server far less than its
+// rate limit allows although it is wanted.
+func TestEntriesUseBackendRateLimit(t *testing.T) {
+	for _, u := range runLimited(t) {
+		assert.Check(t, float64(u.during) >= u.limit*u.held.Seconds()/4, "the limit of %g is hardly used", u.limit)
+	}
+}
+
+// limitUse is what a backend server got that named a rate limit.
+type limitUse struct {
+	limit  float64
+	held   time.Duration // from limitKnownAfter to the end of the limit
+	during int           // requests within held
+	most   int           // requests within any limitWindow of held
+	after  int           // requests later than limitWindow after the end
+}
+
+// runLimited runs entries under load beyond their capacity while three backend servers name rate
+// limits. One entry is killed meanwhile.
+func runLimited(t *testing.T) (uses []limitUse) {
+	t.Helper()
 	c := newCluster(t, clusterOptions{size: fleet.Caroni(), entries: 12, work: 60 * time.Millisecond})
 	limits := map[int]float64{0: 0.5, 2: 4, 4: 20} // by number of the backend server
 	var named, ended time.Time
@@ -62,10 +90,9 @@
 				after++
 			}
 		}
-		most := load.MaxWithin(starts, limitWindow)
-		allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
-		t.Logf("limit of %g: %d requests while it held, at most %d in %v, %.0f allowed; %d after its end", limit, len(starts), most, limitWindow, allowed, after)
-		assert.Check(t, float64(most) <= allowed)
-		assert.Check(t, float64(after) > 2*limit, "the limit outlasts its end")
+		u := limitUse{limit, ended.Sub(named) - limitKnownAfter, len(starts), load.MaxWithin(starts, limitWindow), after}
+		t.Logf("%+v", u)
+		uses = append(uses, u)
 	}
+	return uses
 }
