balance: track whether any backend server can be reached

An instance knew its backend servers only one by one, so that neither its log nor its metrics said that it had lost all of them, and since when. No request is treated differently.

--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -46,6 +46,9 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	u := p.backend
+	if o == Answered || o == Refused {
+		t.recordContact(now)
+	}
 	if !p.held {
 		u.inFlight--
 		*u.softwareInFlight--
@@ -81,6 +84,7 @@
 		}
 		u.observeResponse(report, now)
 	case Unreachable:
+		t.recordUnreachable(u, p.started, now)
 		t.suspend(p, now)
 	case Lost:
 		u.lostInARow++
--- a/process/balance/reach.go
+++ b/process/balance/reach.go
@@ -16,6 +16,7 @@
 	}
 	u.probing = true
 	t.probing++
+	begunAt := now
 	go func() {
 		err := t.Probe(u.pool)
 		t.mu.Lock()
@@ -23,10 +24,12 @@
 		u.probing = false
 		t.probing--
 		if err != nil {
+			t.recordUnreachable(u, begunAt, t.Now())
 			pause := u.recordFailure(t.Now())
 			t.reportSuspension(name, u.failures, pause)
 			return
 		}
+		t.recordContact(t.Now())
 		u.probed = true
 	}()
 }
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -27,6 +27,9 @@
 	// OnSuspend, if set, is called when a backend server is suspended, with the number of
 	// consecutive failures, and with 0 failures when it responds again. It must not call the table.
 	OnSuspend func(backend string, failures int, pause time.Duration)
+	// OnLinks, if set, is called when this instance reaches no backend server any more, and when it
+	// does again. It must not call the table.
+	OnLinks func(lost bool)
 	// OnNotice, if set, is called when a backend server announces that it is leaving or a backoff
 	// starts. own is set if this instance received the notice itself, not by gossip. It must not
 	// call the table.
@@ -54,6 +57,7 @@
 	states   []*backend       // by index in the routing; nil: no state
 	byHash   map[uint32]int32 // index by the part of the hash that gossip carries; nil: not built
 	probing  int              // number of probes in progress
+	reach    reachability
 	services map[softwareKey]*service
 	inFlight map[softwareKey]*int // number of requests in flight
 	homes    targetHomes
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -173,7 +173,7 @@
 	e.table = &balance.Table{
 		Limits: e.limits,
 		Now:    e.now, MemberIndex: e.sharePosition, Region: e.settings.Region, Hall: e.settings.Hall, OnSuspend: e.logSuspension,
-		OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeavingGrace: e.settings.DrainWithin / drainNoticeDivisor,
+		OnLinks: func(bool) { go e.logLinks() }, OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeavingGrace: e.settings.DrainWithin / drainNoticeDivisor,
 		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: backendIdleTimeout}
@@ -255,6 +255,9 @@
 		e.metrics.Gauge("version").Update(r.Seq)
 		e.metrics.Gauge("backends").Update(int64(len(r.Backends)))
 	}
+	reach := e.table.Reachability()
+	e.metrics.Gauge("backends_suspended").Update(int64(reach.Suspended))
+	e.metrics.Gauge("links_lost_ms").Update(reach.Lost.Milliseconds())
 	leaving, backedOff := e.table.Notices()
 	e.metrics.Gauge("backends_leaving").Update(int64(leaving))
 	e.metrics.Gauge("backends_backed_off").Update(int64(backedOff))
--- a/process/edge/eventlog.go
+++ b/process/edge/eventlog.go
@@ -66,6 +66,13 @@
 	e.log.Info().Str("backend", backend).Int("failures", failures).Dur("pause", pause).Msg("backend-suspended")
 }
 
+// logLinks logs whether this instance reaches any backend server.
+func (e *Edge) logLinks() {
+	r := e.table.Reachability()
+	e.log.Info().Bool("lost", r.Lost != 0).Int("suspended", r.Suspended).Int("backends", r.Backends).
+		Dur("lastContact", r.LastContact).Int("live", len(e.members.Live())).Msg("links")
+}
+
 // logNotice logs that a backend server has announced that it is leaving or that it needs a backoff.
 // Own is set if this instance received the notice itself, and not by gossip.
 func (e *Edge) logNotice(backend string, n request.Notice, own bool) {
