--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -135,6 +136,9 @@
 	Store Store
 	// Clock replaces clock.Now if it is set: tests suspend one of several machines with it.
 	Clock func() time.Duration
+	// BackendDialer replaces the dialer for connections to backend servers if it is set: tests cut
+	// one of several instances off with it.
+	BackendDialer func(*net.Dialer) *net.Dialer
 	// Names of the tables written by operators, by backend servers and by the instances: their
 	// own rows, and the records of rollouts.
 	OperatorTable, BackendTable, InstanceTable, RecordTable string
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -11,6 +11,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -154,6 +155,19 @@
 	}
 }
 
+// ResetConnections resets the connections from an IP address.
+func (s *Server) ResetConnections(from netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		remote, err := netip.ParseAddrPort(c.RemoteAddr().String())
+		if tcp, ok := c.(*net.TCPConn); ok && err == nil && remote.Addr() == from {
+			_ = tcp.SetLinger(0)
+			_ = c.Close()
+		}
+	}
+}
+
 // crashDelay is how long a request runs before it crashes the process.
 const crashDelay = 20 * time.Millisecond
 
