proxy: send a large body elsewhere if no connection could be opened

Callers of uploads above 1 MB got 503 when the first backend server could not be reached, though nothing had been sent: the body counted as used when the request to a backend server was built, before the connection. It now counts as used when an attempt reads what is not buffered; an earlier attempt can't read on once a later one has begun. TestLargeBodyIsSentAfterFailedConnect failed before (503), and passes 5 of 5 with the race detector.

--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -251,11 +252,18 @@
 	buffered []byte
 	rest     io.Reader // nil if all of the body is buffered
 	length   int64     // -1 if unknown
-	restUsed bool      // an attempt has started to read rest
+
+	mu       sync.Mutex
+	restUsed bool        // an attempt has started to read rest
+	current  *restReader // of the latest attempt; an earlier one may not read rest
 }
 
 // replayable reports whether the body can be sent again.
-func (b *body) replayable() bool { return b.rest == nil || !b.restUsed }
+func (b *body) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rest == nil || !b.restUsed
+}
 
 // reader returns the body for one attempt.
 func (b *body) reader() io.ReadCloser {
@@ -266,8 +274,27 @@
 	if b.rest == nil {
 		return io.NopCloser(beginning)
 	}
-	b.restUsed = true
-	return io.NopCloser(io.MultiReader(beginning, b.rest))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current = &restReader{body: b}
+	return io.NopCloser(io.MultiReader(beginning, b.current))
+}
+
+// restReader reads the remainder of a body for one attempt.
+type restReader struct{ body *body }
+
+// errSuperseded is returned to an attempt that reads a body after a later one has begun.
+const errSuperseded = errors.ConstError("the body is sent with a later attempt")
+
+func (r *restReader) Read(p []byte) (int, error) {
+	r.body.mu.Lock()
+	superseded := r.body.current != r
+	r.body.restUsed = r.body.restUsed || !superseded
+	r.body.mu.Unlock()
+	if superseded {
+		return 0, errSuperseded
+	}
+	return r.body.rest.Read(p)
 }
 
 // maxUncheckedBody is the size in bytes up to which a body is read without checkAvailable.
