balance: end suspensions when the links of an instance recover

Cause: each backend server's pause grows with its own failures, up to 4 s, whatever the reason; after an outage of the instance's links that is the pause of all of them, and nothing tried earlier. Now the links are probed every 0.25 s while they don't work (Table.WatchLinks), and with the first success every suspended backend server may be probed at once, by the next request that would go to it. Requests that nobody can serve meanwhile are rejected at once.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -53,6 +53,9 @@
 	case request.DeadlineNear:
 		return fmt.Sprintf("too little time: backend server %s needs %s ms, and %s ms were left", end.Get("best"), end.Get("wait"), end.Get("patience"))
 	case request.NoBackend:
+		if end.Get("linksDown") == "true" {
+			return "instance " + end.Get("instance") + " reached no backend server, and no other instance could take it"
+		}
 		return "no backend server of service " + end.Get("service") + " could take it: of " + orZero(end.Get("backends")) + " known, " + describeExclusions(end)
 	case request.UnknownRoute:
 		return fmt.Sprintf("version %s, confirmed %s ms before, has no route for host %s and path %s",
@@ -139,6 +142,9 @@
 // be chosen.
 func shortNoBackendCause(end *Line) string {
 	cause, maxCount := "no backend server", 0
+	if end.Get("linksDown") == "true" {
+		return "no links"
+	}
 	for _, x := range []struct{ field, cause string }{
 		{"cold", "backend servers cold"}, {"suspended", "backend servers suspended"}, {"closed", "backend servers leaving"}, {"leaving", "backend servers leaving"}, {"backedOff", "backend servers that turn away"}, {"limited", "backend servers at their rate limit"},
 		{"full", "connections in use"}, {"tried", "all were tried"}, {"foreign", "no home region"},
--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -3,8 +3,12 @@
 package balance
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
+
+	"shalewick/clock"
+	"shalewick/request"
 )
 
 const (
@@ -18,6 +22,18 @@
 	relapseWindow = 10 * time.Second
 	minStableTime = time.Second
 	maxStableTime = 8 * time.Second
+	// linkProbeInterval is the pause between two probes of the links while they don't work.
+	linkProbeInterval = 250 * time.Millisecond
+)
+
+// LinkState says whether the links of this instance to the backend servers work.
+type LinkState uint8
+
+// The states.
+const (
+	LinksUp       LinkState = iota
+	LinksUnstable           // they work again, but not for long enough
+	LinksDown               // no backend server has been reachable lately, although several were tried
 )
 
 // reachability tracks whether this instance reaches any backend server at all. A single server that
@@ -75,22 +91,50 @@
 	return true
 }
 
-// recordUnreachable records that an attempt to reach a backend server has failed. The caller holds
-// the lock.
+// recordUnreachable records that an attempt to reach a backend server, begun at a time, has failed.
+// The caller holds the lock.
 func (t *Table) recordUnreachable(u *backend, begunAt, now time.Duration) {
-	if t.reach.recordUnreachable(u, begunAt, len(t.states), now) && t.OnLinks != nil {
-		t.OnLinks(true)
+	if !t.reach.recordUnreachable(u, begunAt, len(t.states), now) {
+		return
+	}
+	select {
+	case t.linksSuspectedLocked() <- struct{}{}:
+	default: // a signal is already pending
 	}
 }
 
 // recordContact records that a backend server has responded or accepted a connection. The caller
 // holds the lock.
 func (t *Table) recordContact(now time.Duration) {
-	if t.reach.recordContact(now) && t.OnLinks != nil {
-		t.OnLinks(false)
+	if t.reach.recordContact(now) {
+		t.endSuspensions(now)
 	}
 }
 
+// endSuspensions lets suspended backend servers be probed at once, after the links of this instance
+// have been restored. Their pauses have grown by failures that were not theirs. The caller holds the
+// lock.
+func (t *Table) endSuspensions(now time.Duration) {
+	for _, u := range t.states {
+		if u != nil && u.failures > 0 {
+			u.failures = 1
+			u.suspendedUntil = now
+			u.probed = false
+		}
+	}
+}
+
+// state returns whether the links work.
+func (r *reachability) state() LinkState {
+	switch {
+	case r.lostAt == 0:
+		return LinksUp
+	case r.stableFrom != 0:
+		return LinksUnstable
+	}
+	return LinksDown
+}
+
 // Reachability describes how many backend servers this instance can't reach.
 type Reachability struct {
 	// Lost is how long no backend server has been reachable; zero: at least one is.
@@ -122,12 +166,64 @@
 	return out
 }
 
-// LinksLost reports whether no backend server has been reachable lately, although several were
-// tried.
-func (t *Table) LinksLost() bool {
+// Links returns whether the links to the backend servers work.
+func (t *Table) Links() LinkState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reach.state()
+}
+
+// RefuseUnreachable returns the refusal of a request while no backend server can be reached.
+func (t *Table) RefuseUnreachable() Refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.reach.lostAt != 0
+	return Refusal{
+		Code: request.NoBackend, RetryAfter: t.retryAfter(request.NoBackend, 0),
+		Explanation: Explanation{Backends: len(t.states), LinksDown: true},
+	}
+}
+
+// linksSuspectedLocked returns the channel that signals to WatchLinks that the links may have
+// failed. The caller holds the lock.
+func (t *Table) linksSuspectedLocked() chan struct{} {
+	if t.linksSuspected == nil {
+		t.linksSuspected = make(chan struct{}, 1)
+	}
+	return t.linksSuspected
+}
+
+// WatchLinks probes the links while they don't work, and calls OnLinks, until the context ends. Without
+// it, links that have failed are restored only by responses to requests that are in flight.
+func (t *Table) WatchLinks(ctx context.Context) {
+	t.mu.Lock()
+	suspected := t.linksSuspectedLocked()
+	t.mu.Unlock()
+	for {
+		select {
+		case <-suspected:
+			t.probeUntilRestored(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probeUntilRestored probes the links until they work or the context ends. A failed probe confirms
+// that they don't.
+func (t *Table) probeUntilRestored(ctx context.Context) {
+	confirmed := false
+	for t.Links() != LinksUp && ctx.Err() == nil {
+		if !t.probeLinks() && !confirmed {
+			confirmed = true
+			t.OnLinks(true)
+		}
+		if t.Links() != LinksUp {
+			clock.Sleep(ctx, linkProbeInterval)
+		}
+	}
+	if confirmed {
+		t.OnLinks(false)
+	}
 }
 
 // ForwardsAll reports whether other instances take the place of the backend servers in the routing.
@@ -137,9 +233,9 @@
 	return t.routing != nil && t.routing.BackendsAreInstances
 }
 
-// ProbeLinks opens a connection to a random backend server and reports whether it accepted the
+// probeLinks opens a connection to a random backend server and reports whether it accepted the
 // connection. With none to probe it reports true.
-func (t *Table) ProbeLinks() bool {
+func (t *Table) probeLinks() bool {
 	t.mu.Lock()
 	u := t.randomBackend()
 	begunAt := t.Now()
--- a/process/balance/reachability_test.go
+++ b/process/balance/reachability_test.go
@@ -3,23 +3,26 @@
 package balance
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"shalewick/conn"
 )
 
-// newReachabilityFixture returns a fixture with backend servers, and the reports of OnLinks.
-func newReachabilityFixture(backends int) (*fixture, *[]bool) {
+// newReachabilityFixture returns a fixture with backend servers.
+func newReachabilityFixture(backends int) *fixture {
 	p := newFixture(1)
 	for i := range backends {
 		p.backend(fmt.Sprintf("b%d", i), i%3, nil)
 	}
-	reports := new([]bool)
-	p.OnLinks = func(lost bool) { *reports = append(*reports, lost) }
 	p.install()
-	return p, reports
+	return p
 }
 
 // attempt records the outcome of a request to a backend server that took a time.
@@ -35,59 +38,58 @@
 // TestLinksAreLostWithoutContact checks that an instance that reaches none of several backend servers
 // concludes that its links have failed, and that one response ends that.
 func TestLinksAreLostWithoutContact(t *testing.T) {
-	p, reports := newReachabilityFixture(6)
+	p := newReachabilityFixture(6)
 	p.attempt("b0", 10*time.Millisecond, Answered)
 	p.now += time.Second
 	for i := range minUnreachable {
-		assert.Equal(t, len(*reports), 0)
+		assert.Equal(t, p.Links(), LinksUp)
 		p.attempt(fmt.Sprintf("b%d", i), 400*time.Millisecond, Unreachable)
 	}
-	assert.DeepEqual(t, *reports, []bool{true})
+	assert.Equal(t, p.Links(), LinksDown)
 	r := p.Reachability()
 	assert.Equal(t, r.Suspended, minUnreachable)
 	assert.Equal(t, r.Backends, 6)
 	assert.Equal(t, r.LastContact, time.Second+minUnreachable*400*time.Millisecond)
 	p.attempt("b4", 10*time.Millisecond, Refused)
-	assert.DeepEqual(t, *reports, []bool{true, false})
-	assert.Assert(t, !p.LinksLost())
+	assert.Equal(t, p.Links(), LinksUp)
 }
 
 // TestCrashedBackendsAreNoLostLinks checks that failures of backend servers do not count as failed
 // links while another one responds.
 func TestCrashedBackendsAreNoLostLinks(t *testing.T) {
-	p, reports := newReachabilityFixture(6)
+	p := newReachabilityFixture(6)
 	for range 3 {
 		p.attempt("b0", 400*time.Millisecond, Unreachable)
 		p.attempt("b1", 400*time.Millisecond, Unreachable)
 		p.attempt("b5", 10*time.Millisecond, Answered)
+		assert.Equal(t, p.Links(), LinksUp)
 	}
-	assert.Equal(t, len(*reports), 0)
 }
 
 // TestFailureOfOneBackendIsNoLostLink checks that one backend server that fails repeatedly does not
 // count as failed links, even if no other one is used meanwhile.
 func TestFailureOfOneBackendIsNoLostLink(t *testing.T) {
-	p, reports := newReachabilityFixture(6)
+	p := newReachabilityFixture(6)
 	for range 10 {
 		p.attempt("b0", 400*time.Millisecond, Unreachable)
+		assert.Equal(t, p.Links(), LinksUp)
 	}
-	assert.Equal(t, len(*reports), 0)
 }
 
 // TestRelapsingLinksMustBeStable checks that links that fail repeatedly must work for longer and
 // longer before they count as restored.
 func TestRelapsingLinksMustBeStable(t *testing.T) {
-	p, _ := newReachabilityFixture(6)
+	p := newReachabilityFixture(6)
 	lose := func() {
 		p.now += time.Millisecond
 		for i := range minUnreachable {
 			p.attempt(fmt.Sprintf("b%d", i), 100*time.Millisecond, Unreachable)
 		}
-		assert.Assert(t, p.LinksLost())
+		assert.Equal(t, p.Links(), LinksDown)
 	}
 	restoredAfter := func() time.Duration {
 		start := p.now
-		for p.LinksLost() {
+		for p.Links() != LinksUp {
 			p.attempt("b4", 100*time.Millisecond, Answered)
 		}
 		return p.now - start
@@ -104,3 +106,62 @@
 	lose()
 	assert.Equal(t, restoredAfter(), 100*time.Millisecond)
 }
+
+// TestSuspensionsEndWithTheOutage guards against backend servers that get no requests for seconds
+// after the links of an instance have recovered, since their pauses had grown during the outage.
+func TestSuspensionsEndWithTheOutage(t *testing.T) {
+	p := newReachabilityFixture(6)
+	probed := make(map[*conn.Pool]bool)
+	p.Probe = func(pool *conn.Pool) error { probed[pool] = true; return nil }
+	for range 6 {
+		for i := range 5 {
+			p.attempt(fmt.Sprintf("b%d", i), 10*time.Millisecond, Unreachable)
+		}
+	}
+	assert.Equal(t, p.Links(), LinksDown)
+	assert.Assert(t, p.stateOf("b0").suspendedUntil > p.now+time.Second)
+	p.attempt("b5", 10*time.Millisecond, Answered)
+	for i := range 5 {
+		u := p.stateOf(fmt.Sprintf("b%d", i))
+		assert.Assert(t, u.suspendedUntil <= p.now && !u.usable(p.now), "b%d must be probed first, but at once", i)
+	}
+}
+
+// TestWatchLinks checks that failed links are probed until a backend server accepts a connection, and
+// that they are reported only after a probe has confirmed that they fail.
+func TestWatchLinks(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		p := newReachabilityFixture(6)
+		var works atomic.Bool
+		works.Store(!confirmed)
+		reports := make(chan bool, 4)
+		p.OnLinks = func(lost bool) { reports <- lost }
+		p.Probe = func(*conn.Pool) error {
+			if works.Load() {
+				return nil
+			}
+			return errors.New("unreachable")
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		for i := range minUnreachable {
+			p.attempt(fmt.Sprintf("b%d", i), 10*time.Millisecond, Unreachable)
+		}
+		go func() {
+			p.WatchLinks(ctx)
+			close(ended)
+		}()
+		if confirmed {
+			assert.Equal(t, <-reports, true)
+			assert.Equal(t, p.Links(), LinksDown)
+			works.Store(true)
+			assert.Equal(t, <-reports, false)
+		}
+		for p.Links() != LinksUp {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		<-ended
+		assert.Equal(t, len(reports), 0)
+	}
+}
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -27,8 +27,8 @@
 	// OnSuspend, if set, is called when a backend server is suspended, with the number of
 	// consecutive failures, and with 0 failures when it responds again. It must not call the table.
 	OnSuspend func(backend string, failures int, pause time.Duration)
-	// OnLinks, if set, is called when this instance reaches no backend server any more, and when it
-	// does again. It must not call the table.
+	// OnLinks is called by WatchLinks when this instance reaches no backend server any more, and
+	// when it does again.
 	OnLinks func(lost bool)
 	// OnNotice, if set, is called when a backend server announces that it is leaving or a backoff
 	// starts. own is set if this instance received the notice itself, not by gossip. It must not
@@ -51,17 +51,19 @@
 	// Policy holds the parameters of choices. The zero value means DefaultPolicy.
 	Policy Policy
 
-	mu       sync.Mutex
-	routing  *version.Routing
-	region   int32
-	states   []*backend       // by index in the routing; nil: no state
-	byHash   map[uint32]int32 // index by the part of the hash that gossip carries; nil: not built
-	probing  int              // number of probes in progress
-	reach    reachability
-	services map[softwareKey]*service
-	inFlight map[softwareKey]*int // number of requests in flight
-	homes    targetHomes
-	scratch  []candidate // buffer of candidates, reused between choices
+	mu      sync.Mutex
+	routing *version.Routing
+	region  int32
+	states  []*backend       // by index in the routing; nil: no state
+	byHash  map[uint32]int32 // index by the part of the hash that gossip carries; nil: not built
+	probing int              // number of probes in progress
+	reach   reachability
+	// linksSuspected signals to WatchLinks; nil: not created yet.
+	linksSuspected chan struct{}
+	services       map[softwareKey]*service
+	inFlight       map[softwareKey]*int // number of requests in flight
+	homes          targetHomes
+	scratch        []candidate // buffer of candidates, reused between choices
 	// hallWeights caches the weights for uploads by the weights that they were derived from.
 	hallWeights map[*version.Weights]*version.Weights
 	examined    int // number of backend servers that choices examined
--- a/process/balance/why.go
+++ b/process/balance/why.go
@@ -21,6 +21,8 @@
 	Full         int // this instance's share of its connections is in use
 	Tried        int // was sent the request already
 	Cold         int // cold, and no turn is left
+	// LinksDown is set if this instance reaches no backend server at all.
+	LinksDown bool
 	// Best is the backend server that would have answered first, Wait its estimated queueing time
 	// and WaitLimit the longest wait that leaves time to answer within the objective. All are zero
 	// if there was no such server.
@@ -43,6 +45,9 @@
 			e.Int(x.name, x.count)
 		}
 	}
+	if w.LinksDown {
+		e.Bool("linksDown", true)
+	}
 	if w.Best != "" {
 		e.Str("best", w.Best).Dur("wait", w.Wait).Dur("patience", w.WaitLimit)
 	}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -86,7 +86,6 @@
 	// followsInstances is set if the fleet is so large that the table of instances is followed.
 	followsInstances atomic.Bool
 	spare            spare
-	linksLost        gate // open while no backend server can be reached
 	// rowLost signals to register that the store may have lost this instance's row.
 	rowLost     chan struct{}
 	compileMu   sync.Mutex
@@ -177,7 +176,7 @@
 	e.table = &balance.Table{
 		Limits: e.limits,
 		Now:    e.now, MemberIndex: e.sharePosition, Region: e.settings.Region, Hall: e.settings.Hall, OnSuspend: e.logSuspension,
-		OnLinks: e.linksLost.set, OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeavingGrace: e.settings.DrainWithin / drainNoticeDivisor,
+		OnLinks: e.onLinks, OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeavingGrace: e.settings.DrainWithin / drainNoticeDivisor,
 		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: backendIdleTimeout}
@@ -247,7 +246,7 @@
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
 		e.follower.Run, e.heartbeats.Run, e.watchTables, e.register, e.followInstances, e.querySeeds, e.watchMembers, e.tickQuota, e.tickLimits, e.watchEpoch, e.watchUtilization,
-		e.tickRollouts, e.writeSteps, e.probeUnresponsive, e.watchLinks, e.tickQuarantine, e.syncQuarantine, e.persistQuarantine,
+		e.tickRollouts, e.writeSteps, e.probeUnresponsive, e.table.WatchLinks, e.tickQuarantine, e.syncQuarantine, e.persistQuarantine,
 	} {
 		e.loops.Go(func() { loop(ctx) })
 	}
--- a/process/edge/links.go
+++ b/process/edge/links.go
@@ -3,24 +3,17 @@
 package edge
 
 import (
-	"context"
 	"net/http"
 	"time"
 
-	"shalewick/clock"
 	"shalewick/conn"
 	"shalewick/process/cluster"
 	"shalewick/process/forward"
 	"shalewick/process/proxy"
 )
 
-const (
-	// linkProbeInterval is the pause between two probes of the links to backend servers while none
-	// can be reached.
-	linkProbeInterval = 250 * time.Millisecond
-	// peerIdleTimeout is how long a connection to another instance is kept for further requests.
-	peerIdleTimeout = 8 * time.Second
-)
+// peerIdleTimeout is how long a connection to another instance is kept for further requests.
+const peerIdleTimeout = 8 * time.Second
 
 // newForwardTargets returns the instances that requests are forwarded to.
 func (e *Edge) newForwardTargets() *forward.Targets {
@@ -63,28 +56,9 @@
 	})
 }
 
-// watchLinks probes the links to backend servers while none can be reached, and tells the other
-// instances about it, until the context ends.
-func (e *Edge) watchLinks(ctx context.Context) {
-	for e.linksLost.wait(ctx) {
-		e.logLinks()
-		announced := false
-		for e.linksLost.isOpen() && ctx.Err() == nil {
-			if !e.table.ProbeLinks() && !announced {
-				announced = true
-				e.announceLinks(true)
-			}
-			clock.Sleep(ctx, linkProbeInterval)
-		}
-		e.logLinks()
-		if announced {
-			e.announceLinks(false)
-		}
-	}
-}
-
-// announceLinks tells the other instances whether this one has lost its links to all backend servers.
-func (e *Edge) announceLinks(lost bool) {
+// onLinks logs and tells the other instances whether this one reaches any backend server.
+func (e *Edge) onLinks(lost bool) {
+	e.logLinks()
 	e.members.SetBackendsUnreachable(lost)
 	e.heartbeats.Announce()
 }
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -145,10 +145,15 @@
 
 // attempt makes one attempt, at another instance if this one reaches no backend server.
 func (t *transaction) attempt(ctx context.Context) (*response, *request.Result) {
-	if t.p.Table.LinksLost() {
+	if links := t.p.Table.Links(); links != balance.LinksUp {
 		if resp, res := t.forward(ctx, reasonLinks); resp != nil || res != nil {
 			return resp, res
 		}
+		if links == balance.LinksDown {
+			refusal := t.p.Table.RefuseUnreachable()
+			t.c.noBackendReason = &refusal.Explanation
+			return nil, t.result(refusal.Code, refusal.RetryAfter)
+		}
 	}
 	t.query.Left = t.c.timeLeft()
 	t.query.Elapsed = time.Since(t.c.startedAt)
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -68,7 +68,7 @@
 	switch {
 	case p.keepAlivesDisabled.Load():
 		p.rejectForwarded(c, request.Leaving)
-	case p.Table.LinksLost(), p.Table.ForwardsAll():
+	case p.Table.Links() != balance.LinksUp, p.Table.ForwardsAll():
 		p.rejectForwarded(c, request.NoBackend)
 	default:
 		p.serve(c)
@@ -155,7 +155,7 @@
 
 // reachesNone reports whether failures are the reason why there is no backend server for a request.
 func reachesNone(r *balance.Refusal) bool {
-	return r.Code == request.NoBackend && r.Explanation.Suspended > 0
+	return r.Code == request.NoBackend && (r.Explanation.Suspended > 0 || r.Explanation.LinksDown)
 }
 
 // forward forwards the request to another instance, and to a further one if that can't serve it. It
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -321,6 +321,9 @@
 		return nil
 	}
 	refusal, unavailable := p.Table.Unavailable(p.newQuery(c))
+	if p.Table.Links() == balance.LinksDown {
+		refusal, unavailable = p.Table.RefuseUnreachable(), true
+	}
 	if !unavailable || reachesNone(&refusal) && p.canForward(c) {
 		return nil
 	}
