balance: probe the links after a failure without a response since

Now a failure with no response since it began makes the instance open connections to three other backend servers, and probes of links that don't work overlap if they hang.

--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -87,6 +87,7 @@
 		t.recordUnreachable(u, p.started, now)
 		t.suspend(p, now)
 	case Lost:
+		t.suspectLinks(p.started)
 		u.lostInARow++
 		if u.lostInARow >= t.Policy.LostThreshold {
 			t.suspend(p, now)
--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"shalewick/clock"
@@ -24,6 +25,9 @@
 	maxStableTime = 8 * time.Second
 	// linkProbeInterval is the pause between two probes of the links while they don't work.
 	linkProbeInterval = 250 * time.Millisecond
+	// suspicionInterval is the shortest time between two rounds of probes that find out whether a
+	// failure is one of the links.
+	suspicionInterval = 500 * time.Millisecond
 )
 
 // LinkState says whether the links of this instance to the backend servers work.
@@ -51,10 +55,10 @@
 }
 
 // recordUnreachable records that an attempt to reach a backend server, begun at a time, has failed.
-// Backends is the number of backend servers. It reports whether an outage of the links begins.
-func (r *reachability) recordUnreachable(u *backend, begunAt time.Duration, backends int, now time.Duration) (lost bool) {
+// Backends is the number of backend servers.
+func (r *reachability) recordUnreachable(u *backend, begunAt time.Duration, backends int, now time.Duration) {
 	if begunAt <= r.contactAt {
-		return false
+		return
 	}
 	if r.unreachable == nil {
 		r.unreachable = make(map[*backend]struct{})
@@ -62,7 +66,7 @@
 	r.unreachable[u] = struct{}{}
 	r.stableFrom = 0
 	if r.lostAt != 0 || len(r.unreachable) < min(minUnreachable, backends) {
-		return false
+		return
 	}
 	r.lostAt = now
 	if r.restoredAt != 0 && now-r.restoredAt < relapseWindow {
@@ -70,7 +74,6 @@
 	} else {
 		r.stableTime = 0
 	}
-	return true
 }
 
 // recordContact records that a backend server has responded or accepted a connection, and reports
@@ -94,7 +97,14 @@
 // recordUnreachable records that an attempt to reach a backend server, begun at a time, has failed.
 // The caller holds the lock.
 func (t *Table) recordUnreachable(u *backend, begunAt, now time.Duration) {
-	if !t.reach.recordUnreachable(u, begunAt, len(t.states), now) {
+	t.reach.recordUnreachable(u, begunAt, len(t.states), now)
+	t.suspectLinks(begunAt)
+}
+
+// suspectLinks lets WatchLinks probe the links after an attempt, begun at a time, has failed, unless a
+// backend server has responded since. The caller holds the lock.
+func (t *Table) suspectLinks(begunAt time.Duration) {
+	if begunAt <= t.reach.contactAt {
 		return
 	}
 	select {
@@ -192,8 +202,9 @@
 	return t.linksSuspected
 }
 
-// WatchLinks probes the links while they don't work, and calls OnLinks, until the context ends. Without
-// it, links that have failed are restored only by responses to requests that are in flight.
+// WatchLinks finds out after failures whether the links have failed, probes them while they don't work,
+// and calls OnLinks, until the context ends. Without it, links that have failed are restored only by
+// responses to requests that are in flight.
 func (t *Table) WatchLinks(ctx context.Context) {
 	t.mu.Lock()
 	suspected := t.linksSuspectedLocked()
@@ -201,73 +212,83 @@
 	for {
 		select {
 		case <-suspected:
-			t.probeUntilRestored(ctx)
 		case <-ctx.Done():
 			return
 		}
-	}
-}
-
-// probeUntilRestored probes the links until they work or the context ends. A failed probe confirms
-// that they don't.
-func (t *Table) probeUntilRestored(ctx context.Context) {
-	confirmed := false
-	for t.Links() != LinksUp && ctx.Err() == nil {
-		if !t.probeLinks() && !confirmed {
-			confirmed = true
-			t.OnLinks(true)
+		if t.probeSeveral() {
+			clock.Sleep(ctx, suspicionInterval)
+			continue
 		}
-		if t.Links() != LinksUp {
+		t.OnLinks(true)
+		for t.Links() != LinksUp && ctx.Err() == nil {
+			go t.probeSome(1) // the next probe does not wait for one that hangs
 			clock.Sleep(ctx, linkProbeInterval)
 		}
-	}
-	if confirmed {
 		t.OnLinks(false)
 	}
 }
 
-// ForwardsAll reports whether other instances take the place of the backend servers in the routing.
-func (t *Table) ForwardsAll() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.routing != nil && t.routing.BackendsAreInstances
+// probeSeveral probes as many backend servers as must be unreachable for the links to count as failed.
+// It reports whether the links work.
+func (t *Table) probeSeveral() bool {
+	t.probeSome(minUnreachable)
+	return t.Links() == LinksUp
 }
 
-// probeLinks opens a connection to a random backend server and reports whether it accepted the
-// connection. With none to probe it reports true.
-func (t *Table) probeLinks() bool {
+// probeSome opens connections to n random backend servers, and waits for the results.
+func (t *Table) probeSome(n int) {
 	t.mu.Lock()
-	u := t.randomBackend()
+	backends := t.randomBackends(n)
 	begunAt := t.Now()
-	if u == nil || t.Probe == nil {
+	if len(backends) == 0 || t.Probe == nil {
 		t.recordContact(begunAt) // with nothing to reach, the links don't matter
-		t.mu.Unlock()
-		return true
 	}
 	t.mu.Unlock()
+	if t.Probe == nil {
+		return
+	}
+	var all sync.WaitGroup
+	for _, u := range backends {
+		all.Go(func() { t.probeLink(u, begunAt) })
+	}
+	all.Wait()
+}
+
+// probeLink opens a connection to a backend server, begun at a time.
+func (t *Table) probeLink(u *backend, begunAt time.Duration) {
 	err := t.Probe(u.pool)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.Now()
 	if err != nil {
-		t.recordUnreachable(u, begunAt, t.Now())
-		return false
+		t.reach.recordUnreachable(u, begunAt, len(t.states), now)
+		return
 	}
-	t.recordContact(t.Now())
-	return true
+	t.recordContact(now)
 }
 
-// randomBackend returns a random backend server that is not closed, or nil if there is none. The
-// caller holds the lock.
-func (t *Table) randomBackend() *backend {
-	if t.routing == nil || len(t.states) == 0 {
-		return nil
-	}
-	first := rand.IntN(len(t.states))
-	for k := range t.states {
-		i := (first + k) % len(t.states)
-		if !t.routing.Backends[i].Closed {
-			return t.state(int32(i))
+// randomBackends returns up to n random backend servers that are not closed, those that have not
+// failed first. The caller holds the lock.
+func (t *Table) randomBackends(n int) []*backend {
+	var working, failing []*backend
+	for _, i := range rand.Perm(len(t.states)) {
+		if len(working) == n {
+			break
+		}
+		switch u := t.states[i]; {
+		case t.routing.Backends[i].Closed:
+		case u != nil && u.failures > 0:
+			failing = append(failing, u)
+		default:
+			working = append(working, t.state(int32(i)))
 		}
 	}
-	return nil
+	return append(working, failing[:min(len(failing), n-len(working))]...)
+}
+
+// ForwardsAll reports whether other instances take the place of the backend servers in the routing.
+func (t *Table) ForwardsAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.routing != nil && t.routing.BackendsAreInstances
 }
--- a/process/balance/reachability_test.go
+++ b/process/balance/reachability_test.go
@@ -127,16 +127,19 @@
 	}
 }
 
-// TestWatchLinks checks that failed links are probed until a backend server accepts a connection, and
-// that they are reported only after a probe has confirmed that they fail.
+// TestWatchLinks checks that a single failure without a response since makes the instance probe other
+// backend servers, that links that have failed are probed until one accepts a connection, and that they
+// are reported only if the probes fail too.
 func TestWatchLinks(t *testing.T) {
-	for _, confirmed := range []bool{true, false} {
+	for _, fails := range []bool{true, false} {
 		p := newReachabilityFixture(6)
 		var works atomic.Bool
-		works.Store(!confirmed)
+		var probes atomic.Int64
+		works.Store(!fails)
 		reports := make(chan bool, 4)
 		p.OnLinks = func(lost bool) { reports <- lost }
 		p.Probe = func(*conn.Pool) error {
+			probes.Add(1)
 			if works.Load() {
 				return nil
 			}
@@ -144,20 +147,18 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
-		for i := range minUnreachable {
-			p.attempt(fmt.Sprintf("b%d", i), 10*time.Millisecond, Unreachable)
-		}
+		p.attempt("b0", 10*time.Millisecond, Lost)
 		go func() {
 			p.WatchLinks(ctx)
 			close(ended)
 		}()
-		if confirmed {
+		if fails {
 			assert.Equal(t, <-reports, true)
 			assert.Equal(t, p.Links(), LinksDown)
 			works.Store(true)
 			assert.Equal(t, <-reports, false)
 		}
-		for p.Links() != LinksUp {
+		for probes.Load() < minUnreachable || p.Links() != LinksUp {
 			time.Sleep(time.Millisecond)
 		}
 		cancel()
