edge: list no instance that reaches no backend server

What callers saw: directories went on to send new callers to instances without links.

Cause: an instance counted as usable as long as it was alive.

--- a/process/edge/directory.go
+++ b/process/edge/directory.go
@@ -28,7 +28,7 @@
 		return
 	}
 	q := e.deployment.ReadDirectoryQuery(r.URL.Query())
-	listed := nearestInstances(e.members.Live(), q, homeRegions(routing, q.Host))
+	listed := nearestInstances(reachingBackends(e.members.Live()), q, homeRegions(routing, q.Host))
 	if len(listed) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -56,6 +56,14 @@
 	return out
 }
 
+// reachingBackends returns the instances that reach backend servers, or all if none does.
+func reachingBackends(live []cluster.Member) []cluster.Member {
+	if out := filter(live, func(m cluster.Member) bool { return !m.BackendsUnreachable }); len(out) > 0 {
+		return out
+	}
+	return live
+}
+
 // nearestInstances returns the live instances that a client should use: those of its hall if there
 // are enough, else those of its region, else those of the regions that may serve the host, else
 // all.
