crash: report no crash while the instance's links are down

An instance whose links were reset reported the requests in flight as the cause of crashes: connections lost, new ones refused, as when a process ends. Three short cuts of two instances gave 7 reports (TestLostLinksAreNoCrashes); enough of them quarantine a request at all instances. Found while looking for what else an instance concludes from its own links.

The detector now asks whether another backend server can be reached; if none can, it reports nothing.

--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"shalewick/clock"
 	"shalewick/request"
+	"shalewick/version"
 )
 
 const (
@@ -254,17 +256,19 @@
 	all.Wait()
 }
 
-// probeLink opens a connection to a backend server, begun at a time.
-func (t *Table) probeLink(u *backend, begunAt time.Duration) {
+// probeLink opens a connection to a backend server and reports whether it accepted it. BegunAt is the
+// time before.
+func (t *Table) probeLink(u *backend, begunAt time.Duration) (accepted bool) {
 	err := t.Probe(u.pool)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Now()
 	if err != nil {
 		t.reach.recordUnreachable(u, begunAt, len(t.states), now)
-		return
+		return false
 	}
 	t.recordContact(now)
+	return true
 }
 
 // randomBackends returns up to n random backend servers that are not closed, those that have not
@@ -292,3 +296,28 @@
 	defer t.mu.Unlock()
 	return t.routing != nil && t.routing.BackendsAreInstances
 }
+
+// ReachesOther reports whether this instance reaches a backend server other than the named one, by
+// opening a connection to one after the other of several. With no other one to reach it reports true.
+func (t *Table) ReachesOther(name string) bool {
+	t.mu.Lock()
+	except := version.None
+	if t.routing != nil {
+		except = t.routing.FindBackend(name)
+	}
+	backends := t.randomBackends(minUnreachable + 1)
+	if except != version.None {
+		backends = slices.DeleteFunc(backends, func(u *backend) bool { return u == t.states[except] })
+	}
+	begunAt := t.Now()
+	t.mu.Unlock()
+	if len(backends) == 0 || t.Probe == nil {
+		return true
+	}
+	for _, u := range backends[:min(len(backends), minUnreachable)] {
+		if t.probeLink(u, begunAt) {
+			return true
+		}
+	}
+	return false
+}
--- a/process/crash/detector.go
+++ b/process/crash/detector.go
@@ -61,6 +61,9 @@
 	Now func() time.Duration
 	// OnCrash is called for each crash, without locks held.
 	OnCrash func(Crash)
+	// LinksWork, if set, reports whether another backend server than the named one can be reached. If
+	// none can, this instance's links have failed, and not the backend server.
+	LinksWork func(backend string) bool
 
 	mu         sync.Mutex
 	candidates map[string]*candidate // by name of the backend server
@@ -130,7 +133,7 @@
 // probe finds out whether the process of a backend server has ended.
 func (d *Detector) probe(l Loss, x *candidate) {
 	time.Sleep(gatherDelay)
-	ended := errors.Is(l.Open(), syscall.ECONNREFUSED)
+	ended := errors.Is(l.Open(), syscall.ECONNREFUSED) && (d.LinksWork == nil || d.LinksWork(l.Backend))
 	d.mu.Lock()
 	if !ended {
 		delete(d.candidates, l.Backend) // it is live, or unreachable
