entry: forward requests of route resources while no backend server is reached

It now forwards them by process/forward, as shalewick-edge does, and watches its links. Its requests come to the address for callers, so that a mark there only keeps a request from being forwarded again: quota, split and attempts are those of any caller. An entry does not announce that it has lost its links; the others find out by the first request that it declines.

Open: the routes of services (process/front, steer, health).

--- a/process/edge/links.go
+++ b/process/edge/links.go
@@ -19,7 +19,7 @@
 func (e *Edge) newForwardTargets() *forward.Targets {
 	dialer := conn.NewDialer(dialTimeout, peerAckTimeout)
 	return &forward.Targets{
-		Now: e.now, Self: e.settings.Instance, Region: e.settings.Region, List: e.forwardInstances,
+		Now: e.now, Self: e.settings.Instance, Region: func() string { return e.settings.Region }, List: e.forwardInstances,
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: peerIdleTimeout}
 		},
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
-		e.limitLoop, e.exchangeLoop, e.pushLoop, e.platformLoop, e.splitLoop, e.borrowLoop, e.probeLoop, e.tickLoop,
+		e.limitLoop, e.exchangeLoop, e.pushLoop, e.platformLoop, e.splitLoop, e.borrowLoop, e.probeLoop, e.tickLoop, e.routes.table.WatchLinks,
 	} {
 		e.loops.Go(func() { loop(ctx) })
 	}
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -13,6 +13,7 @@
 
 	"shalewick/conn"
 	"shalewick/process/balance"
+	"shalewick/process/forward"
 	"shalewick/process/front"
 	"shalewick/process/proxy"
 	"shalewick/request"
@@ -25,6 +26,7 @@
 	routeDialTimeout = 400 * time.Millisecond
 	routeAckTimeout  = 700 * time.Millisecond
 	routeIdleTimeout = 8 * time.Second
+	peerAckTimeout   = time.Second
 	retryWindow      = 10 * time.Second
 	// retryRatio and retryFixed limit the retries of all instances for one
 	// service within retryWindow.
@@ -51,7 +53,7 @@
 	dialer := conn.NewDialer(routeDialTimeout, routeAckTimeout)
 	rt.table = &balance.Table{
 		Now: e.now, MemberIndex: rt.memberIndex, Hall: e.settings.Hall, Limits: e.limits,
-		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) },
+		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) }, OnLinks: rt.logLinks,
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: routeIdleTimeout}
 		},
@@ -61,9 +63,49 @@
 		ConfigFresh: e.steer.ConfigFresh, NewID: rand.Text, OnResponse: rt.onResponse, ConfigAge: rt.configAge,
 		RetryBudget: &retry.Window{Span: retryWindow, Ratio: retryRatio, Fixed: retryFixed, Instances: rt.instanceCount},
 	}
+	rt.proxy.Forward = &forward.Targets{
+		Now: e.now, Self: e.members.Self().GetId(), Region: rt.regionName, List: rt.forwardInstances,
+		NewPool: func(address string) *conn.Pool {
+			return &conn.Pool{Address: address, Dialer: conn.NewDialer(routeDialTimeout, peerAckTimeout), IdleTimeout: routeIdleTimeout}
+		},
+	}
+	rt.proxy.CallersReachPeers = true // requests are forwarded to the address for callers
 	return rt
 }
 
+// regionName returns the name of the instance's region, or "" while it is unknown.
+func (rt *routes) regionName() string {
+	if rt.entry.steer.Active() == nil {
+		return ""
+	}
+	return rt.entry.steer.RegionName()
+}
+
+// forwardInstances returns the other instances that may serve requests of this one.
+func (rt *routes) forwardInstances() []forward.Instance {
+	active := rt.entry.steer.Active()
+	if active == nil {
+		return nil
+	}
+	self := rt.entry.members.Self().GetId()
+	var out []forward.Instance
+	for _, m := range rt.entry.members.Live(rt.entry.now()) {
+		hall := active.View.Hall(m.GetHall())
+		if m.GetId() == self || m.GetLeaving() || hall == version.None {
+			continue
+		}
+		region := active.View.Regions[active.View.Halls[hall].Region]
+		out = append(out, forward.Instance{Name: m.GetId(), Address: m.GetFront(), Region: region})
+	}
+	return out
+}
+
+// logLinks logs whether the instance reaches any backend server of route resources.
+func (rt *routes) logLinks(lost bool) {
+	r := rt.table.Reachability()
+	rt.entry.log.Info().Bool("lost", lost).Int("suspended", r.Suspended).Int("backends", r.Backends).Dur("lastContact", r.LastContact).Msg("links")
+}
+
 // memberIndex returns the index of this instance among the live instances in
 // order of their ids, and their number. It returns zeros while the entry is not
 // ready.
@@ -162,5 +204,9 @@
 	if e.members.Leaving() {
 		w.Header().Set(front.HeaderEntry, conn.StateLeaving)
 	}
+	if proxy.IsForwarded(r) {
+		e.routes.proxy.ServeForwarded(w, r)
+		return
+	}
 	e.routes.proxy.ServeHTTP(w, r)
 }
--- a/process/entry/routes_test.go
+++ b/process/entry/routes_test.go
@@ -5,13 +5,17 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"shalewick/conn"
+	"shalewick/process/peer"
 	"shalewick/request"
 	"shalewick/standin/server"
 	"shalewick/version"
@@ -170,3 +174,37 @@
 	res, _ = f.send("/bids/1", "y")
 	assert.Equal(t, res.StatusCode, http.StatusOK, "there are no workspaces any more")
 }
+
+// TestEntryWithoutLinksForwardsRouteRequests guards against an entry that rejects the requests of route
+// resources while it reaches no backend server, although another entry would serve them, and against
+// callers that gain something by the mark of a forwarded request.
+func TestEntryWithoutLinksForwardsRouteRequests(t *testing.T) {
+	f, other := newRouteFixture(t), newRouteFixture(t)
+	f.entry.routes.table.NewPool = func(a string) *conn.Pool {
+		return &conn.Pool{Address: a, Dialer: &net.Dialer{Control: func(string, string, syscall.RawConn) error { return syscall.ECONNREFUSED }}}
+	}
+	now := f.entry.now()
+	f.entry.members.Merge([]*peer.Member{{Id: "other", Instance: "other", Hall: "h", Front: other.front.Listener.Addr().String()}}, now)
+	f.entry.members.RecordContact("other", now)
+	for i := range 20 {
+		id := fmt.Sprintf("x%d", i)
+		res, body := f.send("/bids/1", id)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		assert.Equal(t, body, server.ResponseBody(id))
+	}
+	assert.Equal(t, other.runCount(0)+other.runCount(1), 20)
+	assert.Equal(t, f.runCount(0)+f.runCount(1), 0)
+	for i := range 40 {
+		req, err := http.NewRequest(http.MethodPost, other.front.URL+"/mix/1", nil)
+		assert.NilError(t, err)
+		req.Host = "a.example"
+		req.Header.Set(request.HeaderID, fmt.Sprintf("y%d", i))
+		req.Header.Set("Shalewick-Forwarded-By", "a caller")
+		req.Header.Set("Shalewick-Forwarded-Service", "t")
+		res, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, other.runCount(2), 10, "a caller chose the part of the split")
+}
--- a/process/forward/targets.go
+++ b/process/forward/targets.go
@@ -42,8 +42,9 @@
 // use.
 type Targets struct {
 	Now func() time.Duration
-	// Self and Region are the names of this instance and of its region.
-	Self, Region string
+	// Self is the name of this instance, and Region returns that of its region.
+	Self   string
+	Region func() string
 	// List returns the other instances that may serve requests.
 	List func() []Instance
 	// NewPool returns the connection pool for an address.
@@ -149,13 +150,14 @@
 // holds the lock.
 func (t *Targets) choose(q *Query, now time.Duration) *target {
 	t.refresh(now)
+	region := t.Region()
 	var best []*target
 	bestTier := 0
 	for _, x := range t.targets {
 		if !x.usable(q, now) {
 			continue
 		}
-		switch tier := t.tier(x); {
+		switch tier := x.tier(region); {
 		case len(best) == 0 || tier < bestTier:
 			best, bestTier = append(best[:0], x), tier
 		case tier == bestTier:
@@ -172,10 +174,10 @@
 	return a
 }
 
-// tier returns the preference of a target, the lowest first.
-func (t *Targets) tier(x *target) int {
+// tier returns the preference of a target for an instance of a region, the lowest first.
+func (x *target) tier(region string) int {
 	tier := 0
-	if x.Region != t.Region {
+	if x.Region != region {
 		tier = 1
 	}
 	if x.Busy {
--- a/process/forward/targets_test.go
+++ b/process/forward/targets_test.go
@@ -24,7 +24,7 @@
 func newFixture(self string, list ...Instance) *fixture {
 	f := &fixture{now: time.Hour, list: list}
 	f.Targets = &Targets{
-		Now: func() time.Duration { return f.now }, Self: self, Region: "r0",
+		Now: func() time.Duration { return f.now }, Self: self, Region: func() string { return "r0" },
 		List:    func() []Instance { return slices.Clone(f.list) },
 		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a} },
 	}
@@ -114,7 +114,7 @@
 	for i := range size {
 		x := newFixture(name(i))
 		x.Now = func() time.Duration { return f.now }
-		x.Region = fmt.Sprintf("r%d", i%regions)
+		x.Region = func() string { return fmt.Sprintf("r%d", i%regions) }
 		x.List = func() []Instance {
 			var out []Instance
 			for k := range size {
--- a/process/proxy/caller.go
+++ b/process/proxy/caller.go
@@ -74,7 +74,7 @@
 
 // takeQuota takes a token from the rate of the caller's workspace, or refuses the request.
 func (p *Proxy) takeQuota(ctx context.Context, c *call) *request.Result {
-	if p.Quota == nil || c.forwarded != nil {
+	if p.Quota == nil || c.forwarded != nil && c.forwarded.trusted {
 		return nil
 	}
 	ok, refusal := p.Quota.Take(ctx, c.workspace)
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -44,7 +44,8 @@
 type forwardedCall struct {
 	by       string
 	service  string
-	attempts int // that may be made
+	attempts int  // that may be made
+	trusted  bool // it was forwarded by an instance
 }
 
 func parseForwarded(h http.Header) *forwardedCall {
@@ -65,6 +66,7 @@
 // ServeForwarded serves a request that another instance forwards.
 func (p *Proxy) ServeForwarded(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, forwarded: parseForwarded(r.Header)}
+	c.forwarded.trusted = !p.CallersReachPeers
 	switch {
 	case p.keepAlivesDisabled.Load():
 		p.rejectForwarded(c, request.Leaving)
@@ -110,7 +112,7 @@
 // choosePart returns the index of the part of the route's split that the request goes to. It was
 // chosen before if the request was forwarded, unless the configurations differ.
 func (p *Proxy) choosePart(c *call) int {
-	if c.forwarded != nil {
+	if c.forwarded != nil && c.forwarded.trusted {
 		for i := range c.route.Split {
 			if c.route.Split[i].Service == c.forwarded.service {
 				return i
--- a/process/proxy/peer_test.go
+++ b/process/proxy/peer_test.go
@@ -49,7 +49,7 @@
 		f.addresses = append(f.addresses, s.Listener.Addr().String())
 	}
 	f.targets = &forward.Targets{
-		Now: f.proxy.Now, Self: "self", Region: "north", List: f.list,
+		Now: f.proxy.Now, Self: "self", Region: func() string { return "north" }, List: f.list,
 		NewPool: func(a string) *conn.Pool {
 			return &conn.Pool{Address: a, Dialer: conn.NewDialer(200*time.Millisecond, time.Second)}
 		},
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -50,6 +50,9 @@
 	// Forward, if set, chooses the instances that requests are forwarded to which this one can't serve
 	// since it reaches no backend server that may get them.
 	Forward *forward.Targets
+	// CallersReachPeers is set if callers can reach the address for forwarded requests as well. Such
+	// a request is then treated as any other, but for being forwarded again.
+	CallersReachPeers bool
 	// Memory, if set, bounds the memory that buffered requests and responses take.
 	Memory  *held.Budget
 	Metrics *metric.Set
