edge: read the rows again soon while no other instance has been seen

What callers saw: nothing was served at three instances without links for 7 s of TestSoakLostLinks (150 of 300 requests): each of them knew no other instance (live=1), so there was nobody to forward to.

Cause: at a start that is not the first one of the system an instance reads the rows of the others before it writes its own. If all start at the same moment and no rows are left, all read an empty table, and read it again after a minute. Now they read again after 1 s, doubled up to a minute, as long as no other instance was ever seen. An instance of a larger system has seen one by then, so that its calls are the same.

TestInstancesRestartedTogetherFindEachOther failed before (not within 8 s), and passes 3 of 3.

--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -254,6 +255,13 @@
 	return toMembers(m.sorted)
 }
 
+// AnySeen reports whether any other instance was ever known to be live.
+func (m *Members) AnySeen() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.sorted, func(ps *peerState) bool { return ps.lastSeen != 0 })
+}
+
 // RecordCall records whether a call to an instance was answered.
 func (m *Members) RecordCall(name string, ok bool) {
 	m.mu.Lock()
--- a/process/edge/discovery.go
+++ b/process/edge/discovery.go
@@ -19,9 +19,12 @@
 const (
 	storeTimeout   = 2 * time.Second // of one call of the store
 	rereadInterval = time.Minute
-	minRetryPause  = 100 * time.Millisecond // after a failure; doubles
-	firstSeedPause = 300 * time.Millisecond // before the seeds are queried; doubles
-	maxRetryPause  = 2 * time.Second
+	// minRereadInterval is the interval while no other instance has been seen: all may have read the
+	// rows before any had written its own. It doubles.
+	minRereadInterval = time.Second
+	minRetryPause     = 100 * time.Millisecond // after a failure; doubles
+	firstSeedPause    = 300 * time.Millisecond // before the seeds are queried; doubles
+	maxRetryPause     = 2 * time.Second
 )
 
 // smallFleet is the number of instances up to which each one reads the rows of all others and
@@ -36,7 +39,7 @@
 // present, and reading them first provides the tables sooner.
 func (e *Edge) register(ctx context.Context) {
 	written, read := false, false
-	pause := minRetryPause
+	pause, reread := minRetryPause, minRereadInterval
 	for ctx.Err() == nil {
 		if e.settings.First && !written {
 			written = e.storeCall(ctx, e.writeInstanceRow) == nil
@@ -50,7 +53,8 @@
 		if written && read {
 			read = e.followsInstances.Load() // the table is followed, so the rows need not be read again
 			pause = minRetryPause
-			written = !e.awaitReread(ctx)
+			written = !e.awaitReread(ctx, reread)
+			reread = min(2*reread, rereadInterval)
 			continue
 		}
 		clock.Sleep(ctx, pause/2+rand.N(pause))
@@ -58,14 +62,18 @@
 	}
 }
 
-// awaitReread waits until the rows have to be read again, and reports whether this instance's row
-// has to be written again before.
-func (e *Edge) awaitReread(ctx context.Context) bool {
+// awaitReread waits until the rows have to be read again, for a shorter time if no other instance has
+// been seen, and reports whether this instance's row has to be written again before.
+func (e *Edge) awaitReread(ctx context.Context, whileAlone time.Duration) bool {
+	interval := rereadInterval
+	if !e.members.AnySeen() {
+		interval = whileAlone
+	}
 	select {
 	case <-e.rowLost:
 		clock.Sleep(ctx, rand.N(maxRetryPause)) // spreads the writes, since all instances write again
 		return true
-	case <-time.After(rereadInterval):
+	case <-time.After(interval):
 	case <-ctx.Done():
 	}
 	return false
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -169,6 +169,9 @@
 	e.documents = DocumentSelector{Key: e.deployment.DocumentKey, Translate: e.deployment.Configuration}
 	e.expiredRows.keepFor = keepExpired(e.settings.DrainWithin)
 	dialer := conn.NewDialer(dialTimeout, backendAckTimeout)
+	if e.settings.Source.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: e.settings.Source.AsSlice()}
+	}
 	if e.deployment.BackendDialer != nil {
 		dialer = e.deployment.BackendDialer(dialer)
 	}
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -34,6 +34,10 @@
 	Control   string // first requests of other instances, and metrics
 	Peer      string // other instances, TCP and UDP
 
+	// Source is the IP address that connections to backend servers come from; the zero value: chosen
+	// by the system.
+	Source netip.Addr
+
 	// Link is the bandwidth of the instance's network link in Mbit/s, and Cores its share of
 	// processors. Zero: unknown.
 	Link, Cores float64
