soak: cut instances off from all backend servers

A backend server records who sent a request and who got a notice, since that need not be the instance that the caller sent it to; the checks of notices and limits go by it. They are as strict as before: what an instance was told itself it must obey.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -6,12 +6,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
 	"shalewick/conn"
@@ -42,7 +44,7 @@
 }
 
 func newCommand(signals <-chan os.Signal) *cobra.Command {
-	var path, level string
+	var path, level, source string
 	var gcPercent int
 	var check bool
 	cmd := &cobra.Command{
@@ -56,15 +58,16 @@
 		},
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if check {
-				return checkSettings(cmd, path, level)
+				return checkSettings(cmd, path, level, source)
 			}
 			debug.SetGCPercent(gcPercent)
-			return run(path, level, signals)
+			return run(path, level, source, signals)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&path, "boot", platform.DefaultSettingsPath, "path of the platform's settings file")
 	f.StringVar(&level, "log-level", "info", "minimum level of log lines: debug, info, warn, error")
+	f.StringVar(&source, "source", "", "IP address that connections to backend servers come from; empty: chosen by the system")
 	f.BoolVar(&check, "check", false, "check the settings, print them, and exit")
 	f.IntVar(&gcPercent, "collect", 50, "growth of the heap, in percent, that triggers a garbage collection")
 	setting.Describe(f)
@@ -73,13 +76,16 @@
 
 // checkSettings prints the instance's settings that result from the file, or
 // returns an error that names the invalid field.
-func checkSettings(cmd *cobra.Command, path, level string) error {
+func checkSettings(cmd *cobra.Command, path, level, source string) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
 	settings := s.Edge()
 	settings.LogLevel = level
+	if err := setSource(&settings, source); err != nil {
+		return err
+	}
 	if err := settings.Check(); err != nil {
 		return err
 	}
@@ -87,7 +93,15 @@
 	return nil
 }
 
-func run(path, level string, signals <-chan os.Signal) error {
+// setSource sets the source address of connections to backend servers.
+func setSource(s *edge.Settings, source string) (err error) {
+	if source != "" {
+		s.Source, err = netip.ParseAddr(source)
+	}
+	return errors.Annotate(err, "--source")
+}
+
+func run(path, level, source string, signals <-chan os.Signal) error {
 	live, err := platform.LoadSettingsFile(path)
 	if err != nil {
 		return err
@@ -96,6 +110,9 @@
 	defer out.Close()
 	settings := live.Settings().Edge()
 	settings.LogLevel = level
+	if err := setSource(&settings, source); err != nil {
+		return err
+	}
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(settings.Memory / 2)
 	}
--- a/cmd/shalewick-edge/main_test.go
+++ b/cmd/shalewick-edge/main_test.go
@@ -46,4 +46,6 @@
 	assert.ErrorContains(t, err, "log-level")
 	_, err = runCommand(t, strings.Replace(settingsFile, `drainS=2.5`, `drainS=0`, 1), "--check")
 	assert.ErrorContains(t, err, "drain within")
+	_, err = runCommand(t, settingsFile, "--check", "--source", "here")
+	assert.ErrorContains(t, err, "--source")
 }
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -3,15 +3,20 @@
 /*
 Package link is a loopback TCP proxy that simulates the network between two processes in tests. It
 forwards bytes, delays or blocks them, in both directions or back only, resets connections or
-rejects new ones, and blackholes those that are open.
+rejects new ones, blackholes those that are open, and cuts single clients off.
 */
 package link
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
+
+	"shalewick/standin/network"
 )
 
 // Mode says how the link treats bytes and connections.
@@ -37,12 +42,13 @@
 	mode     Mode
 	changed  chan struct{}
 	conns    map[net.Conn]bool // open connections; true once blackholed
+	cut      []netip.Addr      // clients that are cut off
 	closed   bool
 }
 
 // Start starts a link from listen, an IP address and port, to target.
 func Start(listen, target string) (*Link, error) {
-	l, err := net.Listen("tcp4", listen)
+	l, err := listenTCP(listen)
 	if err != nil {
 		return nil, err
 	}
@@ -51,6 +57,29 @@
 	return k, nil
 }
 
+// listenTCP listens without Multipath TCP, which does not support socket filters.
+func listenTCP(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp4", address)
+}
+
+// Cut cuts some clients off, by IP address, and connects all others. The kernel drops what they send, so
+// that their new connections hang; what is sent to them is held back until they are connected again.
+func (k *Link) Cut(clients ...netip.Addr) error {
+	k.mu.Lock()
+	k.cut = clients
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.mu.Unlock()
+	own := netip.MustParseAddrPort(k.Address())
+	var filter network.Filter
+	if len(clients) > 0 {
+		filter = network.DropFrom(clients...)
+	}
+	return network.FilterSockets(filter, func(local, _ netip.AddrPort) bool { return local == own })
+}
+
 // Address returns the IP address and port at which the link listens.
 func (k *Link) Address() string {
 	k.mu.Lock()
@@ -89,7 +118,7 @@
 func (k *Link) Up() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l, err := net.Listen("tcp4", k.listener.Addr().String())
+	l, err := listenTCP(k.listener.Addr().String())
 	if err != nil {
 		return err
 	}
@@ -144,14 +173,17 @@
 			reset(in)
 			continue
 		}
-		out, err := net.Dial("tcp4", k.target)
+		// The target sees the address of the client.
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: in.RemoteAddr().(*net.TCPAddr).IP}}
+		out, err := dialer.Dial("tcp4", k.target)
 		if err != nil {
 			reset(in)
 			continue
 		}
 		k.track(in, out)
-		go k.forward(out, in, false)
-		go k.forward(in, out, true)
+		client := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+		go k.forward(out, in, client, false)
+		go k.forward(in, out, client, true)
 	}
 }
 
@@ -164,13 +196,13 @@
 }
 
 // waitUnblocked waits until the mode lets bytes through, and for Delay in the mode Delayed. back is
-// the direction from the target to the client.
-func (k *Link) waitUnblocked(back bool) {
+// the direction from the target to the client, which has the given address.
+func (k *Link) waitUnblocked(client netip.Addr, back bool) {
 	for {
 		k.mu.Lock()
 		mode, changed, closed := k.mode, k.changed, k.closed
+		blocked := mode == Blocked || mode == BlockedBack && back || back && slices.Contains(k.cut, client)
 		k.mu.Unlock()
-		blocked := mode == Blocked || mode == BlockedBack && back
 		if mode == Delayed {
 			time.Sleep(Delay)
 		}
@@ -182,12 +214,12 @@
 }
 
 // forward copies from one side to the other until one of them ends.
-func (k *Link) forward(to, from net.Conn, back bool) {
+func (k *Link) forward(to, from net.Conn, client netip.Addr, back bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 && !k.blackholed(from) {
-			k.waitUnblocked(back)
+			k.waitUnblocked(client, back)
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
 			}
@@ -195,7 +227,7 @@
 		if err == nil {
 			continue
 		}
-		k.waitUnblocked(back)
+		k.waitUnblocked(client, back)
 		if k.blackholed(from) {
 			return // the other side gets no FIN or reset; Close ends it
 		}
--- a/standin/network/filter.go
+++ b/standin/network/filter.go
@@ -26,16 +26,17 @@
 // DropAll is a filter that drops every packet.
 var DropAll = Filter{{Code: unix.BPF_RET | unix.BPF_K}}
 
-// DropFrom returns a filter that drops packets from an IP address.
-func DropFrom(ip netip.Addr) Filter {
-	b := ip.As4()
+// DropFrom returns a filter that drops packets from some IP addresses.
+func DropFrom(ips ...netip.Addr) Filter {
 	source := int32(ipHeader + sourceOffset)
-	return Filter{
-		{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: uint32(source)},
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: binary.BigEndian.Uint32(b[:])},
-		{Code: unix.BPF_RET | unix.BPF_K},
-		{Code: unix.BPF_RET | unix.BPF_K, K: acceptAll},
+	out := Filter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: uint32(source)}}
+	for _, ip := range ips {
+		b := ip.As4()
+		out = append(out,
+			unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: binary.BigEndian.Uint32(b[:])},
+			unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K})
 	}
+	return append(out, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: acceptAll})
 }
 
 // FilterSockets sets the filter of the sockets of this process that match, or removes it if the
--- a/standin/server/notice.go
+++ b/standin/server/notice.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -11,6 +13,7 @@
 // Arrival is a request that arrived, whether it ran or was rejected.
 type Arrival struct {
 	ID       string
+	From     netip.Addr // of the sender
 	At       time.Time
 	Restarts int // restarts of the backend server before it
 }
@@ -19,6 +22,7 @@
 // backoff, or named a rate limit.
 type Notice struct {
 	ID         string // of the request
+	To         netip.Addr
 	At         time.Time
 	Restarts   int // restarts of the backend server before it
 	Leaving    bool
@@ -55,10 +59,10 @@
 
 // noticeHeaders returns the header lines of the notices that apply to the response to a request, and
 // records them.
-func (s *Server) noticeHeaders(id string, f Fault) (lines string) {
+func (s *Server) noticeHeaders(c net.Conn, id string, f Fault) (lines string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := Notice{ID: id, At: time.Now(), Restarts: s.restarts, Leaving: s.leaving, Limit: s.limit}
+	n := Notice{ID: id, To: remoteIP(c), At: time.Now(), Restarts: s.restarts, Leaving: s.leaving, Limit: s.limit}
 	if f == Shed && n.At.Before(s.rejectUntil) {
 		n.RetryAfter = s.retryAfter
 	}
@@ -90,3 +94,11 @@
 	defer s.mu.Unlock()
 	return slices.Clone(s.notices)
 }
+
+// remoteIP returns the IP address of the peer of a connection.
+func remoteIP(c net.Conn) netip.Addr {
+	if tcp, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -66,10 +66,10 @@
 
 // acquireSlot takes the next fault and, unless the request is rejected, a slot, for which it may
 // wait. It returns the load report at arrival, and whether the request runs.
-func (s *Server) acquireSlot(req *http.Request) (f Fault, load string, ok bool) {
+func (s *Server) acquireSlot(c net.Conn, req *http.Request) (f Fault, load string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, load, ok = s.admit(req)
+	f, load, ok = s.admit(c, req)
 	if !ok || s.running < s.Slots {
 		return f, load, ok && s.takeSlot()
 	}
@@ -95,7 +95,7 @@
 
 // admit takes the next fault, records the arrival unless the request is for another backend server,
 // and reports whether the request may run. The caller holds the lock.
-func (s *Server) admit(req *http.Request) (f Fault, load string, ok bool) {
+func (s *Server) admit(c net.Conn, req *http.Request) (f Fault, load string, ok bool) {
 	if len(s.faults) > 0 {
 		f, s.faults = s.faults[0], s.faults[1:]
 	}
@@ -107,7 +107,7 @@
 		return Misdirected, load, false
 	}
 	now := time.Now()
-	s.arrivals = append(s.arrivals, Arrival{ID: req.Header.Get(s.Names.ID), At: now, Restarts: s.restarts})
+	s.arrivals = append(s.arrivals, Arrival{ID: req.Header.Get(s.Names.ID), From: remoteIP(c), At: now, Restarts: s.restarts})
 	if now.Before(s.coldUntil) {
 		s.coldArrivals = append(s.coldArrivals, now)
 	}
@@ -132,7 +132,7 @@
 // handle serves one request and reports whether the connection stays open.
 func (s *Server) handle(c net.Conn, r *bufio.Reader, req *http.Request) bool {
 	id := req.Header.Get(s.Names.ID)
-	f, load, ok := s.acquireSlot(req)
+	f, load, ok := s.acquireSlot(c, req)
 	if !ok {
 		if f != RejectEarly {
 			_, _ = io.Copy(io.Discard, req.Body)
@@ -144,7 +144,7 @@
 		if f == Misdirected {
 			status = "421 Misdirected Request"
 		}
-		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load, s.noticeHeaders(id, f))
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load, s.noticeHeaders(c, id, f))
 		_, err := io.Copy(io.Discard, req.Body)
 		return err == nil
 	}
@@ -226,7 +226,7 @@
 
 // respond writes the response, with its fault, and reports whether the connection stays open.
 func (s *Server) respond(c net.Conn, f Fault, id, load string) bool {
-	text := s.response(id, load)
+	text := s.response(c, id, load)
 	switch f {
 	case Truncated:
 		_, _ = io.WriteString(c, text[:len(text)-3])
@@ -239,10 +239,10 @@
 		}
 		return false
 	case ExtraBefore:
-		_, _ = io.WriteString(c, s.response("of-another", load)+text)
+		_, _ = io.WriteString(c, s.response(c, "of-another", load)+text)
 		return true
 	case ExtraAfter:
-		_, _ = io.WriteString(c, text+s.response("of-another", load))
+		_, _ = io.WriteString(c, text+s.response(c, "of-another", load))
 		return true
 	case ResetAfterRun:
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -283,8 +283,8 @@
 )
 
 // response returns the response without its padding.
-func (s *Server) response(id, load string) string {
+func (s *Server) response(c net.Conn, id, load string) string {
 	body := ResponseBody(id)
 	return "HTTP/1.1 200 OK\r\n" + s.Names.ID + ": " + id + "\r\n" + s.Names.Seal + ": seal-" + id + "\r\n" +
-		s.Names.Load + ": " + load + "\r\n" + s.noticeHeaders(id, NoFault) + "Keep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)+s.PaddingBytes) + "\r\n\r\n" + body
+		s.Names.Load + ": " + load + "\r\n" + s.noticeHeaders(c, id, NoFault) + "Keep-Alive: timeout=10\r\nContent-Length: " + strconv.Itoa(len(body)+s.PaddingBytes) + "\r\n\r\n" + body
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -160,8 +160,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		remote, err := netip.ParseAddrPort(c.RemoteAddr().String())
-		if tcp, ok := c.(*net.TCPConn); ok && err == nil && remote.Addr() == from {
+		if tcp, ok := c.(*net.TCPConn); ok && remoteIP(c) == from {
 			_ = tcp.SetLinger(0)
 			_ = c.Close()
 		}
