balance: only failed probes count as lost links

Cause: servers that are overloaded reset new connections at once, so that three attempts of one request fail within milliseconds, between two responses to others. A failure now only makes the instance probe, if nobody has responded for 150 ms; the links count as lost if none of three random servers, those that have not failed first, accepts a connection, and none responds meanwhile.

--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -84,10 +84,10 @@
 		}
 		u.observeResponse(report, now)
 	case Unreachable:
-		t.recordUnreachable(u, p.started, now)
+		t.suspectLinks(p.started, now)
 		t.suspend(p, now)
 	case Lost:
-		t.suspectLinks(p.started)
+		t.suspectLinks(p.started, now)
 		u.lostInARow++
 		if u.lostInARow >= t.Policy.LostThreshold {
 			t.suspend(p, now)
--- a/process/balance/reach.go
+++ b/process/balance/reach.go
@@ -24,7 +24,7 @@
 		u.probing = false
 		t.probing--
 		if err != nil {
-			t.recordUnreachable(u, begunAt, t.Now())
+			t.suspectLinks(begunAt, t.Now())
 			pause := u.recordFailure(t.Now())
 			t.reportSuspension(name, u.failures, pause)
 			return
--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -15,21 +15,22 @@
 )
 
 const (
-	// minUnreachable is the number of backend servers that must be unreachable, with no contact to
-	// any other, before the links of this instance count as failed. Where there are fewer, all of
-	// them must be.
-	minUnreachable = 3
+	// linkProbes is the number of backend servers that are probed to find out whether the links of this
+	// instance work. They have failed if it reaches none of them.
+	linkProbes = 3
+	// minSilence is how long no backend server must have responded for a failure to be a reason to
+	// probe: servers that are overloaded reset connections at once, while others respond.
+	minSilence = 150 * time.Millisecond
+	// suspicionInterval is the shortest time between two rounds of such probes.
+	suspicionInterval = 500 * time.Millisecond
+	// linkProbeInterval is the pause between two probes of links that don't work.
+	linkProbeInterval = 250 * time.Millisecond
 	// relapseWindow is the time after an outage of the links in which the next one counts as a
 	// relapse: the links are then not used again before they have worked for minStableTime, doubled
 	// with each relapse up to maxStableTime.
 	relapseWindow = 10 * time.Second
 	minStableTime = time.Second
 	maxStableTime = 8 * time.Second
-	// linkProbeInterval is the pause between two probes of the links while they don't work.
-	linkProbeInterval = 250 * time.Millisecond
-	// suspicionInterval is the shortest time between two rounds of probes that find out whether a
-	// failure is one of the links.
-	suspicionInterval = 500 * time.Millisecond
 )
 
 // LinkState says whether the links of this instance to the backend servers work.
@@ -39,35 +40,27 @@
 const (
 	LinksUp       LinkState = iota
 	LinksUnstable           // they work again, but not for long enough
-	LinksDown               // no backend server has been reachable lately, although several were tried
+	LinksDown               // no backend server could be reached, although several were tried
 )
 
-// reachability tracks whether this instance reaches any backend server at all. A single server that
-// can't be reached may be down. When several can't, and none has responded since, the cause is more
-// likely the instance's own links. The zero value is ready for use.
+// reachability tracks whether this instance reaches any backend server at all. One that can't be reached
+// may be down. When none of several can, and none has responded meanwhile, the cause is more likely the
+// instance's own links. The zero value is ready for use.
 type reachability struct {
-	contactAt time.Duration // when a backend server last responded or accepted a connection
-	// unreachable holds the backend servers that could not be reached since, of attempts that began
-	// after contactAt.
-	unreachable map[*backend]struct{}
-	lostAt      time.Duration // when the links counted as failed; zero: they work
-	restoredAt  time.Duration // when they last worked again; zero: they never failed
-	stableTime  time.Duration // how long the links must work before they are used again
-	stableFrom  time.Duration // since when they work, although they are not used yet; zero: they don't
+	contactAt  time.Duration // when a backend server last responded or accepted a connection
+	lostAt     time.Duration // when the links counted as failed; zero: they work
+	restoredAt time.Duration // when they last worked again; zero: they never failed
+	stableTime time.Duration // how long the links must work before they are used again
+	stableFrom time.Duration // since when they work, although they are not used yet; zero: they don't
 }
 
-// recordUnreachable records that an attempt to reach a backend server, begun at a time, has failed.
-// Backends is the number of backend servers.
-func (r *reachability) recordUnreachable(u *backend, begunAt time.Duration, backends int, now time.Duration) {
+// recordSilence records that no probe of several, begun at a time, was successful.
+func (r *reachability) recordSilence(begunAt, now time.Duration) {
 	if begunAt <= r.contactAt {
 		return
 	}
-	if r.unreachable == nil {
-		r.unreachable = make(map[*backend]struct{})
-	}
-	r.unreachable[u] = struct{}{}
 	r.stableFrom = 0
-	if r.lostAt != 0 || len(r.unreachable) < min(minUnreachable, backends) {
+	if r.lostAt != 0 {
 		return
 	}
 	r.lostAt = now
@@ -82,7 +75,6 @@
 // whether this ends an outage of the links.
 func (r *reachability) recordContact(now time.Duration) (restored bool) {
 	r.contactAt = now
-	clear(r.unreachable)
 	if r.lostAt == 0 {
 		return false
 	}
@@ -96,17 +88,10 @@
 	return true
 }
 
-// recordUnreachable records that an attempt to reach a backend server, begun at a time, has failed.
-// The caller holds the lock.
-func (t *Table) recordUnreachable(u *backend, begunAt, now time.Duration) {
-	t.reach.recordUnreachable(u, begunAt, len(t.states), now)
-	t.suspectLinks(begunAt)
-}
-
 // suspectLinks lets WatchLinks probe the links after an attempt, begun at a time, has failed, unless a
-// backend server has responded since. The caller holds the lock.
-func (t *Table) suspectLinks(begunAt time.Duration) {
-	if begunAt <= t.reach.contactAt {
+// backend server has responded since or shortly before. The caller holds the lock.
+func (t *Table) suspectLinks(begunAt, now time.Duration) {
+	if begunAt <= t.reach.contactAt || now-t.reach.contactAt < minSilence {
 		return
 	}
 	select {
@@ -205,8 +190,7 @@
 }
 
 // WatchLinks finds out after failures whether the links have failed, probes them while they don't work,
-// and calls OnLinks, until the context ends. Without it, links that have failed are restored only by
-// responses to requests that are in flight.
+// and calls OnLinks, until the context ends.
 func (t *Table) WatchLinks(ctx context.Context) {
 	t.mu.Lock()
 	suspected := t.linksSuspectedLocked()
@@ -217,57 +201,49 @@
 		case <-ctx.Done():
 			return
 		}
-		if t.probeSeveral() {
+		t.probeSeveral(linkProbes)
+		if t.Links() == LinksUp {
 			clock.Sleep(ctx, suspicionInterval)
 			continue
 		}
 		t.OnLinks(true)
 		for t.Links() != LinksUp && ctx.Err() == nil {
-			go t.probeSome(1) // the next probe does not wait for one that hangs
+			go t.probeSeveral(1) // the next probe does not wait for one that hangs
 			clock.Sleep(ctx, linkProbeInterval)
 		}
 		t.OnLinks(false)
 	}
 }
 
-// probeSeveral probes as many backend servers as must be unreachable for the links to count as failed.
-// It reports whether the links work.
-func (t *Table) probeSeveral() bool {
-	t.probeSome(minUnreachable)
-	return t.Links() == LinksUp
-}
-
-// probeSome opens connections to n random backend servers, and waits for the results.
-func (t *Table) probeSome(n int) {
+// probeSeveral opens connections to n random backend servers, and records whether any of them accepted.
+func (t *Table) probeSeveral(n int) {
 	t.mu.Lock()
 	backends := t.randomBackends(n)
 	begunAt := t.Now()
 	if len(backends) == 0 || t.Probe == nil {
 		t.recordContact(begunAt) // with nothing to reach, the links don't matter
-	}
-	t.mu.Unlock()
-	if t.Probe == nil {
+		t.mu.Unlock()
 		return
 	}
-	var all sync.WaitGroup
+	t.mu.Unlock()
+	var probes sync.WaitGroup
 	for _, u := range backends {
-		all.Go(func() { t.probeLink(u, begunAt) })
+		probes.Go(func() { t.probeLink(u) })
 	}
-	all.Wait()
-}
-
-// probeLink opens a connection to a backend server and reports whether it accepted it. BegunAt is the
-// time before.
-func (t *Table) probeLink(u *backend, begunAt time.Duration) (accepted bool) {
-	err := t.Probe(u.pool)
+	probes.Wait()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.Now()
-	if err != nil {
-		t.reach.recordUnreachable(u, begunAt, len(t.states), now)
+	t.reach.recordSilence(begunAt, t.Now())
+}
+
+// probeLink opens a connection to a backend server and reports whether it accepted it.
+func (t *Table) probeLink(u *backend) (accepted bool) {
+	if t.Probe(u.pool) != nil {
 		return false
 	}
-	t.recordContact(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordContact(t.Now())
 	return true
 }
 
@@ -305,17 +281,16 @@
 	if t.routing != nil {
 		except = t.routing.FindBackend(name)
 	}
-	backends := t.randomBackends(minUnreachable + 1)
+	backends := t.randomBackends(linkProbes + 1)
 	if except != version.None {
 		backends = slices.DeleteFunc(backends, func(u *backend) bool { return u == t.states[except] })
 	}
-	begunAt := t.Now()
 	t.mu.Unlock()
 	if len(backends) == 0 || t.Probe == nil {
 		return true
 	}
-	for _, u := range backends[:min(len(backends), minUnreachable)] {
-		if t.probeLink(u, begunAt) {
+	for _, u := range backends[:min(len(backends), linkProbes)] {
+		if t.probeLink(u) {
 			return true
 		}
 	}
