proxy: a forwarded request that an earlier release does not know has not run

Found reading the change: during a roll-out of the program itself an instance of an earlier release answers 404 at the address for instances, which counted as a request that may have run. It is now declined, and another instance asked (TestHelperThatDeclinesIsReplaced/old release). A dispatch that was too late to be sent no longer counts against the other instance.

--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -79,8 +79,7 @@
 
 // rejectForwarded rejects a forwarded request that this instance can't serve, like all others.
 func (p *Proxy) rejectForwarded(c *call, code request.Code) {
-	c.id = c.r.Header.Get(p.Names.ID)
-	c.startedAt = time.Now()
+	c.id, c.service, c.startedAt = c.r.Header.Get(p.Names.ID), c.forwarded.service, time.Now()
 	c.w.Header().Set(p.Names.ID, c.id)
 	p.writeResult(c, notRun(code, minRetryAfter))
 }
@@ -214,6 +213,11 @@
 func (t *transaction) readForwarded(ex *conn.Exchange, target *forward.Pick, granted int) (resp *response, res *request.Result, declined bool, err error) {
 	h := ex.Response.Header
 	end := h.Get(headerForwardedEnd)
+	if end == "" && h.Get(t.p.Names.ID) == "" && ex.Response.StatusCode == http.StatusNotFound {
+		ex.Close()
+		target.Done(forward.Declined) // it runs an earlier release
+		return nil, t.result(request.ConnectFailed, minRetryAfter), true, nil
+	}
 	if h.Get(t.p.Names.ID) != t.c.id || end == "" {
 		ex.Response.Close = true
 		ex.Close()
@@ -282,6 +286,10 @@
 		target.Done(forward.Abandoned)
 		return t.result(request.CallerGone, 0), false
 	}
+	if errors.Is(err, conn.ErrNotAllowed) {
+		target.Done(forward.Abandoned)
+		return t.result(request.DeadlinePassed, 0), false
+	}
 	if !sent {
 		target.Done(forward.Unreachable)
 		return t.result(request.ConnectFailed, minRetryAfter), true
--- a/process/proxy/peer_test.go
+++ b/process/proxy/peer_test.go
@@ -160,6 +160,7 @@
 	for name, fail := range map[string]func(f *forwardFixture){
 		"leaving":       func(f *forwardFixture) { f.helpers[0].proxy.DisableKeepAlives() },
 		"unconfirmed":   func(f *forwardFixture) { f.helpers[0].proxy.ConfigFresh = func() bool { return false } },
+		"old release":   func(f *forwardFixture) { f.addresses[0] = notFoundServer(t) },
 		"down":          func(f *forwardFixture) { f.addresses[0] = closedAddress(t) },
 		"without route": func(f *forwardFixture) { f.helpers[0].config.Resources = nil; f.helpers[0].install() },
 	} {
@@ -175,6 +176,13 @@
 	}
 }
 
+// notFoundServer starts a server that knows no path, and returns its address.
+func notFoundServer(t *testing.T) string {
+	s := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
 // TestBrokenHop guards against requests that run twice, or are reported as not run, after the
 // connection to another instance broke: those that may be repeated get another attempt elsewhere,
 // the others an unknown outcome.
