--- a/process/edge/directory.go
+++ b/process/edge/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"shalewick/process/cluster"
@@ -58,7 +59,11 @@
 
 // reachingBackends returns the instances that reach backend servers, or all if none does.
 func reachingBackends(live []cluster.Member) []cluster.Member {
-	if out := filter(live, func(m cluster.Member) bool { return !m.BackendsUnreachable }); len(out) > 0 {
+	unreachable := func(m cluster.Member) bool { return m.BackendsUnreachable }
+	if !slices.ContainsFunc(live, unreachable) {
+		return live
+	}
+	if out := filter(live, func(m cluster.Member) bool { return !unreachable(m) }); len(out) > 0 {
 		return out
 	}
 	return live
--- a/process/edge/directory_test.go
+++ b/process/edge/directory_test.go
@@ -123,3 +123,12 @@
 	assert.Assert(t, !measure(1, 0))
 	assert.Assert(t, measure(1, 50*time.Millisecond))
 }
+
+// TestInstancesWithoutLinksAreListedLast checks that instances that reach no backend server are listed
+// only if no instance does.
+func TestInstancesWithoutLinksAreListedLast(t *testing.T) {
+	reaching, cut := cluster.Member{Name: "a"}, cluster.Member{Name: "b", BackendsUnreachable: true}
+	assert.DeepEqual(t, reachingBackends([]cluster.Member{reaching, cut}), []cluster.Member{reaching})
+	assert.DeepEqual(t, reachingBackends([]cluster.Member{reaching}), []cluster.Member{reaching})
+	assert.DeepEqual(t, reachingBackends([]cluster.Member{cut}), []cluster.Member{cut})
+}
