front: forward requests of an entry that reaches no backend server

A request that may be repeated and was not sent is now forwarded to another entry, chosen by process/forward as in proxy, and marked with Shalewick-Forwarded, so that it is not forwarded again; the mark no longer reaches backend servers. Requests with a ticket are not forwarded: the ticket's instance alone may run them (open).

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -142,6 +142,7 @@
 		Metrics: e.metrics, Log: e.log, Now: e.now,
 	}
 	e.routes = newRoutes(e)
+	e.front.Forward = e.routes.proxy.Forward
 }
 
 // loadCredentials reads the files that authenticate operators and instances.
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -109,6 +109,11 @@
 			return resp, nil
 		}
 	}
+	if resp == nil && ctx.Err() == nil && fw.mayForward(res) {
+		if resp, forwarded := fw.forwardToOther(ctx); resp != nil || forwarded != nil {
+			return resp, forwarded
+		}
+	}
 	return resp, res
 }
 
@@ -286,6 +291,7 @@
 	}
 	h := out.Header
 	h.Del(request.HeaderTicket)
+	h.Del(request.HeaderForwarded)
 	h.Set(request.HeaderID, fw.call.id)
 	h.Set(request.HeaderRegion, fw.front.Steer.RegionName())
 	h.Set(request.HeaderDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"shalewick/conn"
+	"shalewick/process/forward"
 	"shalewick/process/member"
 	"shalewick/process/metric"
 	"shalewick/process/steer"
@@ -36,6 +37,9 @@
 	Ledger  *ticket.Ledger
 	Members *member.Registry
 	Metrics *metric.Set
+	// Forward, if set, chooses the instances that requests are forwarded to whose backend servers this
+	// one can't reach.
+	Forward *forward.Targets
 	Log     zerolog.Logger
 	Now     func() time.Duration
 
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -290,6 +290,14 @@
 	t.counters.Closed[index].Store(now < b.closedUntil || now < b.backoffUntil || t.isLeaving(name, b))
 }
 
+// Failing reports whether a backend server gets no requests because of failures.
+func (t *Table) Failing(name string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[name]
+	return b != nil && now < b.closedUntil
+}
+
 // Leaving reports whether a backend server has announced that it accepts no more
 // requests.
 func (t *Table) Leaving(name string) bool {
--- a/process/steer/steer.go
+++ b/process/steer/steer.go
@@ -347,3 +347,21 @@
 	p.Queue.RecordServiceTime(now - p.placedAt)
 	p.steerer.Slots.Release(&p.grant, now)
 }
+
+// AnyFailing reports whether any backend server of a service gets no requests because of failures.
+func (s *Steerer) AnyFailing(service string) bool {
+	av := s.active.Load()
+	svc := av.View.Service(service)
+	if svc == version.None {
+		return false
+	}
+	now := s.Now()
+	for _, backends := range av.View.Services[svc].ByRegion {
+		for _, b := range backends {
+			if s.Health.Failing(av.View.Backends[b].Name, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/request/result.go
+++ b/request/result.go
@@ -161,7 +161,7 @@
 	HeaderID        = "Shalewick-Request-Id" // echoed by backend servers
 	HeaderTicket    = "Shalewick-Ticket"     // ticket of a request that may not be repeated
 	HeaderOnce      = "Shalewick-Once"       // "true": treat the request as not repeatable
-	HeaderForwarded = "Shalewick-Forwarded"  // set by an instance that forwards a ticket
+	HeaderForwarded = "Shalewick-Forwarded"  // names the instance that forwards a request
 	HeaderRegion    = "Shalewick-Region"     // region of the instance that sent it
 	HeaderNotRun    = "Shalewick-Not-Run"    // "true" in a backend server's refusal: the request was not run
 	HeaderState     = "Shalewick-State"      // state reported by the backend server: ready, cold or leaving
