health: reopen backend servers when the links of an entry recover

What callers saw: after an outage of an entry's links to all backend servers, requests with a ticket were rejected for up to 5 s more, since the pauses of closed backend servers had grown during the outage and a probe that succeeds does not end them. Requests that may be repeated were forwarded meanwhile.

Change: the first response or answered probe after 1.5 s without any, in which three backend servers or all were found unreachable, ends their pauses. One that is down while others respond stays closed, and so do backend servers that answer probes and fail requests.

TestClosedBackendsReopenWithTheLinks failed before (c0 still closed 100 ms after the first probe that succeeded); the two tests of what stays closed passed before and guard against a wider rule.

--- a/process/entry/probe.go
+++ b/process/entry/probe.go
@@ -65,7 +65,7 @@
 	start := e.now()
 	report, err := conn.Probe(ctx, e.probeClient, backend.Address)
 	if err != nil {
-		e.health.RecordFailure(backend.Name, e.now())
+		e.health.RecordUnreachable(backend.Name, e.now())
 		return
 	}
 	e.health.RecordProbe(backend.Name, report, e.now()-start, e.now())
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -261,10 +261,11 @@
 		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 		return fw.newResult(request.DeadlinePassed), false
 	}
-	fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 	if !sent {
+		fw.front.Steer.Health.RecordUnreachable(name, fw.front.Now())
 		return fw.newResult(request.ConnectFailed), fw.body.replayable()
 	}
+	fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 	return fw.newResult(lostResponseCode(err, fw.call.deadline)), fw.repeatable()
 }
 
--- a/process/health/health.go
+++ b/process/health/health.go
@@ -25,22 +25,24 @@
 type Table struct {
 	OnLeaving func(Leaving)
 
-	mu       sync.Mutex
-	backends map[string]*backend
-	leaving  map[Leaving]bool
-	digest   uint64
-	view     *version.View
-	counters *version.Counters
-	indexes  map[string]int32
+	mu        sync.Mutex
+	backends  map[string]*backend
+	contactAt time.Duration // when a backend server last responded or answered a probe
+	leaving   map[Leaving]bool
+	digest    uint64
+	view      *version.View
+	counters  *version.Counters
+	indexes   map[string]int32
 }
 
 type backend struct {
-	boot         string
-	cost         time.Duration
-	failures     int           // consecutive
-	closedUntil  time.Duration // after failures; on the process's clock
-	backoffUntil time.Duration // end of the backoff that the backend server asked for
-	pending      []pendingCall
+	boot          string
+	cost          time.Duration
+	failures      int           // consecutive
+	unreachableAt time.Duration // when it was last found unreachable
+	closedUntil   time.Duration // after failures; on the process's clock
+	backoffUntil  time.Duration // end of the backoff that the backend server asked for
+	pending       []pendingCall
 }
 
 // pendingCall is a call to make once the backend server has responded to something
@@ -56,6 +58,11 @@
 	initialCloseTime = 500 * time.Millisecond
 	maxCloseTime     = 5 * time.Second
 	costWeight       = 8 // a new value counts 1/8 in the moving average
+	// minOutage is longer than the interval of probes, so that one backend server that responds keeps
+	// others that are down from counting as an outage of this instance's links. minUnreachable is the
+	// number of backend servers that must be unreachable, or all if there are fewer.
+	minOutage      = 1500 * time.Millisecond
+	minUnreachable = 3
 )
 
 // Install puts a view in force.
@@ -126,6 +133,7 @@
 		t.mu.Unlock()
 		return
 	}
+	t.recordContact(now)
 	b.failures = 0
 	b.closedUntil = 0
 	if b.cost == 0 {
@@ -147,6 +155,7 @@
 		t.mu.Unlock()
 		return
 	}
+	t.recordContact(now)
 	b.failures = 0
 	b.closedUntil = 0
 	b.backoffUntil = max(b.backoffUntil, now+retryAfter)
@@ -161,6 +170,7 @@
 		t.mu.Unlock()
 		return
 	}
+	t.recordContact(now)
 	if now >= b.closedUntil {
 		b.failures = 0
 	}
@@ -215,10 +225,25 @@
 	return true
 }
 
-// RecordFailure records that an attempt or a probe got no complete response.
+// RecordFailure records that a request that was sent got no complete response.
 func (t *Table) RecordFailure(name string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recordFailure(name, now)
+}
+
+// RecordUnreachable records that no connection could be opened, or that a probe got no response.
+func (t *Table) RecordUnreachable(name string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.backends[name]; b != nil {
+		b.unreachableAt = now
+	}
+	t.recordFailure(name, now)
+}
+
+// recordFailure closes the backend server after several failures. The caller holds the lock.
+func (t *Table) recordFailure(name string, now time.Duration) {
 	b := t.backends[name]
 	if b == nil {
 		return
@@ -230,6 +255,31 @@
 	t.publish(name, now)
 }
 
+// recordContact records that a backend server has responded or answered a probe. If none has for
+// minOutage, while several were found unreachable, this instance's own links were down, and the pauses
+// that began or grew meanwhile end. The caller holds the lock.
+func (t *Table) recordContact(now time.Duration) {
+	previous := t.contactAt
+	t.contactAt = now
+	if now-previous < minOutage {
+		return
+	}
+	var unreachable []*backend
+	for _, b := range t.backends {
+		if b.unreachableAt > previous {
+			unreachable = append(unreachable, b)
+		}
+	}
+	if len(unreachable) < min(minUnreachable, len(t.indexes)) {
+		return
+	}
+	for _, b := range unreachable {
+		b.failures = 0
+		b.closedUntil = 0
+	}
+	t.publishAll(now)
+}
+
 // Merge adds facts that a peer knows.
 func (t *Table) Merge(facts []Leaving, now time.Duration) {
 	var added []Leaving
