proxy: count no request that is lost to an instance's own links in a rollout

A request that had been sent when an instance lost its links to all backend servers counted as a failure of their version, in the report to the rollout and in software_failures_total. While the target is promoted there is no version to compare it with, so a good one could be reverted by the links of one instance.

Cause: an attempt reported its failure at once, when the instance can't tell its own links from the backend server.

Change: the outcome is held back until a backend server responds, which most often is a matter of milliseconds, or the links count as failed, but for 1 s at most. Failures during an outage, and of requests sent during one, are inconclusive.

TestLostLinksAreNoFailuresOfAVersion failed before: {Failed:true Inconclusive:false}.

--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -31,6 +31,8 @@
 	relapseWindow = 10 * time.Second
 	minStableTime = time.Second
 	maxStableTime = 8 * time.Second
+	// maxLinksDoubt is how long LostToLinks waits: longer than it takes to probe the links.
+	maxLinksDoubt = time.Second
 )
 
 // LinkState says whether the links of this instance to the backend servers work.
@@ -52,6 +54,8 @@
 	restoredAt time.Duration // when they last worked again; zero: they never failed
 	stableTime time.Duration // how long the links must work before they are used again
 	stableFrom time.Duration // since when they work, although they are not used yet; zero: they don't
+	// settled is closed at the next contact, or when the links count as failed; nil if nobody waits.
+	settled chan struct{}
 }
 
 // recordSilence records that no probe of several, begun at a time, was successful.
@@ -64,6 +68,7 @@
 		return
 	}
 	r.lostAt = now
+	r.settle()
 	if r.restoredAt != 0 && now-r.restoredAt < relapseWindow {
 		r.stableTime = min(max(minStableTime, 2*r.stableTime), maxStableTime)
 	} else {
@@ -75,6 +80,7 @@
 // whether this ends an outage of the links.
 func (r *reachability) recordContact(now time.Duration) (restored bool) {
 	r.contactAt = now
+	r.settle()
 	if r.lostAt == 0 {
 		return false
 	}
@@ -88,6 +94,35 @@
 	return true
 }
 
+// settle ends the waiting of LostToLinks.
+func (r *reachability) settle() {
+	if r.settled != nil {
+		close(r.settled)
+		r.settled = nil
+	}
+}
+
+// LostToLinks reports whether a request that was sent at a time and has just been lost says nothing about
+// its backend server, since the links of this instance have failed meanwhile. It waits until a backend
+// server responds or the links count as failed, but no longer than maxLinksDoubt.
+func (t *Table) LostToLinks(sentAt time.Duration) bool {
+	t.mu.Lock()
+	if t.reach.lostAt != 0 || t.reach.restoredAt > sentAt {
+		t.mu.Unlock()
+		return true
+	}
+	if t.reach.settled == nil {
+		t.reach.settled = make(chan struct{})
+	}
+	settled := t.reach.settled
+	t.mu.Unlock()
+	select {
+	case <-settled:
+	case <-time.After(maxLinksDoubt):
+	}
+	return t.Links() != LinksUp
+}
+
 // suspectLinks lets WatchLinks probe the links after an attempt, begun at a time, has failed, unless a
 // backend server has responded since or shortly before. The caller holds the lock.
 func (t *Table) suspectLinks(begunAt, now time.Duration) {
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -58,7 +58,7 @@
 		pick.Pool.CloseIdle()
 	}
 	inconclusive := code == request.DeadlinePassed && t.c.deadlineTooShort(pick, sent)
-	t.reportOutcome(pick, rollout.Outcome{Failed: !inconclusive, Inconclusive: inconclusive, Latency: time.Since(sent)})
+	t.reportLost(pick, rollout.Outcome{Failed: !inconclusive, Inconclusive: inconclusive, Latency: time.Since(sent)})
 	t.logLine(pick).Str("request", t.c.fingerprint.String()).Str("path", t.c.path()).Err(err).Msg("answer-lost")
 	if code != request.DeadlinePassed { // a crash of the backend server's process would have closed the connection
 		t.reportLoss(pick)
--- a/process/proxy/rollout.go
+++ b/process/proxy/rollout.go
@@ -100,10 +100,30 @@
 // reportOutcome reports the outcome of an attempt to the rollout controller, and counts it for the
 // software version of the backend server.
 func (t *transaction) reportOutcome(pick *balance.Pick, o rollout.Outcome) {
-	t.rolloutAttempt.Done(o)
+	t.p.reportOutcome(t.rolloutAttempt, t.c.service, pick, o)
+}
+
+func (p *Proxy) reportOutcome(a rolloutAttempt, service string, pick *balance.Pick, o rollout.Outcome) {
+	a.Done(o)
 	if !o.Inconclusive {
-		t.p.Metrics.Software(t.c.service, pick.Software, o.Failed, o.Latency)
+		p.Metrics.Software(service, pick.Software, o.Failed, o.Latency)
+	}
+}
+
+// reportLost reports the outcome of an attempt that was sent and got no response, once it is known that the
+// links of this instance are not the cause. If they are, the outcome is inconclusive.
+func (t *transaction) reportLost(pick *balance.Pick, o rollout.Outcome) {
+	if o.Inconclusive {
+		t.reportOutcome(pick, o)
+		return
 	}
+	p, attempt, service, sentAt := t.p, t.rolloutAttempt, t.c.service, t.sentAt
+	go func() {
+		if p.Table.LostToLinks(sentAt) {
+			o = rollout.Outcome{Inconclusive: true}
+		}
+		p.reportOutcome(attempt, service, pick, o)
+	}()
 }
 
 // deadlineTooShort reports whether the caller's own deadline left the attempt, sent at the given
--- a/process/proxy/rollout_failure_test.go
+++ b/process/proxy/rollout_failure_test.go
@@ -3,6 +3,8 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shalewick/conn"
 	"shalewick/request"
 	"shalewick/standin/server"
 	"shalewick/version"
@@ -179,3 +182,22 @@
 	assert.Equal(t, x.table.InFlight("s"), 0)
 	assert.Assert(t, !x.outcome().Failed)
 }
+
+// TestLostLinksAreNoFailuresOfAVersion guards against rollouts that are reverted because an instance lost
+// its links to all backend servers: what it sent them then says nothing about their version.
+func TestLostLinksAreNoFailuresOfAVersion(t *testing.T) {
+	x := newRolloutFixture(t)
+	x.table.Probe = func(*conn.Pool) error { return errors.New("unreachable") }
+	x.table.OnLinks = func(bool) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go x.table.WatchLinks(ctx)
+	for _, s := range []*server.Server{x.old, x.new} {
+		s.InjectFaults(server.ResetAfterRun, server.ResetAfterRun)
+	}
+	assert.Equal(t, x.send("r", "/reads/1", "").status, http.StatusBadGateway)
+	for _, a := range x.attempts(t) {
+		assert.Assert(t, a.outcomes[0].Inconclusive && !a.outcomes[0].Failed, "%+v", a)
+	}
+	assert.Assert(t, !strings.Contains(x.metrics(), `software="v`), "%s", x.metrics())
+}
--- a/process/proxy/rollout_fixture_test.go
+++ b/process/proxy/rollout_fixture_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -67,9 +68,25 @@
 	a.outcomes = append(a.outcomes, o)
 }
 
+// outcomesWithin is how long the outcome of a lost attempt may be held back.
+const outcomesWithin = 2 * time.Second
+
+// awaitOutcomes waits until each attempt has an outcome, but no longer than outcomesWithin.
+func (r *recorder) awaitOutcomes() {
+	missing := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return slices.ContainsFunc(r.recorded, func(a *recordedAttempt) bool { return len(a.outcomes) == 0 })
+	}
+	for begun := time.Now(); missing() && time.Since(begun) < outcomesWithin; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // attempts returns all attempts, and checks that each has exactly one outcome.
 func (r *recorder) attempts(t testing.TB) []recordedAttempt {
 	t.Helper()
+	r.awaitOutcomes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []recordedAttempt
