proxy: forward the requests in flight when the links of an instance fail

What callers saw: requests that were in flight when their instance lost its links to all backend servers, and those sent until it found out, waited for their deadline and ended with 504, or 502, although another instance could serve those that may be repeated.

Cause: an attempt waits for its connection and its deadline only; that the links have failed was heeded by new attempts alone.

Change: when the links count as failed, attempts of requests that may be repeated, and that another instance can be asked for, are given up and sent there. Each takes from the retry budget; what that does not grant, what may not be repeated and responses that are being delivered wait as before, since they may still arrive. The backend server that was given up on is not blamed.

--- a/process/edge/links.go
+++ b/process/edge/links.go
@@ -61,4 +61,7 @@
 	e.logLinks()
 	e.members.SetBackendsUnreachable(lost)
 	e.heartbeats.Announce()
+	if lost {
+		e.log.Info().Int("requests", e.proxy.ForwardInFlight()).Msg("links-requests-given-up")
+	}
 }
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -53,7 +53,7 @@
 	dialer := conn.NewDialer(routeDialTimeout, routeAckTimeout)
 	rt.table = &balance.Table{
 		Now: e.now, MemberIndex: rt.memberIndex, Hall: e.settings.Hall, Limits: e.limits,
-		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) }, OnLinks: rt.logLinks,
+		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) }, OnLinks: rt.onLinks,
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: routeIdleTimeout}
 		},
@@ -100,10 +100,14 @@
 	return out
 }
 
-// logLinks logs whether the instance reaches any backend server of route resources.
-func (rt *routes) logLinks(lost bool) {
+// onLinks logs whether the instance reaches any backend server of route resources, and forwards what is
+// in flight if it does not.
+func (rt *routes) onLinks(lost bool) {
 	r := rt.table.Reachability()
 	rt.entry.log.Info().Bool("lost", lost).Int("suspended", r.Suspended).Int("backends", r.Backends).Dur("lastContact", r.LastContact).Msg("links")
+	if lost {
+		rt.entry.log.Info().Int("requests", rt.proxy.ForwardInFlight()).Msg("links-requests-given-up")
+	}
 }
 
 // memberIndex returns the index of this instance among the live instances in
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -57,6 +57,9 @@
 	// none. SentAt is the earliest time at which the attempt was sent. Both are readings of the
 	// proxy's clock.
 	permitFrom, sentAt time.Duration
+	// givenUp is set if the last attempt was given up since the links of this instance had failed. The
+	// retry budget has granted another one.
+	givenUp bool
 	// targetDeclined is set if the target of a rollout could not take the request.
 	targetDeclined bool
 }
@@ -129,7 +132,7 @@
 	if len(t.query.Tried) >= maxBackendsTried || t.c.attempts >= t.c.maxAttempts() {
 		return false
 	}
-	return t.c.attempts == 0 || t.p.RetryBudget.TryRetry(t.c.service, t.p.Now())
+	return t.c.attempts == 0 || t.givenUp || t.p.RetryBudget.TryRetry(t.c.service, t.p.Now())
 }
 
 const (
@@ -170,9 +173,11 @@
 		return nil, t.result(refusal.Code, refusal.RetryAfter)
 	}
 	t.query.Tried = append(t.query.Tried, pick.Name)
+	t.givenUp = false
 	sent := time.Now()
 	t.sentAt = t.p.Now()
-	ex, err := pick.Pool.Dispatch(ctx, t.newRequest(ctx, pick), conn.Options{
+	awaitCtx := t.awaitResponse(ctx)
+	ex, err := pick.Pool.Dispatch(awaitCtx, t.newRequest(awaitCtx, pick), conn.Options{
 		Deadline: time.Now().Add(t.query.Left), CloseImmediately: true,
 		Allowed: func() bool { return t.c.timeLeft() > 0 && pick.Allowed() && t.permitValid(pick) }, Release: func(bool) {},
 	})
@@ -208,6 +213,10 @@
 	}
 	headerTime := time.Since(sent)
 	resp, err := bufferResponse(ex, t.c.lease)
+	if err == nil && t.endAwait() && resp.ex != nil {
+		ex.Close() // the remainder can't be read any more
+		err = errGivenUp
+	}
 	if err != nil {
 		return nil, t.exchangeLost(ctx, pick, err, sent)
 	}
@@ -260,6 +269,7 @@
 
 // backendRefused handles a response that says that the backend server did not run the request.
 func (t *transaction) backendRefused(ex *conn.Exchange, pick *balance.Pick, notice request.Notice, limit float64) *request.Result {
+	t.endAwait()
 	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
 	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxBufferedResponse) // lets the connection be reused
 	report := t.loadReport(ex.Response.Header, pick)
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -18,6 +18,7 @@
 
 // dispatchFailed handles a dispatch that got no response, and returns the result of the attempt.
 func (t *transaction) dispatchFailed(ctx context.Context, pick *balance.Pick, err error, sent time.Time) *request.Result {
+	t.endAwait()
 	var dispatchErr *conn.DispatchError
 	if !errors.As(err, &dispatchErr) || dispatchErr.Sent {
 		t.c.attempts++
@@ -29,6 +30,10 @@
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
+	if t.givenUp {
+		pick.Done(balance.Abandoned, nil)
+		return t.result(request.ConnectFailed, minRetryAfter)
+	}
 	if errors.Is(err, conn.ErrNotAllowed) {
 		pick.Done(balance.Abandoned, nil)
 		t.logLine(pick).Dur("left", t.c.timeLeft()).Msg("withdrawn")
@@ -41,6 +46,7 @@
 
 // exchangeLost handles an exchange that was sent at the given time and got no complete response.
 func (t *transaction) exchangeLost(ctx context.Context, pick *balance.Pick, err error, sent time.Time) *request.Result {
+	t.endAwait()
 	t.mayHaveRun = true
 	t.c.possibleRuns++
 	if t.c.r.Context().Err() != nil {
@@ -48,6 +54,12 @@
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
+	if t.givenUp {
+		t.reportOutcome(pick, rollout.Outcome{Inconclusive: true})
+		pick.Done(balance.Abandoned, nil)
+		t.logLine(pick).Dur("after", time.Since(sent)).Msg("given-up")
+		return t.result(request.AnswerLost, 0)
+	}
 	pick.Done(outcomeOf(err), nil)
 	var netErr net.Error
 	code := request.AnswerLost
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -131,6 +131,7 @@
 	startedOnBootClock time.Duration
 	bodyRead           bodyReadState
 	lease              *held.Lease // accounts for the memory of the request and its response
+	awaited            awaitedAttempt
 	isCutOff           atomic.Bool // the caller was cut off because it did not read
 	body               *body
 	fingerprint        request.Fingerprint  // zero until the body has been read
--- a/process/proxy/rollout_fixture_test.go
+++ b/process/proxy/rollout_fixture_test.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// count returns the number of attempts.
+func (r *recorder) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.recorded)
+}
+
 // attempts returns all attempts, and checks that each has exactly one outcome.
 func (r *recorder) attempts(t testing.TB) []recordedAttempt {
 	t.Helper()
