crash: report crashes while most backend servers are down

Cause: since a crash counted only if one of three random other backend servers accepted a connection.

Change: the detector waits for the same verdict as a rollout: the crash counts as soon as any backend server responds to this instance, unless the links count as failed first. If nothing responds for 150 ms after a loss the links are probed, so that the verdict needs no further requests. The probes of single crashes go.

--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -5,13 +5,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"shalewick/clock"
 	"shalewick/request"
-	"shalewick/version"
 )
 
 const (
@@ -31,8 +29,8 @@
 	relapseWindow = 10 * time.Second
 	minStableTime = time.Second
 	maxStableTime = 8 * time.Second
-	// maxLinksDoubt is how long LostToLinks waits: longer than it takes to probe the links.
-	maxLinksDoubt = time.Second
+	// maxLinksDoubt is how long LostToLinks waits: longer than it takes until the links have been probed.
+	maxLinksDoubt = 1500 * time.Millisecond
 )
 
 // LinkState says whether the links of this instance to the backend servers work.
@@ -116,19 +114,37 @@
 	}
 	settled := t.reach.settled
 	t.mu.Unlock()
-	select {
-	case <-settled:
-	case <-time.After(maxLinksDoubt):
+	if !isClosedWithin(settled, minSilence) {
+		t.mu.Lock()
+		t.requestProbes()
+		t.mu.Unlock()
+		isClosedWithin(settled, maxLinksDoubt-minSilence)
 	}
 	return t.Links() != LinksUp
 }
 
+// isClosedWithin waits until a channel is closed, but no longer than a time, and reports whether it is.
+func isClosedWithin(c <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-c:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // suspectLinks lets WatchLinks probe the links after an attempt, begun at a time, has failed, unless a
 // backend server has responded since or shortly before. The caller holds the lock.
 func (t *Table) suspectLinks(begunAt, now time.Duration) {
-	if begunAt <= t.reach.contactAt || now-t.reach.contactAt < minSilence {
-		return
+	if begunAt > t.reach.contactAt && now-t.reach.contactAt >= minSilence {
+		t.requestProbes()
 	}
+}
+
+// requestProbes lets WatchLinks probe the links. The caller holds the lock.
+func (t *Table) requestProbes() {
 	select {
 	case t.linksSuspectedLocked() <- struct{}{}:
 	default: // a signal is already pending
@@ -307,27 +323,3 @@
 	defer t.mu.Unlock()
 	return t.routing != nil && t.routing.BackendsAreInstances
 }
-
-// ReachesOther reports whether this instance reaches a backend server other than the named one, by
-// opening a connection to one after the other of several. With no other one to reach it reports true.
-func (t *Table) ReachesOther(name string) bool {
-	t.mu.Lock()
-	except := version.None
-	if t.routing != nil {
-		except = t.routing.FindBackend(name)
-	}
-	backends := t.randomBackends(linkProbes + 1)
-	if except != version.None {
-		backends = slices.DeleteFunc(backends, func(u *backend) bool { return u == t.states[except] })
-	}
-	t.mu.Unlock()
-	if len(backends) == 0 || t.Probe == nil {
-		return true
-	}
-	for _, u := range backends[:min(len(backends), linkProbes)] {
-		if t.probeLink(u) {
-			return true
-		}
-	}
-	return false
-}
--- a/process/balance/reachability_test.go
+++ b/process/balance/reachability_test.go
@@ -210,3 +210,46 @@
 	other.ApplyObservations(p.Observations(noSizeLimit))
 	assert.Equal(t, other.Reachability().Suspended, 1)
 }
+
+// TestCrashOfMostBackendsIsNoLossOfLinks guards against instances that report no crash while most backend
+// servers are down: a request that crashes all that run it was let through by then.
+func TestCrashOfMostBackendsIsNoLossOfLinks(t *testing.T) {
+	p := newReachabilityFixture(8)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	started := time.Now()
+	p.Now = func() time.Duration { return p.now + time.Since(started) }
+	p.Probe = func(*conn.Pool) error { return errors.New("connection refused") }
+	p.OnLinks = func(bool) {}
+	go p.WatchLinks(ctx)
+	for range 10 {
+		verdict := make(chan bool)
+		go func() { verdict <- p.LostToLinks(p.Now()) }()
+		time.Sleep(20 * time.Millisecond) // another server responds meanwhile
+		p.mu.Lock()
+		p.recordContact(p.Now())
+		p.mu.Unlock()
+		assert.Assert(t, !<-verdict)
+	}
+}
+
+// TestLossWithoutContactIsDueToLinks checks that a lost request is attributed to the links if no backend
+// server can be reached, also if this request is the only one.
+func TestLossWithoutContactIsDueToLinks(t *testing.T) {
+	for _, reachable := range []bool{false, true} {
+		p := newReachabilityFixture(8)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		started := time.Now()
+		p.Now = func() time.Duration { return p.now + time.Since(started) }
+		p.Probe = func(*conn.Pool) error {
+			if reachable {
+				return nil
+			}
+			return errors.New("connection refused")
+		}
+		p.OnLinks = func(bool) {}
+		go p.WatchLinks(ctx)
+		assert.Equal(t, p.LostToLinks(p.Now()), !reachable)
+	}
+}
--- a/process/crash/detector.go
+++ b/process/crash/detector.go
@@ -52,6 +52,7 @@
 	Incarnation int64
 	Service     string
 	Suspect     Suspect
+	SentAt      time.Duration // when the request was sent, by the detector's clock
 	// Open opens a connection to the backend server.
 	Open func() error
 }
@@ -61,9 +62,10 @@
 	Now func() time.Duration
 	// OnCrash is called for each crash, without locks held.
 	OnCrash func(Crash)
-	// LinksWork, if set, reports whether another backend server than the named one can be reached. If
-	// none can, this instance's links have failed, and not the backend server.
-	LinksWork func(backend string) bool
+	// LostToLinks, if set, reports whether this instance's links have failed since a time, which is then
+	// the cause of a lost request that was sent at that time. It may wait for a response of another
+	// backend server.
+	LostToLinks func(sentAt time.Duration) bool
 
 	mu         sync.Mutex
 	candidates map[string]*candidate // by name of the backend server
@@ -133,7 +135,7 @@
 // probe finds out whether the process of a backend server has ended.
 func (d *Detector) probe(l Loss, x *candidate) {
 	time.Sleep(gatherDelay)
-	ended := errors.Is(l.Open(), syscall.ECONNREFUSED) && (d.LinksWork == nil || d.LinksWork(l.Backend))
+	ended := errors.Is(l.Open(), syscall.ECONNREFUSED) && (d.LostToLinks == nil || !d.LostToLinks(l.SentAt))
 	d.mu.Lock()
 	if !ended {
 		delete(d.candidates, l.Backend) // it is live, or unreachable
--- a/process/proxy/fingerprint.go
+++ b/process/proxy/fingerprint.go
@@ -46,6 +46,7 @@
 	}
 	t.p.Crashes.RecordLoss(crash.Loss{
 		Backend: pick.Name, Incarnation: pick.Incarnation, Service: t.c.service,
+		SentAt:  t.sentAt,
 		Suspect: crash.Suspect{Request: t.c.fingerprint, Path: t.c.path()},
 		// The connection is kept for a later request, so the effort is not wasted.
 		Open: func() error { return pick.Pool.Open(context.Background()) },
