logging: lines after the end of the log are ignored

Cause: the log is closed before the process ends, and a goroutine that waits for the network, here the probe of a crash, logged afterwards.

Change: Write never fails, also after Close, which writes what was queued before.

--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -15,13 +15,14 @@
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
+	closing chan struct{}
 	done    chan struct{}
 	Dropped atomic.Int64
 }
 
 // NewAsyncWriter returns a writer that writes lines to out in a separate goroutine.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	a := &AsyncWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	a := &AsyncWriter{out: out, lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -39,13 +40,26 @@
 
 func (a *AsyncWriter) run() {
 	defer close(a.done)
-	for line := range a.lines {
-		_, _ = a.out.Write(line) // there is nowhere to report a failure to write the log
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(line)
+		case <-a.closing:
+			for range len(a.lines) {
+				a.write(<-a.lines)
+			}
+			return
+		}
 	}
 }
 
-// Close writes the queued lines. Write must not be called afterwards.
+func (a *AsyncWriter) write(line []byte) {
+	_, _ = a.out.Write(line) // there is nowhere to report a failure to write the log
+}
+
+// Close writes the queued lines. Lines that are written afterwards are lost: goroutines that wait for
+// the network may log while the process ends.
 func (a *AsyncWriter) Close() {
-	close(a.lines)
+	close(a.closing)
 	<-a.done
 }
