proxy: a granted retry after lost links is used once

The grant of the retry budget for a request that was given up stayed until the next attempt had chosen a backend server, so that a forwarded request that was declined could be tried again without taking from the budget. Found by reading; the attempts of the route bounded it.

--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -132,7 +132,11 @@
 	if len(t.query.Tried) >= maxBackendsTried || t.c.attempts >= t.c.maxAttempts() {
 		return false
 	}
-	return t.c.attempts == 0 || t.givenUp || t.p.RetryBudget.TryRetry(t.c.service, t.p.Now())
+	if t.givenUp {
+		t.givenUp = false
+		return true
+	}
+	return t.c.attempts == 0 || t.p.RetryBudget.TryRetry(t.c.service, t.p.Now())
 }
 
 const (
@@ -173,7 +177,6 @@
 		return nil, t.result(refusal.Code, refusal.RetryAfter)
 	}
 	t.query.Tried = append(t.query.Tried, pick.Name)
-	t.givenUp = false
 	sent := time.Now()
 	t.sentAt = t.p.Now()
 	awaitCtx := t.awaitResponse(ctx)
