crash: report a crash at once if another backend server can be reached

Cause: since a crash waits until a backend server responds. With no other traffic that takes 150 ms and more; the request was sent again meanwhile and ended all four servers, so that the links counted as lost and no crash was reported.

Change: as before, another backend server that accepts a connection decides at once. Only if the three that are tried are down as well, the detector waits for a response of any. So no crash that was reported before is lost, and those of servers that crash beside most others are kept.

--- a/process/balance/reachability.go
+++ b/process/balance/reachability.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"shalewick/clock"
 	"shalewick/request"
+	"shalewick/version"
 )
 
 const (
@@ -323,3 +325,27 @@
 	defer t.mu.Unlock()
 	return t.routing != nil && t.routing.BackendsAreInstances
 }
+
+// ReachesOther reports whether this instance reaches a backend server other than the named one, by
+// opening a connection to one after the other of several. With no other one to reach it reports true.
+func (t *Table) ReachesOther(name string) bool {
+	t.mu.Lock()
+	except := version.None
+	if t.routing != nil {
+		except = t.routing.FindBackend(name)
+	}
+	backends := t.randomBackends(linkProbes + 1)
+	if except != version.None {
+		backends = slices.DeleteFunc(backends, func(u *backend) bool { return u == t.states[except] })
+	}
+	t.mu.Unlock()
+	if len(backends) == 0 || t.Probe == nil {
+		return true
+	}
+	for _, u := range backends[:min(len(backends), linkProbes)] {
+		if t.probeLink(u) {
+			return true
+		}
+	}
+	return false
+}
--- a/process/crash/detector.go
+++ b/process/crash/detector.go
@@ -62,10 +62,9 @@
 	Now func() time.Duration
 	// OnCrash is called for each crash, without locks held.
 	OnCrash func(Crash)
-	// LostToLinks, if set, reports whether this instance's links have failed since a time, which is then
-	// the cause of a lost request that was sent at that time. It may wait for a response of another
-	// backend server.
-	LostToLinks func(sentAt time.Duration) bool
+	// LostToLinks, if set, reports whether this instance's links, and not the backend server, are the
+	// cause of a lost request that was sent at a time. It may wait for a response of another one.
+	LostToLinks func(backend string, sentAt time.Duration) bool
 
 	mu         sync.Mutex
 	candidates map[string]*candidate // by name of the backend server
@@ -135,7 +134,7 @@
 // probe finds out whether the process of a backend server has ended.
 func (d *Detector) probe(l Loss, x *candidate) {
 	time.Sleep(gatherDelay)
-	ended := errors.Is(l.Open(), syscall.ECONNREFUSED) && (d.LostToLinks == nil || !d.LostToLinks(l.SentAt))
+	ended := errors.Is(l.Open(), syscall.ECONNREFUSED) && (d.LostToLinks == nil || !d.LostToLinks(l.Backend, l.SentAt))
 	d.mu.Lock()
 	if !ended {
 		delete(d.candidates, l.Backend) // it is live, or unreachable
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -195,7 +195,7 @@
 	}
 	e.proxy = &proxy.Proxy{
 		Quota: e.quota, Limits: e.limits, Rollouts: e.rollouts, Quarantine: e.quarantine, Memory: e.memoryBudget, Forward: e.newForwardTargets(),
-		Crashes: &crash.Detector{Now: e.now, OnCrash: e.onBackendCrash, LostToLinks: e.table.LostToLinks},
+		Crashes: &crash.Detector{Now: e.now, OnCrash: e.onBackendCrash, LostToLinks: e.lostToLinks},
 		Names:   e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, ConfigAge: e.follower.Age,
 		RetryBudget: &retry.Window{
 			Span: e.settings.RetrySpan, Ratio: e.settings.RetryRatio * retryRatioShare,
--- a/process/edge/links.go
+++ b/process/edge/links.go
@@ -65,3 +65,10 @@
 		e.log.Info().Int("requests", e.proxy.ForwardInFlight()).Msg("links-requests-given-up")
 	}
 }
+
+// lostToLinks reports whether the links of this instance are the cause of a request that was lost at a
+// backend server. Another one that can be reached decides it at once. If those that are tried are down as
+// well, a response of any decides.
+func (e *Edge) lostToLinks(backend string, sentAt time.Duration) bool {
+	return !e.table.ReachesOther(backend) && e.table.LostToLinks(sentAt)
+}
