review: clients of case 3 keep one connection each

Now there are 2000 clients with one kept connection each, which depends on no policy of a pool.

The cases end their processes when they are interrupted.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -2,7 +2,7 @@
 
 /*
 Command 3 is a case of the review. The platform stops and starts the instances in turn, with SIGTERM.
-Clients keep connections for many requests, and some hold the answers of the directory for three times
+Clients keep a connection for many requests, and some hold the answers of the directory for three times
 their time. It checks that no request is lost that an instance had passed on to an upstream.
 */
 package main
@@ -32,28 +32,25 @@
 	upstreams = 40
 	slots     = 8
 
-	// clientsPerZone is about the number of clients of a zone of the small deployments. Each has
-	// workersPerClient requests at a time, at most, and keeps poolSize connections.
-	clientsPerZone   = 80
-	workersPerClient = 2
-	poolSize         = 8
-	// longHolders is the share of the clients that hold an answer for holdFactor times its time.
-	longHolders = 3 // one in
+	// clients keep one connection each and send a request on it every minPeriod to minPeriod+periodSpread.
+	clients      = 2000
+	minPeriod    = 5 * time.Second
+	periodSpread = time.Second
+	// One client in longHolders holds an answer for holdFactor times its time.
+	longHolders = 3
 	holdFactor  = 3
-	// maxRest is four fifths of the idle time-out of the operator's document.
-	maxRest     = 12 * time.Second
 	maxTTL      = 5 * time.Second // ttl_max_s
-	minThink    = 300 * time.Millisecond
-	thinkSpread = 800 * time.Millisecond
+	// failedFor is how long a client skips an address that has failed.
+	failedFor = 2 * time.Second
 
 	budget     = 3 * time.Second
 	timeout    = 2500 * time.Millisecond // of the route
-	meanWork   = 560 * time.Millisecond
-	workSpread = 160 * time.Millisecond
+	meanWork   = 640 * time.Millisecond
+	workSpread = 100 * time.Millisecond
 
-	stops       = 6
-	warmUp      = 12 * time.Second // until the clients have their connections
-	pauseAfter  = 4 * time.Second  // between a restart and the next stop, longer than contactS
+	stops       = 7
+	warmUp      = 12 * time.Second        // until the clients have their connections
+	pauseAfter  = 3200 * time.Millisecond // between a restart and the next stop, longer than contactS
 	restartTime = time.Second
 	grace       = 6 * time.Second // graceS, after which the platform kills a process
 	drainTime   = 4 * time.Second
@@ -66,8 +63,8 @@
 	usedShare   = 0.7
 
 	host   = "jepu9.example"
-	path   = "/fiti832/ti23/2f"
-	prefix = "/fiti832/ti23/"
+	path   = "/xapu221/ny95/2f"
+	prefix = "/xapu221/ny95/"
 )
 
 // request is what was seen of a request.
@@ -122,31 +119,20 @@
 	return err == nil
 }
 
-// pooled is a connection that a client keeps.
-type pooled struct {
-	address  string
-	client   harness.Client
-	lastUsed time.Time
-}
-
-// client is one client with its answer of the directory and its connections.
+// client is one client with its answer of the directory and its connection.
 type client struct {
 	site *site
 	n    int
 	zone string
 	hold time.Duration // factor of the time of an answer
 
-	mu        sync.Mutex
 	addresses []string
 	until     time.Time // when the answer expires
-	idle      []*pooled // least recently used first
-	open      int
+	conn      harness.Client
+	address   string               // that conn is open to
 	failed    map[string]time.Time // addresses that refused a connection lately
 }
 
-// failedFor is how long a client skips an address that has failed.
-const failedFor = 2 * time.Second
-
 // refresh asks the directory again if the answer has expired, the nearest instances first.
 func (c *client) refresh() {
 	if time.Now().Before(c.until) {
@@ -164,19 +150,17 @@
 				continue
 			}
 			c.addresses, c.until = addresses, time.Now().Add(min(ttl, maxTTL)*c.hold)
-			c.idle = slices.DeleteFunc(c.idle, func(p *pooled) bool {
-				gone := !slices.Contains(addresses, p.address)
-				if gone {
-					p.client.Close()
-					c.open--
-				}
-				return gone
-			})
+			if !slices.Contains(addresses, c.address) {
+				c.conn.Close()
+			}
 			return
 		}
 	}
 }
 
+// directoryClient asks the directory.
+var directoryClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
 // resolve asks the directory at an address.
 func resolve(address, zone string) (addresses []string, ttl time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -186,7 +170,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := directoryClient.Do(req)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -204,79 +188,54 @@
 	return out.Addresses, time.Duration(out.TTL * float64(time.Second)), nil
 }
 
-// take returns a connection: the one that has rested longest once the client has poolSize, before that a
-// new one to a random address.
-func (c *client) take() *pooled {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.refresh()
-	for len(c.idle) > 0 && time.Since(c.idle[0].lastUsed) > maxRest {
-		c.idle[0].client.Close()
-		c.idle = c.idle[1:]
-		c.open--
-	}
-	if len(c.idle) > 0 && c.open >= poolSize {
-		p := c.idle[0]
-		c.idle = c.idle[1:]
-		return p
+// open chooses an address for a new connection unless one is open, and reports whether there is any.
+func (c *client) open() bool {
+	if c.conn.Conn() != nil {
+		return true
 	}
 	usable := slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return time.Since(c.failed[a]) < failedFor })
 	if len(usable) == 0 {
-		return nil
-	}
-	c.open++
-	return &pooled{address: usable[rand.IntN(len(usable))], client: harness.Client{Source: harness.ClientIP(c.n)}}
-}
-
-// put keeps a connection if it is open.
-func (c *client) put(p *pooled, refused bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if refused {
-		c.failed[p.address] = time.Now()
-	}
-	if p.client.Conn() == nil {
-		c.open--
-		return
+		return false
 	}
-	p.lastUsed = time.Now()
-	c.idle = append(c.idle, p)
+	c.address = usable[rand.IntN(len(usable))]
+	return true
 }
 
-// run sends requests until a time.
-func (c *client) run(worker int, until time.Time) {
-	for i := 0; time.Now().Before(until); i++ {
-		time.Sleep(minThink + rand.N(thinkSpread))
-		p := c.take()
-		if p == nil {
-			continue
+// run sends a request in each period until a time.
+func (c *client) run(until time.Time) {
+	defer c.conn.Close()
+	period := minPeriod + rand.N(periodSpread)
+	next := time.Now().Add(rand.N(2 * period)) // the answers of the directory expire at different times then
+	for i := 0; next.Before(until); i++ {
+		time.Sleep(time.Until(next))
+		next = next.Add(period)
+		c.refresh()
+		if c.open() {
+			c.send(fmt.Sprintf("c%04d.%04d", c.n, i))
 		}
-		id := fmt.Sprintf("c%03d.%d.%06d", c.n, worker, i)
-		refused := c.send(p, id)
-		c.put(p, refused)
 	}
 }
 
-// send sends a request, and reports whether no connection could be opened.
-func (c *client) send(p *pooled, id string) (refused bool) {
+// send sends a request.
+func (c *client) send(id string) {
 	r := harness.Request{Method: http.MethodPost, Host: host, Path: path, ID: id, Key: id, Budget: budget}
-	if err := p.client.Open(p.address, budget); err != nil {
-		return true
+	if err := c.conn.Open(c.address, budget); err != nil {
+		c.failed[c.address] = time.Now()
+		return
 	}
 	body := bytes.Repeat([]byte{'c'}, 300)
-	if _, err := p.client.Conn().Write(append(r.Head(fmt.Sprintf("Content-Length: %d", len(body))), body...)); err != nil {
-		p.client.Close()
-		return false
+	if _, err := c.conn.Conn().Write(append(r.Head(fmt.Sprintf("Content-Length: %d", len(body))), body...)); err != nil {
+		c.conn.Close()
+		return
 	}
 	sent := time.Now()
-	name := c.site.nameOf(p.address)
+	name := c.site.nameOf(c.address)
 	c.site.with(id, func(x *request) { x.instance, x.sentAt = name, sent })
 	c.site.record.Printf("sent %s to %s", id, name)
-	answer := p.client.Read(r.Method)
+	answer := c.conn.Read(r.Method)
 	ended := time.Now()
 	c.site.with(id, func(x *request) { x.endedAt, x.answer = ended, answer })
 	c.site.record.Printf("answered %s after %d ms: %d %v", id, ended.Sub(sent).Milliseconds(), answer.Status, answer.Err)
-	return false
 }
 
 func (s *site) nameOf(front string) string {
@@ -355,10 +314,10 @@
 	defer record.Close()
 	d, err := harness.Start(instances, harness.Config{
 		Version: "00000007",
-		Routes: map[string]harness.Route{"r-2upl0ad": {
-			Host: host, PathPrefix: prefix, Kind: "upload", TimeoutS: timeout.Seconds(), TargetLatencyS: 1, Priority: 1, Service: "mo3dia", MaxAttempts: 2,
+		Routes: map[string]harness.Route{"r-exd9dnn": {
+			Host: host, PathPrefix: prefix, Kind: "non_idempotent", TimeoutS: timeout.Seconds(), TargetLatencyS: 1, Priority: 1, Service: "wuno96b", MaxAttempts: 2,
 		}},
-		Services: map[string]harness.Service{"mo3dia": harness.DefaultService()},
+		Services: map[string]harness.Service{"wuno96b": harness.DefaultService()},
 		Limits:   harness.DefaultLimits(),
 	})
 	if d != nil {
@@ -368,7 +327,7 @@
 		return harness.Fail(err)
 	}
 	s := &site{record: record, deployment: d, requests: make(map[string]*request)}
-	started, err := d.StartUpstreams("mo3dia", upstreams, slots, s.handle)
+	started, err := d.StartUpstreams("wuno96b", upstreams, slots, s.handle)
 	if err != nil {
 		return harness.Fail(err)
 	}
@@ -381,14 +340,15 @@
 	time.Sleep(4 * time.Second) // contactS, and the end of the start
 	until := time.Now().Add(warmUp + stops*(grace+restartTime+pauseAfter))
 	var group sync.WaitGroup
-	for n := range clientsPerZone * len(harness.Zones) {
-		c := &client{site: s, n: n, zone: d.Instances[n%len(harness.Zones)].Zone, hold: 1, failed: make(map[string]time.Time)}
+	for n := range clients {
+		c := &client{
+			site: s, n: n, zone: d.Instances[n%len(harness.Zones)].Zone, hold: 1,
+			conn: harness.Client{Source: harness.ClientIP(n)}, failed: make(map[string]time.Time),
+		}
 		if n/len(harness.Zones)%longHolders == 0 {
 			c.hold = holdFactor
 		}
-		for w := range workersPerClient {
-			group.Go(func() { c.run(w, until) })
-		}
+		group.Go(func() { c.run(until) })
 	}
 	time.Sleep(warmUp)
 	if harness.Trouble() {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -96,7 +96,10 @@
 }
 
 // ClientIP returns the IP address of the n-th client.
-func ClientIP(n int) net.IP { return net.IPv4(127, 0, 20, byte(n+1)) }
+func ClientIP(n int) net.IP {
+	const perNetwork = 250
+	return net.IPv4(127, 0, byte(20+n/perNetwork), byte(n%perNetwork+1))
+}
 
 // Close closes the connection.
 func (c *Client) Close() {
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -12,7 +12,9 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -60,11 +62,15 @@
 	done       chan struct{}
 }
 
+// maxRunTime is how long a case may take. It ends as one that could not run after that.
+const maxRunTime = 118 * time.Second
+
 // Deployment is a running deployment.
 type Deployment struct {
 	Store     *tablestore.Store
 	Instances []*Instance
 	dir       string
+	closed    sync.Once
 }
 
 // Limits are the limits of the operator's document.
@@ -127,6 +133,7 @@
 		return nil, err
 	}
 	d := &Deployment{Store: tablestore.Start(), dir: dir}
+	go d.watch()
 	if err := d.PutConfig(c); err != nil {
 		return d, err
 	}
@@ -313,8 +320,24 @@
 	return nil
 }
 
+// watch ends the case when it is interrupted or takes too long.
+func (d *Deployment) watch() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case s := <-signals:
+		fmt.Fprintln(os.Stderr, "not run:", s)
+	case <-time.After(maxRunTime):
+		fmt.Fprintln(os.Stderr, "not run: it takes too long")
+	}
+	d.Close()
+	os.Exit(ExitNotRun)
+}
+
 // Close ends all processes and removes the temporary folder.
-func (d *Deployment) Close() {
+func (d *Deployment) Close() { d.closed.Do(d.close) }
+
+func (d *Deployment) close() {
 	for _, x := range d.Instances {
 		if x.cmd != nil {
 			x.Kill()
