--- a/review/3/main.go
+++ b/review/3/main.go
@@ -69,19 +69,17 @@
 
 // request is what was seen of a request.
 type request struct {
-	instance   string
-	sentAt     time.Time // its last byte
-	ranAt      time.Time // zero: it did not run
-	finishedAt time.Time // when the upstream has answered; zero: not
-	endedAt    time.Time // when the client got an answer, or the connection ended
-	answer     harness.Answer
+	instance string
+	sentAt   time.Time // its last byte
+	ranAt    time.Time // zero: it did not run
+	endedAt  time.Time // when the client got an answer, or the connection ended
+	answer   harness.Answer
 }
 
 // stop is a SIGTERM to an instance.
 type stop struct {
 	instance string
 	at       time.Time
-	endedAt  time.Time
 }
 
 // site holds what the stand-ins saw.
@@ -115,7 +113,6 @@
 	time.Sleep(meanWork - workSpread + rand.N(2*workSpread))
 	text := "answer to " + id
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nX-Server-Load: 1,0,8\r\nContent-Length: %d\r\n\r\n%s", id, id, len(text), text)
-	s.with(id, func(x *request) { x.finishedAt = time.Now() })
 	return err == nil
 }
 
@@ -262,7 +259,7 @@
 		}
 		s.record.Printf("%s has ended after %d ms", x.Name, time.Since(at).Milliseconds())
 		s.mu.Lock()
-		s.stops = append(s.stops, stop{instance: x.Name, at: at, endedAt: time.Now()})
+		s.stops = append(s.stops, stop{instance: x.Name, at: at})
 		s.mu.Unlock()
 		time.Sleep(restartTime)
 		if err := x.Restart(); err != nil {
