--- a/review/2/main.go
+++ b/review/2/main.go
@@ -120,7 +120,7 @@
 
 // handle serves a request at an upstream.
 func (s *site) handle(u *harness.Upstream, c net.Conn, r *http.Request) bool {
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(harness.Wire.ID)
 	if harness.Trouble() && s.float() < earlyShare {
 		return s.answerEarly(u, c, r, id)
 	}
@@ -138,14 +138,14 @@
 		s.note(&s.changed, "%s ran at %s with another body: %d of %d bytes, the first difference at %d", id, u.ID, len(got), len(want), at)
 	}
 	time.Sleep(workTime)
-	return write(c, "200 OK", id, "X-Response-Seal: seal."+u.ID+"."+id+"\r\n", "answer to "+id)
+	return write(c, "200 OK", id, harness.Wire.Seal+": seal."+u.ID+"."+id+"\r\n", "answer to "+id)
 }
 
 // answerEarly answers a request before its body is read, and reads on.
 func (s *site) answerEarly(u *harness.Upstream, c net.Conn, r *http.Request, id string) bool {
-	status, header, text, first := "503 Service Unavailable", "X-Not-Executed: 1\r\n", "", int64(0)
+	status, header, text, first := "503 Service Unavailable", harness.Wire.NotRun+": 1\r\n", "", int64(0)
 	if s.float() >= rejectedShare {
-		status, header, text = "500 Internal Server Error", "X-Response-Seal: seal."+u.ID+"."+id+"\r\n", "failure of "+id
+		status, header, text = "500 Internal Server Error", harness.Wire.Seal+": seal."+u.ID+"."+id+"\r\n", "failure of "+id
 		first = int64(s.float() * maxEarlyBytes)
 	}
 	got, err := io.ReadAll(io.LimitReader(r.Body, first))
@@ -178,7 +178,7 @@
 }
 
 func write(c net.Conn, status, id, header, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sX-Server-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n%s", status, id, header, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s%s: 1,0,6\r\nContent-Length: %d\r\n\r\n%s", status, harness.Wire.ID, id, header, harness.Wire.Load, len(body), body)
 	return err == nil
 }
 
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -103,7 +103,7 @@
 
 // handle serves a request at an upstream.
 func (s *site) handle(u *harness.Upstream, c net.Conn, r *http.Request) bool {
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(harness.Wire.ID)
 	var body bytes.Buffer
 	if _, err := body.ReadFrom(r.Body); err != nil {
 		return false
@@ -112,7 +112,8 @@
 	s.record.Printf("ran %s at %s", id, u.ID)
 	time.Sleep(meanWork - workSpread + rand.N(2*workSpread))
 	text := "answer to " + id
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s\r\nX-Server-Load: 1,0,8\r\nContent-Length: %d\r\n\r\n%s", id, id, len(text), text)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\n%s: 1,0,8\r\nContent-Length: %d\r\n\r\n%s",
+		harness.Wire.ID, id, harness.Wire.Seal, id, harness.Wire.Load, len(text), text)
 	return err == nil
 }
 
@@ -163,7 +164,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	q := url.Values{"name": {host}, "region": {harness.Zones[zone]}, "zone": {zone}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/resolve?"+q.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+harness.Wire.Resolve+"?"+q.Encode(), nil)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -54,8 +54,8 @@
 
 // Head returns the head of the request, with a line that says how its body is framed.
 func (r *Request) Head(framing string) []byte {
-	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Affinity-Key: %s\r\nX-Time-Budget-Ms: %d\r\n%s\r\n\r\n",
-		r.Method, r.Path, r.Host, r.ID, r.Key, r.Budget.Milliseconds(), framing)
+	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n\r\n",
+		r.Method, r.Path, r.Host, Wire.ID, r.ID, Wire.Object, r.Key, Wire.Deadline, r.Budget.Milliseconds(), framing)
 }
 
 // Open opens a connection unless one is open, and sets its deadline.
