upload: one reader at a time for the rest of a body

A caller that stopped sending got the early answer only when it sent on or left. A caller that sent its whole body first lost the answer to a reset.

Cause: the remainder of a body that is not buffered whole was read by three parties. The sender of an attempt goes on for up to 500 ms after an early answer. The decision to make another attempt asked whether the remainder was untouched, and only the new request took it from the first sender, which read on in between. And net/http discards up to 256 KB of an unread body before it sends a response: it took the bytes in turns with the sender, or waited for the sender's read. The sender of a body in chunks took the end that another reader had reached for the end of the body. The race detector reports the two readers in http.MaxBytesReader. `shalewick entry` had the same cause: its body never had a second attempt, but the sender and net/http read it together.

Change: package upload holds the body for proxy and front. The remainder belongs to one attempt until Reclaim, which ends its reading and tells in the same step whether another attempt can send the whole. Whoever reads after that gets an error, which leaves the request without last chunk and with less than its length. Responses are sent before the body is read (full duplex), and the handler discards the rest afterwards, until the request's deadline at most; a body that does not end ends the connection. The connection to a backend server that answered early is closed if the body is not complete: to send on would carry the rest at the pace of the caller for nothing. What is buffered whole is still sent on for up to 500 ms, so that the connection is kept.

--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -16,6 +16,7 @@
 	"shalewick/conn"
 	"shalewick/process/metric"
 	"shalewick/process/steer"
+	"shalewick/process/upload"
 	"shalewick/request"
 	"shalewick/retry"
 )
@@ -28,44 +29,33 @@
 	maxAttempts = 3
 )
 
-// requestBody is the caller's request body: a buffered prefix and, if it is larger, a stream.
-type requestBody struct {
-	buffered []byte    // prefix of the body
-	stream   io.Reader // remainder; nil if buffered holds all of the body
-	length   int64     // -1 if unknown
-	used     bool      // stream was passed to an attempt
-}
-
-// readRequestBody buffers up to maxBufferedBody bytes of the caller's body.
-func readRequestBody(r *http.Request) (*requestBody, error) {
-	if r.ContentLength == 0 {
-		return &requestBody{}, nil
+// readBody buffers up to maxBufferedBody bytes of the caller's body.
+func (c *call) readBody() error {
+	if c.r.ContentLength == 0 {
+		c.body = upload.New(nil, nil, 0)
+		return nil
 	}
-	buf := make([]byte, 0, min(max(r.ContentLength, 512), maxBufferedBody+1))
+	in := http.MaxBytesReader(nil, c.r.Body, c.route.MaxBody) // a writer would be accessed while it is in use
+	buf := make([]byte, 0, min(max(c.r.ContentLength, 512), maxBufferedBody+1))
 	b := bytes.NewBuffer(buf)
-	_, err := io.CopyN(b, r.Body, maxBufferedBody+1)
+	_, err := io.CopyN(b, in, maxBufferedBody+1)
 	if err == io.EOF {
-		return &requestBody{buffered: b.Bytes(), length: int64(b.Len())}, nil
+		c.body = upload.New(b.Bytes(), nil, int64(b.Len()))
+		return nil
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return &requestBody{buffered: b.Bytes(), stream: r.Body, length: r.ContentLength}, nil
+	c.body = upload.New(b.Bytes(), in, c.r.ContentLength)
+	return nil
 }
 
-// replayable reports whether the body can be sent in a further attempt.
-func (b *requestBody) replayable() bool { return b.stream == nil || !b.used }
-
-// reader returns a reader of the whole body for one attempt.
-func (b *requestBody) reader() io.ReadCloser {
-	if b.stream == nil && len(b.buffered) == 0 {
-		return http.NoBody
-	}
-	if b.stream == nil {
-		return io.NopCloser(bytes.NewReader(b.buffered))
+// unread returns how many bytes of the body have not been read from the caller, or -1 if that is unknown.
+func (c *call) unread() int64 {
+	if c.body == nil {
+		return c.r.ContentLength
 	}
-	b.used = true
-	return io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), b.stream))
+	return c.body.Unread()
 }
 
 // response is a backend server's response after its checks. Either body holds
@@ -82,7 +72,6 @@
 type forwarder struct {
 	front     *Front
 	call      *call
-	body      *requestBody
 	placement steer.Request
 	sent      bool // bytes of an attempt may have been sent
 }
@@ -90,11 +79,10 @@
 // forward makes attempts until one gets a response or a retry is not safe or
 // not allowed by the retry budget.
 func (f *Front) forward(ctx context.Context, c *call) (*response, *request.Result) {
-	body, err := readRequestBody(c.r)
-	if err != nil {
+	if err := c.readBody(); err != nil {
 		return nil, bodyErrorResult(err, false)
 	}
-	fw := &forwarder{front: f, call: c, body: body, placement: steer.Request{Service: c.service, Class: c.route.Class, Deadline: c.deadline}}
+	fw := &forwarder{front: f, call: c, placement: steer.Request{Service: c.service, Class: c.route.Class, Deadline: c.deadline}}
 	budget := f.retryBudget(c.service)
 	budget.Deposit()
 	resp, res, retryable := fw.attempt(ctx)
@@ -156,7 +144,7 @@
 	h := exchange.Response.Header
 	if h.Get(request.HeaderID) != fw.call.id {
 		exchange.Response.Close = true
-		exchange.Close()
+		fw.call.body.CloseExchange(exchange)
 		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 		return nil, fw.newResult(request.AnswerWrong), fw.repeatable()
 	}
@@ -164,12 +152,12 @@
 	if h.Get(request.HeaderNotRun) == "true" {
 		fw.sent = wasSent
 		_, _ = io.CopyN(io.Discard, exchange.Response.Body, maxBufferedBody) // drained so that the connection can be reused
-		exchange.Close()
+		fw.call.body.CloseExchange(exchange)
 		retryAfter := request.OwnNames.Notice(exchange.Response.StatusCode, h).RetryAfter
 		fw.front.Steer.Health.RecordRejection(name, retryAfter, h.Get(request.HeaderState), h.Get(request.HeaderBoot), fw.front.Now()-start, fw.front.Now())
 		refused := fw.newResult(request.BackendRefused)
 		refused.Retry = time.Second
-		return nil, refused, fw.body.replayable()
+		return nil, refused, fw.call.body.Reclaim()
 	}
 	return fw.receive(exchange, name, start)
 }
@@ -190,7 +178,7 @@
 
 // readResponse reads up to maxBufferedBody of a response. If that is all of
 // it, the exchange is closed.
-func readResponse(exchange *conn.Exchange) (*response, error) {
+func (c *call) readResponse(exchange *conn.Exchange) (*response, error) {
 	httpResp := exchange.Response
 	resp := &response{status: httpResp.StatusCode, header: httpResp.Header, exchange: exchange}
 	var buf bytes.Buffer
@@ -202,10 +190,10 @@
 	if err == io.EOF {
 		resp.exchange = nil
 		err = nil
-		exchange.Close()
+		c.body.CloseExchange(exchange)
 	}
 	if err != nil {
-		exchange.Close()
+		c.body.CloseExchange(exchange)
 		return nil, err
 	}
 	return resp, nil
@@ -216,7 +204,7 @@
 func (fw *forwarder) receive(exchange *conn.Exchange, name string, start time.Duration) (*response, *request.Result, bool) {
 	httpResp := exchange.Response
 	begun := fw.front.Now()
-	resp, err := readResponse(exchange)
+	resp, err := fw.call.readResponse(exchange)
 	now := fw.front.Now()
 	fw.front.Metrics.Stage(metric.StageResponse, now-begun)
 	if err != nil {
@@ -230,7 +218,7 @@
 
 // repeatable reports whether a request that was sent at least in part may be
 // retried.
-func (fw *forwarder) repeatable() bool { return !fw.call.nonRepeatable && fw.body.replayable() }
+func (fw *forwarder) repeatable() bool { return !fw.call.nonRepeatable && fw.call.body.Reclaim() }
 
 // newResult returns a result that says whether the request may have run.
 func (fw *forwarder) newResult(c request.Code) *request.Result {
@@ -247,15 +235,11 @@
 	var dispatchErr *conn.DispatchError
 	sent := !errors.As(err, &dispatchErr) || dispatchErr.Sent
 	fw.sent = fw.sent || sent
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fw.newResult(request.TooLarge), false
-	}
 	if fw.call.r.Context().Err() != nil {
 		return fw.newResult(request.CallerGone), false
 	}
 	if errors.Is(err, conn.ErrNotAllowed) {
-		return fw.newResult(request.Unconfirmed), fw.body.replayable()
+		return fw.newResult(request.Unconfirmed), fw.call.body.Reclaim()
 	}
 	if ctx.Err() != nil || !time.Now().Before(fw.call.deadline) {
 		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
@@ -263,7 +247,7 @@
 	}
 	if !sent {
 		fw.front.Steer.Health.RecordUnreachable(name, fw.front.Now())
-		return fw.newResult(request.ConnectFailed), fw.body.replayable()
+		return fw.newResult(request.ConnectFailed), fw.call.body.Reclaim()
 	}
 	fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 	return fw.newResult(lostResponseCode(err, fw.call.deadline)), fw.repeatable()
@@ -288,7 +272,7 @@
 	in := fw.call.r
 	out := &http.Request{
 		Method: in.Method, URL: in.URL, Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: request.Forwardable(in.Header), Body: fw.body.reader(), ContentLength: fw.body.length,
+		Header: request.Forwardable(in.Header), Body: fw.call.body.Open(), ContentLength: fw.call.body.Length(),
 	}
 	h := out.Header
 	h.Del(request.HeaderTicket)
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -20,6 +20,7 @@
 	"shalewick/process/metric"
 	"shalewick/process/steer"
 	"shalewick/process/ticket"
+	"shalewick/process/upload"
 	"shalewick/request"
 	"shalewick/retry"
 	"shalewick/version"
@@ -67,10 +68,28 @@
 	deadline      time.Time
 	nonRepeatable bool
 	started       time.Time
+	body          *upload.Body // nil until it has been read
+	framed        bool         // the response has a length
 }
 
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	upload.Respond(w, r)
+	c := &call{w: w, r: r, id: rand.Text(), started: time.Now()}
+	f.serve(c)
+	if !c.framed || c.unread() == 0 {
+		return
+	}
+	kept := upload.Drain(w, r, c.deadline)
+	f.Metrics.UnreadBody(c.service, kept)
+	if !kept {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve serves one request.
+func (f *Front) serve(c *call) {
+	w, r := c.w, c.r
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	if id := r.Header.Get(request.HeaderID); id != "" {
@@ -83,7 +102,6 @@
 		f.serveReserved(w, r)
 		return
 	}
-	c := &call{w: w, r: r, id: rand.Text(), started: time.Now()}
 	if res := f.classify(c); res != nil {
 		if r.Header.Get(request.HeaderTicket) != "" {
 			res.Ran = request.RanUnknown // an earlier call with the ticket may have run
@@ -137,7 +155,6 @@
 	if len(c.r.Header.Values("Upgrade")) > 0 || c.r.Method == http.MethodConnect {
 		return refusal(request.BadRequest, 0)
 	}
-	c.r.Body = http.MaxBytesReader(c.w, c.r.Body, c.route.MaxBody)
 	c.nonRepeatable = !c.route.Repeatable || c.r.Header.Get(request.HeaderOnce) == "true"
 	c.deadline = c.started.Add(time.Duration(c.route.Deadline))
 	if ms, err := strconv.ParseInt(c.r.Header.Get(request.HeaderDeadline), 10, 64); err == nil && ms > 0 {
@@ -175,6 +192,10 @@
 // finish counts the request and responds with a result.
 func (f *Front) finish(c *call, res request.Result) {
 	f.count(c, res.Code)
+	c.framed = true
+	if c.unread() > upload.MaxDiscarded {
+		c.w.Header().Set("Connection", "close")
+	}
 	res.Write(c.w)
 }
 
--- a/process/front/front_test.go
+++ b/process/front/front_test.go
@@ -49,6 +49,7 @@
   - {prefix: /lots, methods: [GET, HEAD], class: read, repeatable: true, deadline: 400ms}
   - {prefix: /bids, methods: [POST], class: commit, deadline: 400ms}
   - {prefix: /videos, methods: [PUT], class: upload, repeatable: true, deadline: 400ms, maxBody: 1000}
+  - {prefix: /films, methods: [PUT], class: upload, deadline: 4s, maxBody: 1048576, repeatable: true}
 ---
 kind: backend
 name: c1
@@ -65,10 +66,19 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{backend: &backend.Server{Name: "c1", Slots: 1, MeanWork: time.Millisecond}}
-	backendServer := httptest.NewServer(f.backend.Handler())
+	b := &backend.Server{Name: "c1", Slots: 1, MeanWork: time.Millisecond}
+	backendServer := httptest.NewServer(b.Handler())
 	t.Cleanup(backendServer.Close)
-	rs, err := version.Parse(fmt.Appendf(nil, documents, backendServer.Listener.Addr()))
+	f := newFixtureAt(t, backendServer.Listener.Addr().String())
+	f.backend = b
+	return f
+}
+
+// newFixtureAt returns a front whose backend server is at an address.
+func newFixtureAt(t *testing.T, address string) *fixture {
+	t.Helper()
+	f := &fixture{}
+	rs, err := version.Parse(fmt.Appendf(nil, documents, address))
 	assert.NilError(t, err)
 	cfg, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
 	assert.NilError(t, err)
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -134,14 +134,13 @@
 		f.finish(c, retryWithTicket(request.ConnectFailed))
 		return
 	}
-	body, err := readRequestBody(c.r)
-	if err != nil {
+	if err := c.readBody(); err != nil {
 		f.finish(c, *bodyErrorResult(err, true))
 		return
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	fw := &forwarder{front: f, call: c, body: body}
+	fw := &forwarder{front: f, call: c}
 	req := fw.newRequest(ctx, c.deadline)
 	req.Header.Set(request.HeaderTicket, t.String())
 	req.Header.Set(request.HeaderForwarded, f.Members.Self().GetId())
@@ -161,11 +160,11 @@
 		return
 	}
 	if exchange.Response.Header.Get(request.HeaderID) != c.id {
-		exchange.Close()
+		c.body.CloseExchange(exchange)
 		f.finish(c, retryWithTicket(request.AnswerWrong))
 		return
 	}
-	resp, err := readResponse(exchange)
+	resp, err := c.readResponse(exchange)
 	if err != nil {
 		f.finish(c, retryWithTicket(lostResponseCode(err, c.deadline)))
 		return
--- a/process/front/peer.go
+++ b/process/front/peer.go
@@ -29,7 +29,7 @@
 // ticket may run it, and one that was forwarded is not forwarded again.
 func (fw *forwarder) mayForward(res *request.Result) bool {
 	f := fw.front
-	if f.Forward == nil || fw.sent || fw.call.nonRepeatable || !fw.body.replayable() || fw.call.r.Header.Get(request.HeaderForwarded) != "" {
+	if f.Forward == nil || fw.sent || fw.call.nonRepeatable || !fw.call.body.Reclaim() || fw.call.r.Header.Get(request.HeaderForwarded) != "" {
 		return false
 	}
 	return res.Code == request.ConnectFailed || res.Code == request.NoBackend && f.Steer.AnyFailing(fw.call.service)
@@ -39,7 +39,7 @@
 // none can serve it.
 func (fw *forwarder) forwardToOther(ctx context.Context) (*response, *request.Result) {
 	var tried []string
-	for len(tried) < maxForwardTries && ctx.Err() == nil {
+	for len(tried) < maxForwardTries && ctx.Err() == nil && fw.call.body.Reclaim() {
 		target := fw.front.Forward.Pick(&forward.Query{Service: fw.call.service, Tried: tried})
 		if target == nil {
 			break
@@ -72,16 +72,16 @@
 	h := exchange.Response.Header
 	if h.Get(request.HeaderID) != fw.call.id {
 		exchange.Response.Close = true
-		exchange.Close()
+		fw.call.body.CloseExchange(exchange)
 		fw.sent = true
 		return nil, fw.newResult(request.AnswerWrong), forward.Unreachable
 	}
 	if res, isResult := request.FromHeader(h); isResult {
 		_, _ = io.CopyN(io.Discard, exchange.Response.Body, maxBufferedBody) // drained so that the connection can be reused
-		exchange.Close()
+		fw.call.body.CloseExchange(exchange)
 		return nil, &res, outcomeOf(&res)
 	}
-	resp, err := readResponse(exchange)
+	resp, err := fw.call.readResponse(exchange)
 	if err != nil {
 		fw.sent = true
 		return nil, fw.lostAt(err), forward.Unreachable
--- a/process/front/relay.go
+++ b/process/front/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"shalewick/process/upload"
 	"shalewick/request"
 )
 
@@ -26,13 +27,17 @@
 	if resp.exchange == nil && request.BodyAllowed(c.r.Method, resp.status) {
 		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
 	}
+	c.framed = resp.exchange == nil || h.Get("Content-Length") != ""
+	if c.unread() > upload.MaxDiscarded || !c.framed && c.unread() != 0 {
+		h.Set("Connection", "close")
+	}
 	c.w.WriteHeader(resp.status)
 	_, err := c.w.Write(resp.body)
 	if resp.exchange != nil {
 		if err == nil {
 			_, err = io.Copy(c.w, resp.exchange.Response.Body)
 		}
-		resp.exchange.Close()
+		c.body.CloseExchange(resp.exchange)
 	}
 	if err != nil {
 		f.count(c, request.AnswerLost)
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -127,6 +127,16 @@
 	s.Counter("requests_cut_off_total{waited_for=" + strconv.Quote(kind) + "}").Inc(1)
 }
 
+// UnreadBody counts a response that was sent before the end of the request's body. Kept is set if the caller sent the
+// rest, so that its connection was kept.
+func (s *Set) UnreadBody(service string, kept bool) {
+	connection := "closed"
+	if kept {
+		connection = "kept"
+	}
+	s.Counter(fmt.Sprintf("bodies_unread_total{service=%q,connection=%q}", service, connection)).Inc(1)
+}
+
 // Notice counts a response in which a backend server announces that it is leaving, or
 // requests a backoff.
 func (s *Set) Notice(service string, n request.Notice) {
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -12,6 +12,7 @@
 
 	"shalewick/process/held"
 	"shalewick/process/metric"
+	"shalewick/process/upload"
 	"shalewick/request"
 )
 
@@ -26,7 +27,8 @@
 	if resp.ex == nil && request.BodyAllowed(c.r.Method, resp.res.StatusCode) {
 		h.Set("Content-Length", strconv.Itoa(len(resp.buffered)))
 	}
-	if p.keepAlivesDisabled.Load() {
+	c.framed = resp.ex == nil || resp.res.ContentLength >= 0
+	if p.keepAlivesDisabled.Load() || c.unread() > upload.MaxDiscarded || !c.framed && c.unread() != 0 {
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(resp.res.StatusCode)
@@ -39,6 +41,7 @@
 			c.lease.Free(held.Responses)
 			err = c.streamRest(resp.ex)
 		}
+		c.body.CloseExchange(resp.ex)
 		resp.close()
 	}
 	code := request.OK
@@ -103,6 +106,9 @@
 	}
 	h.Set("Content-Length", "0")
 	c.setForwardedHeaders(string(res.Ran))
+	if c.unread() > upload.MaxDiscarded {
+		h.Set("Connection", "close")
+	}
 	c.writeHeader(status)
 }
 
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -32,9 +32,8 @@
 	ex         *conn.Exchange // nil if the whole response is buffered
 }
 
-// close ends the exchange of a response that was not fully buffered.
+// close ends a response that was not fully buffered. Its exchange has been closed.
 func (r *response) close() {
-	r.ex.Close()
 	if r.forwarded != nil {
 		r.forwarded.Done(forward.Served)
 		return
@@ -123,7 +122,7 @@
 	if ctx.Err() != nil || t.c.timeLeft() < minAttemptTime {
 		return false
 	}
-	if t.mayHaveRun && !t.c.route.Repeatable || !t.c.body.replayable() {
+	if t.mayHaveRun && !t.c.route.Repeatable || !t.c.body.Reclaim() {
 		return false
 	}
 	if t.p.isQuarantined(t.c) {
@@ -199,14 +198,14 @@
 			break
 		}
 		if err := ex.SkipResponse(t.c.r); err != nil {
-			ex.Close()
+			t.c.body.CloseExchange(ex)
 			return nil, t.exchangeLost(ctx, pick, err, sent)
 		}
 	}
 	header := ex.Response.Header
 	if header.Get(names.ID) != t.c.id && ex.Response.StatusCode != http.StatusMisdirectedRequest {
 		ex.Response.Close = true
-		ex.Close()
+		t.c.body.CloseExchange(ex)
 		return nil, t.exchangeLost(ctx, pick, errors.New("responses to other requests"), sent)
 	}
 	notice := t.applyNotice(ex.Response, pick)
@@ -215,9 +214,9 @@
 		return nil, t.backendRefused(ex, pick, notice, limit)
 	}
 	headerTime := time.Since(sent)
-	resp, err := bufferResponse(ex, t.c.lease)
+	resp, err := t.c.bufferResponse(ex)
 	if err == nil && t.endAwait() && resp.ex != nil {
-		ex.Close() // the remainder can't be read any more
+		t.c.body.CloseExchange(ex) // the remainder can't be read any more
 		err = errGivenUp
 	}
 	if err != nil {
@@ -276,7 +275,7 @@
 	misdirected := ex.Response.StatusCode == http.StatusMisdirectedRequest
 	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxBufferedResponse) // lets the connection be reused
 	report := t.loadReport(ex.Response.Header, pick)
-	ex.Close()
+	t.c.body.CloseExchange(ex)
 	pick.Done(balance.Refused, report)
 	t.reportOutcome(pick, rollout.Outcome{Failed: misdirected, Inconclusive: !misdirected})
 	t.logLine(pick).Int("status", ex.Response.StatusCode).Bool("leaving", notice.Leaving).Dur("retryAfter", notice.RetryAfter).Float64("limit", limit).
@@ -289,18 +288,18 @@
 }
 
 // bufferResponse buffers a response, in full unless it is large or memory is short.
-func bufferResponse(ex *conn.Exchange, lease *held.Lease) (*response, error) {
+func (c *call) bufferResponse(ex *conn.Exchange) (*response, error) {
 	resp := &response{res: ex.Response, ex: ex}
 	var err error
 	whole := false
-	resp.buffered, whole, err = held.Read(lease, held.Responses, ex.Response.Body, ex.Response.ContentLength, maxBufferedResponse)
+	resp.buffered, whole, err = held.Read(c.lease, held.Responses, ex.Response.Body, ex.Response.ContentLength, maxBufferedResponse)
 	if err != nil {
-		ex.Close()
+		c.body.CloseExchange(ex)
 		return nil, err
 	}
 	if whole {
 		resp.ex = nil
-		ex.Close()
+		c.body.CloseExchange(ex)
 	}
 	return resp, nil
 }
--- a/process/proxy/fingerprint.go
+++ b/process/proxy/fingerprint.go
@@ -17,7 +17,7 @@
 // computeFingerprint returns the fingerprint that all attempts of the caller's request share. It
 // uses the host of the route, which does not depend on how the caller spells the host.
 func (c *call) computeFingerprint() request.Fingerprint {
-	return request.FingerprintOf(c.workspaceName(), c.route.Host, c.r.Method, c.r.RequestURI, c.body.buffered, c.body.length)
+	return request.FingerprintOf(c.workspaceName(), c.route.Host, c.r.Method, c.r.RequestURI, c.body.Buffered(), c.body.Length())
 }
 
 // path returns the host and path of the request for operators, truncated to maxPath.
--- a/process/proxy/forward.go
+++ b/process/proxy/forward.go
@@ -27,7 +27,7 @@
 	in := t.c.r
 	out := &http.Request{
 		Method: in.Method, URL: target(in), Host: in.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: request.Forwardable(in.Header), Body: held.WatchBody(t.c.lease, t.c.body.reader()), ContentLength: t.c.body.length,
+		Header: request.Forwardable(in.Header), Body: held.WatchBody(t.c.lease, t.c.body.Open()), ContentLength: t.c.body.Length(),
 	}
 	h := out.Header
 	if _, ok := h["User-Agent"]; !ok {
--- a/process/proxy/lostlinks.go
+++ b/process/proxy/lostlinks.go
@@ -70,7 +70,7 @@
 // awaitResponse returns the context of an attempt, and registers it if it may be given up.
 func (t *transaction) awaitResponse(ctx context.Context) context.Context {
 	c := t.c
-	if t.p.Forward == nil || c.forwarded != nil || !c.route.Repeatable || c.body.rest != nil || c.attempts+1 >= c.maxAttempts() {
+	if t.p.Forward == nil || c.forwarded != nil || !c.route.Repeatable || c.body.Streamed() || c.attempts+1 >= c.maxAttempts() {
 		return ctx
 	}
 	ctx, cancel := context.WithCancel(ctx) // ends with the request
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -73,7 +73,7 @@
 	case p.Table.Links() != balance.LinksUp, p.Table.ForwardsAll():
 		p.rejectForwarded(c, request.NoBackend)
 	default:
-		p.serve(c)
+		p.serveAndDrain(c)
 	}
 }
 
@@ -162,14 +162,14 @@
 // forward forwards the request to another instance, and to a further one if that can't serve it. It
 // returns neither a response nor a result if there is none that can.
 func (t *transaction) forward(ctx context.Context, reason string) (*response, *request.Result) {
-	for t.c.body.replayable() && t.p.canForward(t.c) {
+	for t.c.body.Reclaim() && t.p.canForward(t.c) {
 		target := t.p.Forward.Pick(t.c.forwardQuery())
 		if target == nil {
 			break // another request has taken the trial of a target
 		}
 		t.c.forwardedTo = append(t.c.forwardedTo, target.Name)
 		resp, res, declined := t.forwardTo(ctx, target, reason)
-		if !declined || !t.c.body.replayable() {
+		if !declined || !t.c.body.Reclaim() {
 			return resp, res
 		}
 	}
@@ -214,13 +214,13 @@
 	h := ex.Response.Header
 	end := h.Get(headerForwardedEnd)
 	if end == "" && h.Get(t.p.Names.ID) == "" && ex.Response.StatusCode == http.StatusNotFound {
-		ex.Close()
+		t.c.body.CloseExchange(ex)
 		target.Done(forward.Declined) // it runs an earlier release
 		return nil, t.result(request.ConnectFailed, minRetryAfter), true, nil
 	}
 	if h.Get(t.p.Names.ID) != t.c.id || end == "" {
 		ex.Response.Close = true
-		ex.Close()
+		t.c.body.CloseExchange(ex)
 		return nil, nil, false, errors.New("the response is not to this request")
 	}
 	used, err := strconv.Atoi(h.Get(headerForwardedAttempts))
@@ -228,7 +228,7 @@
 		used = granted
 	}
 	if end == forwardedAnswered {
-		resp, err = bufferResponse(ex, t.c.lease)
+		resp, err = t.c.bufferResponse(ex)
 		if err != nil {
 			return nil, nil, false, err
 		}
@@ -244,7 +244,7 @@
 	result, known := request.FromHeader(h)
 	retryAfter := t.p.Names.Notice(ex.Response.StatusCode, h).RetryAfter
 	_, _ = io.CopyN(io.Discard, ex.Response.Body, maxBufferedResponse) // lets the connection be reused
-	ex.Close()
+	t.c.body.CloseExchange(ex)
 	if !known {
 		return nil, nil, false, errors.New("the result can't be read")
 	}
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -3,13 +3,11 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"os"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +24,7 @@
 	"shalewick/process/quota"
 	"shalewick/process/ratelimit"
 	"shalewick/process/rollout"
+	"shalewick/process/upload"
 	"shalewick/request"
 	"shalewick/retry"
 	"shalewick/version"
@@ -132,8 +131,9 @@
 	bodyRead           bodyReadState
 	lease              *held.Lease // accounts for the memory of the request and its response
 	awaited            awaitedAttempt
-	isCutOff           atomic.Bool // the caller was cut off because it did not read
-	body               *body
+	isCutOff           atomic.Bool          // the caller was cut off because it did not read
+	framed             bool                 // the response has a length, and net/http sends it
+	body               *upload.Body         // nil until it has been read
 	fingerprint        request.Fingerprint  // zero until the body has been read
 	noBackendReason    *balance.Explanation // the diagnosis of the last pick, if it found no backend server
 	attempts           int                  // attempts of which at least one byte may have been sent
@@ -142,7 +142,29 @@
 }
 
 // ServeHTTP serves one request of a caller.
-func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.serve(&call{w: w, r: r}) }
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.serveAndDrain(&call{w: w, r: r}) }
+
+// serveAndDrain serves one request, and discards the part of its body that is not needed for the response.
+func (p *Proxy) serveAndDrain(c *call) {
+	upload.Respond(c.w, c.r)
+	p.serve(c)
+	if !c.framed || c.unread() == 0 {
+		return
+	}
+	kept := upload.Drain(c.w, c.r, c.deadline)
+	p.Metrics.UnreadBody(c.service, kept)
+	if !kept {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// unread returns how many bytes of the body have not been read from the caller, or -1 if that is unknown.
+func (c *call) unread() int64 {
+	if c.body == nil {
+		return c.r.ContentLength
+	}
+	return c.body.Unread()
+}
 
 // serve serves one request.
 func (p *Proxy) serve(c *call) {
@@ -197,7 +219,6 @@
 	}
 	resp, res := p.run(ctx, c)
 	p.settleQuota(c)
-	c.body = nil // no further attempt will be made
 	c.lease.Free(held.Bodies)
 	if res != nil {
 		p.writeResult(c, res)
@@ -231,9 +252,6 @@
 	if limits.MaxBody > 0 && c.r.ContentLength > limits.MaxBody {
 		return notRun(request.TooLarge, 0)
 	}
-	if limits.MaxBody > 0 {
-		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limits.MaxBody)
-	}
 	if c.r.Header.Get("Upgrade") != "" || c.r.Method == http.MethodConnect {
 		return notRun(request.BadRequest, 0)
 	}
@@ -264,56 +282,6 @@
 	return &r
 }
 
-// body is a request body: buffered whole, or a buffered beginning and an unread remainder.
-type body struct {
-	buffered []byte
-	rest     io.Reader // nil if all of the body is buffered
-	length   int64     // -1 if unknown
-
-	mu       sync.Mutex
-	restUsed bool        // an attempt has started to read rest
-	current  *restReader // of the latest attempt; an earlier one may not read rest
-}
-
-// replayable reports whether the body can be sent again.
-func (b *body) replayable() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.rest == nil || !b.restUsed
-}
-
-// reader returns the body for one attempt.
-func (b *body) reader() io.ReadCloser {
-	if b.rest == nil && len(b.buffered) == 0 {
-		return http.NoBody
-	}
-	beginning := bytes.NewReader(b.buffered)
-	if b.rest == nil {
-		return io.NopCloser(beginning)
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.current = &restReader{body: b}
-	return io.NopCloser(io.MultiReader(beginning, b.current))
-}
-
-// restReader reads the remainder of a body for one attempt.
-type restReader struct{ body *body }
-
-// errSuperseded is returned to an attempt that reads a body after a later one has begun.
-const errSuperseded = errors.ConstError("the body is sent with a later attempt")
-
-func (r *restReader) Read(p []byte) (int, error) {
-	r.body.mu.Lock()
-	superseded := r.body.current != r
-	r.body.restUsed = r.body.restUsed || !superseded
-	r.body.mu.Unlock()
-	if superseded {
-		return 0, errSuperseded
-	}
-	return r.body.rest.Read(p)
-}
-
 // maxUncheckedBody is the size in bytes up to which a body is read without checkAvailable.
 const maxUncheckedBody = 8 << 10
 
@@ -345,23 +313,27 @@
 
 // readBody buffers up to maxBufferedBody bytes of the body, or fewer if memory is short.
 func (p *Proxy) readBody(c *call) *request.Result {
-	c.body = &body{}
 	if c.r.ContentLength == 0 {
+		c.body = upload.New(nil, nil, 0)
 		return nil
 	}
+	in := io.Reader(c.r.Body)
+	if limit := c.routing.Limits.MaxBody; limit > 0 {
+		in = http.MaxBytesReader(nil, c.r.Body, limit) // a writer would be accessed while it is in use
+	}
 	c.setBodyReadDeadline(time.Now().Add(c.timeLeft()))
-	data, whole, err := held.Read(c.lease, held.Bodies, callerBody{c.r.Body, c.lease}, c.r.ContentLength, maxBufferedBody)
-	c.body.buffered = data
+	data, whole, err := held.Read(c.lease, held.Bodies, callerBody{in, c.lease}, c.r.ContentLength, maxBufferedBody)
 	if err != nil {
+		c.w.Header().Set("Connection", "close")
 		return bodyErrorResult(err)
 	}
-	c.body.length = int64(len(data))
-	p.bytesCarried.Add(max(c.body.length, c.r.ContentLength))
+	c.setBodyReadDeadline(time.Time{})
+	length, rest := int64(len(data)), io.Reader(nil)
+	p.bytesCarried.Add(max(length, c.r.ContentLength))
 	if !whole {
-		c.body.rest = c.r.Body
-		c.body.length = c.r.ContentLength
+		length, rest = c.r.ContentLength, in
 	}
-	c.setBodyReadDeadline(time.Time{})
+	c.body = upload.New(data, rest, length)
 	return nil
 }
 
--- a/process/proxy/unread.go
+++ b/process/proxy/unread.go
@@ -5,12 +5,11 @@
 import (
 	"net/http"
 	"time"
+
+	"shalewick/process/upload"
 )
 
 const (
-	// maxDiscardedBody is the size in bytes from which net/http does not read the rest of a body
-	// that its handler has left unread, but closes the connection.
-	maxDiscardedBody = 256 << 10
 	// lingerTime is how long a connection with an unread body stays open after the response. If it
 	// were closed at once, the caller's kernel could drop the response.
 	lingerTime = 500 * time.Millisecond
@@ -20,9 +19,10 @@
 
 // writeHeader sends a response without a body.
 func (c *call) writeHeader(status int) {
-	if c.body == nil && c.r.ContentLength >= maxDiscardedBody && c.writeAndLinger(status) {
+	if c.body == nil && c.r.ContentLength >= upload.MaxDiscarded && c.writeAndLinger(status) {
 		return
 	}
+	c.framed = true
 	c.w.WriteHeader(status)
 }
 
