proxy, front: a body over the limit is no failure of its backend server

What callers saw: 504 for a body in chunks that exceeds the limit in the part that is streamed, after the request had been sent on; the backend server that got it counted as failed, its idle connections were closed, and a target of a rollout was charged with a failure.

Cause: the sender of the body interrupts the wait for the response when it can't read on, which looks like a backend server that does not respond in time. The check for MaxBytesError in front looked at the error of the exchange, which never is one.

Change: the body keeps the error that its remainder ended with, and a lost exchange asks for it first. The caller gets 413 with "may have run", since a backend server has got a part. New line body-incomplete.

--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -238,6 +238,9 @@
 	if fw.call.r.Context().Err() != nil {
 		return fw.newResult(request.CallerGone), false
 	}
+	if bodyErr := fw.call.body.Err(); bodyErr != nil { // no fault of the backend server
+		return bodyErrorResult(bodyErr, fw.sent), false
+	}
 	if errors.Is(err, conn.ErrNotAllowed) {
 		return fw.newResult(request.Unconfirmed), fw.call.body.Reclaim()
 	}
--- a/process/front/early_test.go
+++ b/process/front/early_test.go
@@ -101,3 +101,15 @@
 		assert.Assert(t, time.Since(begun) < 300*time.Millisecond, "%s", time.Since(begun))
 	}
 }
+
+// TestBodyOverLimitIsNoBackendFailure guards against a body that exceeds the limit in its streamed part: the backend server
+// counted as failed, and the caller got 504.
+func TestBodyOverLimitIsNoBackendFailure(t *testing.T) {
+	f := newFixture(t)
+	body := early.NumberedBody(uploadBytes + pieceBytes)
+	c := f.startUpload(t, body, true, len(body))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, res.Header.Get(request.HeaderRan), string(request.RanUnknown))
+}
--- a/process/proxy/early_test.go
+++ b/process/proxy/early_test.go
@@ -263,6 +263,20 @@
 	}
 }
 
+// TestBodyOverLimitIsNoBackendFailure guards against a body that exceeds the limit in its remainder: the backend server
+// counted as failed, and the caller got 504. What has been sent on may have run.
+func TestBodyOverLimitIsNoBackendFailure(t *testing.T) {
+	f := newFixture(t, 1)
+	u := uploader{id: "x", body: early.NumberedBody(3<<20 + 1), chunked: true}
+	c, _ := u.start(t, f)
+	r := readReply(c)
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, r.header.Get(request.HeaderRan), string(request.RanUnknown))
+	assert.Equal(t, len(f.runs()), 0)
+	f.assertServed(f.send("next", "/reads/1", ""), "next")
+}
+
 // TestIncompleteBodyNeverLooksWhole guards against a backend server that takes a part of a body for the whole, since the
 // caller left or sent less than it announced.
 func TestIncompleteBodyNeverLooksWhole(t *testing.T) {
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -54,6 +54,12 @@
 		pick.Done(balance.Abandoned, nil)
 		return t.result(request.CallerGone, 0)
 	}
+	if bodyErr := t.c.body.Err(); bodyErr != nil { // no fault of the backend server
+		t.reportOutcome(pick, rollout.Outcome{Inconclusive: true})
+		pick.Done(balance.Abandoned, nil)
+		t.logLine(pick).Err(bodyErr).Msg("body-incomplete")
+		return t.result(bodyErrorResult(bodyErr).Code, 0)
+	}
 	if t.givenUp {
 		t.reportOutcome(pick, rollout.Outcome{Inconclusive: true})
 		pick.Done(balance.Abandoned, nil)
--- a/process/upload/body.go
+++ b/process/upload/body.go
@@ -96,6 +96,16 @@
 	return b.length - int64(len(b.buffered)) - b.read
 }
 
+// Err returns the error that the reading of the remainder has failed with, or nil.
+func (b *Body) Err() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end == io.EOF {
+		return nil
+	}
+	return b.end
+}
+
 // restReader reads the remainder of a body for one attempt.
 type restReader struct{ body *Body }
 
