held: a buffered body stays in the lease until it is sent

What operators saw: an instance may use more memory for bodies than its budget, while backend servers answer early and read on slowly: up to 1 MB for each request of the last 500 ms, which the lease had given back when the response came.

Cause: the lease of a body ended with the last attempt's response, but its sender goes on with the buffered bytes.

Change: the body is used by its owner and by each attempt that has not closed its reader; the lease is freed when all have finished. Dispatch closes the body of a request that it does not send.

TestBufferedBodyIsHeldUntilItIsSent saw 0 bytes held while 1 MB was sent; it passes now, and all bytes are freed afterwards.

--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -67,12 +67,13 @@
 
 // Dispatch sends the request and reads the header of the response. It never sends a request twice.
 // Cancelling ctx aborts the exchange. On error the exchange is closed and Release is called as by
-// Close.
+// Close. The body of the request is closed once it is no longer used, also if nothing is sent.
 func (p *Pool) Dispatch(ctx context.Context, req *http.Request, opts Options) (*Exchange, error) {
 	dialCtx, cancel := context.WithDeadline(ctx, opts.Deadline)
 	conn, err := p.getConn(dialCtx)
 	cancel()
 	if err != nil {
+		closeBody(req)
 		opts.Release(false)
 		return nil, &DispatchError{Err: err}
 	}
@@ -80,6 +81,7 @@
 	conn.allowed = opts.Allowed
 	ex := &Exchange{pool: p, conn: conn, opts: opts}
 	if err := conn.SetDeadline(opts.Deadline); err != nil {
+		closeBody(req)
 		ex.Close()
 		return nil, &DispatchError{Err: err}
 	}
@@ -162,6 +164,7 @@
 		return errors.Annotate(conn.w.Flush(), "write request")
 	}
 	if !conn.allowed() {
+		closeBody(req)
 		return ErrNotAllowed
 	}
 	ex.bodySent = make(chan error, 1)
@@ -178,6 +181,13 @@
 	return nil
 }
 
+// closeBody closes the body of a request that is not written.
+func closeBody(req *http.Request) {
+	if req.Body != nil {
+		_ = req.Body.Close() // nothing was read from it
+	}
+}
+
 // trackedBody records when the whole response has been read.
 type trackedBody struct {
 	io.ReadCloser
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -32,7 +32,7 @@
 // readBody buffers up to maxBufferedBody bytes of the caller's body.
 func (c *call) readBody() error {
 	if c.r.ContentLength == 0 {
-		c.body = upload.New(nil, nil, 0)
+		c.body = upload.New(nil, nil, 0, nil)
 		return nil
 	}
 	in := http.MaxBytesReader(nil, c.r.Body, c.route.MaxBody) // a writer would be accessed while it is in use
@@ -40,13 +40,13 @@
 	b := bytes.NewBuffer(buf)
 	_, err := io.CopyN(b, in, maxBufferedBody+1)
 	if err == io.EOF {
-		c.body = upload.New(b.Bytes(), nil, int64(b.Len()))
+		c.body = upload.New(b.Bytes(), nil, int64(b.Len()), nil)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	c.body = upload.New(b.Bytes(), in, c.r.ContentLength)
+	c.body = upload.New(b.Bytes(), in, c.r.ContentLength, nil)
 	return nil
 }
 
--- a/process/held/budget.go
+++ b/process/held/budget.go
@@ -80,7 +80,7 @@
 	if b == nil {
 		return nil, true
 	}
-	l := &Lease{budget: b, cutOff: cutOff}
+	l := &Lease{budget: b, cutOff: cutOff, users: 1}
 	b.mu.Lock()
 	if b.owners == nil {
 		b.owners = make(map[string]*owner)
--- a/process/held/lease.go
+++ b/process/held/lease.go
@@ -11,6 +11,7 @@
 	owner  *owner
 	cutOff func(Kind)
 	// The fields below are guarded by the budget's mutex.
+	users        int // calls of End that are due
 	held         [numKinds]int64
 	waiting      bool // the request waits for its peer
 	waitingFor   Kind
@@ -70,7 +71,17 @@
 	l.waiting = false
 }
 
-// End releases the lease. It must be called once.
+// Retain makes the lease last for one more call of End.
+func (l *Lease) Retain() {
+	if l == nil {
+		return
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.users++
+}
+
+// End releases the lease. It must be called once, and once for each call of Retain.
 func (l *Lease) End() {
 	if l == nil {
 		return
@@ -78,6 +89,10 @@
 	b := l.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	l.users--
+	if l.users > 0 {
+		return
+	}
 	for k := range numKinds {
 		b.add(l, k, -l.held[k])
 	}
--- a/process/proxy/early_test.go
+++ b/process/proxy/early_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"shalewick/process/held"
 	"shalewick/request"
 	"shalewick/standin/early"
 	"shalewick/version"
@@ -325,3 +327,24 @@
 		checkEarly(t, s, body)
 	}
 }
+
+// TestBufferedBodyIsHeldUntilItIsSent guards against memory that is no longer accounted for while the sender of an early
+// response still uses it.
+func TestBufferedBodyIsHeldUntilItIsSent(t *testing.T) {
+	f := newFixture(t, 0)
+	s := startEarly(t, &early.Server{ReadOn: 300 * time.Millisecond})
+	f.backend("early", s.Address())
+	f.install()
+	budget := f.limitMemory(1000)
+	r := f.send("x", "/bids/1", strings.Repeat("x", maxBufferedBody))
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusInternalServerError)
+	assert.Assert(t, budgetTotal(budget) >= maxBufferedBody, "%d bytes held while the body is sent", budgetTotal(budget))
+	for start := time.Now(); budgetTotal(budget) > 0; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Since(start) < 2*time.Second, "%d bytes still held", budgetTotal(budget))
+	}
+}
+
+func budgetTotal(b *held.Budget) int64 {
+	return b.Held(held.Requests) + b.Held(held.Bodies) + b.Held(held.Responses)
+}
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -211,6 +211,7 @@
 		p.writeResult(c, res)
 		return
 	}
+	defer c.body.Release()
 	c.fingerprint = c.computeFingerprint()
 	if res := p.checkQuarantine(c); res != nil {
 		p.settleQuota(c)
@@ -219,7 +220,7 @@
 	}
 	resp, res := p.run(ctx, c)
 	p.settleQuota(c)
-	c.lease.Free(held.Bodies)
+	c.body.Release() // no further attempt will be made
 	if res != nil {
 		p.writeResult(c, res)
 		return
@@ -314,7 +315,7 @@
 // readBody buffers up to maxBufferedBody bytes of the body, or fewer if memory is short.
 func (p *Proxy) readBody(c *call) *request.Result {
 	if c.r.ContentLength == 0 {
-		c.body = upload.New(nil, nil, 0)
+		c.body = upload.New(nil, nil, 0, nil)
 		return nil
 	}
 	in := io.Reader(c.r.Body)
@@ -333,7 +334,11 @@
 	if !whole {
 		length, rest = c.r.ContentLength, in
 	}
-	c.body = upload.New(data, rest, length)
+	c.lease.Retain()
+	c.body = upload.New(data, rest, length, func() {
+		c.lease.Free(held.Bodies)
+		c.lease.End()
+	})
 	return nil
 }
 
--- a/process/upload/body.go
+++ b/process/upload/body.go
@@ -21,8 +21,11 @@
 	buffered []byte
 	rest     io.Reader // nil if all of the body is buffered
 	length   int64     // -1 if unknown
+	free     func()
 
 	mu      sync.Mutex
+	users   int         // the owner, until Release, and the readers that are not closed
+	owned   bool        // Release has not been called
 	current *restReader // the only reader that may read rest; nil: none may
 	taken   bool        // a read of rest has begun
 	read    int64       // bytes read from rest
@@ -30,38 +33,40 @@
 }
 
 // New returns a body that begins with the buffered bytes. The remainder is read from rest, which is nil if
-// there is none. Length is that of the whole body in bytes, or -1 if it is unknown.
-func New(buffered []byte, rest io.Reader, length int64) *Body {
-	return &Body{buffered: buffered, rest: rest, length: length}
+// there is none. Length is that of the whole body in bytes, or -1 if it is unknown. Free, if set, is
+// called once the buffered bytes are no longer used.
+func New(buffered []byte, rest io.Reader, length int64, free func()) *Body {
+	return &Body{buffered: buffered, rest: rest, length: length, free: free, users: 1, owned: true}
 }
 
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (b *Body) Length() int64 { return b.length }
 
-// Buffered returns the beginning of the body.
+// Buffered returns the beginning of the body. It must not be used after Release.
 func (b *Body) Buffered() []byte { return b.buffered }
 
 // Streamed reports whether a part of the body is not buffered.
 func (b *Body) Streamed() bool { return b.rest != nil }
 
 // Open returns the body for an attempt. It ends the reading by the attempt before. If that has read a part of
-// the remainder, the reader fails there.
+// the remainder, the reader fails there. The reader must be closed.
 func (b *Body) Open() io.ReadCloser {
 	if b.rest == nil && len(b.buffered) == 0 {
 		return http.NoBody
 	}
-	beginning := bytes.NewReader(b.buffered)
-	if b.rest == nil {
-		return io.NopCloser(beginning)
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &restReader{body: b}
-	b.current = nil
-	if !b.taken {
-		b.current = r
+	b.users++
+	var r io.Reader = bytes.NewReader(b.buffered)
+	if b.rest != nil {
+		rest := &restReader{body: b}
+		b.current = nil
+		if !b.taken {
+			b.current = rest
+		}
+		r = io.MultiReader(r, rest)
 	}
-	return io.NopCloser(io.MultiReader(beginning, r))
+	return &attemptReader{Reader: r, body: b}
 }
 
 // Reclaim ends the reading of the remainder by the last attempt, and reports whether another attempt can send
@@ -106,6 +111,40 @@
 	return b.end
 }
 
+// Release ends the use of the body by its owner: no further attempt will be made. The buffered bytes are
+// freed once the last reader is closed as well. It may be called more than once.
+func (b *Body) Release() {
+	b.mu.Lock()
+	owned := b.owned
+	b.owned = false
+	b.mu.Unlock()
+	if owned {
+		b.removeUser()
+	}
+}
+
+func (b *Body) removeUser() {
+	b.mu.Lock()
+	b.users--
+	last := b.users == 0
+	b.mu.Unlock()
+	if last && b.free != nil {
+		b.free()
+	}
+}
+
+// attemptReader is the body of one attempt.
+type attemptReader struct {
+	io.Reader
+	body *Body
+	once sync.Once
+}
+
+func (r *attemptReader) Close() error {
+	r.once.Do(r.body.removeUser)
+	return nil
+}
+
 // restReader reads the remainder of a body for one attempt.
 type restReader struct{ body *Body }
 
--- a/process/upload/body_test.go
+++ b/process/upload/body_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 		if buffered < len(text) {
 			rest = strings.NewReader(text[buffered:])
 		}
-		b := New([]byte(text[:buffered]), rest, int64(len(text)))
+		b := New([]byte(text[:buffered]), rest, int64(len(text)), nil)
 		type attempt struct {
 			io.ReadCloser
 			got []byte
@@ -65,7 +66,7 @@
 // replayable.
 func TestReadUnderWayIsReclaimed(t *testing.T) {
 	in, out := io.Pipe()
-	b := New([]byte("ab"), in, -1)
+	b := New([]byte("ab"), in, -1, nil)
 	r := b.Open()
 	_, err := io.ReadFull(r, make([]byte, 2))
 	assert.NilError(t, err)
@@ -92,7 +93,7 @@
 // TestSecondReaderOfRestFails checks that an attempt that is begun although the remainder has been read takes no part of
 // the body for the whole.
 func TestSecondReaderOfRestFails(t *testing.T) {
-	b := New([]byte("ab"), strings.NewReader("cd"), 4)
+	b := New([]byte("ab"), strings.NewReader("cd"), 4, nil)
 	_, err := io.ReadFull(b.Open(), make([]byte, 3))
 	assert.NilError(t, err)
 	got, err := io.ReadAll(b.Open())
@@ -100,6 +101,28 @@
 	assert.Assert(t, errors.Is(err, ErrReclaimed))
 }
 
+// TestBufferIsFreedOnce checks that the buffered bytes are freed when the owner and all attempts have finished, in any order.
+func TestBufferIsFreedOnce(t *testing.T) {
+	for range 50 {
+		freed := make(chan struct{}, 2)
+		b := New([]byte("ab"), nil, 2, func() { freed <- struct{}{} })
+		var users sync.WaitGroup
+		for range 3 {
+			r := b.Open()
+			users.Go(func() {
+				_, _ = io.Copy(io.Discard, r)
+				_ = r.Close()
+				_ = r.Close()
+			})
+		}
+		users.Go(b.Release)
+		users.Go(b.Release)
+		users.Wait()
+		<-freed
+		assert.Equal(t, len(freed), 0)
+	}
+}
+
 // TestDrainKeepsOrEndsConnection checks that a connection is used again if the rest of the body arrives, and that what follows
 // a body that does not is never taken for a request.
 func TestDrainKeepsOrEndsConnection(t *testing.T) {
--- a/process/upload/doc.go
+++ b/process/upload/doc.go
@@ -4,7 +4,7 @@
 Package upload handles the body of a caller's request, which is sent to one backend server after the
 other until one of them serves the request.
 
-	body := upload.New(beginning, rest, length)
+	body := upload.New(beginning, rest, length, free)
 	out.Body = body.Open()       // once for each attempt
 	body.CloseExchange(exchange) // when its response is complete
 	if body.Reclaim() {          // another attempt can send the body
