edge: end the connections that rest in a planned stop

Cause: a stop ended a connection by a header of its next response, and waited for a moment without requests. Nothing ended connections that rested, so their requests were begun until the process closed all connections, 0.5 s before the end of the grace time. With requests at all times there is no moment without one. Ruled out: requests that waited in the listener's queue, which is drained before it closes, and requests that came before the listener closed, which had ended.

Change: package drain knows of each connection whether a part of a request has been read, and closes the others in one atomic step, so that what crosses the end reaches nobody. Requests whose deadline is later than the end are rejected from then on, and what has arrived in part at the end gets "not run". Connections of other instances that rest are closed as well, and the rejections of a leaving instance end theirs: a forwarded request that crosses the exit would have an unknown end.

--- /dev/null
+++ b/process/drain/conns.go
@@ -0,0 +1,173 @@
+// SPDX-License-Identifier: MIT
+
+package drain
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// state is the state of a connection.
+type state int32
+
+const (
+	stateNew     state = iota // open, and nothing has been read
+	stateResting              // a response has been sent, and nothing has been read since
+	stateReading              // a part of a request has been read
+	stateServing              // the handler has the request
+	stateEnded                // ended by EndIdle or Refuse
+)
+
+// Conns holds the open connections of an HTTP server. The zero value is ready for use.
+type Conns struct {
+	mu    sync.Mutex
+	conns map[*trackedConn]struct{}
+}
+
+// trackedConn is a connection of which the server has read either a part of a request, or nothing since its last
+// response.
+type trackedConn struct {
+	*net.TCPConn
+	state atomic.Int32 // a state
+	since atomic.Int64 // when it was opened, or the request in stateReading began; Unix time in nanoseconds
+}
+
+// Track returns a connection that is to be used in place of c. The ConnState hook of its server must be
+// OnStateChange.
+func (s *Conns) Track(c *net.TCPConn) net.Conn {
+	t := &trackedConn{TCPConn: c}
+	t.since.Store(time.Now().UnixNano())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = make(map[*trackedConn]struct{})
+	}
+	s.conns[t] = struct{}{}
+	return t
+}
+
+// Listener accepts connections that are tracked.
+type Listener struct {
+	*net.TCPListener
+	Conns *Conns
+}
+
+// Accept returns the next connection.
+func (l Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return l.Conns.Track(c), nil
+}
+
+// OnStateChange is the ConnState hook of the server.
+func (s *Conns) OnStateChange(c net.Conn, to http.ConnState) {
+	t, ok := c.(*trackedConn)
+	if !ok {
+		return
+	}
+	switch to {
+	case http.StateActive:
+		if !t.move(stateReading, stateServing) {
+			t.move(stateResting, stateServing) // the request was read together with the one before
+		}
+	case http.StateIdle:
+		t.move(stateServing, stateResting)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, t)
+	}
+}
+
+// Read reads from the connection. What arrives at a connection that has been ended is dropped.
+func (t *trackedConn) Read(p []byte) (int, error) {
+	n, err := t.TCPConn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	switch state(t.state.Load()) {
+	case stateNew, stateResting:
+		t.since.Store(time.Now().UnixNano())
+		if !t.move(stateNew, stateReading) && !t.move(stateResting, stateReading) {
+			return 0, net.ErrClosed
+		}
+	case stateEnded:
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// move changes the state if it is from.
+func (t *trackedConn) move(from, to state) bool {
+	return t.state.CompareAndSwap(int32(from), int32(to))
+}
+
+// age returns how long ago the connection was opened, or the request in stateReading began.
+func (t *trackedConn) age() time.Duration { return time.Since(time.Unix(0, t.since.Load())) }
+
+// list returns the open connections.
+func (s *Conns) list() []*trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*trackedConn, 0, len(s.conns))
+	for t := range s.conns {
+		out = append(out, t)
+	}
+	return out
+}
+
+// EndIdle closes the connections that rest, and those that were opened at least minAge ago and have had no request.
+// It returns their number.
+func (s *Conns) EndIdle(minAge time.Duration) (ended int) {
+	for _, t := range s.list() {
+		if t.move(stateResting, stateEnded) || t.age() >= minAge && t.move(stateNew, stateEnded) {
+			_ = t.Close() // nothing was to be written
+			ended++
+		}
+	}
+	return ended
+}
+
+// Pending returns the number of connections on which a request is expected: those that were opened, or of which
+// a part of a request was read, less than maxAge ago.
+func (s *Conns) Pending(maxAge time.Duration) (pending int) {
+	for _, t := range s.list() {
+		if at := state(t.state.Load()); (at == stateNew || at == stateReading) && t.age() < maxAge {
+			pending++
+		}
+	}
+	return pending
+}
+
+// Serving returns the number of connections on which a request is served or its response is being sent.
+func (s *Conns) Serving() (serving int) {
+	for _, t := range s.list() {
+		if state(t.state.Load()) == stateServing {
+			serving++
+		}
+	}
+	return serving
+}
+
+// refuseTimeout limits the writing of a refusal, which fits into a send buffer.
+const refuseTimeout = 20 * time.Millisecond
+
+// Refuse sends a response on the connections of which only a part of a request has been read, and ends them. It
+// returns their number. The server must be closed afterwards, and refuse requests whose reading ends meanwhile.
+func (s *Conns) Refuse(response []byte) (refused int) {
+	for _, t := range s.list() {
+		if !t.move(stateReading, stateEnded) {
+			continue
+		}
+		_ = t.SetWriteDeadline(time.Now().Add(refuseTimeout))
+		_, _ = t.Write(response) // the caller may have disconnected
+		_ = t.CloseWrite()
+		refused++
+	}
+	return refused
+}
--- a/process/edge/drain.go
+++ b/process/edge/drain.go
@@ -4,15 +4,14 @@
 
 import (
 	"net"
-	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"shalewick/conn"
+	"shalewick/process/drain"
 )
 
 const (
@@ -22,9 +21,9 @@
 	acceptIdleTime = 20 * time.Millisecond
 	// maxDrainTime bounds how long a listener drains while connections keep arriving.
 	maxDrainTime = 300 * time.Millisecond
-	// firstRequestTimeout is how long a planned stop waits for the first request on an open
-	// connection.
-	firstRequestTimeout = time.Second
+	// requestReadTimeout is how long a planned stop waits for a request on a connection that was opened, or
+	// on which a part of it has arrived.
+	requestReadTimeout = time.Second
 )
 
 // drainListener is a listener that can be closed without losing connections: those that are waiting
@@ -32,6 +31,7 @@
 type drainListener struct {
 	*net.TCPListener
 	limiter       *acceptLimiter
+	conns         *drain.Conns              // those that were accepted
 	drainDeadline atomic.Pointer[time.Time] // nil: not draining
 }
 
@@ -45,17 +45,8 @@
 // Accept returns the next connection. It closes the listener once it is drained, and then returns
 // net.ErrClosed.
 func (l *drainListener) Accept() (net.Conn, error) {
-	l.limiter.acquire()
-	c, err := l.TCPListener.Accept()
-	if err == nil {
-		l.limiter.add(c)
-	} else {
-		l.limiter.cancel()
-	}
+	c, err := l.accept()
 	deadline := l.drainDeadline.Load()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(conn.SocketBufferSize) // connections work without it too
-	}
 	if deadline == nil {
 		return c, err
 	}
@@ -69,36 +60,16 @@
 	return c, err
 }
 
-// newConnections holds the open connections of a server on which no request has arrived yet. The
-// zero value is ready for use.
-type newConnections struct {
-	mu       sync.Mutex
-	openedAt map[net.Conn]time.Time
-}
-
-// onStateChange is the ConnState hook of an http.Server.
-func (f *newConnections) onStateChange(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s != http.StateNew {
-		delete(f.openedAt, c)
-		return
-	}
-	if f.openedAt == nil {
-		f.openedAt = make(map[net.Conn]time.Time)
-	}
-	f.openedAt[c] = time.Now()
-}
-
-// count returns how many of them a planned stop waits for.
-func (f *newConnections) count() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, opened := range f.openedAt {
-		if time.Since(opened) < firstRequestTimeout {
-			n++
-		}
+// accept returns the next connection.
+func (l *drainListener) accept() (net.Conn, error) {
+	l.limiter.acquire()
+	tcp, err := l.AcceptTCP()
+	if err != nil {
+		l.limiter.cancel()
+		return nil, err
 	}
-	return n
+	_ = tcp.SetWriteBuffer(conn.SocketBufferSize) // connections work without it too
+	c := l.conns.Track(tcp)
+	l.limiter.add(c)
+	return c, nil
 }
--- a/process/edge/drain_test.go
+++ b/process/edge/drain_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"shalewick/process/drain"
 )
 
 // blockedListener accepts no connections until unblock is closed.
@@ -29,12 +31,12 @@
 func TestDrainServesWaitingConnections(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter()}
+	var conns drain.Conns
+	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter(), conns: &conns}
 	unblock := make(chan struct{})
-	var conns newConnections
 	s := &http.Server{
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }),
-		ConnState: conns.onStateChange,
+		ConnState: conns.OnStateChange,
 	}
 	go func() { _ = s.Serve(blockedListener{l, unblock}) }()
 	var clients sync.WaitGroup
@@ -62,12 +64,12 @@
 	}
 	assert.ErrorContains(t, err, "refused")
 	for range 100 {
-		if conns.count() == 0 {
+		if conns.Pending(requestReadTimeout) == 0 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	assert.Equal(t, conns.count(), 0)
+	assert.Equal(t, conns.Pending(requestReadTimeout), 0)
 	assert.NilError(t, s.Close())
 }
 
@@ -76,7 +78,7 @@
 func TestDrainEndsUnderContinuousConnections(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter()}
+	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter(), conns: new(drain.Conns)}
 	l.Drain()
 	start := time.Now()
 	go func() {
@@ -98,19 +100,3 @@
 	}
 	assert.Assert(t, time.Since(start) < 2*maxDrainTime)
 }
-
-// TestConnectionWithoutRequestDelaysStopBriefly checks that a connection without a request delays a
-// planned stop for a limited time only.
-func TestConnectionWithoutRequestDelaysStopBriefly(t *testing.T) {
-	var conns newConnections
-	a, b := net.Pipe()
-	defer a.Close()
-	defer b.Close()
-	conns.onStateChange(a, http.StateNew)
-	assert.Equal(t, conns.count(), 1)
-	conns.openedAt[a] = time.Now().Add(-firstRequestTimeout)
-	assert.Equal(t, conns.count(), 0)
-	conns.onStateChange(b, http.StateNew)
-	conns.onStateChange(b, http.StateActive)
-	assert.Equal(t, conns.count(), 0)
-}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -20,6 +20,7 @@
 	"shalewick/process/balance"
 	"shalewick/process/cluster"
 	"shalewick/process/crash"
+	"shalewick/process/drain"
 	"shalewick/process/held"
 	"shalewick/process/logging"
 	"shalewick/process/metric"
@@ -97,11 +98,12 @@
 	skipped       map[string]string // reasons of the rows that cannot be used at present, by key; guarded by compileMu
 	// skippedCounts holds the numbers of such rows by reason; guarded by compileMu.
 	skippedCounts    map[string]int64
-	expiredRowsTimer *time.Timer // recompiles when expired rows are dropped; guarded by compileMu
-	quarantineTimer  *time.Timer // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
-	front            *http.Server
-	frontListener    *drainListener // of front
-	newConns         newConnections // of front
+	expiredRowsTimer *time.Timer    // recompiles when expired rows are dropped; guarded by compileMu
+	quarantineTimer  *time.Timer    // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
+	frontListener    *drainListener // for clients' requests
+	frontConns       drain.Conns    // of clients with requests
+	queryConns       drain.Conns    // of clients that query the directory, and of readiness checks
+	peerConns        drain.Conns    // of other instances
 	servers          []*http.Server
 	cancel           context.CancelFunc
 	loops            sync.WaitGroup
@@ -218,23 +220,25 @@
 	for _, x := range []struct {
 		address string
 		handler http.Handler
+		conns   *drain.Conns
 	}{
-		{e.settings.Front, e.proxy}, {e.settings.Ready, mux}, {e.settings.Directory, mux},
-		{e.settings.Control, control}, {e.settings.Peer, e.peerHandler(control)},
+		{e.settings.Front, e.proxy, &e.frontConns}, {e.settings.Ready, mux, &e.queryConns}, {e.settings.Directory, mux, &e.queryConns},
+		{e.settings.Control, control, &e.peerConns}, {e.settings.Peer, e.peerHandler(control), &e.peerConns},
 	} {
-		l, err := net.Listen("tcp4", x.address)
+		inner, err := net.Listen("tcp4", x.address)
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", x.address)
 		}
-		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
-		if e.front == nil {
-			e.front = s
+		tcp := inner.(*net.TCPListener)
+		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: nil, ConnState: x.conns.OnStateChange}
+		var l net.Listener = drain.Listener{TCPListener: tcp, Conns: x.conns}
+		if x.conns == &e.frontConns {
 			limiter := newAcceptLimiter()
 			s.ConnState = func(c net.Conn, state http.ConnState) {
-				e.newConns.onStateChange(c, state)
+				x.conns.OnStateChange(c, state)
 				limiter.onStateChange(c, state)
 			}
-			e.frontListener = &drainListener{TCPListener: l.(*net.TCPListener), limiter: limiter}
+			e.frontListener = &drainListener{TCPListener: tcp, limiter: limiter, conns: x.conns}
 			l = e.frontListener
 		}
 		e.servers = append(e.servers, s)
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -12,6 +12,11 @@
 	idlePollInterval = 10 * time.Millisecond
 	// minIdleTime is how long no request must have been in flight.
 	minIdleTime = 150 * time.Millisecond
+	// noticeTime is how long callers need to learn of the stop: until the others no longer list the instance,
+	// and the responses of the directory that do have expired.
+	noticeTime = directoryTTL + 300*time.Millisecond
+	// writeTimeout bounds the wait until the last responses have been written.
+	writeTimeout = 100 * time.Millisecond
 	// loopEndTimeout bounds the wait for the background loops.
 	loopEndTimeout = 200 * time.Millisecond
 )
@@ -19,43 +24,77 @@
 // Stop stops the instance as planned.
 func (e *Edge) Stop() {
 	start := time.Now()
+	end, noticed, closing := start.Add(e.settings.grace()), start.Add(noticeTime), start.Add(e.settings.linger())
 	e.leaving.Store(true)
 	e.members.SetLeaving()
 	e.proxy.DisableKeepAlives()
+	e.proxy.StopAt(end, earlier(noticed, closing))
 	e.heartbeats.Announce()
 	e.log.Info().Int64("running", e.proxy.InFlight()).Msg("stopping")
 	go e.deleteInstanceRow()
-	time.Sleep(e.settings.linger())
+	time.Sleep(time.Until(earlier(noticed, closing)))
+	ended := e.frontConns.EndIdle(requestReadTimeout)
+	time.Sleep(time.Until(closing))
 	e.heartbeats.Announce()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.grace()))
-	defer cancel()
 	e.frontListener.Drain()
-	e.awaitIdle(ctx)
-	ended := make(chan struct{})
-	go func() {
-		e.Kill()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-time.After(loopEndTimeout): // a call that does not return must not delay the exit
-		e.log.Warn().Msg("loops-left")
+	e.peerConns.EndIdle(requestReadTimeout) // the others open new ones, and are told on each that this instance leaves
+	ended += e.awaitIdle(end)
+	refused := e.refuse()
+	e.shutdown()
+	e.log.Info().Int64("running", e.proxy.InFlight()).Int("connectionsEnded", ended).Int("requestsRefused", refused).
+		Dur("took", time.Since(start)).Msg("stopped")
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	e.log.Info().Int64("running", e.proxy.InFlight()).Dur("took", time.Since(start)).Msg("stopped")
+	return b
 }
 
 // awaitIdle waits until no request has been in flight for minIdleTime, in which requests arrive
-// that were on their way to the draining listener. Requests that are in flight when the context
-// ends are aborted.
-func (e *Edge) awaitIdle(ctx context.Context) {
+// that were on their way to the draining listener. Requests that are in flight at the end are aborted. Connections
+// that rest are closed, since a request that comes on one later could be cut; their number is returned.
+func (e *Edge) awaitIdle(end time.Time) (ended int) {
 	idle := time.Duration(0)
-	for idle < minIdleTime && ctx.Err() == nil {
+	for idle < minIdleTime && time.Now().Before(end) {
 		time.Sleep(idlePollInterval)
 		idle += idlePollInterval
-		if e.proxy.InFlight() > 0 || e.newConns.count() > 0 {
+		ended += e.frontConns.EndIdle(requestReadTimeout)
+		if e.proxy.InFlight() > 0 || e.frontConns.Pending(requestReadTimeout) > 0 {
 			idle = 0
 		}
 	}
+	return ended
+}
+
+// refuse rejects all requests that are not in flight, and waits until their responses have been written. It returns the
+// number of those that had arrived in part.
+func (e *Edge) refuse() (refused int) {
+	e.proxy.StopAt(time.Time{}, time.Time{})
+	e.frontConns.EndIdle(0)
+	e.queryConns.EndIdle(0)
+	refused = e.frontConns.Refuse(e.proxy.LeavingResponse())
+	for until := time.Now().Add(writeTimeout); time.Now().Before(until); time.Sleep(idlePollInterval) {
+		if e.frontConns.Serving()+e.queryConns.Serving() == 0 {
+			break
+		}
+	}
+	return refused
+}
+
+// shutdown ends all servers and loops.
+func (e *Edge) shutdown() {
+	ended := make(chan struct{})
+	go func() {
+		e.Kill()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(loopEndTimeout): // a call that does not return must not delay the exit
+		e.log.Warn().Msg("loops-left")
+	}
 }
 
 // Kill stops the instance at once.
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -102,7 +103,7 @@
 	h.Set(request.HeaderRan, string(res.Ran))
 	retryable := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	if res.Retry > 0 && retryable {
-		h.Set("Retry-After", fmt.Sprintf("%.3f", res.Retry.Seconds()))
+		h.Set("Retry-After", formatRetryAfter(res.Retry))
 	}
 	h.Set("Content-Length", "0")
 	c.setForwardedHeaders(string(res.Ran))
@@ -112,6 +113,24 @@
 	c.writeHeader(status)
 }
 
+// LeavingResponse returns a response that rejects a request of which only a part has been read, since the process
+// stops. The response must end its connection.
+func (p *Proxy) LeavingResponse() []byte {
+	res := notRun(request.Leaving, minRetryAfter)
+	h := http.Header{"Connection": {"close"}, "Content-Length": {"0"}}
+	h.Set(request.HeaderResult, res.Code.String())
+	h.Set(request.HeaderRan, string(res.Ran))
+	h.Set("Retry-After", formatRetryAfter(res.Retry))
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable))
+	_ = h.Write(&b) // a buffer accepts all writes
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// formatRetryAfter returns the value of a Retry-After header.
+func formatRetryAfter(after time.Duration) string { return fmt.Sprintf("%.3f", after.Seconds()) }
+
 // logRefusal logs a request that is answered by the proxy itself. The end of a forwarded request is
 // another event, since the instance of the caller logs how the request ends.
 func (p *Proxy) logRefusal(c *call, res *request.Result, class request.Class, took time.Duration) {
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -81,6 +81,9 @@
 func (p *Proxy) rejectForwarded(c *call, code request.Code) {
 	c.id, c.service, c.startedAt = c.r.Header.Get(p.Names.ID), c.forwarded.service, time.Now()
 	c.w.Header().Set(p.Names.ID, c.id)
+	if p.keepAlivesDisabled.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
 	p.writeResult(c, notRun(code, minRetryAfter))
 }
 
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -69,6 +69,7 @@
 
 	beginRollout       beginRolloutFunc // replaces Rollouts in tests
 	keepAlivesDisabled atomic.Bool
+	stop               atomic.Pointer[plannedStop] // nil: none is planned
 	calls              callSet
 	inFlight           atomic.Int64
 	bytesCarried       atomic.Int64
@@ -77,6 +78,22 @@
 // DisableKeepAlives closes each caller's connection after its next response.
 func (p *Proxy) DisableKeepAlives() { p.keepAlivesDisabled.Store(true) }
 
+// plannedStop is a planned stop of the process.
+type plannedStop struct {
+	from time.Time // when requests begin to be rejected
+	end  time.Time // when those in flight are cut
+}
+
+// StopAt announces that requests that are in flight at a time will be cut. From another time on, when callers can have
+// learned of it, requests whose deadline is later than the end are rejected.
+func (p *Proxy) StopAt(end, from time.Time) { p.stop.Store(&plannedStop{from: from, end: end}) }
+
+// endsTooLate reports whether a request may be cut by a planned stop.
+func (p *Proxy) endsTooLate(c *call) bool {
+	s := p.stop.Load()
+	return s != nil && !c.startedAt.Before(s.from) && c.deadline.After(s.end)
+}
+
 // InFlight returns the number of requests in flight.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
@@ -265,6 +282,9 @@
 		}
 	}
 	c.deadline = c.deadline.Add(-responseMargin)
+	if p.endsTooLate(c) {
+		return notRun(request.Leaving, minRetryAfter)
+	}
 	return nil
 }
 
