entry: end a planned stop under load, and cut no request

What callers saw: while requests of routes kept coming on kept connections, `shalewick entry` did not end its planned stop: with 16 callers it still ran 8 s after a SIGTERM with 1 s of grace, and the wait allows ten minutes. When it was ended, 16 requests that ran got no response.

Once the grace is over the front rejects its requests, but the proxy that serves routes went on, and the wait lasts until no request is in flight at all.

Change: the proxy rejects as well, connections that rest are closed while the stop waits, each response of a leaving entry ends its connection, and what has arrived in part at the end gets "not run".

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -20,6 +20,7 @@
 	"shalewick/process/admin"
 	"shalewick/process/auth"
 	"shalewick/process/config"
+	"shalewick/process/drain"
 	"shalewick/process/front"
 	"shalewick/process/health"
 	"shalewick/process/logging"
@@ -66,6 +67,7 @@
 
 	servers     []*http.Server
 	frontServer *http.Server // one of servers
+	frontConns  drain.Conns  // of frontServer
 	grpc        *grpc.Server
 	cancel      context.CancelFunc
 	loops       sync.WaitGroup
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"shalewick/process/drain"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
 )
@@ -64,8 +65,12 @@
 	peer.RegisterPeerServer(e.grpc, &peerServer{entry: e})
 	go func() { _ = e.grpc.Serve(peerListener) }() // ends when the entry stops
 	e.frontServer = e.newServer(http.HandlerFunc(e.serveCaller))
-	e.frontServer.ConnState = e.firstByteRecorder()
-	e.serve(e.frontServer, frontListener)
+	recordFirstByte := e.firstByteRecorder()
+	e.frontServer.ConnState = func(c net.Conn, state http.ConnState) {
+		e.frontConns.OnStateChange(c, state)
+		recordFirstByte(c, state)
+	}
+	e.serve(e.frontServer, drain.Listener{TCPListener: frontListener.(*net.TCPListener), Conns: &e.frontConns})
 	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
 }
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -199,6 +199,9 @@
 // serveCaller serves a caller's request by a route resource if one matches, and
 // else by the routes of the services.
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if e.members.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	reserved := strings.HasPrefix(r.URL.Path, front.ReservedPrefix)
 	routing := e.routes.table.Routing()
 	if reserved || routing == nil || routing.Route(r.Host, r.URL.Path) == nil {
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -26,7 +26,10 @@
 	stopLendingBefore = slots.LeaseTime + 2*renewInterval + borrowInterval
 	lentTokensTimeout = slots.LeaseTime + time.Second
 	inheritTimeout    = 2 * time.Second
-	finalTimeout      = time.Second
+	// requestReadTimeout is how long the stop waits for a request on a connection that was opened, or on which a
+	// part of it has arrived.
+	requestReadTimeout = time.Second
+	finalTimeout       = time.Second
 )
 
 // Stop shuts the entry down gracefully. Callers first move to other instances;
@@ -44,15 +47,18 @@
 	e.slots.StopLending()
 	clock.Sleep(ctx, min(e.settings.Grace, stopLendingBefore))
 	e.front.Close()
+	e.routes.proxy.StopAt(time.Time{}, time.Time{})
 	e.awaitInFlight(ctx)
 	e.handOverTickets(ctx)
 	e.handOverTokens(ctx)
 	e.members.UpdateSelf(func(m *peer.Member) { m.Gone = true })
 	e.pushAll(ctx)
 	e.deleteRow(ctx)
+	e.frontConns.EndIdle(0)
+	refused := e.frontConns.Refuse(e.routes.proxy.LeavingResponse())
 	e.shutdownFront(ctx)
 	e.Kill()
-	e.log.Info().Dur("took", e.now()-start).Msg("stopped")
+	e.log.Info().Int("requestsRefused", refused).Dur("took", e.now()-start).Msg("stopped")
 }
 
 // shutdownFront waits until the last refusals to callers are sent completely.
@@ -75,10 +81,15 @@
 	e.peers.retain(nil)
 }
 
-// awaitInFlight waits until no request is in flight, at most version.MaxDeadline.
+// awaitInFlight waits until no request is in flight, at most version.MaxDeadline. Connections that rest are closed, and
+// all other requests are refused.
 func (e *Entry) awaitInFlight(ctx context.Context) {
 	deadline := e.now() + version.MaxDeadline
-	for e.front.InFlight()+e.routes.proxy.InFlight() > 0 && e.now() < deadline && ctx.Err() == nil {
+	for ctx.Err() == nil && e.now() < deadline {
+		e.frontConns.EndIdle(requestReadTimeout)
+		if e.front.InFlight()+e.routes.proxy.InFlight() == 0 && e.frontConns.Pending(requestReadTimeout) == 0 {
+			return
+		}
 		time.Sleep(stopPollInterval)
 	}
 }
--- /dev/null
+++ b/process/entry/stop_test.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/request"
+	"shalewick/standin/fleet"
+	"shalewick/standin/server"
+	"shalewick/version"
+)
+
+// startStopFixture starts an entry whose routes have one backend server.
+func startStopFixture(t *testing.T, grace time.Duration) (*Entry, *server.Server) {
+	t.Helper()
+	var ports fleet.Ports
+	addresses, err := ports.Allocate(3)
+	assert.NilError(t, err)
+	s := validSettings()
+	s.Front, s.Peer, s.Admin, s.Grace = addresses[0].String(), addresses[1].String(), addresses[2].String(), grace
+	e, err := Start(s, io.Discard)
+	assert.NilError(t, err)
+	backend := &server.Server{Name: "u0", Names: request.OwnNames, Slots: 40, Work: 300 * time.Millisecond}
+	assert.NilError(t, backend.Start())
+	t.Cleanup(backend.Close)
+	rs, err := version.Parse(fmt.Appendf(nil, "%s---\nkind: backend\nname: u0\nspec: {service: s, hall: h, address: %q, slots: 40}\n", routeDocuments, backend.Address()))
+	assert.NilError(t, err)
+	config, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
+	assert.NilError(t, err)
+	assert.NilError(t, e.store.AdoptSnapshot(config))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go runPeriodically(ctx, 500*time.Millisecond, func() { e.confirm(e.now()) })
+	return e, backend
+}
+
+// TestStopEndsUnderLoadAndCutsNoRequest guards against a stop that serves the requests of routes on kept connections for up to ten
+// minutes, and then cuts those in flight.
+func TestStopEndsUnderLoadAndCutsNoRequest(t *testing.T) {
+	e, backend := startStopFixture(t, time.Second)
+	var stopped atomic.Bool
+	var served, rejected atomic.Int64
+	var mu sync.Mutex
+	unanswered := make(map[string]bool)
+	var callers sync.WaitGroup
+	for n := range 16 {
+		callers.Go(func() {
+			time.Sleep(rand.N(300 * time.Millisecond)) // so that some request is in flight at any time
+			var c net.Conn
+			var in *bufio.Reader
+			for i := 0; !stopped.Load(); i++ {
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", e.settings.Front); err != nil {
+						return
+					}
+					in = bufio.NewReader(c)
+				}
+				id := fmt.Sprintf("c%d-%d", n, i)
+				fmt.Fprintf(c, "POST /bids/1 HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", request.HeaderID, id)
+				res, err := http.ReadResponse(in, nil)
+				switch {
+				case err != nil:
+					mu.Lock()
+					unanswered[id] = true
+					mu.Unlock()
+				case res.StatusCode == http.StatusOK:
+					served.Add(1)
+				case res.Header.Get(request.HeaderRan) == string(request.RanNo):
+					rejected.Add(1)
+				default:
+					t.Errorf("%s: %d", id, res.StatusCode)
+				}
+				if err != nil || res.Close {
+					_ = c.Close()
+					c = nil
+				} else {
+					_, _ = io.Copy(io.Discard, res.Body)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	done := make(chan struct{})
+	start := time.Now()
+	go func() {
+		e.Stop(context.Background())
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(8 * time.Second):
+		t.Error("the stop has not ended after 8 s")
+		e.Kill()
+	}
+	stopped.Store(true)
+	callers.Wait()
+	t.Logf("%d served, %d rejected, %d unanswered in %s", served.Load(), rejected.Load(), len(unanswered), time.Since(start))
+	assert.Check(t, served.Load() > 0 && rejected.Load() > 0)
+	for _, run := range backend.Runs() {
+		assert.Check(t, !unanswered[run.ID], "%s ran and got no response", run.ID)
+	}
+}
