--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -114,7 +114,7 @@
 	if now.Before(s.rejectUntil) {
 		return Shed, load, false
 	}
-	return f, load, f != Shed && f != ShedSlowly && f != Misdirected && f != RejectEarly
+	return f, load, f != Shed && f != ShedSlowly && f != Misdirected && f != RejectEarly && f != FailEarly
 }
 
 // workTime returns how long the work for an object takes: UncachedWork for the first request, Work
@@ -134,9 +134,10 @@
 	id := req.Header.Get(s.Names.ID)
 	f, load, ok := s.acquireSlot(c, req)
 	if !ok {
-		if f != RejectEarly {
-			_, _ = io.Copy(io.Discard, req.Body)
+		if f == RejectEarly || f == FailEarly {
+			return s.respondEarly(c, req, f, load)
 		}
+		_, err := io.Copy(io.Discard, req.Body)
 		if f == ShedSlowly {
 			time.Sleep(shedDelay)
 		}
@@ -144,8 +145,7 @@
 		if f == Misdirected {
 			status = "421 Misdirected Request"
 		}
-		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load, s.noticeHeaders(c, id, f))
-		_, err := io.Copy(io.Discard, req.Body)
+		s.reject(c, status, id, f, load)
 		return err == nil
 	}
 	body, err := s.readBody(req.Body)
@@ -179,6 +179,28 @@
 	return s.respond(c, f, id, load)
 }
 
+// reject sends a response that says that the request has not run.
+func (s *Server) reject(c net.Conn, status, id string, f Fault, load string) {
+	fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, s.Names.ID, id, s.Names.NotRun, s.Names.Load, load, s.noticeHeaders(c, id, f))
+}
+
+// respondEarly responds before it reads the body, and reports whether the connection stays open.
+func (s *Server) respondEarly(c net.Conn, req *http.Request, f Fault, load string) bool {
+	id := req.Header.Get(s.Names.ID)
+	if f == RejectEarly {
+		s.reject(c, "503 Service Unavailable", id, f, load)
+	} else {
+		_, _ = io.WriteString(c, strings.Replace(s.response(c, id, load), "200 OK", "500 Internal Server Error", 1))
+		_, _ = c.Write(padding(s.PaddingBytes))
+	}
+	var body bytes.Buffer
+	_, err := body.ReadFrom(req.Body)
+	if s.OnEarly != nil {
+		s.OnEarly(EarlyResponse{ID: id, Ran: f == FailEarly, Body: body.Bytes(), Whole: err == nil})
+	}
+	return err == nil
+}
+
 // readBody reads a body, with a pause after each byte if ReadPause is set.
 func (s *Server) readBody(r io.Reader) (body []byte, err error) {
 	s.mu.Lock()
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -32,6 +32,7 @@
 	ResetAfterRun             // the request runs and the connection is reset
 	NoResponse                // the request runs and gets no response
 	RejectEarly               // rejected before the body is read
+	FailEarly                 // status 500 before the body is read
 	NotHTTP                   // the response is not HTTP
 	Shed                      // rejected without running
 	ShedSlowly                // the same, after shedDelay
@@ -48,6 +49,15 @@
 	Header                         http.Header
 }
 
+// EarlyResponse describes a request that was responded to before its body was read.
+type EarlyResponse struct {
+	ID   string
+	Ran  bool // it was not rejected
+	Body []byte
+	// Whole reports whether the body came to its end.
+	Whole bool
+}
+
 // Server is one backend server. The fields up to Seed are set before Start, CrashOn and
 // OnCrash before the first request.
 type Server struct {
@@ -68,6 +78,8 @@
 	CrashOn func(*http.Request) bool
 	// OnCrash, if set, is called after the crash.
 	OnCrash func()
+	// OnEarly, if set, is called for each response that was sent before the body was read, with what was read then.
+	OnEarly func(EarlyResponse)
 
 	mu           sync.Mutex
 	listener     net.Listener
