upload, drain: tell callers of streamed bodies to stop, and the usual terms

A response that comes before the end of a body in chunks now announces the end of the connection if the body is streamed: its unknown rest would be discarded until the request's deadline. Small bodies in chunks that are rejected unread keep their connection, as before.

A read from a connection that has been ended returns a net.OpError, after which net/http sends no response of its own: the client whose part of a request is refused could have got 400 in place of 503.

Tests of upload, drain, proxy, front, entry and edge pass with the race detector.

--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -15,7 +15,7 @@
 
 const (
 	stateNew     state = iota // open, and nothing has been read
-	stateResting              // a response has been sent, and nothing has been read since
+	stateIdle                 // a response has been sent, and nothing has been read since
 	stateReading              // a part of a request has been read
 	stateServing              // the handler has the request
 	stateEnded                // ended by EndIdle or Refuse
@@ -73,10 +73,10 @@
 	switch to {
 	case http.StateActive:
 		if !t.move(stateReading, stateServing) {
-			t.move(stateResting, stateServing) // the request was read together with the one before
+			t.move(stateIdle, stateServing) // the request was read together with the one before
 		}
 	case http.StateIdle:
-		t.move(stateServing, stateResting)
+		t.move(stateServing, stateIdle)
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -84,6 +84,10 @@
 	}
 }
 
+// errEnded is the error of a read from a connection that has been ended. net/http sends no response after a
+// net.OpError of a read.
+var errEnded = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // Read reads from the connection. What arrives at a connection that has been ended is dropped.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	n, err := t.TCPConn.Read(p)
@@ -91,13 +95,13 @@
 		return n, err
 	}
 	switch state(t.state.Load()) {
-	case stateNew, stateResting:
+	case stateNew, stateIdle:
 		t.since.Store(time.Now().UnixNano())
-		if !t.move(stateNew, stateReading) && !t.move(stateResting, stateReading) {
-			return 0, net.ErrClosed
+		if !t.move(stateNew, stateReading) && !t.move(stateIdle, stateReading) {
+			return 0, errEnded
 		}
 	case stateEnded:
-		return 0, net.ErrClosed
+		return 0, errEnded
 	}
 	return n, err
 }
@@ -121,11 +125,12 @@
 	return out
 }
 
-// EndIdle closes the connections that rest, and those that were opened at least minAge ago and have had no request.
+// EndIdle closes idle connections: those between two requests, and those that were opened at least minAge ago and
+// have had no request.
 // It returns their number.
 func (s *Conns) EndIdle(minAge time.Duration) (ended int) {
 	for _, t := range s.list() {
-		if t.move(stateResting, stateEnded) || t.age() >= minAge && t.move(stateNew, stateEnded) {
+		if t.move(stateIdle, stateEnded) || t.age() >= minAge && t.move(stateNew, stateEnded) {
 			_ = t.Close() // nothing was to be written
 			ended++
 		}
--- a/process/drain/conns_test.go
+++ b/process/drain/conns_test.go
@@ -46,7 +46,7 @@
 }
 
 // TestConnectionWithoutRequestIsPendingBriefly checks that a connection without a request, or with a part of one, delays a
-// planned stop for a limited time only, and one that rests not at all.
+// planned stop for a limited time only, and an idle one not at all.
 func TestConnectionWithoutRequestIsPendingBriefly(t *testing.T) {
 	conns, address := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	c := dial(t, address)
@@ -63,14 +63,14 @@
 	assert.NilError(t, err)
 	_, err = http.ReadResponse(bufio.NewReader(c), nil)
 	assert.NilError(t, err)
-	await(t, "the connection rests", func() bool { return conns.EndIdle(time.Minute) == 1 })
+	await(t, "the connection is idle", func() bool { return conns.EndIdle(time.Minute) == 1 })
 	assert.Equal(t, conns.Pending(time.Minute), 0)
 	_, err = c.Read(make([]byte, 1))
 	assert.Equal(t, err, io.EOF)
 }
 
 // TestEndIdleNeverDropsRequestsThatRun guards against requests that reach the handler, and get no response since their connection
-// was taken for one that rests. Connections are ended at random moments of requests that come in pieces.
+// was taken for idle. Connections are ended at random moments of requests that come in pieces.
 func TestEndIdleNeverDropsRequestsThatRun(t *testing.T) {
 	var mu sync.Mutex
 	ran := make(map[string]bool)
--- a/process/drain/doc.go
+++ b/process/drain/doc.go
@@ -10,7 +10,7 @@
 	for conns.Pending(maxAge) > 0    // requests of which a part was read
 	conns.Refuse(response)           // the process is about to exit
 
-A connection that rests between two requests can be closed at any time: a request that is on its way then
+An idle connection can be closed at any time: a request that is on its way then
 reaches nobody, and its caller may send it again. Whether a request was on its way is decided once for each
 connection, between the read of its first byte and the end of the connection. net/http has no such order:
 http.Server.Shutdown drops requests that it has read, and http.Server.Close also those that run.
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -41,7 +41,7 @@
 	ended += e.awaitIdle(end)
 	refused := e.refuse()
 	e.shutdown()
-	e.log.Info().Int64("running", e.proxy.InFlight()).Int("connectionsEnded", ended).Int("requestsRefused", refused).
+	e.log.Info().Int64("running", e.proxy.InFlight()).Int("idleConnections", ended).Int("requestsRefused", refused).
 		Dur("took", time.Since(start)).Msg("stopped")
 }
 
@@ -53,8 +53,8 @@
 }
 
 // awaitIdle waits until no request has been in flight for minIdleTime, in which requests arrive
-// that were on their way to the draining listener. Requests that are in flight at the end are aborted. Connections
-// that rest are closed, since a request that comes on one later could be cut; their number is returned.
+// that were on their way to the draining listener. Requests that are in flight at the end are aborted. Idle
+// connections are closed, since a request that comes on one later could be cut; their number is returned.
 func (e *Edge) awaitIdle(end time.Time) (ended int) {
 	idle := time.Duration(0)
 	for idle < minIdleTime && time.Now().Before(end) {
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -81,7 +81,7 @@
 	e.peers.retain(nil)
 }
 
-// awaitInFlight waits until no request is in flight, at most version.MaxDeadline. Connections that rest are closed, and
+// awaitInFlight waits until no request is in flight, at most version.MaxDeadline. Idle connections are closed, and
 // all other requests are refused.
 func (e *Entry) awaitInFlight(ctx context.Context) {
 	deadline := e.now() + version.MaxDeadline
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -193,7 +193,7 @@
 func (f *Front) finish(c *call, res request.Result) {
 	f.count(c, res.Code)
 	c.framed = true
-	if c.unread() > upload.MaxDiscarded {
+	if upload.EndsConnection(c.unread(), c.body != nil, true) {
 		c.w.Header().Set("Connection", "close")
 	}
 	res.Write(c.w)
--- a/process/front/relay.go
+++ b/process/front/relay.go
@@ -28,7 +28,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(resp.body)))
 	}
 	c.framed = resp.exchange == nil || h.Get("Content-Length") != ""
-	if c.unread() > upload.MaxDiscarded || !c.framed && c.unread() != 0 {
+	if upload.EndsConnection(c.unread(), c.body != nil, c.framed) {
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(resp.status)
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -29,7 +29,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(resp.buffered)))
 	}
 	c.framed = resp.ex == nil || resp.res.ContentLength >= 0
-	if p.keepAlivesDisabled.Load() || c.unread() > upload.MaxDiscarded || !c.framed && c.unread() != 0 {
+	if p.keepAlivesDisabled.Load() || upload.EndsConnection(c.unread(), c.body.Streamed(), c.framed) {
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(resp.res.StatusCode)
@@ -107,7 +107,7 @@
 	}
 	h.Set("Content-Length", "0")
 	c.setForwardedHeaders(string(res.Ran))
-	if c.unread() > upload.MaxDiscarded {
+	if upload.EndsConnection(c.unread(), c.body != nil, true) {
 		h.Set("Connection", "close")
 	}
 	c.writeHeader(status)
--- a/process/proxy/stop_test.go
+++ b/process/proxy/stop_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// TestLeavingHelperEndsConnections guards against forwarded requests that are sent on a connection that rests while the other
+// TestLeavingHelperEndsConnections guards against forwarded requests that are sent on an idle connection while the other
 // instance exits: whether they have run would be unknown.
 func TestLeavingHelperEndsConnections(t *testing.T) {
 	f := newForwardFixture(t, 1)
--- a/process/upload/body_test.go
+++ b/process/upload/body_test.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// TestConnectionEndsIfMuchIsLeft checks which responses tell callers to stop sending.
+func TestConnectionEndsIfMuchIsLeft(t *testing.T) {
+	for _, x := range []struct {
+		unread                 int64
+		streamed, framed, ends bool
+	}{
+		{0, false, true, false}, {0, true, false, false}, {1, false, true, false}, {1, true, false, true}, {MaxDiscarded, true, true, false},
+		{MaxDiscarded + 1, false, true, true}, {-1, false, true, false}, {-1, true, true, true}, {-1, false, false, true},
+	} {
+		assert.Equal(t, EndsConnection(x.unread, x.streamed, x.framed), x.ends, "%+v", x)
+	}
+}
+
 // TestDrainKeepsOrEndsConnection checks that a connection is used again if the rest of the body arrives, and that what follows
 // a body that does not is never taken for a request.
 func TestDrainKeepsOrEndsConnection(t *testing.T) {
--- a/process/upload/drain.go
+++ b/process/upload/drain.go
@@ -19,6 +19,13 @@
 	discardedChunk = 32 << 10
 )
 
+// EndsConnection reports whether a response that is sent now should announce the end of the connection, since much of the
+// body may be left. Unread is the number of bytes left, or -1, of a body that has been streamed so far or of which nothing
+// has been read. Framed reports whether the response has a length: others can't be followed by Drain.
+func EndsConnection(unread int64, streamed, framed bool) bool {
+	return unread > MaxDiscarded || unread < 0 && streamed || unread != 0 && !framed
+}
+
 // Respond lets a response be sent before the body has been read. It must be called before the response begins,
 // and Drain after it.
 func Respond(w http.ResponseWriter, r *http.Request) {
--- a/standin/keptconn/conn.go
+++ b/standin/keptconn/conn.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-// Package keptconn simulates callers that keep one connection for many requests, and rest between them.
+// Package keptconn simulates callers that keep one connection for many requests, and pause between them.
 package keptconn
 
 import (
@@ -14,7 +14,7 @@
 
 const (
 	dialTimeout = time.Second
-	// lookTime is how long Open waits for the end of a connection that has rested.
+	// lookTime is how long Open waits for the end of a connection that was idle.
 	lookTime = time.Millisecond
 )
 
