--- a/process/front/front.go
+++ b/process/front/front.go
@@ -74,7 +74,6 @@
 
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	upload.Respond(w, r)
 	c := &call{w: w, r: r, id: rand.Text(), started: time.Now()}
 	f.serve(c)
 	if !c.framed || c.unread() == 0 {
@@ -102,6 +101,7 @@
 		f.serveReserved(w, r)
 		return
 	}
+	upload.Respond(w, r)
 	if res := f.classify(c); res != nil {
 		if r.Header.Get(request.HeaderTicket) != "" {
 			res.Ran = request.RanUnknown // an earlier call with the ticket may have run
