proxy: callers that stall or pause in the remainder of a body

TestDeadlineReachesStalledCaller failed on: no response within 8 s where the route has 0.6 s, since net/http waited for the sender's read. TestUploadSurvivesPause passed there; it checks that a pause of a second ends nothing.

--- a/process/proxy/early_test.go
+++ b/process/proxy/early_test.go
@@ -70,14 +70,14 @@
 	chunked    bool
 	pause      time.Duration // between two pieces of 64 KB
 	stopAfter  int           // bytes after which the caller stops sending; zero: none
-	announce   int           // length in the header; zero: that of the body
+	pauseTime  time.Duration // after stopAfter, before it goes on; zero: it does not
 }
 
 // start sends the request, the body in the background, and returns the connection.
 func (u *uploader) start(t *testing.T, f *fixture) (c net.Conn, sent chan struct{}) {
 	t.Helper()
 	const pieceBytes = 64 << 10
-	framing := fmt.Sprintf("Content-Length: %d", max(u.announce, len(u.body)))
+	framing := fmt.Sprintf("Content-Length: %d", len(u.body))
 	if u.chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
@@ -96,7 +96,11 @@
 				return
 			}
 			if u.stopAfter > 0 && len(u.body)-len(rest) >= u.stopAfter {
-				return
+				if u.pauseTime == 0 {
+					return
+				}
+				time.Sleep(u.pauseTime)
+				u.stopAfter = 0
 			}
 			time.Sleep(u.pause)
 		}
@@ -265,6 +269,48 @@
 	}
 }
 
+// TestDeadlineReachesStalledCaller guards against a caller that gets no response at its deadline, since the instance waits for
+// more of its body.
+func TestDeadlineReachesStalledCaller(t *testing.T) {
+	f := newFixture(t, 1)
+	const timeout = 600 * time.Millisecond // of the route
+	for _, chunked := range []bool{true, false} {
+		u := uploader{id: "x", body: early.NumberedBody(2 << 20), chunked: chunked, stopAfter: maxBufferedBody + 128<<10}
+		c, sent := u.start(t, f)
+		<-sent
+		r := readReply(c)
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusGatewayTimeout)
+		assert.Assert(t, r.took < timeout+maxEarlyDelay, "%s", r.took)
+	}
+	assert.Equal(t, len(f.runs()), 0)
+}
+
+// TestUploadSurvivesPause checks that a caller that stops for a second in the remainder of its body is served, also after an
+// early rejection of the first attempt.
+func TestUploadSurvivesPause(t *testing.T) {
+	body := early.NumberedBody(maxBufferedBody + 320<<10)
+	f, s := newEarlyFixture(t, &early.Server{Rejects: true})
+	var callers sync.WaitGroup
+	for i := range 8 {
+		u := uploader{id: fmt.Sprint("x", i), object: fmt.Sprint(i), body: body, chunked: i%2 == 0, stopAfter: maxBufferedBody + 64<<10, pauseTime: time.Second}
+		c, _ := u.start(t, f)
+		callers.Go(func() {
+			r := readReply(c)
+			assert.Check(t, r.err == nil, "%v", r.err)
+			notRun := r.status == http.StatusServiceUnavailable && r.header.Get(request.HeaderRan) == string(request.RanNo)
+			assert.Check(t, r.status == http.StatusOK || notRun, "%d", r.status)
+			_ = c.Close()
+		})
+	}
+	callers.Wait()
+	assert.Assert(t, len(f.runs()) > 0)
+	for _, run := range f.runs() {
+		assert.Check(t, run.Body == string(body), "%s ran with another body", run.ID)
+	}
+	checkEarly(t, s, body)
+}
+
 // TestBodyOverLimitIsNoBackendFailure guards against a body that exceeds the limit in its remainder: the backend server
 // counted as failed, and the caller got 504. What has been sent on may have run.
 func TestBodyOverLimitIsNoBackendFailure(t *testing.T) {
