--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -99,6 +99,9 @@
 	if len(s.faults) > 0 {
 		f, s.faults = s.faults[0], s.faults[1:]
 	}
+	if f == NoFault && s.FaultOf != nil {
+		f = s.FaultOf(req)
+	}
 	load = fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.Slots)
 	if s.Slowdown != "" {
 		load += "," + s.Slowdown
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -78,6 +78,8 @@
 	CrashOn func(*http.Request) bool
 	// OnCrash, if set, is called after the crash.
 	OnCrash func()
+	// FaultOf, if set, selects the fault of a request for which none is injected.
+	FaultOf func(*http.Request) Fault
 	// OnEarly, if set, is called for each response that was sent before the body was read, with what was read then.
 	OnEarly func(EarlyResponse)
 
