--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// errEnded is the error of a read from a connection that has been ended. net/http sends no response after a
-// net.OpError of a read.
+// errEnded is the error of a read from a connection that has been ended. After it net/http sends no response, unless it
+// has read a part of a header line: then it sends 400.
 var errEnded = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
 // Read reads from the connection. What arrives at a connection that has been ended is dropped.
--- a/process/drain/conns_test.go
+++ b/process/drain/conns_test.go
@@ -129,6 +129,23 @@
 	assert.Assert(t, ended > 0)
 }
 
+// TestEndedConnectionGetsNoErrorResponse guards against 400 for a proper request of which a part had been read when its connection
+// was ended: the refusal that follows would come second.
+func TestEndedConnectionGetsNoErrorResponse(t *testing.T) {
+	conns, address := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	c := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHo")
+	assert.NilError(t, err)
+	await(t, "a part has been read", func() bool {
+		all := conns.list()
+		return len(all) == 1 && all[0].move(stateReading, stateEnded)
+	})
+	_, err = io.WriteString(c, "st: a\r\n\r\n")
+	assert.NilError(t, err)
+	b, _ := io.ReadAll(c) // ends with EOF or a reset
+	assert.Equal(t, string(b), "")
+}
+
 // TestRefuseAnswersPartsOfRequests checks that a request of which a part has been read is refused, and what comes of it later is
 // dropped.
 func TestRefuseAnswersPartsOfRequests(t *testing.T) {
