drain: log each request that a planned stop cuts, and each of its steps

A request cut by the end of its instance's own stop logged the same as one whose caller left: refused code=14. What the connection was, when the request was read and passed on, and how far the stop was by then could not be told.

Connections now know their age and how many requests they have carried, and the handlers of `edge` and `entry` publish what a request has reached in atomics that the stop reads: request-cut has one line for each request in flight when a step closes its connection. refused has the connection's state, and the stop's step while there is one. stopping, stop-step and stopped have counts of requests and of connections by state; stop-late shows a step that began more than 100 ms late. request-cut has a log limit of its own, and stopped and two counters have the totals.

The cost for each request is one look-up in its context and some atomic stores; it was not measured.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -20,6 +20,11 @@
 		return fmt.Sprintf("none: backend server %s%s answered with status %s after %s ms and %s attempts",
 			end.Get("backend"), t.describeVersion(end), end.Get("status"), end.Get("took"), end.Get("attempts"))
 	}
+	for i := range t.Lines {
+		if l := &t.Lines[i]; l.Event == "request-cut" {
+			return cutCause(l)
+		}
+	}
 	if end.Event != "refused" {
 		return "not known: the last line is not the request's end; the process may have ended, or lines were left out"
 	}
@@ -27,6 +32,20 @@
 	return t.resultCause(request.Code(code), end) + describeRan(end)
 }
 
+// cutCause describes a request that was in flight when a planned stop closed its connection.
+func cutCause(l *Line) string {
+	text := fmt.Sprintf("the planned stop of instance %s closed its connection at step %s, %s ms after the request had begun to arrive on a connection of %s requests and %s ms",
+		l.Get("instance"), l.Get("step"), l.Get("read"), l.Get("connRequests"), l.Get("connAge"))
+	switch {
+	case l.Get("answeredAgo") != "":
+		return text + fmt.Sprintf("; its answer had begun %s ms before", l.Get("answeredAgo"))
+	case l.Get("sent") == "true":
+		return text + fmt.Sprintf("; it had been passed on %s ms before, and may have run", l.Get("sentAgo"))
+	default:
+		return text + "; it had not been passed on, and has not run"
+	}
+}
+
 // forwardedCause describes a request that another instance served.
 func (t *Trace) forwardedCause(end *Line) string {
 	text := fmt.Sprintf("none: instance %s %s and forwarded it to instance %s", end.Get("instance"), describeForwardReason(end.Get("reason")), end.Get("to"))
--- a/explain/trace.go
+++ b/explain/trace.go
@@ -40,7 +40,7 @@
 var contextEvents = map[string]bool{
 	"backends-changed": true, "backend-suspended": true, "backend-answers": true, "backends-lapsed": true,
 	"backend-leaving": true, "backend-backoff": true, "backend-avoided": true,
-	"links": true, "instances-lost": true, "instances-found": true, "settings-reloaded": true, "stopping": true,
+	"links": true, "instances-lost": true, "instances-found": true, "settings-reloaded": true, "stopping": true, "stop-step": true, "stop-late": true, "stopped": true,
 	"rollout-withdrawn": true, "rollout-step": true, "rollout-event": true,
 }
 
--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -31,15 +31,18 @@
 // response.
 type trackedConn struct {
 	*net.TCPConn
-	state atomic.Int32 // a state
-	since atomic.Int64 // when it was opened, or the request in stateReading began; Unix time in nanoseconds
+	opened   time.Time
+	state    atomic.Int32            // a state
+	requests atomic.Int32            // those that have begun to arrive
+	request  atomic.Pointer[Request] // the one that is served, if the handler tracks it
+	since    atomic.Int64            // when it was opened, or the request in stateReading began; Unix time in nanoseconds
 }
 
 // Track returns a connection that is to be used in place of c. The ConnState hook of its server must be
 // OnStateChange.
 func (s *Conns) Track(c *net.TCPConn) net.Conn {
-	t := &trackedConn{TCPConn: c}
-	t.since.Store(time.Now().UnixNano())
+	t := &trackedConn{TCPConn: c, opened: time.Now()}
+	t.since.Store(t.opened.UnixNano())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conns == nil {
@@ -73,9 +76,12 @@
 	switch to {
 	case http.StateActive:
 		if !t.move(stateReading, stateServing) {
+			t.since.Store(time.Now().UnixNano())
+			t.requests.Add(1)
 			t.move(stateIdle, stateServing) // the request was read together with the one before
 		}
 	case http.StateIdle:
+		t.request.Store(nil)
 		t.move(stateServing, stateIdle)
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
@@ -100,6 +106,7 @@
 		if !t.move(stateNew, stateReading) && !t.move(stateIdle, stateReading) {
 			return 0, errEnded
 		}
+		t.requests.Add(1)
 	case stateEnded:
 		return 0, errEnded
 	}
@@ -116,6 +123,9 @@
 
 // list returns the open connections.
 func (s *Conns) list() []*trackedConn {
+	if s == nil {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]*trackedConn, 0, len(s.conns))
--- a/process/drain/conns_test.go
+++ b/process/drain/conns_test.go
@@ -22,7 +22,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	conns := new(Conns)
-	s := &http.Server{Handler: h, ConnState: conns.OnStateChange}
+	s := &http.Server{Handler: h, ConnState: conns.OnStateChange, ConnContext: conns.ConnContext}
 	go func() { _ = s.Serve(Listener{l.(*net.TCPListener), conns}) }() // returns when the server is closed
 	t.Cleanup(func() { _ = s.Close() })
 	return conns, l.Addr().String()
--- /dev/null
+++ b/process/drain/stop.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+
+package drain
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"shalewick/process/metric"
+)
+
+// maxStepDelay is how late a step of a stop may begin without a log line. Later steps show a process that was
+// suspended, or got too little processor time.
+const maxStepDelay = 100 * time.Millisecond
+
+// Stop logs the steps of a planned stop. Begin, Step and Cut are called by one goroutine. A nil Stop is one that
+// never begins.
+type Stop struct {
+	Log      zerolog.Logger
+	Metrics  *metric.Set
+	InFlight func() int64 // number of requests in flight
+	Callers  *Conns       // connections of callers
+	Others   *Conns       // of other instances; nil: they have none
+
+	start    time.Time
+	step     atomic.Pointer[string] // nil: the stop has not begun
+	rejected atomic.Int64
+	cut      int
+}
+
+// Begin begins the stop with its first step, and logs it.
+func (s *Stop) Begin(step string) {
+	s.start = time.Now()
+	s.step.Store(&step)
+	s.addCounts(s.Log.Info().Str("step", step)).Msg("stopping")
+}
+
+// Start returns when the stop began.
+func (s *Stop) Start() time.Time { return s.start }
+
+// Step begins a step that was due at a time at the latest. The zero time means that it had none.
+func (s *Stop) Step(step string, due time.Time) {
+	now := time.Now()
+	s.step.Store(&step)
+	s.addCounts(s.Log.Info().Str("step", step).Dur("after", now.Sub(s.start))).Msg("stop-step")
+	if by := now.Sub(due); !due.IsZero() && by > maxStepDelay {
+		s.Log.Warn().Str("step", step).Dur("by", by).Msg("stop-late")
+	}
+}
+
+// Current returns the current step, or "" before the stop.
+func (s *Stop) Current() string {
+	if s == nil {
+		return ""
+	}
+	if step := s.step.Load(); step != nil {
+		return *step
+	}
+	return ""
+}
+
+// CountRejected counts a request that was rejected since the process stops.
+func (s *Stop) CountRejected() {
+	if s != nil {
+		s.rejected.Add(1)
+		s.Metrics.Counter("requests_rejected_leaving_total").Inc(1)
+	}
+}
+
+// Cut logs the requests in flight, whose connections are about to be closed.
+func (s *Stop) Cut() {
+	for _, conns := range []*Conns{s.Callers, s.Others} {
+		for _, t := range conns.list() {
+			if r := t.request.Load(); r != nil && state(t.state.Load()) == stateServing {
+				r.logCut(&s.Log, s.Current())
+				s.cut++
+			}
+		}
+	}
+	s.Metrics.Counter("requests_cut_total").Inc(int64(s.cut))
+}
+
+// End begins the line that logs the end of the stop.
+func (s *Stop) End() *zerolog.Event {
+	return s.addCounts(s.Log.Info()).Int("requestsCut", s.cut).Int64("requestsRejected", s.rejected.Load()).Dur("took", time.Since(s.start))
+}
+
+// addCounts adds the number of requests in flight and that of callers' connections in each state.
+func (s *Stop) addCounts(e *zerolog.Event) *zerolog.Event {
+	var counts [stateEnded + 1]int
+	for _, t := range s.Callers.list() {
+		counts[t.state.Load()]++
+	}
+	return e.Int64("running", s.InFlight()).Int("connsNew", counts[stateNew]).Int("connsIdle", counts[stateIdle]).
+		Int("connsReading", counts[stateReading]).Int("connsServing", counts[stateServing])
+}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -84,6 +84,7 @@
 	memoryBudget  *held.Budget // nil: unlimited
 	metrics       *metric.Set
 	leaving       atomic.Bool
+	stop          *drain.Stop
 	// followsInstances is set if the fleet is so large that the table of instances is followed.
 	followsInstances atomic.Bool
 	spare            spare
@@ -195,8 +196,12 @@
 	if e.settings.Memory > 0 {
 		e.memoryBudget = &held.Budget{Limit: e.settings.Memory / bufferMemoryDivisor, Now: e.now, OnCutOff: e.logCutOff}
 	}
+	e.stop = &drain.Stop{
+		Log: e.log, Metrics: e.metrics, InFlight: func() int64 { return e.proxy.InFlight() }, Callers: &e.frontConns, Others: &e.peerConns,
+	}
 	e.proxy = &proxy.Proxy{
-		Quota: e.quota, Limits: e.limits, Rollouts: e.rollouts, Quarantine: e.quarantine, Memory: e.memoryBudget, Forward: e.newForwardTargets(),
+		PlannedStop: e.stop,
+		Quota:       e.quota, Limits: e.limits, Rollouts: e.rollouts, Quarantine: e.quarantine, Memory: e.memoryBudget, Forward: e.newForwardTargets(),
 		Crashes: &crash.Detector{Now: e.now, OnCrash: e.onBackendCrash, LostToLinks: e.lostToLinks},
 		Names:   e.deployment.Headers, Table: e.table, Metrics: e.metrics, Log: e.log, Now: e.now, ConfigAge: e.follower.Age,
 		RetryBudget: &retry.Window{
@@ -230,7 +235,7 @@
 			return errors.Annotatef(err, "listen on %s", x.address)
 		}
 		tcp := inner.(*net.TCPListener)
-		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: nil, ConnState: x.conns.OnStateChange}
+		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: nil, ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext}
 		var l net.Listener = drain.Listener{TCPListener: tcp, Conns: x.conns}
 		if x.conns == &e.frontConns {
 			limiter := newAcceptLimiter()
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -21,28 +21,41 @@
 	loopEndTimeout = 200 * time.Millisecond
 )
 
+// Steps of a planned stop, as logged.
+const (
+	stepAnnounce = "announce"
+	stepEndIdle  = "end-idle"
+	stepDrain    = "drain"
+	stepReject   = "reject"
+	stepClose    = "close"
+)
+
 // Stop stops the instance as planned.
 func (e *Edge) Stop() {
-	start := time.Now()
+	e.stop.Begin(stepAnnounce)
+	start := e.stop.Start()
 	end, noticed, closing := start.Add(e.settings.grace()), start.Add(noticeTime), start.Add(e.settings.linger())
 	e.leaving.Store(true)
 	e.members.SetLeaving()
 	e.proxy.DisableKeepAlives()
 	e.proxy.StopAt(end, earlier(noticed, closing))
 	e.heartbeats.Announce()
-	e.log.Info().Int64("running", e.proxy.InFlight()).Msg("stopping")
 	go e.deleteInstanceRow()
 	time.Sleep(time.Until(earlier(noticed, closing)))
+	e.stop.Step(stepEndIdle, earlier(noticed, closing))
 	ended := e.frontConns.EndIdle(requestReadTimeout)
 	time.Sleep(time.Until(closing))
+	e.stop.Step(stepDrain, closing)
 	e.heartbeats.Announce()
 	e.frontListener.Drain()
 	e.peerConns.EndIdle(requestReadTimeout) // the others open new ones, and are told on each that this instance leaves
 	ended += e.awaitIdle(end)
+	e.stop.Step(stepReject, end)
 	refused := e.refuse()
+	e.stop.Step(stepClose, end.Add(writeTimeout))
+	e.stop.Cut()
 	e.shutdown()
-	e.log.Info().Int64("running", e.proxy.InFlight()).Int("idleConnections", ended).Int("requestsRefused", refused).
-		Dur("took", time.Since(start)).Msg("stopped")
+	e.stop.End().Int("idleConnections", ended).Int("requestsRefused", refused).Msg("stopped")
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -68,6 +68,7 @@
 	servers     []*http.Server
 	frontServer *http.Server // one of servers
 	frontConns  drain.Conns  // of frontServer
+	stop        *drain.Stop
 	grpc        *grpc.Server
 	cancel      context.CancelFunc
 	loops       sync.WaitGroup
@@ -139,8 +140,10 @@
 	e.store = &config.Store{Now: e.now, OnInstall: e.onInstall}
 	e.changes = &config.Log{Platform: e.platform, Store: e.store}
 	e.ledger = ticket.NewLedger(id, e.now)
+	e.stop = &drain.Stop{Log: e.log, Metrics: e.metrics, InFlight: e.inFlight, Callers: &e.frontConns}
 	e.front = &front.Front{
-		Steer: e.steer, Ledger: e.ledger, Members: e.members,
+		PlannedStop: e.stop,
+		Steer:       e.steer, Ledger: e.ledger, Members: e.members,
 		Metrics: e.metrics, Log: e.log, Now: e.now,
 	}
 	e.routes = newRoutes(e)
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -70,6 +70,7 @@
 		e.frontConns.OnStateChange(c, state)
 		recordFirstByte(c, state)
 	}
+	e.frontServer.ConnContext = e.frontConns.ConnContext
 	e.serve(e.frontServer, drain.Listener{TCPListener: frontListener.(*net.TCPListener), Conns: &e.frontConns})
 	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -59,7 +59,8 @@
 		},
 	}
 	rt.proxy = &proxy.Proxy{
-		Names: request.OwnNames, Table: rt.table, Limits: e.limits, Metrics: e.metrics, Log: e.log, Now: e.now,
+		PlannedStop: e.stop,
+		Names:       request.OwnNames, Table: rt.table, Limits: e.limits, Metrics: e.metrics, Log: e.log, Now: e.now,
 		ConfigFresh: e.steer.ConfigFresh, NewID: rand.Text, OnResponse: rt.onResponse, ConfigAge: rt.configAge,
 		RetryBudget: &retry.Window{Span: retryWindow, Ratio: retryRatio, Fixed: retryFixed, Instances: rt.instanceCount},
 	}
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -32,33 +32,46 @@
 	finalTimeout       = time.Second
 )
 
+// Steps of a planned stop, as logged.
+const (
+	stepAnnounce = "announce"
+	stepReject   = "reject"
+	stepHandOver = "hand-over"
+	stepRefuse   = "refuse"
+	stepClose    = "close"
+)
+
 // Stop shuts the entry down gracefully. Callers first move to other instances;
 // then requests in flight are finished, and tickets and tokens are handed over.
 // Stop returns even if ctx is never done: the wait for requests in flight is
 // limited to version.MaxDeadline, the longest deadline of a request.
 func (e *Entry) Stop(ctx context.Context) {
-	start := e.now()
+	e.stop.Begin(stepAnnounce)
 	e.members.UpdateSelf(func(m *peer.Member) { m.Leaving = true })
 	e.slots.StartDraining()
 	e.routes.proxy.DisableKeepAlives()
-	e.log.Info().Msg("stopping")
 	e.pushAll(ctx)
 	clock.Sleep(ctx, e.settings.Grace-stopLendingBefore)
 	e.slots.StopLending()
 	clock.Sleep(ctx, min(e.settings.Grace, stopLendingBefore))
+	e.stop.Step(stepReject, e.stop.Start().Add(e.settings.Grace))
 	e.front.Close()
 	e.routes.proxy.StopAt(time.Time{}, time.Time{})
 	e.awaitInFlight(ctx)
+	e.stop.Step(stepHandOver, e.stop.Start().Add(e.settings.Grace+version.MaxDeadline))
 	e.handOverTickets(ctx)
 	e.handOverTokens(ctx)
 	e.members.UpdateSelf(func(m *peer.Member) { m.Gone = true })
 	e.pushAll(ctx)
 	e.deleteRow(ctx)
+	e.stop.Step(stepRefuse, time.Time{})
 	e.frontConns.EndIdle(0)
 	refused := e.frontConns.Refuse(e.routes.proxy.LeavingResponse())
 	e.shutdownFront(ctx)
+	e.stop.Step(stepClose, time.Time{})
+	e.stop.Cut()
 	e.Kill()
-	e.log.Info().Int("requestsRefused", refused).Dur("took", e.now()-start).Msg("stopped")
+	e.stop.End().Int("requestsRefused", refused).Msg("stopped")
 }
 
 // shutdownFront waits until the last refusals to callers are sent completely.
@@ -81,13 +94,16 @@
 	e.peers.retain(nil)
 }
 
+// inFlight returns the number of callers' requests in flight.
+func (e *Entry) inFlight() int64 { return e.front.InFlight() + e.routes.proxy.InFlight() }
+
 // awaitInFlight waits until no request is in flight, at most version.MaxDeadline. Idle connections are closed, and
 // all other requests are refused.
 func (e *Entry) awaitInFlight(ctx context.Context) {
 	deadline := e.now() + version.MaxDeadline
 	for ctx.Err() == nil && e.now() < deadline {
 		e.frontConns.EndIdle(requestReadTimeout)
-		if e.front.InFlight()+e.routes.proxy.InFlight() == 0 && e.frontConns.Pending(requestReadTimeout) == 0 {
+		if e.inFlight() == 0 && e.frontConns.Pending(requestReadTimeout) == 0 {
 			return
 		}
 		time.Sleep(stopPollInterval)
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shalewick/process/logging"
 	"shalewick/request"
 	"shalewick/standin/fleet"
 	"shalewick/standin/server"
@@ -24,14 +26,14 @@
 )
 
 // startStopFixture starts an entry whose routes have one backend server.
-func startStopFixture(t *testing.T, grace time.Duration) (*Entry, *server.Server) {
+func startStopFixture(t *testing.T, grace time.Duration, log io.Writer) (*Entry, *server.Server) {
 	t.Helper()
 	var ports fleet.Ports
 	addresses, err := ports.Allocate(3)
 	assert.NilError(t, err)
 	s := validSettings()
 	s.Front, s.Peer, s.Admin, s.Grace = addresses[0].String(), addresses[1].String(), addresses[2].String(), grace
-	e, err := Start(s, io.Discard)
+	e, err := Start(s, log)
 	assert.NilError(t, err)
 	backend := &server.Server{Name: "u0", Names: request.OwnNames, Slots: 40, Work: 300 * time.Millisecond}
 	assert.NilError(t, backend.Start())
@@ -50,7 +52,7 @@
 // TestStopEndsUnderLoadAndCutsNoRequest guards against a stop that serves the requests of routes on kept connections for up to ten
 // minutes, and then cuts those in flight.
 func TestStopEndsUnderLoadAndCutsNoRequest(t *testing.T) {
-	e, backend := startStopFixture(t, time.Second)
+	e, backend := startStopFixture(t, time.Second, io.Discard)
 	var stopped atomic.Bool
 	var served, rejected atomic.Int64
 	var mu sync.Mutex
@@ -115,3 +117,24 @@
 		assert.Check(t, !unanswered[run.ID], "%s ran and got no response", run.ID)
 	}
 }
+
+// TestStopLogsRequestThatItCuts checks that an entry whose stop is cut short logs the request in flight.
+func TestStopLogsRequestThatItCuts(t *testing.T) {
+	var text bytes.Buffer
+	log := logging.NewAsyncWriter(&text)
+	e, backend := startStopFixture(t, time.Second, log)
+	c, err := net.Dial("tcp", e.settings.Front)
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprintf(c, "POST /bids/1 HTTP/1.1\r\nHost: a.example\r\n%s: cut\r\nContent-Length: 4\r\n\r\nbody", request.HeaderID)
+	for len(backend.Runs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	e.Stop(ctx)
+	log.Close()
+	for _, want := range []string{"event=request-cut attempts=1 class=commit", "id=cut", "sent=true", "step=close", "requestsCut=1"} {
+		assert.Check(t, bytes.Contains(text.Bytes(), []byte(want)), "%s in\n%s", want, text.String())
+	}
+}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"shalewick/conn"
+	"shalewick/process/drain"
 	"shalewick/process/forward"
 	"shalewick/process/member"
 	"shalewick/process/metric"
@@ -43,6 +45,8 @@
 	Forward *forward.Targets
 	Log     zerolog.Logger
 	Now     func() time.Duration
+	// PlannedStop, if set, logs the planned stop of the process.
+	PlannedStop *drain.Stop
 
 	tierCache    tierCache
 	closing      atomic.Bool // new requests are refused
@@ -63,6 +67,7 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	id            string
+	tracked       drain.Request // what a planned stop logs of the request
 	service       string
 	route         *version.ServiceRoute
 	deadline      time.Time
@@ -97,6 +102,7 @@
 	if f.Members.Leaving() {
 		w.Header().Set(HeaderEntry, conn.StateLeaving)
 	}
+	c.tracked.Begin(r.Context(), cmp.Or(r.Header.Get(request.HeaderID), c.id), c.started)
 	if strings.HasPrefix(r.URL.Path, ReservedPrefix) {
 		f.serveReserved(w, r)
 		return
@@ -146,6 +152,7 @@
 	if c.route == nil {
 		return refusal(request.UnknownRoute, 0)
 	}
+	c.tracked.SetService(&v.Services[svc].Name, c.route.Class)
 	if headerSize(c.r) > maxHeaderBytes {
 		return refusal(request.HeaderTooLarge, 0)
 	}
@@ -192,6 +199,10 @@
 // finish counts the request and responds with a result.
 func (f *Front) finish(c *call, res request.Result) {
 	f.count(c, res.Code)
+	if res.Code == request.Leaving {
+		f.PlannedStop.CountRejected()
+	}
+	c.tracked.SetAnswered()
 	c.framed = true
 	if upload.EndsConnection(c.unread(), c.body != nil, true) {
 		c.w.Header().Set("Connection", "close")
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -145,6 +145,8 @@
 	req.Header.Set(request.HeaderTicket, t.String())
 	req.Header.Set(request.HeaderForwarded, f.Members.Self().GetId())
 	req.Header.Set(request.HeaderService, c.service)
+	c.tracked.BeginAttempt()
+	c.tracked.SetSent()
 	exchange, err := f.peerPool(owner.GetFront()).Dispatch(ctx, req, conn.Options{
 		Deadline: c.deadline.Add(conn.ReleaseMargin),
 		Allowed:  func() bool { return true },
--- a/process/front/peer.go
+++ b/process/front/peer.go
@@ -61,6 +61,8 @@
 	req := fw.newRequest(ctx, fw.call.deadline)
 	req.Header.Set(request.HeaderForwarded, fw.front.Members.Self().GetId())
 	req.Header.Set(request.HeaderService, fw.call.service)
+	fw.call.tracked.BeginAttempt()
+	fw.call.tracked.SetSent()
 	exchange, err := target.Pool.Dispatch(ctx, req, conn.Options{
 		Deadline: fw.call.deadline, CloseImmediately: true, Allowed: func() bool { return ctx.Err() == nil }, Release: func(bool) {},
 	})
--- a/process/front/relay.go
+++ b/process/front/relay.go
@@ -31,6 +31,7 @@
 	if upload.EndsConnection(c.unread(), c.body != nil, c.framed) {
 		h.Set("Connection", "close")
 	}
+	c.tracked.SetAnswered()
 	c.w.WriteHeader(resp.status)
 	_, err := c.w.Write(resp.body)
 	if resp.exchange != nil {
--- a/process/logging/limit.go
+++ b/process/logging/limit.go
@@ -14,11 +14,14 @@
 	defaultRate = 100
 	// successRate is the limit of successEvents.
 	successRate = 5
+	// stopRate is the limit of what a planned stop logs of each request at its end. The queue of an AsyncWriter holds
+	// it.
+	stopRate = maxQueuedLines / 2
 )
 
-// successEvents are the events that report a success. They have a lower limit than
+// rates are the limits of events that differ from defaultRate. Those that report a success have a lower limit than
 // others, so that lines of failures and rejections are kept.
-var successEvents = map[string]bool{"answered": true}
+var rates = map[string]int{"answered": successRate, "request-cut": stopRate}
 
 // RateLimiter is a zerolog hook that limits the rate of lines for each event. The first
 // line of an event after some were suppressed has their number in the field leftOut.
@@ -74,8 +77,8 @@
 
 // maxRate returns the limit of an event in lines per second.
 func maxRate(event string) int {
-	if successEvents[event] {
-		return successRate
+	if rate, ok := rates[event]; ok {
+		return rate
 	}
 	return defaultRate
 }
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -32,6 +32,7 @@
 	if p.keepAlivesDisabled.Load() || upload.EndsConnection(c.unread(), c.body.Streamed(), c.framed) {
 		h.Set("Connection", "close")
 	}
+	c.tracked.SetAnswered()
 	c.w.WriteHeader(resp.res.StatusCode)
 	p.bytesCarried.Add(max(int64(len(resp.buffered)), resp.res.ContentLength))
 	err := c.writeBuffered(resp.buffered)
@@ -86,6 +87,9 @@
 	took := time.Since(c.startedAt)
 	p.recordMetrics(c, class, res.Code, took)
 	p.logRefusal(c, res, class, took)
+	if res.Code == request.Leaving {
+		p.PlannedStop.CountRejected()
+	}
 	status := res.Code.Info().Status
 	if res.Ran == request.RanUnknown && status == http.StatusServiceUnavailable {
 		status = http.StatusBadGateway
@@ -110,6 +114,7 @@
 	if upload.EndsConnection(c.unread(), c.body != nil, true) {
 		h.Set("Connection", "close")
 	}
+	c.tracked.SetAnswered()
 	c.writeHeader(status)
 }
 
@@ -137,6 +142,10 @@
 	e := p.Log.Info().Str("id", c.id).Str("service", c.service).Str("class", class.String()).Str("workspace", c.workspaceName()).Int("code", int(res.Code)).
 		Str("result", res.Code.Info().Name).Str("ran", string(res.Ran)).Int("attempts", c.attempts).
 		Int64("version", c.version).Dur("retry", res.Retry).Dur("took", took)
+	c.tracked.AddConn(e)
+	if step := p.PlannedStop.Current(); step != "" {
+		e.Str("step", step)
+	}
 	if p.ConfigAge != nil {
 		e.Dur("confirmed", p.ConfigAge())
 	}
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -178,10 +178,13 @@
 	t.query.Tried = append(t.query.Tried, pick.Name)
 	sent := time.Now()
 	t.sentAt = t.p.Now()
+	t.c.tracked.BeginAttempt()
 	awaitCtx := t.awaitResponse(ctx)
 	ex, err := pick.Pool.Dispatch(awaitCtx, t.newRequest(awaitCtx, pick), conn.Options{
 		Deadline: time.Now().Add(t.query.Left), CloseImmediately: true,
-		Allowed: func() bool { return t.c.timeLeft() > 0 && pick.Allowed() && t.permitValid(pick) }, Release: func(bool) {},
+		Allowed: func() bool {
+			return t.c.timeLeft() > 0 && pick.Allowed() && t.permitValid(pick) && t.c.tracked.SetSent()
+		}, Release: func(bool) {},
 	})
 	if err != nil {
 		return nil, t.dispatchFailed(ctx, pick, err, sent)
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -184,9 +184,10 @@
 func (t *transaction) forwardTo(ctx context.Context, target *forward.Pick, reason string) (resp *response, res *request.Result, declined bool) {
 	sent := time.Now()
 	granted := max(1, t.c.maxAttempts()-t.c.attempts-1)
+	t.c.tracked.BeginAttempt()
 	ex, err := target.Pool.Dispatch(ctx, t.newForwardedRequest(ctx, granted), conn.Options{
 		Deadline: time.Now().Add(t.c.timeLeft()), CloseImmediately: true,
-		Allowed: func() bool { return t.c.timeLeft() > 0 }, Release: func(bool) {},
+		Allowed: func() bool { return t.c.timeLeft() > 0 && t.c.tracked.SetSent() }, Release: func(bool) {},
 	})
 	if err == nil {
 		resp, res, declined, err = t.readForwarded(ex, target, granted)
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -17,6 +17,7 @@
 
 	"shalewick/process/balance"
 	"shalewick/process/crash"
+	"shalewick/process/drain"
 	"shalewick/process/forward"
 	"shalewick/process/held"
 	"shalewick/process/metric"
@@ -66,6 +67,8 @@
 	OnResponse func(backend string, h http.Header, took time.Duration)
 	// ConfigAge returns how long ago the configuration in force was last confirmed.
 	ConfigAge func() time.Duration
+	// PlannedStop, if set, logs the planned stop of the process.
+	PlannedStop *drain.Stop
 
 	beginRollout       beginRolloutFunc // replaces Rollouts in tests
 	keepAlivesDisabled atomic.Bool
@@ -124,6 +127,8 @@
 	w  http.ResponseWriter
 	r  *http.Request
 	id string
+	// tracked is what a planned stop logs of the request.
+	tracked drain.Request
 	// forwarded is set if another instance forwarded the request, and forwardedTo holds the names of
 	// those that this one forwarded it to.
 	forwarded   *forwardedCall
@@ -199,6 +204,7 @@
 	if c.id != "" {
 		w.Header().Set(p.Names.ID, c.id)
 	}
+	c.tracked.Begin(r.Context(), c.id, c.startedAt)
 	if res := p.classify(c); res != nil {
 		p.writeResult(c, res)
 		return
@@ -218,6 +224,7 @@
 	}
 	c.part = p.choosePart(c)
 	c.service = c.route.Split[c.part].Service
+	c.tracked.SetService(&c.route.Split[c.part].Service, c.route.Class)
 	if res := p.checkAvailable(c); res != nil {
 		p.settleQuota(c)
 		p.writeResult(c, res)
