logging: the end of the log's reader doesn't end the process

Callers saw all requests that an instance had in flight cut at one moment when the reader of its standard output ended.

Cause: a write to a pipe without a reader raises SIGPIPE, and Go ends a process by it if the pipe is standard output or standard error.

Change: the process ignores SIGPIPE, so that the write fails.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -106,6 +106,7 @@
 	if err != nil {
 		return err
 	}
+	logging.IgnoreBrokenPipes()
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	settings := live.Settings().Edge()
--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -4,20 +4,22 @@
 
 import (
 	"io"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 )
 
 // maxQueuedLines is the maximum number of lines that wait to be written.
 const maxQueuedLines = 1024
 
-// AsyncWriter is a writer that never blocks its caller. If the queue is full, lines are
-// dropped and counted.
+// AsyncWriter is a writer that never blocks its caller. Lines that find the queue full or cannot be written are
+// dropped and counted. The first line after some were dropped is followed by one with their number.
 type AsyncWriter struct {
 	out     io.Writer
 	lines   chan []byte
 	closing chan struct{}
 	done    chan struct{}
-	Dropped atomic.Int64
+	dropped atomic.Int64
 }
 
 // NewAsyncWriter returns a writer that writes lines to out in a separate goroutine.
@@ -27,36 +29,51 @@
 	return a
 }
 
+// IgnoreBrokenPipes makes a write to a standard output or standard error whose reader has ended fail. Otherwise it
+// ends the process.
+func IgnoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // Write queues one line. It copies the line and never fails.
 func (a *AsyncWriter) Write(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
 	select {
 	case a.lines <- line:
 	default:
-		a.Dropped.Add(1)
+		a.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// Dropped returns the number of lines that were dropped.
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
+
 func (a *AsyncWriter) run() {
 	defer close(a.done)
+	log := New(a.out)
+	reported := int64(0)
+	write := func(line []byte) {
+		if _, err := a.out.Write(line); err != nil {
+			a.dropped.Add(1) // the gauge tells it: there is no log to report it to
+			return
+		}
+		if dropped := a.dropped.Load(); dropped > reported {
+			log.Warn().Int64("lines", dropped-reported).Msg("log-lines-dropped")
+			reported = dropped
+		}
+	}
 	for {
 		select {
 		case line := <-a.lines:
-			a.write(line)
+			write(line)
 		case <-a.closing:
 			for range len(a.lines) {
-				a.write(<-a.lines)
+				write(<-a.lines)
 			}
 			return
 		}
 	}
 }
 
-func (a *AsyncWriter) write(line []byte) {
-	_, _ = a.out.Write(line) // there is nowhere to report a failure to write the log
-}
-
 // Close writes the queued lines. Lines that are written afterwards are lost: goroutines that wait for
 // the network may log while the process ends.
 func (a *AsyncWriter) Close() {
--- a/process/logging/async_test.go
+++ b/process/logging/async_test.go
@@ -5,7 +5,10 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -29,3 +32,34 @@
 	}
 	assert.Equal(t, out.String(), want)
 }
+
+// failingWriter is a writer whose writes fail while broken is set.
+type failingWriter struct {
+	bytes.Buffer
+	broken bool
+}
+
+func (f *failingWriter) Write(p []byte) (int, error) {
+	if f.broken {
+		return 0, io.ErrClosedPipe
+	}
+	return f.Buffer.Write(p)
+}
+
+// TestLinesThatCannotBeWrittenAreCounted guards against a log that lacks lines and does not tell so.
+func TestLinesThatCannotBeWrittenAreCounted(t *testing.T) {
+	out := &failingWriter{broken: true}
+	a := NewAsyncWriter(out)
+	for range 3 {
+		_, _ = a.Write([]byte("lost\n"))
+	}
+	for a.Dropped() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	out.broken = false
+	_, _ = a.Write([]byte("kept\n"))
+	_, _ = a.Write([]byte("kept\n"))
+	a.Close()
+	assert.Equal(t, strings.Count(out.String(), "kept"), 2)
+	assert.Equal(t, strings.Count(out.String(), "event=log-lines-dropped lines=3"), 1, out.String())
+}
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -46,17 +46,28 @@
 // failed.
 func Start(t testing.TB, path, name string, args ...string) *Process {
 	t.Helper()
-	p := &Process{cmd: exec.Command(path, args...), log: filepath.Join(t.TempDir(), name+".log"), done: make(chan struct{})}
-	f, err := os.Create(p.log)
+	log := filepath.Join(t.TempDir(), name+".log")
+	f, err := os.Create(log)
 	assert.NilError(t, err)
-	p.cmd.Stderr, p.cmd.Stdout = f, f
+	p := StartTo(t, f, path, args...)
+	p.log = log
+	_ = f.Close()
+	t.Cleanup(func() { p.cleanup(t, name) })
+	return p
+}
+
+// StartTo starts a command with its output in a file or pipe, which stays open. When the test ends, the process is
+// killed. Its output is not checked.
+func StartTo(t testing.TB, out *os.File, path string, args ...string) *Process {
+	t.Helper()
+	p := &Process{cmd: exec.Command(path, args...), done: make(chan struct{})}
+	p.cmd.Stderr, p.cmd.Stdout = out, out
 	assert.NilError(t, p.cmd.Start())
 	go func() {
 		_ = p.cmd.Wait()
-		_ = f.Close()
 		close(p.done)
 	}()
-	t.Cleanup(func() { p.cleanup(t, name) })
+	t.Cleanup(p.Kill)
 	return p
 }
 
@@ -90,6 +101,9 @@
 // Done returns a channel that is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
+// ExitState describes how the process ended, such as "exit status 0". It is called after Done is closed.
+func (p *Process) ExitState() string { return p.cmd.ProcessState.String() }
+
 // Kill kills the process and waits for its end.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill() // fails only if the process has ended
