logging: a stalled reader of the log doesn't hold up the exit

Operators saw planned stops end by SIGKILL when the reader of the log had stalled.

Cause: AsyncWriter.Close waited until the queued lines were written, and a write to a full pipe waits for its reader.

Change: Close waits for 0.1 s at most. The servers are closed by then.

--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -7,10 +7,16 @@
 	"os/signal"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
-// maxQueuedLines is the maximum number of lines that wait to be written.
-const maxQueuedLines = 1024
+const (
+	// maxQueuedLines is the maximum number of lines that wait to be written.
+	maxQueuedLines = 1024
+	// closeTimeout bounds the wait until the queued lines are written, so that a reader of the log that has stalled
+	// doesn't delay the end of the process.
+	closeTimeout = 100 * time.Millisecond
+)
 
 // AsyncWriter is a writer that never blocks its caller. Lines that find the queue full or cannot be written are
 // dropped and counted. The first line after some were dropped is followed by one with their number.
@@ -74,9 +80,12 @@
 	}
 }
 
-// Close writes the queued lines. Lines that are written afterwards are lost: goroutines that wait for
+// Close writes the queued lines, as many as can be written within closeTimeout. Lines that are written afterwards are lost: goroutines that wait for
 // the network may log while the process ends.
 func (a *AsyncWriter) Close() {
 	close(a.closing)
-	<-a.done
+	select {
+	case <-a.done:
+	case <-time.After(closeTimeout): // a write that does not return must not delay the exit
+	}
 }
