edge: messages of the HTTP server go to the log

Callers could open no connection to an instance when the reader of its standard error had stalled.

Cause: net/http writes messages, such as that a connection can't be accepted, with the standard logger directly to standard error, in the goroutine that accepts connections.

Change: the standard logger writes lines of the event library-message, which are limited in rate and never wait.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -109,6 +109,7 @@
 	logging.IgnoreBrokenPipes()
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
+	logging.RedirectStandardLog(out)
 	settings := live.Settings().Edge()
 	settings.LogLevel = level
 	if err := setSource(&settings, source); err != nil {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -237,7 +237,10 @@
 			return errors.Annotatef(err, "listen on %s", x.address)
 		}
 		tcp := inner.(*net.TCPListener)
-		s := &http.Server{Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, ErrorLog: nil, ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext}
+		s := &http.Server{
+			Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout,
+			ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext,
+		}
 		var l net.Listener = drain.Listener{TCPListener: tcp, Conns: x.conns}
 		if x.conns == &e.frontConns {
 			limiter := newAcceptLimiter()
