edge: a draining listener closes after the kernel had no connection

What callers saw: a connection reset at a planned stop, though they had connected and sent a request before the listener was closed.

Cause: the listener closed when Accept's deadline of 20 ms passed. The deadline was set before acceptLimiter.acquire, and went on while the process was held (a third of a core: 68 of each 100 ms). Go's Accept returns ErrDeadlineExceeded without asking the kernel if the deadline is over, and a wait that ends late says nothing of what arrived meanwhile. After 300 ms it closed at once, whatever waited.

Change: the deadline is set right before AcceptTCP. After one has passed, or after maxDrainTime, accepts have a deadline of 1 ms, and the listener is closed after one that returned on time: the kernel was asked less than 2 ms before. The accepts after maxDrainTime are bounded by their number instead of a time. No other system calls than before.

Not covered: a connection that arrives in these 2 ms, or while the process is held right between the accept and the close.

--- a/process/edge/drain.go
+++ b/process/edge/drain.go
@@ -19,8 +19,14 @@
 	// closed. Closing it resets the connections that have not been accepted yet, although their
 	// clients may already have sent a request.
 	acceptIdleTime = 20 * time.Millisecond
-	// maxDrainTime bounds how long a listener drains while connections keep arriving.
+	// lastAcceptTime is the deadline of the accepts before the close. One of them must have passed it by less than as much
+	// again: an accept that returns late says nothing of the connections that arrived while the process was held, and did not
+	// even ask the kernel if that was before it.
+	lastAcceptTime = time.Millisecond
+	// maxDrainTime is how long a listener waits for acceptIdleTime while connections keep arriving.
 	maxDrainTime = 300 * time.Millisecond
+	// maxLateAccepts bounds the accepts after maxDrainTime.
+	maxLateAccepts = 128
 	// requestReadTimeout is how long a planned stop waits for a request on a connection that was opened, or
 	// on which a part of it has arrived.
 	requestReadTimeout = time.Second
@@ -30,46 +36,52 @@
 // to be accepted are accepted first.
 type drainListener struct {
 	*net.TCPListener
-	limiter       *acceptLimiter
-	conns         *drain.Conns              // those that were accepted
-	drainDeadline atomic.Pointer[time.Time] // nil: not draining
+	limiter     *acceptLimiter
+	conns       *drain.Conns              // those that were accepted
+	drainEnd    atomic.Pointer[time.Time] // nil: not draining
+	lateAccepts int                       // after drainEnd
 }
 
 // Drain makes the listener close once no connection is waiting to be accepted. It returns at once.
 func (l *drainListener) Drain() {
-	deadline := time.Now().Add(maxDrainTime)
-	l.drainDeadline.Store(&deadline)
-	_ = l.SetDeadline(time.Now().Add(acceptIdleTime)) // an error means that it is closed
+	end := time.Now().Add(maxDrainTime)
+	l.drainEnd.Store(&end)
+	_ = l.SetDeadline(time.Now()) // wakes Accept; an error means that the listener is closed
 }
 
 // Accept returns the next connection. It closes the listener once it is drained, and then returns
 // net.ErrClosed.
 func (l *drainListener) Accept() (net.Conn, error) {
-	c, err := l.accept()
-	deadline := l.drainDeadline.Load()
-	if deadline == nil {
-		return c, err
-	}
-	if err != nil || time.Now().After(*deadline) {
-		_ = l.Close() // it may be closed already
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, net.ErrClosed
-	}
-	_ = l.SetDeadline(time.Now().Add(acceptIdleTime)) // an error means that it is closed
-	return c, err
-}
-
-// accept returns the next connection.
-func (l *drainListener) accept() (net.Conn, error) {
-	l.limiter.acquire()
-	tcp, err := l.AcceptTCP()
-	if err != nil {
+	for wait := acceptIdleTime; l.lateAccepts < maxLateAccepts; {
+		l.limiter.acquire()
+		start, end := time.Now(), l.drainEnd.Load()
+		if end != nil {
+			if start.After(*end) {
+				wait = lastAcceptTime
+				l.lateAccepts++
+			}
+			_ = l.SetDeadline(start.Add(wait)) // an error means that the listener is closed
+		}
+		tcp, err := l.AcceptTCP()
+		if err == nil {
+			_ = tcp.SetWriteBuffer(conn.SocketBufferSize) // connections work without it too
+			c := l.conns.Track(tcp)
+			l.limiter.add(c)
+			return c, nil
+		}
 		l.limiter.cancel()
-		return nil, err
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		took := time.Since(start)
+		if end == nil || took < wait {
+			continue // Drain has woken it
+		}
+		if wait == lastAcceptTime && took < 2*lastAcceptTime {
+			break
+		}
+		wait = lastAcceptTime
 	}
-	_ = tcp.SetWriteBuffer(conn.SocketBufferSize) // connections work without it too
-	c := l.conns.Track(tcp)
-	l.limiter.add(c)
-	return c, nil
+	_ = l.Close() // it may be closed already
+	return nil, net.ErrClosed
 }
--- a/process/edge/drain_test.go
+++ b/process/edge/drain_test.go
@@ -73,6 +73,35 @@
 	assert.NilError(t, s.Close())
 }
 
+// TestDrainAcceptsAllThatWaitBeyondItsDeadline guards against a close that resets waiting connections, since the process was held
+// for longer than Accept's deadline before it asked the kernel.
+func TestDrainAcceptsAllThatWaitBeyondItsDeadline(t *testing.T) {
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter(), conns: new(drain.Conns)}
+	for range cap(l.limiter.slots) {
+		l.limiter.acquire()
+	}
+	l.Drain()
+	const waiting = 8
+	for range waiting {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+	}
+	time.AfterFunc(3*acceptIdleTime, func() {
+		for range cap(l.limiter.slots) {
+			l.limiter.cancel()
+		}
+	})
+	accepted := 0
+	for ; err == nil; accepted++ {
+		_, err = l.Accept()
+	}
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Equal(t, accepted-1, waiting)
+}
+
 // TestDrainEndsUnderContinuousConnections checks that a listener closes although clients keep
 // connecting.
 func TestDrainEndsUnderContinuousConnections(t *testing.T) {
