drain: only the refusal is written to a connection that it ends

What callers saw: at the exit of a stopping process, 400 for a proper request of which a part of a header line had been read; alone, before the refusal, or after it.

Cause: a read of an ended connection fails, net/http takes the part of a header line for the whole, and writes 400. It could also close the connection before the refusal was written.

--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -36,6 +36,8 @@
 	requests atomic.Int32            // those that have begun to arrive
 	request  atomic.Pointer[Request] // the one that is served, if the handler tracks it
 	since    atomic.Int64            // when it was opened, or the request in stateReading began; Unix time in nanoseconds
+	// refusing is held while Refuse ends the connection.
+	refusing sync.Mutex
 }
 
 // Track returns a connection that is to be used in place of c. The ConnState hook of its server must be
@@ -113,6 +115,21 @@
 	return n, err
 }
 
+// Write writes to the connection. What net/http writes to a connection that has been ended is dropped.
+func (t *trackedConn) Write(p []byte) (int, error) {
+	if state(t.state.Load()) == stateEnded {
+		return 0, net.ErrClosed
+	}
+	return t.TCPConn.Write(p)
+}
+
+// Close closes the connection, once its refusal has been written.
+func (t *trackedConn) Close() error {
+	t.refusing.Lock()
+	defer t.refusing.Unlock()
+	return t.TCPConn.Close()
+}
+
 // move changes the state if it is from.
 func (t *trackedConn) move(from, to state) bool {
 	return t.state.CompareAndSwap(int32(from), int32(to))
@@ -176,13 +193,22 @@
 // returns their number. The server must be closed afterwards, and refuse requests whose reading ends meanwhile.
 func (s *Conns) Refuse(response []byte) (refused int) {
 	for _, t := range s.list() {
-		if !t.move(stateReading, stateEnded) {
-			continue
+		if t.refuse(response) {
+			refused++
 		}
-		_ = t.SetWriteDeadline(time.Now().Add(refuseTimeout))
-		_, _ = t.Write(response) // the caller may have disconnected
-		_ = t.CloseWrite()
-		refused++
 	}
 	return refused
 }
+
+// refuse ends the connection with a response if only a part of a request has been read.
+func (t *trackedConn) refuse(response []byte) bool {
+	t.refusing.Lock()
+	defer t.refusing.Unlock()
+	if !t.move(stateReading, stateEnded) {
+		return false
+	}
+	_ = t.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_, _ = t.TCPConn.Write(response) // the caller may have disconnected
+	_ = t.CloseWrite()
+	return true
+}
--- a/process/drain/conns_test.go
+++ b/process/drain/conns_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -165,3 +166,31 @@
 	_, err = silent.Read(make([]byte, 1))
 	assert.Equal(t, err, io.EOF)
 }
+
+// TestRefusalIsTheOnlyResponse guards against refusals that are preceded by 400, or not sent since the server closes the connection first.
+// The remainder of each request arrives while it is refused.
+func TestRefusalIsTheOnlyResponse(t *testing.T) {
+	conns, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }))
+	for range 200 {
+		c := dial(t, address)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHo")
+		assert.NilError(t, err)
+		await(t, "a part has been read", func() bool {
+			all := conns.list()
+			return len(all) == 1 && state(all[0].state.Load()) == stateReading
+		})
+		var sending sync.WaitGroup
+		sending.Go(func() {
+			time.Sleep(rand.N(50 * time.Microsecond))
+			_, _ = io.WriteString(c, "st: a\r\n\r\n")
+		})
+		time.Sleep(rand.N(50 * time.Microsecond))
+		conns.Refuse([]byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+		sending.Wait()
+		b, _ := io.ReadAll(c) // ends with EOF or a reset
+		assert.Equal(t, strings.Count(string(b), "HTTP/1.1 "), 1, "%s", b)
+		assert.Assert(t, !strings.Contains(string(b), " 400 "), "%s", b)
+		assert.NilError(t, c.Close())
+		await(t, "the connection has ended", func() bool { return len(conns.list()) == 0 })
+	}
+}
