drain: a connection on which the next request was read is not idle

What callers saw: a request that runs and gets no response, or one that was read and is dropped, when it arrived before the response to the one before was complete for the server: pipelined, or right after the response.

Cause: after a response the connection counted as idle until its next read. But the next request may have been read already: together with the one before, or its first byte by net/http's background read, which goes on until after the response was flushed. EndIdle then closed the connection. net/http serves a request that it has read, so it ran.

Evidence: TestPipelinedRequestsAreAnswered calls EndIdle at the moment at which the response is complete. How often it happens at a planned stop wasn't measured: the time between the two events is short.

Change: after a response, a connection becomes idle when the server reads from it, that is, when it has no request; and the state notes that the background read, which net/http does with a buffer of one byte, has read something.

Not covered: a pipelined request of which a part was read with the one before, and the rest is on its way. It doesn't run, and its caller sees the end of the connection.

--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -14,13 +14,20 @@
 type state int32
 
 const (
-	stateNew     state = iota // open, and nothing has been read
-	stateIdle                 // a response has been sent, and nothing has been read since
-	stateReading              // a part of a request has been read
-	stateServing              // the handler has the request
-	stateEnded                // ended by EndIdle or Refuse
+	stateNew         state = iota // open, and nothing has been read
+	stateIdle                     // a response has been sent, and the server waits for the next request, of which it has read nothing
+	stateReading                  // a part of a request has been read
+	stateServing                  // the handler has the request
+	stateServingNext              // as stateServing, and the next request has been read in part
+	stateAnswered                 // a response has been sent; the next request may have been read together with the one before
+	stateEnded                    // ended by EndIdle or Refuse
 )
 
+// serving reports whether a request is served or its response is being sent.
+func (s state) serving() bool {
+	return s == stateServing || s == stateServingNext || s == stateAnswered
+}
+
 // Conns holds the open connections of an HTTP server. The zero value is ready for use.
 type Conns struct {
 	mu    sync.Mutex
@@ -78,13 +85,16 @@
 	switch to {
 	case http.StateActive:
 		if !t.move(stateReading, stateServing) {
-			t.since.Store(time.Now().UnixNano())
-			t.requests.Add(1)
-			t.move(stateIdle, stateServing) // the request was read together with the one before
+			if t.move(stateAnswered, stateServing) {
+				t.requests.Add(1)
+			}
 		}
 	case http.StateIdle:
 		t.request.Store(nil)
-		t.move(stateServing, stateIdle)
+		t.since.Store(time.Now().UnixNano())
+		if !t.move(stateServing, stateAnswered) && t.move(stateServingNext, stateReading) {
+			t.requests.Add(1)
+		}
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -98,11 +108,17 @@
 
 // Read reads from the connection. What arrives at a connection that has been ended is dropped.
 func (t *trackedConn) Read(p []byte) (int, error) {
+	t.move(stateAnswered, stateIdle) // the server reads only if it has no request
 	n, err := t.TCPConn.Read(p)
 	if n == 0 {
 		return n, err
 	}
 	switch state(t.state.Load()) {
+	case stateServing:
+		// net/http reads a single byte while the handler runs, once it has read all of the request.
+		if len(p) == 1 {
+			t.move(stateServing, stateServingNext)
+		}
 	case stateNew, stateIdle:
 		t.since.Store(time.Now().UnixNano())
 		if !t.move(stateNew, stateReading) && !t.move(stateIdle, stateReading) {
@@ -179,7 +195,7 @@
 // Serving returns the number of connections on which a request is served or its response is being sent.
 func (s *Conns) Serving() (serving int) {
 	for _, t := range s.list() {
-		if state(t.state.Load()) == stateServing {
+		if state(t.state.Load()).serving() {
 			serving++
 		}
 	}
--- a/process/drain/conns_test.go
+++ b/process/drain/conns_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,6 +131,47 @@
 	assert.Assert(t, ended > 0)
 }
 
+// TestPipelinedRequestsAreAnswered guards against requests that run and get no response, or are dropped, since they were read before
+// their connection became idle.
+func TestPipelinedRequestsAreAnswered(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"read with the one before": 0, "read while the one before is served": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			var conns Conns
+			var ran atomic.Int32
+			s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				time.Sleep(2 * pause)
+				ran.Add(1)
+			}), ConnState: func(c net.Conn, to http.ConnState) {
+				conns.OnStateChange(c, to)
+				if to == http.StateIdle {
+					conns.EndIdle(0)
+				}
+			}}
+			go func() { _ = s.Serve(Listener{l.(*net.TCPListener), &conns}) }() // returns when the server is closed
+			t.Cleanup(func() { _ = s.Close() })
+			c := dial(t, l.Addr().String())
+			in := bufio.NewReader(c)
+			const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+			pieces := []string{request + request}
+			if pause > 0 {
+				pieces = []string{request, request}
+			}
+			for _, piece := range pieces {
+				_, err = io.WriteString(c, piece)
+				assert.NilError(t, err)
+				time.Sleep(pause)
+			}
+			for range 2 {
+				_, err = http.ReadResponse(in, nil)
+				assert.Check(t, err, "%d requests have run", ran.Load())
+			}
+		})
+	}
+}
+
 // TestEndedConnectionGetsNoErrorResponse guards against 400 for a proper request of which a part had been read when its connection
 // was ended: the refusal that follows would come second.
 func TestEndedConnectionGetsNoErrorResponse(t *testing.T) {
--- a/process/drain/stop.go
+++ b/process/drain/stop.go
@@ -73,7 +73,7 @@
 func (s *Stop) Cut() {
 	for _, conns := range []*Conns{s.Callers, s.Others} {
 		for _, t := range conns.list() {
-			if r := t.request.Load(); r != nil && state(t.state.Load()) == stateServing {
+			if r := t.request.Load(); r != nil && state(t.state.Load()).serving() {
 				r.logCut(&s.Log, s.Current())
 				s.cut++
 			}
@@ -94,5 +94,5 @@
 		counts[t.state.Load()]++
 	}
 	return e.Int64("running", s.InFlight()).Int("connsNew", counts[stateNew]).Int("connsIdle", counts[stateIdle]).
-		Int("connsReading", counts[stateReading]).Int("connsServing", counts[stateServing])
+		Int("connsReading", counts[stateReading]).Int("connsServing", counts[stateServing]+counts[stateServingNext]+counts[stateAnswered])
 }
