edge: a stop begins at SIGTERM, whatever a reload does

Operators saw an instance go on as if it had got no SIGTERM, and the platform killed it with all requests in flight.

Cause: the loop that waits for signals also read the settings and compiled the tables, so that it noticed SIGTERM after that; and os/signal drops a signal that finds its channel full: four SIGHUP behind the one at work filled it. The times of a stop counted from when it was noticed, the platform's from the signal.

Evidence: TestReloadDelaysNoStop on, with a settings file whose reading waits: the process had not ended 4 s after SIGTERM, with graceS=4. TestStopIsTimedFromTheSignal fails if Stop takes its own time.

Change: SIGTERM and SIGINT have a channel of their own, whose reader notes the time of arrival; reloads run beside it; Stop counts from that time. A process that is signalled before it has started its instance ends at once. TestFurtherSignalsCutNoRequest, which passed before, checks signals during the stop.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -5,12 +5,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,15 +34,13 @@
 
 func main() {
 	// Before anything else, since a SIGHUP that is not caught ends the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	if err := newCommand(signals).Execute(); err != nil {
+	if err := newCommand(catchSignals()).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "error:", err)
 		os.Exit(1)
 	}
 }
 
-func newCommand(signals <-chan os.Signal) *cobra.Command {
+func newCommand(received signals) *cobra.Command {
 	var path, level, source string
 	var gcPercent int
 	var check bool
@@ -61,7 +58,7 @@
 				return checkSettings(cmd, path, level, source)
 			}
 			debug.SetGCPercent(gcPercent)
-			return run(path, level, source, signals)
+			return run(path, level, source, received)
 		},
 	}
 	f := cmd.Flags()
@@ -101,7 +98,7 @@
 	return errors.Annotate(err, "--source")
 }
 
-func run(path, level, source string, signals <-chan os.Signal) error {
+func run(path, level, source string, received signals) error {
 	live, err := platform.LoadSettingsFile(path)
 	if err != nil {
 		return err
@@ -118,31 +115,36 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(settings.Memory / 2)
 	}
+	if len(received.stop) > 0 {
+		return nil // there is nothing to stop yet
+	}
 	e, err := edge.Start(settings, live.Deployment(conn.NewDialer(storeDialTimeout, storeAckTimeout).DialContext), out)
 	if err != nil {
 		return err
 	}
-	waitForStop(live, e, signals)
-	e.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	go reloadSettings(ctx, live, e, received.reload)
+	signalledAt := <-received.stop
+	cancel()
+	e.Stop(signalledAt)
 	return nil
 }
 
-// waitForStop returns on SIGTERM or SIGINT. Until then it reloads the settings on
-// SIGHUP and whenever the file has changed.
-func waitForStop(live *platform.SettingsFile, e *edge.Edge, signals <-chan os.Signal) {
+// reloadSettings reloads the settings on SIGHUP and whenever the file has changed, until the context ends. Reading the
+// file may take any time.
+func reloadSettings(ctx context.Context, live *platform.SettingsFile, e *edge.Edge, reload <-chan os.Signal) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return
-			}
+		case <-reload:
 			e.SettingsReloaded(live.Reload())
 		case <-poll.C:
 			if live.Modified() {
 				e.SettingsReloaded(live.Reload())
 			}
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/cmd/shalewick-edge/main_test.go
+++ b/cmd/shalewick-edge/main_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "boot.json")
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
-	cmd := newCommand(nil)
+	cmd := newCommand(signals{})
 	var out bytes.Buffer
 	cmd.SetOut(&out)
 	cmd.SetArgs(append([]string{"--boot", path}, args...))
--- a/process/drain/stop.go
+++ b/process/drain/stop.go
@@ -30,11 +30,12 @@
 	cut      int
 }
 
-// Begin begins the stop with its first step, and logs it.
-func (s *Stop) Begin(step string) {
-	s.start = time.Now()
+// Begin begins the stop with its first step, and logs it. Start is when the process was told to stop.
+func (s *Stop) Begin(step string, start time.Time) {
+	s.start = start
 	s.step.Store(&step)
 	s.addCounts(s.Log.Info().Str("step", step)).Msg("stopping")
+	s.logLate(step, time.Since(start))
 }
 
 // Start returns when the stop began.
@@ -45,7 +46,14 @@
 	now := time.Now()
 	s.step.Store(&step)
 	s.addCounts(s.Log.Info().Str("step", step).Dur("after", now.Sub(s.start))).Msg("stop-step")
-	if by := now.Sub(due); !due.IsZero() && by > maxStepDelay {
+	if !due.IsZero() {
+		s.logLate(step, now.Sub(due))
+	}
+}
+
+// logLate logs a step that began late by more than maxStepDelay.
+func (s *Stop) logLate(step string, by time.Duration) {
+	if by > maxStepDelay {
 		s.Log.Warn().Str("step", step).Dur("by", by).Msg("stop-late")
 	}
 }
--- a/process/drain/stop_test.go
+++ b/process/drain/stop_test.go
@@ -57,7 +57,7 @@
 	})
 	await(t, "the others are idle and reading", func() bool {
 		log.Reset()
-		stop.Begin("announce")
+		stop.Begin("announce", time.Now())
 		return bytes.Contains(log.Bytes(), []byte("connsIdle=1 connsNew=0 connsReading=1 connsServing=1 running=1 step=announce"))
 	})
 	stop.CountRejected()
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -30,10 +30,9 @@
 	stepClose    = "close"
 )
 
-// Stop stops the instance as planned.
-func (e *Edge) Stop() {
-	e.stop.Begin(stepAnnounce)
-	start := e.stop.Start()
+// Stop stops the instance as planned. Its steps are timed from start, when the process was told to stop.
+func (e *Edge) Stop(start time.Time) {
+	e.stop.Begin(stepAnnounce, start)
 	end, noticed, closing := start.Add(e.settings.grace()), start.Add(noticeTime), start.Add(e.settings.linger())
 	e.leaving.Store(true)
 	e.members.SetLeaving()
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -46,7 +46,7 @@
 // Stop returns even if ctx is never done: the wait for requests in flight is
 // limited to version.MaxDeadline, the longest deadline of a request.
 func (e *Entry) Stop(ctx context.Context) {
-	e.stop.Begin(stepAnnounce)
+	e.stop.Begin(stepAnnounce, time.Now())
 	e.members.UpdateSelf(func(m *peer.Member) { m.Leaving = true })
 	e.slots.StartDraining()
 	e.routes.proxy.DisableKeepAlives()
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -101,8 +101,16 @@
 // Done returns a channel that is closed when the process has ended.
 func (p *Process) Done() <-chan struct{} { return p.done }
 
-// ExitState describes how the process ended, such as "exit status 0". It is called after Done is closed.
-func (p *Process) ExitState() string { return p.cmd.ProcessState.String() }
+// CheckExit checks that the process ends by itself, without an error, within a limit after start.
+func (p *Process) CheckExit(t testing.TB, start time.Time, limit time.Duration) {
+	t.Helper()
+	select {
+	case <-p.done:
+		assert.Check(t, p.cmd.ProcessState.Success(), "%s", p.cmd.ProcessState)
+	case <-time.After(limit - time.Since(start)):
+		t.Errorf("the process has not ended within %s", limit)
+	}
+}
 
 // Kill kills the process and waits for its end.
 func (p *Process) Kill() {
