drain: a connection on which an unread request waits is not idle

What callers saw: a POST on a kept connection ended with a reset, 0.25 to 2 s after it was sent, so that they could not know whether it ran.

Cause: EndIdle took a connection for idle of which the server had read nothing since its last response, although a request had arrived. A process that gets little time may read it much later. The close with unread bytes is a reset.

TestRequestThatWaitsUnreadIsRefused failed on the parent commit, in both subtests: EndIdle and Pending did not see the request.

The question does not wait for the goroutine that reads. What arrives between the question and the close is still reset.

--- a/conn/pool.go
+++ b/conn/pool.go
@@ -173,20 +173,37 @@
 // isIdle reports whether a connection is open with nothing to read. A connection that the backend
 // server has closed, or on which it has sent an unexpected response, is not idle.
 func isIdle(c net.Conn) bool {
+	if _, ok := c.(syscall.Conn); !ok {
+		return true
+	}
+	_, err := peek(c)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// HasUnread reports whether bytes have arrived on a connection that have not been read.
+func HasUnread(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek returns how many bytes can be read from a connection, one at most, without reading them. The error is
+// syscall.EAGAIN if there are none.
+func peek(c net.Conn) (n int, err error) {
 	syscallConn, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errors.NotSupportedf("peeking at this kind of connection")
 	}
 	raw, err := syscallConn.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	var recvErr error
+	err = raw.Control(func(fd uintptr) { // unlike Read it does not wait for another goroutine that reads
 		var b [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = recvErr == syscall.EAGAIN
-		return true
+		n, _, recvErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	if err != nil {
+		return 0, err
+	}
+	return n, recvErr
 }
--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"shalewick/conn"
 )
 
 // state is the state of a connection.
@@ -154,6 +156,12 @@
 // age returns how long ago the connection was opened, or the request in stateReading began.
 func (t *trackedConn) age() time.Duration { return time.Since(time.Unix(0, t.since.Load())) }
 
+// unread reports whether the first bytes of a request have arrived that the server has not read yet.
+func (t *trackedConn) unread() bool {
+	at := state(t.state.Load())
+	return (at == stateNew || at == stateIdle) && conn.HasUnread(t.TCPConn)
+}
+
 // list returns the open connections.
 func (s *Conns) list() []*trackedConn {
 	if s == nil {
@@ -169,10 +177,13 @@
 }
 
 // EndIdle closes idle connections: those between two requests, and those that were opened at least minAge ago and
-// have had no request.
-// It returns their number.
+// have had no request. It returns their number. A connection on which a request has arrived that the server has not read yet
+// is not idle.
 func (s *Conns) EndIdle(minAge time.Duration) (ended int) {
 	for _, t := range s.list() {
+		if t.unread() {
+			continue
+		}
 		if t.move(stateIdle, stateEnded) || t.age() >= minAge && t.move(stateNew, stateEnded) {
 			_ = t.Close() // nothing was to be written
 			ended++
@@ -182,10 +193,11 @@
 }
 
 // Pending returns the number of connections on which a request is expected: those that were opened, or of which
-// a part of a request was read, less than maxAge ago.
+// a part of a request was read, less than maxAge ago, and those on which one has arrived that the server has not read yet.
 func (s *Conns) Pending(maxAge time.Duration) (pending int) {
 	for _, t := range s.list() {
-		if at := state(t.state.Load()); (at == stateNew || at == stateReading) && t.age() < maxAge {
+		at := state(t.state.Load())
+		if (at == stateNew || at == stateReading) && t.age() < maxAge || t.unread() {
 			pending++
 		}
 	}
@@ -205,8 +217,8 @@
 // refuseTimeout limits the writing of a refusal, which fits into a send buffer.
 const refuseTimeout = 20 * time.Millisecond
 
-// Refuse sends a response on the connections of which only a part of a request has been read, and ends them. It
-// returns their number. The server must be closed afterwards, and refuse requests whose reading ends meanwhile.
+// Refuse sends a response on the connections of which only a part of a request has been read, or nothing of one that has
+// arrived, and ends them. It returns their number. The server must be closed afterwards, and refuse requests whose reading ends meanwhile.
 func (s *Conns) Refuse(response []byte) (refused int) {
 	for _, t := range s.list() {
 		if t.refuse(response) {
@@ -216,11 +228,12 @@
 	return refused
 }
 
-// refuse ends the connection with a response if only a part of a request has been read.
+// refuse ends the connection with a response if a request has arrived that has not been read, or only in part.
 func (t *trackedConn) refuse(response []byte) bool {
 	t.refusing.Lock()
 	defer t.refusing.Unlock()
-	if !t.move(stateReading, stateEnded) {
+	unread := t.unread()
+	if !t.move(stateReading, stateEnded) && !(unread && (t.move(stateIdle, stateEnded) || t.move(stateNew, stateEnded))) {
 		return false
 	}
 	_ = t.SetWriteDeadline(time.Now().Add(refuseTimeout))
--- a/process/drain/conns_test.go
+++ b/process/drain/conns_test.go
@@ -236,3 +236,30 @@
 		await(t, "the connection has ended", func() bool { return len(conns.list()) == 0 })
 	}
 }
+
+// TestRequestThatWaitsUnreadIsRefused guards against connections that are reset although a request has arrived on them, since a process
+// that gets little time has not read it yet.
+func TestRequestThatWaitsUnreadIsRefused(t *testing.T) {
+	for name, at := range map[string]state{"first request": stateNew, "next request": stateIdle} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			c := dial(t, l.Addr().String())
+			accepted, err := l.Accept()
+			assert.NilError(t, err)
+			var conns Conns
+			tracked := conns.Track(accepted.(*net.TCPConn)).(*trackedConn) // nobody reads from it
+			defer tracked.Close()
+			tracked.state.Store(int32(at))
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+			assert.NilError(t, err)
+			await(t, "the request has arrived", func() bool { return conns.Pending(0) == 1 })
+			assert.Equal(t, conns.EndIdle(0), 0)
+			assert.Equal(t, conns.Refuse([]byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")), 1)
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+		})
+	}
+}
