drain: the draining listener is not of the edge alone

It moves from process/edge to process/drain with its tests, so that the entry can use it. The test that held the accepts by acceptLimiter holds them by not calling AcceptTCP; with the listener put back to one deadline it still fails.

--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -63,21 +63,6 @@
 	return t
 }
 
-// Listener accepts connections that are tracked.
-type Listener struct {
-	*net.TCPListener
-	Conns *Conns
-}
-
-// Accept returns the next connection.
-func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
-	}
-	return l.Conns.Track(c), nil
-}
-
 // OnStateChange is the ConnState hook of the server.
 func (s *Conns) OnStateChange(c net.Conn, to http.ConnState) {
 	t, ok := c.(*trackedConn)
--- a/process/edge/drain_test.go
+++ b/process/drain/listener_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package edge
+package drain
 
 import (
 	"io"
@@ -11,19 +11,17 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"shalewick/process/drain"
 )
 
 // blockedListener accepts no connections until unblock is closed.
 type blockedListener struct {
-	*drainListener
+	Listener
 	unblock <-chan struct{}
 }
 
 func (s blockedListener) Accept() (net.Conn, error) {
 	<-s.unblock
-	return s.drainListener.Accept()
+	return s.Listener.Accept()
 }
 
 // TestDrainServesWaitingConnections checks that clients that have connected and sent a request
@@ -31,14 +29,14 @@
 func TestDrainServesWaitingConnections(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	var conns drain.Conns
-	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter(), conns: &conns}
+	var conns Conns
+	l := NewQueue(inner.(*net.TCPListener))
 	unblock := make(chan struct{})
 	s := &http.Server{
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }),
 		ConnState: conns.OnStateChange,
 	}
-	go func() { _ = s.Serve(blockedListener{l, unblock}) }()
+	go func() { _ = s.Serve(blockedListener{Listener{l, &conns}, unblock}) }()
 	var clients sync.WaitGroup
 	for range 8 {
 		c, err := net.Dial("tcp4", l.Addr().String())
@@ -64,12 +62,12 @@
 	}
 	assert.ErrorContains(t, err, "refused")
 	for range 100 {
-		if conns.Pending(requestReadTimeout) == 0 {
+		if conns.Pending(time.Second) == 0 {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	assert.Equal(t, conns.Pending(requestReadTimeout), 0)
+	assert.Equal(t, conns.Pending(time.Second), 0)
 	assert.NilError(t, s.Close())
 }
 
@@ -78,10 +76,7 @@
 func TestDrainAcceptsAllThatWaitBeyondItsDeadline(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter(), conns: new(drain.Conns)}
-	for range cap(l.limiter.slots) {
-		l.limiter.acquire()
-	}
+	l := NewQueue(inner.(*net.TCPListener))
 	l.Drain()
 	const waiting = 8
 	for range waiting {
@@ -89,14 +84,10 @@
 		assert.NilError(t, err)
 		defer c.Close()
 	}
-	time.AfterFunc(3*acceptIdleTime, func() {
-		for range cap(l.limiter.slots) {
-			l.limiter.cancel()
-		}
-	})
+	time.Sleep(3 * acceptIdleTime)
 	accepted := 0
 	for ; err == nil; accepted++ {
-		_, err = l.Accept()
+		_, err = l.AcceptTCP()
 	}
 	assert.ErrorIs(t, err, net.ErrClosed)
 	assert.Equal(t, accepted-1, waiting)
@@ -107,7 +98,7 @@
 func TestDrainEndsUnderContinuousConnections(t *testing.T) {
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &drainListener{TCPListener: inner.(*net.TCPListener), limiter: newAcceptLimiter(), conns: new(drain.Conns)}
+	l := NewQueue(inner.(*net.TCPListener))
 	l.Drain()
 	start := time.Now()
 	go func() {
@@ -121,7 +112,7 @@
 		}
 	}()
 	for {
-		c, err := l.Accept()
+		c, err := l.AcceptTCP()
 		if err != nil {
 			break
 		}
--- a/process/edge/accept.go
+++ b/process/edge/accept.go
@@ -8,6 +8,9 @@
 	"runtime"
 	"sync"
 	"time"
+
+	"shalewick/conn"
+	"shalewick/process/drain"
 )
 
 const (
@@ -64,3 +67,24 @@
 		<-a.slots
 	}
 }
+
+// limitedListener accepts connections as its limiter allows.
+type limitedListener struct {
+	*drain.Queue
+	limiter *acceptLimiter
+	conns   *drain.Conns // those that were accepted
+}
+
+// Accept returns the next connection.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	l.limiter.acquire()
+	tcp, err := l.AcceptTCP()
+	if err != nil {
+		l.limiter.cancel()
+		return nil, err
+	}
+	_ = tcp.SetWriteBuffer(conn.SocketBufferSize) // connections work without it too
+	c := l.conns.Track(tcp)
+	l.limiter.add(c)
+	return c, nil
+}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -43,6 +43,9 @@
 	backendIdleTimeout = 8 * time.Second
 	clientIdleTimeout  = 60 * time.Second
 	headerTimeout      = 10 * time.Second
+	// requestReadTimeout is how long a planned stop waits for a request on a connection that was opened, or
+	// on which a part of it has arrived.
+	requestReadTimeout = time.Second
 )
 
 // drainNoticeDivisor divides Settings.DrainWithin: during the first part of that time, backend
@@ -100,12 +103,12 @@
 	skipped       map[string]string // reasons of the rows that cannot be used at present, by key; guarded by compileMu
 	// skippedCounts holds the numbers of such rows by reason; guarded by compileMu.
 	skippedCounts    map[string]int64
-	expiredRowsTimer *time.Timer    // recompiles when expired rows are dropped; guarded by compileMu
-	quarantineTimer  *time.Timer    // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
-	frontListener    *drainListener // for clients' requests
-	frontConns       drain.Conns    // of clients with requests
-	queryConns       drain.Conns    // of clients that query the directory, and of readiness checks
-	peerConns        drain.Conns    // of other instances
+	expiredRowsTimer *time.Timer      // recompiles when expired rows are dropped; guarded by compileMu
+	quarantineTimer  *time.Timer      // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
+	frontListener    *limitedListener // for clients' requests
+	frontConns       drain.Conns      // of clients with requests
+	queryConns       drain.Conns      // of clients that query the directory, and of readiness checks
+	peerConns        drain.Conns      // of other instances
 	servers          []*http.Server
 	cancel           context.CancelFunc
 	loops            sync.WaitGroup
@@ -248,7 +251,7 @@
 				x.conns.OnStateChange(c, state)
 				limiter.onStateChange(c, state)
 			}
-			e.frontListener = &drainListener{TCPListener: tcp, limiter: limiter, conns: x.conns}
+			e.frontListener = &limitedListener{Queue: drain.NewQueue(tcp), limiter: limiter, conns: x.conns}
 			l = e.frontListener
 		}
 		e.servers = append(e.servers, s)
