entry: the stop answers connections that wait to be accepted

What callers saw: at the end of a planned stop of `shalewick entry`, a reset or the end of the connection for a request that they had sent on a new connection.

Cause: http.Server.Shutdown closes the listener at once, which resets what waits to be accepted, and it drops requests that were read but not begun.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -68,6 +68,7 @@
 	servers     []*http.Server
 	frontServer *http.Server // one of servers
 	frontConns  drain.Conns  // of frontServer
+	frontQueue  *drain.Queue
 	stop        *drain.Stop
 	grpc        *grpc.Server
 	cancel      context.CancelFunc
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -71,11 +71,17 @@
 		recordFirstByte(c, state)
 	}
 	e.frontServer.ConnContext = e.frontConns.ConnContext
-	e.serve(e.frontServer, drain.Listener{TCPListener: frontListener.(*net.TCPListener), Conns: &e.frontConns})
+	e.serveFront(frontListener.(*net.TCPListener))
 	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
 }
 
+// serveFront serves callers.
+func (e *Entry) serveFront(l *net.TCPListener) {
+	e.frontQueue = drain.NewQueue(l)
+	e.serve(e.frontServer, drain.Listener{TCPListener: e.frontQueue, Conns: &e.frontConns})
+}
+
 // firstByteRecorder returns a callback that records how long a new connection waits
 // until the first byte of its first request is read.
 func (e *Entry) firstByteRecorder() func(net.Conn, http.ConnState) {
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -65,22 +65,45 @@
 	e.pushAll(ctx)
 	e.deleteRow(ctx)
 	e.stop.Step(stepRefuse, time.Time{})
-	e.frontConns.EndIdle(0)
-	refused := e.frontConns.Refuse(e.routes.proxy.LeavingResponse())
-	e.shutdownFront(ctx)
+	refused := e.shutdownFront(ctx, e.routes.proxy.LeavingResponse())
 	e.stop.Step(stepClose, time.Time{})
 	e.stop.Cut()
 	e.Kill()
 	e.stop.End().Int("requestsRefused", refused).Msg("stopped")
 }
 
-// shutdownFront waits until the last refusals to callers are sent completely.
-func (e *Entry) shutdownFront(ctx context.Context) {
+// shutdownFront accepts the connections that wait, closes the listener, and waits until the last refusals to callers are
+// sent completely. Requests of which only a part has arrived by then get the response; their number is returned.
+func (e *Entry) shutdownFront(ctx context.Context, response []byte) (refused int) {
+	e.frontQueue.Drain()
+	await(ctx, func() bool {
+		select {
+		case <-e.frontQueue.Closed():
+			return e.frontConns.Pending(requestReadTimeout) == 0
+		default:
+			return false
+		}
+	})
+	e.frontConns.EndIdle(0)
+	refused = e.frontConns.Refuse(response)
+	// http.Server.Shutdown would drop requests that it has read.
+	if !await(ctx, func() bool { return e.frontConns.Serving() == 0 }) {
+		e.log.Info().Int("connections", e.frontConns.Serving()).Msg("front-not-idle")
+	}
+	return refused
+}
+
+// await waits until a condition holds, at most for finalTimeout. It returns whether it does.
+func await(ctx context.Context, condition func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, finalTimeout)
 	defer cancel()
-	if err := e.frontServer.Shutdown(ctx); err != nil {
-		e.log.Info().Err(err).Msg("front-not-idle")
+	for !condition() {
+		if ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(stopPollInterval)
 	}
+	return true
 }
 
 // Kill ends the entry immediately, as a crash of its process would.
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"shalewick/process/logging"
@@ -138,3 +139,37 @@
 		assert.Check(t, bytes.Contains(text.Bytes(), []byte(want)), "%s in\n%s", want, text.String())
 	}
 }
+
+// TestStopAnswersWaitingConnections guards against connections that have sent a request, wait to be accepted, and are reset when
+// the stop closes the listener.
+func TestStopAnswersWaitingConnections(t *testing.T) {
+	e := &Entry{log: zerolog.Nop()}
+	hold := make(chan struct{})
+	e.frontServer = &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		ConnState: func(c net.Conn, to http.ConnState) {
+			if to == http.StateNew {
+				<-hold // the server accepts no more meanwhile
+			}
+			e.frontConns.OnStateChange(c, to)
+		},
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e.serveFront(l.(*net.TCPListener))
+	var callers sync.WaitGroup
+	for range 8 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+		assert.NilError(t, err)
+		callers.Go(func() {
+			_, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.Check(t, err)
+		})
+	}
+	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
+	e.shutdownFront(context.Background(), nil)
+	callers.Wait()
+}
