entry: a planned stop accepts no new connections while it waits

What operators saw: stops of an entry that lasted until its callers happened to pause. Cause: the listener stayed open until the end, and callers that reconnect after each rejection kept the wait for requests from ending.

Change: the listener drains when requests begin to be rejected. New callers get a refused connection in place of a rejection, and go to another instance.

--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -57,6 +57,7 @@
 	e.stop.Step(stepReject, e.stop.Start().Add(e.settings.Grace))
 	e.front.Close()
 	e.routes.proxy.StopAt(time.Time{}, time.Time{})
+	e.frontQueue.Drain() // otherwise callers that reconnect after each rejection keep the stop from ending
 	e.awaitInFlight(ctx)
 	e.stop.Step(stepHandOver, e.stop.Start().Add(e.settings.Grace+version.MaxDeadline))
 	e.handOverTickets(ctx)
@@ -72,10 +73,9 @@
 	e.stop.End().Int("requestsRefused", refused).Msg("stopped")
 }
 
-// shutdownFront accepts the connections that wait, closes the listener, and waits until the last refusals to callers are
-// sent completely. Requests of which only a part has arrived by then get the response; their number is returned.
+// shutdownFront waits until the listener has drained and the last refusals to callers are sent completely. Requests of which
+// only a part has arrived by then get the response; their number is returned.
 func (e *Entry) shutdownFront(ctx context.Context, response []byte) (refused int) {
-	e.frontQueue.Drain()
 	await(ctx, func() bool {
 		select {
 		case <-e.frontQueue.Closed():
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -170,6 +170,7 @@
 		})
 	}
 	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
+	e.frontQueue.Drain()
 	e.shutdownFront(context.Background(), nil)
 	callers.Wait()
 }
