drain: planned stops end requests in flight with a response

What callers saw: an unexpected EOF 3.6 s after SIGTERM (grace 4 s), for a request of a long route that was taken in the first 2.1 s and was still in flight at the end, and also for one of which nothing had been passed on. Through another instance it was ANSWER_LOST.

Cause: at the end of its grace time the stop closed the connections of all requests in flight.

Change: drain.Request knows how the work for its request is aborted. At the end the stop marks each request in flight as ended, in one atomic step that fails once its response has begun, and cancels its work. The handler then answers LEAVING. An ended request makes no further attempt, and how its last one ended counts against nobody. Connections are closed once the responses have been written.

request-ended logs each such request, with the fields of request-cut.

--- a/explain/cause.go
+++ b/explain/cause.go
@@ -21,7 +21,7 @@
 			end.Get("backend"), t.describeVersion(end), end.Get("status"), end.Get("took"), end.Get("attempts"))
 	}
 	for i := range t.Lines {
-		if l := &t.Lines[i]; l.Event == "request-cut" {
+		if l := &t.Lines[i]; l.Event == "request-cut" || l.Event == "request-ended" {
 			return cutCause(l)
 		}
 	}
@@ -32,10 +32,14 @@
 	return t.resultCause(request.Code(code), end) + describeRan(end)
 }
 
-// cutCause describes a request that was in flight when a planned stop closed its connection.
+// cutCause describes a request that was in flight when a planned stop ended it, or closed its connection.
 func cutCause(l *Line) string {
-	text := fmt.Sprintf("the planned stop of instance %s closed its connection at step %s, %s ms after the request had begun to arrive on a connection of %s requests and %s ms",
-		l.Get("instance"), l.Get("step"), l.Get("read"), l.Get("connRequests"), l.Get("connAge"))
+	what := "closed its connection"
+	if l.Event == "request-ended" {
+		what = "ended it"
+	}
+	text := fmt.Sprintf("the planned stop of instance %s %s at step %s, %s ms after the request had begun to arrive on a connection of %s requests and %s ms",
+		l.Get("instance"), what, l.Get("step"), l.Get("read"), l.Get("connRequests"), l.Get("connAge"))
 	switch {
 	case l.Get("answeredAgo") != "":
 		return text + fmt.Sprintf("; its answer had begun %s ms before", l.Get("answeredAgo"))
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -66,7 +66,8 @@
 		`event=refused code=18 version=9 confirmed=30 ran=no`:                                                         "version 9, confirmed 30 ms before, gives the key that it carried to no workspace; it has not run, and never will",
 		`event=answered backend=u status=200 took=12.5 attempts=1`:                                                    "none: backend server u answered with status 200 after 12.5 ms and 1 attempts",
 		`event=request-cut step=close sent=true sentAgo=90 read=120.5 connAge=800 connRequests=2`:                     "the planned stop of instance a closed its connection at step close, 120.5 ms after the request had begun to arrive on a connection of 2 requests and 800 ms; it had been passed on 90 ms before, and may have run",
-		`event=tried-again code=42`:                                                                                   "not known: the last line is not the request's end; the process may have ended, or lines were left out",
+		`event=request-ended step=end-requests sent=false read=120.5 connAge=800 connRequests=1`:                      "the planned stop of instance a ended it at step end-requests, 120.5 ms after the request had begun to arrive on a connection of 1 requests and 800 ms; it had not been passed on, and has not run",
+		`event=tried-again code=42`: "not known: the last line is not the request's end; the process may have ended, or lines were left out",
 	} {
 		trace, err := Find("x", []Log{testLog("a", "time=2026-01-02T02:02:01Z id=x instance=a "+line)})
 		assert.NilError(t, err)
--- a/process/drain/request.go
+++ b/process/drain/request.go
@@ -13,10 +13,29 @@
 	"shalewick/request"
 )
 
-// Request is what the log of a planned stop shows of a request in flight. The zero value is ready for use. The
+// phase is how far a request has come.
+type phase int32
+
+const (
+	phaseBegun     phase = iota
+	phaseRunning         // its work can be aborted
+	phaseEnded           // the stop has ended it
+	phaseAnswering       // its response has begun
+	phaseWritten         // its response has been written
+)
+
+// Aborter aborts the work for a request.
+type Aborter interface {
+	// Abort makes the handler respond at once. It may be called while the handler runs or ends.
+	Abort()
+}
+
+// Request is a request in flight, as a planned stop ends it, or logs it if its connection is closed. The zero value is ready for use. The
 // methods may be called while the stop reads it.
 type Request struct {
 	conn    *trackedConn // nil: the server has no ConnContext
+	phase   atomic.Int32 // a phase
+	aborter Aborter      // set before phaseRunning
 	id      string
 	started time.Time
 
@@ -53,6 +72,36 @@
 	r.service.Store(service)
 }
 
+// SetAborter sets how the work for the request is aborted. It returns false if the stop has ended the request.
+func (r *Request) SetAborter(a Aborter) bool {
+	r.aborter = a
+	return r.move(phaseBegun, phaseRunning)
+}
+
+// Ended reports whether the stop has ended the request. No further attempt may begin then.
+func (r *Request) Ended() bool { return phase(r.phase.Load()) == phaseEnded }
+
+// BeginAnswer records that the response to the caller begins. It returns false if the stop has ended the request.
+func (r *Request) BeginAnswer() bool {
+	r.answered.Store(int64(time.Since(r.started)))
+	return r.move(phaseRunning, phaseAnswering) || r.move(phaseBegun, phaseAnswering) || !r.Ended()
+}
+
+// SetWritten records that the response has been written.
+func (r *Request) SetWritten() { r.phase.Store(int32(phaseWritten)) }
+
+// end ends the request unless its response has begun.
+func (r *Request) end() bool {
+	if r.move(phaseRunning, phaseEnded) {
+		r.aborter.Abort()
+		return true
+	}
+	return r.move(phaseBegun, phaseEnded)
+}
+
+// move changes the phase if it is from.
+func (r *Request) move(from, to phase) bool { return r.phase.CompareAndSwap(int32(from), int32(to)) }
+
 // BeginAttempt records that an attempt begins.
 func (r *Request) BeginAttempt() { r.attempts.Add(1) }
 
@@ -62,9 +111,6 @@
 	return true
 }
 
-// SetAnswered records that the response to the caller begins.
-func (r *Request) SetAnswered() { r.answered.Store(int64(time.Since(r.started))) }
-
 // AddConn adds the state of the connection to a log line: its age, the requests that it has carried, and how long ago
 // the first byte of this one was read.
 func (r *Request) AddConn(e *zerolog.Event) {
@@ -73,8 +119,8 @@
 	}
 }
 
-// logCut logs that a step of the stop ends the request's connection.
-func (r *Request) logCut(log *zerolog.Logger, step string) {
+// logEnd logs that a step of the stop ends the request, or its connection.
+func (r *Request) logEnd(log *zerolog.Logger, step, event string) {
 	service := ""
 	if s := r.service.Load(); s != nil {
 		service = *s
@@ -89,5 +135,5 @@
 	if answered > 0 {
 		e.Dur("answeredAgo", took-answered)
 	}
-	e.Msg("request-cut")
+	e.Msg(event)
 }
--- a/process/drain/stop.go
+++ b/process/drain/stop.go
@@ -23,10 +23,12 @@
 	InFlight func() int64 // number of requests in flight
 	Callers  *Conns       // connections of callers
 	Others   *Conns       // of other instances; nil: they have none
+	Queries  *Conns       // of clients whose requests are not tracked; nil: they have none
 
 	start    time.Time
 	step     atomic.Pointer[string] // nil: the stop has not begun
 	rejected atomic.Int64
+	ended    int
 	cut      int
 }
 
@@ -77,22 +79,78 @@
 	}
 }
 
-// Cut logs the requests in flight, whose connections are about to be closed.
-func (s *Stop) Cut() {
+// Limits of the waits for responses, in polls of pollInterval. They are not limits of time: a process that was suspended or
+// gets little processor time must still write its responses before it closes their connections.
+const (
+	pollInterval = 10 * time.Millisecond
+	// maxArrivedPolls is for responses of backend servers that have arrived.
+	maxArrivedPolls = 3
+	// maxWritePolls is for the responses to requests that have been ended.
+	maxWritePolls = 25
+)
+
+// EndRequests ends the requests in flight, and waits until their responses have been written. Requests that are
+// read from now on must be rejected.
+func (s *Stop) EndRequests() {
+	s.awaitResponses(maxArrivedPolls)
+	var ended []*Request
+	for _, r := range s.inFlight() {
+		if r.end() {
+			ended = append(ended, r)
+		}
+	}
+	s.ended = len(ended)
+	for _, r := range ended {
+		r.logEnd(&s.Log, s.Current(), "request-ended")
+	}
+	s.awaitResponses(maxWritePolls)
+}
+
+// awaitResponses waits until no response is left to be written.
+func (s *Stop) awaitResponses(maxPolls int) {
+	for range maxPolls {
+		s.Callers.EndIdle(0)
+		if len(s.inFlight())+s.Callers.untracked()+s.Queries.Serving() == 0 {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// inFlight returns the requests whose responses have not been written.
+func (s *Stop) inFlight() (out []*Request) {
 	for _, conns := range []*Conns{s.Callers, s.Others} {
 		for _, t := range conns.list() {
-			if r := t.request.Load(); r != nil && state(t.state.Load()).serving() {
-				r.logCut(&s.Log, s.Current())
-				s.cut++
+			if r := t.request.Load(); r != nil && state(t.state.Load()).serving() && phase(r.phase.Load()) != phaseWritten {
+				out = append(out, r)
 			}
 		}
 	}
+	return out
+}
+
+// untracked returns the number of connections of which the handler has just got a request.
+func (s *Conns) untracked() (count int) {
+	for _, t := range s.list() {
+		if t.request.Load() == nil && state(t.state.Load()) == stateServing {
+			count++
+		}
+	}
+	return count
+}
+
+// Cut logs the requests in flight, whose connections are about to be closed.
+func (s *Stop) Cut() {
+	for _, r := range s.inFlight() {
+		r.logEnd(&s.Log, s.Current(), "request-cut")
+		s.cut++
+	}
 	s.Metrics.Counter("requests_cut_total").Inc(int64(s.cut))
 }
 
 // End begins the line that logs the end of the stop.
 func (s *Stop) End() *zerolog.Event {
-	return s.addCounts(s.Log.Info()).Int("requestsCut", s.cut).Int64("requestsRejected", s.rejected.Load()).Dur("took", time.Since(s.start))
+	return s.addCounts(s.Log.Info()).Int("requestsEnded", s.ended).Int("requestsCut", s.cut).Int64("requestsRejected", s.rejected.Load()).Dur("took", time.Since(s.start))
 }
 
 // addCounts adds the number of requests in flight and that of callers' connections in each state.
--- a/process/drain/stop_test.go
+++ b/process/drain/stop_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"shalewick/process/logging"
@@ -69,9 +70,54 @@
 	for _, want := range []string{
 		`event=stop-step after=[\d.]+ .*step=reject`, `event=stop-late by=1000.* step=close`,
 		`event=request-cut attempts=1 class=commit connAge=[\d.]+ connRequests=2 id=/slow read=[\d.]+ sent=true sentAgo=[\d.]+ service=s step=close took=`,
-		`event=stopped .*requestsCut=1 requestsRejected=1`,
+		`event=stopped .*requestsCut=1 requestsEnded=0 requestsRejected=1`,
 	} {
 		assert.Assert(t, regexp.MustCompile(want).Match(log.Bytes()), "%s in\n%s", want, log.String())
 	}
 	assert.Equal(t, bytes.Count(log.Bytes(), []byte("request-cut")), 1, log.String())
 }
+
+// abortFunc implements Aborter.
+type abortFunc func()
+
+func (f abortFunc) Abort() { f() }
+
+// TestStopNeverEndsResponsesThatHaveBegun guards against a stop that aborts a request whose response is being written, or closes its
+// connection before, however late the response comes.
+func TestStopNeverEndsResponsesThatHaveBegun(t *testing.T) {
+	answering := make(chan struct{})
+	conns, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var tracked Request
+		tracked.Begin(r.Context(), r.URL.Path, time.Now())
+		aborted := make(chan struct{})
+		assert.Check(t, tracked.SetAborter(abortFunc(func() { close(aborted) })))
+		status := http.StatusOK
+		if r.URL.Path == "/runs" {
+			<-aborted
+			status = http.StatusBadGateway
+		}
+		assert.Check(t, tracked.BeginAnswer() == (status == http.StatusOK))
+		answering <- struct{}{}
+		time.Sleep(100 * time.Millisecond)
+		assert.Check(t, tracked.Ended() == (status != http.StatusOK))
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(status)
+	}))
+	stop := &Stop{Log: zerolog.Nop(), Metrics: metric.NewSet(), InFlight: func() int64 { return 0 }, Callers: conns}
+	answers, runs := dial(t, address), dial(t, address)
+	_, err := io.WriteString(runs, "GET /runs HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.WriteString(answers, "GET /answers HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	<-answering
+	await(t, "both are served", func() bool { return len(stop.inFlight()) == 2 })
+	go func() { <-answering }()
+	stop.EndRequests()
+	stop.Cut()
+	assert.Assert(t, stop.ended == 1 && stop.cut == 0, "%d ended, %d cut", stop.ended, stop.cut)
+	for status, c := range map[int]net.Conn{http.StatusOK: answers, http.StatusBadGateway: runs} {
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, status)
+	}
+}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -203,6 +203,7 @@
 	}
 	e.stop = &drain.Stop{
 		Log: e.log, Metrics: e.metrics, InFlight: func() int64 { return e.proxy.InFlight() }, Callers: &e.frontConns, Others: &e.peerConns,
+		Queries: &e.queryConns,
 	}
 	e.proxy = &proxy.Proxy{
 		PlannedStop: e.stop,
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -15,8 +15,6 @@
 	// noticeTime is how long callers need to learn of the stop: until the others no longer list the instance,
 	// and the responses of the directory that do have expired.
 	noticeTime = directoryTTL + 300*time.Millisecond
-	// writeTimeout bounds the wait until the last responses have been written.
-	writeTimeout = 100 * time.Millisecond
 	// loopEndTimeout bounds the wait for the background loops.
 	loopEndTimeout = 200 * time.Millisecond
 )
@@ -27,6 +25,7 @@
 	stepEndIdle  = "end-idle"
 	stepDrain    = "drain"
 	stepReject   = "reject"
+	stepEnd      = "end-requests"
 	stepClose    = "close"
 )
 
@@ -51,7 +50,9 @@
 	ended += e.awaitIdle(end)
 	e.stop.Step(stepReject, end)
 	refused := e.refuse()
-	e.stop.Step(stepClose, end.Add(writeTimeout))
+	e.stop.Step(stepEnd, end)
+	e.stop.EndRequests()
+	e.stop.Step(stepClose, time.Time{})
 	e.stop.Cut()
 	e.shutdown()
 	e.stop.End().Int("idleConnections", ended).Int("requestsRefused", refused).Msg("stopped")
@@ -65,7 +66,7 @@
 }
 
 // awaitIdle waits until no request has been in flight for minIdleTime, in which requests arrive
-// that were on their way to the draining listener. Requests that are in flight at the end are aborted. Idle
+// that were on their way to the draining listener. Idle
 // connections are closed, since a request that comes on one later could be cut; their number is returned.
 func (e *Edge) awaitIdle(end time.Time) (ended int) {
 	idle := time.Duration(0)
@@ -80,19 +81,12 @@
 	return ended
 }
 
-// refuse rejects all requests that are not in flight, and waits until their responses have been written. It returns the
-// number of those that had arrived in part.
+// refuse rejects all requests that are not in flight. It returns the number of those that had arrived in part.
 func (e *Edge) refuse() (refused int) {
 	e.proxy.StopAt(time.Time{}, time.Time{})
 	e.frontConns.EndIdle(0)
 	e.queryConns.EndIdle(0)
-	refused = e.frontConns.Refuse(e.proxy.LeavingResponse())
-	for until := time.Now().Add(writeTimeout); time.Now().Before(until); time.Sleep(idlePollInterval) {
-		if e.frontConns.Serving()+e.queryConns.Serving() == 0 {
-			break
-		}
-	}
-	return refused
+	return e.frontConns.Refuse(e.proxy.LeavingResponse())
 }
 
 // shutdown ends all servers and loops.
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -38,6 +38,7 @@
 	stepReject   = "reject"
 	stepHandOver = "hand-over"
 	stepRefuse   = "refuse"
+	stepEnd      = "end-requests"
 	stepClose    = "close"
 )
 
@@ -66,16 +67,19 @@
 	e.pushAll(ctx)
 	e.deleteRow(ctx)
 	e.stop.Step(stepRefuse, time.Time{})
-	refused := e.shutdownFront(ctx, e.routes.proxy.LeavingResponse())
+	refused := e.refuseFront(ctx, e.routes.proxy.LeavingResponse())
+	e.stop.Step(stepEnd, time.Time{})
+	e.stop.EndRequests()
+	e.awaitResponses(ctx)
 	e.stop.Step(stepClose, time.Time{})
 	e.stop.Cut()
 	e.Kill()
 	e.stop.End().Int("requestsRefused", refused).Msg("stopped")
 }
 
-// shutdownFront waits until the listener has drained and the last refusals to callers are sent completely. Requests of which
-// only a part has arrived by then get the response; their number is returned.
-func (e *Entry) shutdownFront(ctx context.Context, response []byte) (refused int) {
+// refuseFront waits until the listener has drained and what has arrived is read. Requests of which only a part has arrived by
+// then get the response; their number is returned.
+func (e *Entry) refuseFront(ctx context.Context, response []byte) (refused int) {
 	await(ctx, func() bool {
 		select {
 		case <-e.frontQueue.Closed():
@@ -85,12 +89,15 @@
 		}
 	})
 	e.frontConns.EndIdle(0)
-	refused = e.frontConns.Refuse(response)
-	// http.Server.Shutdown would drop requests that it has read.
+	return e.frontConns.Refuse(response)
+}
+
+// awaitResponses waits until the last responses to callers are sent completely. http.Server.Shutdown would drop requests that
+// it has read.
+func (e *Entry) awaitResponses(ctx context.Context) {
 	if !await(ctx, func() bool { return e.frontConns.Serving() == 0 }) {
 		e.log.Info().Int("connections", e.frontConns.Serving()).Msg("front-not-idle")
 	}
-	return refused
 }
 
 // await waits until a condition holds, at most for finalTimeout. It returns whether it does.
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,7 +29,16 @@
 )
 
 // startStopFixture starts an entry whose routes have one backend server.
-func startStopFixture(t *testing.T, grace time.Duration, log io.Writer) (*Entry, *server.Server) {
+func startStopFixture(t *testing.T, grace time.Duration) (*Entry, *server.Server) {
+	t.Helper()
+	backend := &server.Server{Name: "u0", Names: request.OwnNames, Slots: 40, Work: 300 * time.Millisecond}
+	assert.NilError(t, backend.Start())
+	t.Cleanup(backend.Close)
+	return startStopping(t, grace, io.Discard, backend.Address()), backend
+}
+
+// startStopping starts an entry whose routes have a backend server at an address.
+func startStopping(t *testing.T, grace time.Duration, log io.Writer, backend string) *Entry {
 	t.Helper()
 	var ports fleet.Ports
 	addresses, err := ports.Allocate(3)
@@ -36,10 +47,7 @@
 	s.Front, s.Peer, s.Admin, s.Grace = addresses[0].String(), addresses[1].String(), addresses[2].String(), grace
 	e, err := Start(s, log)
 	assert.NilError(t, err)
-	backend := &server.Server{Name: "u0", Names: request.OwnNames, Slots: 40, Work: 300 * time.Millisecond}
-	assert.NilError(t, backend.Start())
-	t.Cleanup(backend.Close)
-	rs, err := version.Parse(fmt.Appendf(nil, "%s---\nkind: backend\nname: u0\nspec: {service: s, hall: h, address: %q, slots: 40}\n", routeDocuments, backend.Address()))
+	rs, err := version.Parse(fmt.Appendf(nil, "%s---\nkind: backend\nname: u0\nspec: {service: s, hall: h, address: %q, slots: 40}\n", routeDocuments, backend))
 	assert.NilError(t, err)
 	config, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
 	assert.NilError(t, err)
@@ -47,13 +55,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go runPeriodically(ctx, 500*time.Millisecond, func() { e.confirm(e.now()) })
-	return e, backend
+	return e
 }
 
 // TestStopEndsUnderLoadAndCutsNoRequest guards against a stop that serves the requests of routes on kept connections for up to ten
 // minutes, and then cuts those in flight.
 func TestStopEndsUnderLoadAndCutsNoRequest(t *testing.T) {
-	e, backend := startStopFixture(t, time.Second, io.Discard)
+	e, backend := startStopFixture(t, time.Second)
 	var stopped atomic.Bool
 	var served, rejected atomic.Int64
 	var mu sync.Mutex
@@ -119,23 +127,52 @@
 	}
 }
 
-// TestStopLogsRequestThatItCuts checks that an entry whose stop is cut short logs the request in flight.
-func TestStopLogsRequestThatItCuts(t *testing.T) {
+// TestStopEndsRequests guards against requests whose connection is closed without a response and without a log line at the end
+// of a stop. Only one whose response has begun, and does not go on, is cut.
+func TestStopEndsRequests(t *testing.T) {
+	const size = 2 << 20 // more than is buffered
 	var text bytes.Buffer
 	log := logging.NewAsyncWriter(&text)
-	e, backend := startStopFixture(t, time.Second, log)
-	c, err := net.Dial("tcp", e.settings.Front)
-	assert.NilError(t, err)
-	defer c.Close()
-	fmt.Fprintf(c, "POST /bids/1 HTTP/1.1\r\nHost: a.example\r\n%s: cut\r\nContent-Length: 4\r\n\r\nbody", request.HeaderID)
-	for len(backend.Runs()) == 0 {
-		time.Sleep(time.Millisecond)
+	begun := make(chan struct{}, 2)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/bids/cut" {
+			w.Header().Set(request.HeaderID, r.Header.Get(request.HeaderID))
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, _ = w.Write(make([]byte, size/2+size/4))
+			_ = http.NewResponseController(w).Flush()
+		}
+		begun <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer backend.Close()
+	e := startStopping(t, time.Second, log, backend.Listener.Addr().String())
+	responses := make(map[string]*http.Response)
+	for _, id := range []string{"cut", "ended"} {
+		c, err := net.Dial("tcp", e.settings.Front)
+		assert.NilError(t, err)
+		defer c.Close()
+		fmt.Fprintf(c, "POST /bids/%s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", id, request.HeaderID, id)
+		<-begun
+		if id == "ended" {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			go e.Stop(ctx)
+		}
+		responses[id], err = http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	e.Stop(ctx)
+	res := responses["ended"]
+	assert.Equal(t, res.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, res.Header.Get(request.HeaderResult), request.Leaving.String())
+	assert.Equal(t, res.Header.Get(request.HeaderRan), string(request.RanUnknown))
+	assert.Assert(t, res.Close)
+	_, err := io.Copy(io.Discard, responses["cut"].Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	e.loops.Wait()
+	time.Sleep(100 * time.Millisecond) // until the last line is written
 	log.Close()
-	for _, want := range []string{"event=request-cut attempts=1 class=commit", "id=cut", "sent=true", "step=close", "requestsCut=1"} {
+	for _, want := range []string{"event=request-cut answeredAgo=", "id=cut", "sent=true", "step=close", "requestsCut=1 requestsEnded=1"} {
 		assert.Check(t, bytes.Contains(text.Bytes(), []byte(want)), "%s in\n%s", want, text.String())
 	}
 }
@@ -171,6 +208,7 @@
 	}
 	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
 	e.frontQueue.Drain()
-	e.shutdownFront(context.Background(), nil)
+	e.refuseFront(context.Background(), nil)
+	e.awaitResponses(context.Background())
 	callers.Wait()
 }
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -120,6 +120,9 @@
 
 // attempt makes one attempt. Retryable reports whether a retry is safe.
 func (fw *forwarder) attempt(ctx context.Context) (resp *response, res *request.Result, retryable bool) {
+	if fw.call.tracked.Ended() {
+		return nil, fw.newResult(request.Leaving), false
+	}
 	start := fw.front.Now()
 	place, res := fw.front.Steer.Place(ctx, &fw.placement)
 	if res != nil {
@@ -209,6 +212,9 @@
 	resp, err := fw.call.readResponse(exchange)
 	now := fw.front.Now()
 	fw.front.Metrics.Stage(metric.StageResponse, now-begun)
+	if err != nil && fw.call.tracked.Ended() { // no fault of the backend server
+		return nil, fw.newResult(request.Leaving), false
+	}
 	if err != nil {
 		fw.front.Steer.Health.RecordFailure(name, now)
 		return nil, fw.newResult(lostResponseCode(err, fw.call.deadline)), fw.repeatable()
@@ -237,6 +243,9 @@
 	var dispatchErr *conn.DispatchError
 	sent := !errors.As(err, &dispatchErr) || dispatchErr.Sent
 	fw.sent = fw.sent || sent
+	if fw.call.tracked.Ended() {
+		return fw.newResult(request.Leaving), false
+	}
 	if fw.call.r.Context().Err() != nil {
 		return fw.newResult(request.CallerGone), false
 	}
--- a/process/front/front.go
+++ b/process/front/front.go
@@ -67,7 +67,8 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	id            string
-	tracked       drain.Request // what a planned stop logs of the request
+	tracked       drain.Request
+	cancel        context.CancelFunc // set before the work begins
 	service       string
 	route         *version.ServiceRoute
 	deadline      time.Time
@@ -84,6 +85,9 @@
 	if !c.framed || c.unread() == 0 {
 		return
 	}
+	if http.NewResponseController(w).Flush() == nil {
+		c.tracked.SetWritten()
+	}
 	kept := upload.Drain(w, r, c.deadline)
 	f.Metrics.UnreadBody(c.service, kept)
 	if !kept {
@@ -119,7 +123,7 @@
 		f.serveNonRepeatable(c)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := c.begin(r.Context())
 	defer cancel()
 	resp, res := f.forward(ctx, c)
 	if res != nil {
@@ -129,6 +133,38 @@
 	f.relay(c, resp)
 }
 
+// begin returns the context of the work for the request. It ends at the deadline, or when the stop of the process ends the
+// request.
+func (c *call) begin(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(parent, c.deadline)
+	c.cancel = cancel
+	if !c.tracked.SetAborter(c) {
+		c.Abort()
+	}
+	return ctx, cancel
+}
+
+// aLongTimeAgo is a deadline that interrupts pending I/O immediately.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// Abort implements drain.Aborter.
+func (c *call) Abort() {
+	c.cancel()
+	_ = http.NewResponseController(c.w).SetReadDeadline(aLongTimeAgo) // an error means that the caller has disconnected
+}
+
+// result returns the result that the request ends with: res, unless the stop of the process has ended the request.
+func (c *call) result(res request.Result) request.Result {
+	switch {
+	case !c.tracked.Ended():
+		return res
+	case res.Ran == request.RanNo:
+		return request.NotRun(request.Leaving, minRetryAfter)
+	default:
+		return request.Unknown(request.Leaving)
+	}
+}
+
 // classify sets service, route and deadline of the call. It returns a result
 // if the request is refused.
 func (f *Front) classify(c *call) *request.Result {
@@ -198,13 +234,14 @@
 
 // finish counts the request and responds with a result.
 func (f *Front) finish(c *call, res request.Result) {
+	ended := !c.tracked.BeginAnswer()
+	res = c.result(res)
 	f.count(c, res.Code)
-	if res.Code == request.Leaving {
+	if res.Code == request.Leaving && !ended {
 		f.PlannedStop.CountRejected()
 	}
-	c.tracked.SetAnswered()
 	c.framed = true
-	if upload.EndsConnection(c.unread(), c.body != nil, true) {
+	if ended || upload.EndsConnection(c.unread(), c.body != nil, true) {
 		c.w.Header().Set("Connection", "close")
 	}
 	res.Write(c.w)
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -51,12 +51,13 @@
 // continues after the caller disconnects, so that the caller can fetch the
 // outcome with the same ticket.
 func (f *Front) runWithTicket(c *call, entry *ticket.Entry) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
+	ctx, cancel := c.begin(context.WithoutCancel(c.r.Context()))
 	defer cancel()
 	resp, res := f.forward(ctx, c)
 	if res != nil {
-		f.Ledger.Finish(entry, resultOutcome(res))
-		f.finish(c, *res)
+		last := c.result(*res)
+		f.Ledger.Finish(entry, resultOutcome(&last))
+		f.finish(c, last)
 		return
 	}
 	resp.header.Set(request.HeaderBackend, resp.backend) // recorded, so that repeated calls get it too
@@ -102,18 +103,19 @@
 // awaitOutcome serves a repeated call with a used ticket: it waits for the
 // recorded outcome.
 func (f *Front) awaitOutcome(c *call, entry *ticket.Entry) {
-	timer := time.NewTimer(time.Until(c.deadline))
-	defer timer.Stop()
+	ctx, cancel := c.begin(c.r.Context())
+	defer cancel()
 	select {
 	case <-entry.Done:
-	case <-timer.C:
+	case <-ctx.Done():
+		if c.r.Context().Err() != nil {
+			f.finish(c, request.Unknown(request.CallerGone))
+			return
+		}
 		res := request.Unknown(request.DeadlinePassed)
 		res.Retry = time.Second // the outcome can still be requested
 		f.finish(c, res)
 		return
-	case <-c.r.Context().Done():
-		f.finish(c, request.Unknown(request.CallerGone))
-		return
 	}
 	outcome := f.Ledger.Outcome(entry)
 	if !outcome.Retained {
@@ -138,7 +140,7 @@
 		f.finish(c, *bodyErrorResult(err, true))
 		return
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := c.begin(c.r.Context())
 	defer cancel()
 	fw := &forwarder{front: f, call: c}
 	req := fw.newRequest(ctx, c.deadline)
--- a/process/front/peer.go
+++ b/process/front/peer.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		var dispatchErr *conn.DispatchError
 		fw.sent = !errors.As(err, &dispatchErr) || dispatchErr.Sent
-		return nil, fw.lostAt(err), forward.Unreachable
+		return nil, fw.lostAt(err), fw.lostOutcome()
 	}
 	h := exchange.Response.Header
 	if h.Get(request.HeaderID) != fw.call.id {
@@ -86,7 +86,7 @@
 	resp, err := fw.call.readResponse(exchange)
 	if err != nil {
 		fw.sent = true
-		return nil, fw.lostAt(err), forward.Unreachable
+		return nil, fw.lostAt(err), fw.lostOutcome()
 	}
 	resp.backend = h.Get(request.HeaderBackend)
 	return resp, nil, forward.Served
@@ -104,6 +104,14 @@
 	return fw.newResult(request.AnswerLost)
 }
 
+// lostOutcome returns what a request without a complete response says about the instance that it was forwarded to.
+func (fw *forwarder) lostOutcome() forward.Outcome {
+	if fw.call.tracked.Ended() {
+		return forward.Abandoned
+	}
+	return forward.Unreachable
+}
+
 // outcomeOf returns whether another instance than the one that gave a result may serve the request.
 func outcomeOf(res *request.Result) forward.Outcome {
 	if res.Ran != request.RanNo {
--- a/process/front/relay.go
+++ b/process/front/relay.go
@@ -14,6 +14,11 @@
 // relay sends a response to the caller. If the response is truncated, it aborts
 // the caller's connection, so that the caller can't take it for complete.
 func (f *Front) relay(c *call, resp *response) {
+	if !c.tracked.BeginAnswer() && resp.exchange != nil { // the remainder can't be read any more
+		c.body.CloseExchange(resp.exchange)
+		f.finish(c, request.Unknown(request.Leaving))
+		return
+	}
 	h := c.w.Header()
 	for k, vs := range request.Forwardable(resp.header) {
 		if k != request.HeaderID {
@@ -31,7 +36,6 @@
 	if upload.EndsConnection(c.unread(), c.body != nil, c.framed) {
 		h.Set("Connection", "close")
 	}
-	c.tracked.SetAnswered()
 	c.w.WriteHeader(resp.status)
 	_, err := c.w.Write(resp.body)
 	if resp.exchange != nil {
--- a/process/logging/limit.go
+++ b/process/logging/limit.go
@@ -21,7 +21,7 @@
 
 // rates are the limits of events that differ from defaultRate. Those that report a success have a lower limit than
 // others, so that lines of failures and rejections are kept.
-var rates = map[string]int{"answered": successRate, "request-cut": stopRate}
+var rates = map[string]int{"answered": successRate, "request-cut": stopRate, "request-ended": stopRate}
 
 // RateLimiter is a zerolog hook that limits the rate of lines for each event. The first
 // line of an event after some were suppressed has their number in the field leftOut.
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -20,6 +20,13 @@
 // relay sends a response to the caller. If the response is cut short, relay aborts the caller's
 // connection, so that the caller does not take it for complete.
 func (p *Proxy) relay(c *call, resp *response) {
+	if !c.tracked.BeginAnswer() && resp.ex != nil { // the remainder can't be read any more
+		c.body.CloseExchange(resp.ex)
+		resp.close()
+		held.ReleaseBuffer(resp.buffered)
+		p.writeResult(c, leavingResult(request.RanUnknown))
+		return
+	}
 	h := c.w.Header()
 	for k, vs := range request.Forwardable(resp.res.Header) {
 		h[k] = vs
@@ -32,7 +39,6 @@
 	if p.keepAlivesDisabled.Load() || upload.EndsConnection(c.unread(), c.body.Streamed(), c.framed) {
 		h.Set("Connection", "close")
 	}
-	c.tracked.SetAnswered()
 	c.w.WriteHeader(resp.res.StatusCode)
 	p.bytesCarried.Add(max(int64(len(resp.buffered)), resp.res.ContentLength))
 	err := c.writeBuffered(resp.buffered)
@@ -80,6 +86,10 @@
 // writeResult ends the request with a result. A request that may have run never gets status 503,
 // which guarantees that it has not.
 func (p *Proxy) writeResult(c *call, res *request.Result) {
+	ended := !c.tracked.BeginAnswer()
+	if ended {
+		res = leavingResult(res.Ran)
+	}
 	class := request.ClassInvalid
 	if c.route != nil {
 		class = c.route.Class
@@ -87,7 +97,7 @@
 	took := time.Since(c.startedAt)
 	p.recordMetrics(c, class, res.Code, took)
 	p.logRefusal(c, res, class, took)
-	if res.Code == request.Leaving {
+	if res.Code == request.Leaving && !ended {
 		p.PlannedStop.CountRejected()
 	}
 	status := res.Code.Info().Status
@@ -111,13 +121,21 @@
 	}
 	h.Set("Content-Length", "0")
 	c.setForwardedHeaders(string(res.Ran))
-	if upload.EndsConnection(c.unread(), c.body != nil, true) {
+	if p.keepAlivesDisabled.Load() || upload.EndsConnection(c.unread(), c.body != nil, true) {
 		h.Set("Connection", "close")
 	}
-	c.tracked.SetAnswered()
 	c.writeHeader(status)
 }
 
+// leavingResult returns the result of a request that the stop of the process has ended.
+func leavingResult(ran request.Ran) *request.Result {
+	if ran == request.RanNo {
+		return notRun(request.Leaving, minRetryAfter)
+	}
+	res := request.Unknown(request.Leaving)
+	return &res
+}
+
 // LeavingResponse returns a response that rejects a request of which only a part has been read, since the process
 // stops. The response must end its connection.
 func (p *Proxy) LeavingResponse() []byte {
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -151,6 +151,9 @@
 
 // attempt makes one attempt, at another instance if this one reaches no backend server.
 func (t *transaction) attempt(ctx context.Context) (*response, *request.Result) {
+	if t.c.tracked.Ended() {
+		return nil, t.result(request.Leaving, minRetryAfter)
+	}
 	if links := t.p.Table.Links(); links != balance.LinksUp {
 		if resp, res := t.forward(ctx, reasonLinks); resp != nil || res != nil {
 			return resp, res
@@ -183,7 +186,7 @@
 	ex, err := pick.Pool.Dispatch(awaitCtx, t.newRequest(awaitCtx, pick), conn.Options{
 		Deadline: time.Now().Add(t.query.Left), CloseImmediately: true,
 		Allowed: func() bool {
-			return t.c.timeLeft() > 0 && pick.Allowed() && t.permitValid(pick) && t.c.tracked.SetSent()
+			return t.c.timeLeft() > 0 && pick.Allowed() && t.permitValid(pick) && !t.c.tracked.Ended() && t.c.tracked.SetSent()
 		}, Release: func(bool) {},
 	})
 	if err != nil {
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -16,6 +16,15 @@
 	"shalewick/request"
 )
 
+// abandoned reports whether the stop of the process has ended the request, or its caller has left. The failure of an attempt
+// then says nothing about the backend server.
+func (c *call) abandoned() (request.Code, bool) {
+	if c.tracked.Ended() {
+		return request.Leaving, true
+	}
+	return request.CallerGone, c.r.Context().Err() != nil
+}
+
 // dispatchFailed handles a dispatch that got no response, and returns the result of the attempt.
 func (t *transaction) dispatchFailed(ctx context.Context, pick *balance.Pick, err error, sent time.Time) *request.Result {
 	t.endAwait()
@@ -26,9 +35,9 @@
 	}
 	t.reportOutcome(pick, rollout.Outcome{Inconclusive: true})
 	t.returnPermit(pick)
-	if t.c.r.Context().Err() != nil {
+	if code, abandoned := t.c.abandoned(); abandoned {
 		pick.Done(balance.Abandoned, nil)
-		return t.result(request.CallerGone, 0)
+		return t.result(code, 0)
 	}
 	if t.givenUp {
 		pick.Done(balance.Abandoned, nil)
@@ -49,10 +58,10 @@
 	t.endAwait()
 	t.mayHaveRun = true
 	t.c.possibleRuns++
-	if t.c.r.Context().Err() != nil {
+	if code, abandoned := t.c.abandoned(); abandoned {
 		t.reportOutcome(pick, rollout.Outcome{Inconclusive: true})
 		pick.Done(balance.Abandoned, nil)
-		return t.result(request.CallerGone, 0)
+		return t.result(code, 0)
 	}
 	if bodyErr := t.c.body.Err(); bodyErr != nil { // no fault of the backend server
 		t.reportOutcome(pick, rollout.Outcome{Inconclusive: true})
--- a/process/proxy/lapse.go
+++ b/process/proxy/lapse.go
@@ -48,6 +48,12 @@
 	}
 }
 
+// Abort implements drain.Aborter.
+func (c *call) Abort() {
+	c.cancel()
+	c.abortBodyRead()
+}
+
 // callSet is the set of requests in flight that have a deadline. The zero value is ready to use.
 type callSet struct {
 	mu      sync.Mutex
--- a/process/proxy/lostlinks.go
+++ b/process/proxy/lostlinks.go
@@ -59,7 +59,7 @@
 	defer p.calls.mu.Unlock()
 	for c := range p.calls.cancels {
 		if c.awaited.giveUp(func() bool {
-			return c.timeLeft() >= minAttemptTime && p.canForward(c) && p.RetryBudget.TryRetry(c.service, p.Now())
+			return c.timeLeft() >= minAttemptTime && !c.tracked.Ended() && p.canForward(c) && p.RetryBudget.TryRetry(c.service, p.Now())
 		}) {
 			count++
 		}
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -165,7 +165,7 @@
 // forward forwards the request to another instance, and to a further one if that can't serve it. It
 // returns neither a response nor a result if there is none that can.
 func (t *transaction) forward(ctx context.Context, reason string) (*response, *request.Result) {
-	for t.c.body.Reclaim() && t.p.canForward(t.c) {
+	for !t.c.tracked.Ended() && t.c.body.Reclaim() && t.p.canForward(t.c) {
 		target := t.p.Forward.Pick(t.c.forwardQuery())
 		if target == nil {
 			break // another request has taken the trial of a target
@@ -187,7 +187,7 @@
 	t.c.tracked.BeginAttempt()
 	ex, err := target.Pool.Dispatch(ctx, t.newForwardedRequest(ctx, granted), conn.Options{
 		Deadline: time.Now().Add(t.c.timeLeft()), CloseImmediately: true,
-		Allowed: func() bool { return t.c.timeLeft() > 0 && t.c.tracked.SetSent() }, Release: func(bool) {},
+		Allowed: func() bool { return t.c.timeLeft() > 0 && !t.c.tracked.Ended() && t.c.tracked.SetSent() }, Release: func(bool) {},
 	})
 	if err == nil {
 		resp, res, declined, err = t.readForwarded(ex, target, granted)
@@ -286,9 +286,9 @@
 		t.mayHaveRun = true
 		t.c.possibleRuns++
 	}
-	if t.c.r.Context().Err() != nil {
+	if code, abandoned := t.c.abandoned(); abandoned {
 		target.Done(forward.Abandoned)
-		return t.result(request.CallerGone, 0), false
+		return t.result(code, 0), false
 	}
 	if errors.Is(err, conn.ErrNotAllowed) {
 		target.Done(forward.Abandoned)
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -129,6 +129,7 @@
 	id string
 	// tracked is what a planned stop logs of the request.
 	tracked drain.Request
+	cancel  context.CancelFunc
 	// forwarded is set if another instance forwarded the request, and forwardedTo holds the names of
 	// those that this one forwarded it to.
 	forwarded   *forwardedCall
@@ -173,6 +174,9 @@
 	if !c.framed || c.unread() == 0 {
 		return
 	}
+	if http.NewResponseController(c.w).Flush() == nil {
+		c.tracked.SetWritten()
+	}
 	kept := upload.Drain(c.w, c.r, c.deadline)
 	p.Metrics.UnreadBody(c.service, kept)
 	if !kept {
@@ -211,6 +215,11 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	c.cancel = cancel
+	if !c.tracked.SetAborter(c) {
+		p.writeResult(c, notRun(request.Leaving, minRetryAfter))
+		return
+	}
 	if res := p.admit(c, cancel); res != nil {
 		p.writeResult(c, res)
 		return
@@ -350,6 +359,9 @@
 		in = http.MaxBytesReader(nil, c.r.Body, limit) // a writer would be accessed while it is in use
 	}
 	c.setBodyReadDeadline(time.Now().Add(c.timeLeft()))
+	if c.tracked.Ended() {
+		c.abortBodyRead()
+	}
 	data, whole, err := held.Read(c.lease, held.Bodies, callerBody{in, c.lease}, c.r.ContentLength, maxBufferedBody)
 	if err != nil {
 		c.w.Header().Set("Connection", "close")
