entry: callers that connect in a stop are rejected for a second

Connections are accepted for a second more, so that callers are told when to come back. The steps at the end are two functions, between which the requests in flight are ended.

--- a/process/drain/listener.go
+++ b/process/drain/listener.go
@@ -42,11 +42,12 @@
 	return &Queue{TCPListener: l, closed: make(chan struct{})}
 }
 
-// Drain makes the listener close once no connection is waiting to be accepted. It returns at once.
+// Drain makes the listener close once no connection is waiting to be accepted. It returns at once, and may be called again.
 func (q *Queue) Drain() {
 	end := time.Now().Add(maxDrainTime)
-	q.drainEnd.Store(&end)
-	_ = q.SetDeadline(time.Now()) // wakes AcceptTCP; an error means that the listener is closed
+	if q.drainEnd.CompareAndSwap(nil, &end) {
+		_ = q.SetDeadline(time.Now()) // wakes AcceptTCP; an error means that the listener is closed
+	}
 }
 
 // Closed returns a channel that is closed when the listener is.
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -29,7 +29,9 @@
 	// requestReadTimeout is how long the stop waits for a request on a connection that was opened, or on which a
 	// part of it has arrived.
 	requestReadTimeout = time.Second
-	finalTimeout       = time.Second
+	// rejectTime is how long callers that connect are told when to come back.
+	rejectTime   = time.Second
+	finalTimeout = time.Second
 )
 
 // Steps of a planned stop, as logged.
@@ -58,7 +60,6 @@
 	e.stop.Step(stepReject, e.stop.Start().Add(e.settings.Grace))
 	e.front.Close()
 	e.routes.proxy.StopAt(time.Time{}, time.Time{})
-	e.frontQueue.Drain() // otherwise callers that reconnect after each rejection keep the stop from ending
 	e.awaitInFlight(ctx)
 	e.stop.Step(stepHandOver, e.stop.Start().Add(e.settings.Grace+version.MaxDeadline))
 	e.handOverTickets(ctx)
@@ -77,9 +78,10 @@
 	e.stop.End().Int("requestsRefused", refused).Msg("stopped")
 }
 
-// refuseFront waits until the listener has drained and what has arrived is read. Requests of which only a part has arrived by
+// refuseFront waits until the listener has drained and what has arrived has been read. Requests of which only a part has arrived by
 // then get the response; their number is returned.
 func (e *Entry) refuseFront(ctx context.Context, response []byte) (refused int) {
+	e.frontQueue.Drain()
 	await(ctx, func() bool {
 		select {
 		case <-e.frontQueue.Closed():
@@ -128,10 +130,14 @@
 func (e *Entry) inFlight() int64 { return e.front.InFlight() + e.routes.proxy.InFlight() }
 
 // awaitInFlight waits until no request is in flight, at most version.MaxDeadline. Idle connections are closed, and
-// all other requests are refused.
+// all other requests are refused. After rejectTime no more connections are accepted, since callers that reconnect after
+// each rejection would keep the stop from ending.
 func (e *Entry) awaitInFlight(ctx context.Context) {
-	deadline := e.now() + version.MaxDeadline
-	for ctx.Err() == nil && e.now() < deadline {
+	start := e.now()
+	for ctx.Err() == nil && e.now() < start+version.MaxDeadline {
+		if e.now() >= start+rejectTime {
+			e.frontQueue.Drain()
+		}
 		e.frontConns.EndIdle(requestReadTimeout)
 		if e.inFlight() == 0 && e.frontConns.Pending(requestReadTimeout) == 0 {
 			return
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -207,7 +207,6 @@
 		})
 	}
 	time.AfterFunc(100*time.Millisecond, func() { close(hold) })
-	e.frontQueue.Drain()
 	e.refuseFront(context.Background(), nil)
 	e.awaitResponses(context.Background())
 	callers.Wait()
