cluster: a full send buffer delays neither heartbeats nor a stop

What callers see: a planned stop that begins seconds late, and so ends with requests cut; and an instance that others believe dead, since it sends no heartbeats.

Cause: a write to a UDP socket whose send buffer is full waits. Datagrams to a machine that is gone stay in the buffer until its address resolution fails, those over a congested link until they are sent. Edge.Stop sends its announcements before its other steps.

Change: datagrams that find the buffer full are lost at once, which the protocol tolerates: the next heartbeat tells the same.

--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -10,9 +10,11 @@
 	"net/netip"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 
 	"shalewick/clock"
 )
@@ -62,6 +64,7 @@
 
 	members *Members
 	socket  *net.UDPConn
+	raw     syscall.RawConn // of socket
 	sent    atomic.Int64
 	wake    chan struct{} // signals pending work before the next heartbeat
 }
@@ -79,7 +82,12 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "listen for heartbeats")
 	}
-	return &Gossiper{members: members, socket: s, wake: make(chan struct{}, 1)}, nil
+	raw, err := s.SyscallConn()
+	if err != nil {
+		_ = s.Close()
+		return nil, errors.Trace(err)
+	}
+	return &Gossiper{members: members, socket: s, raw: raw, wake: make(chan struct{}, 1)}, nil
 }
 
 // Run sends and receives until the context is done.
@@ -318,8 +326,20 @@
 }
 
 func (g *Gossiper) sendTo(address string, data []byte) {
-	if addr, err := netip.ParseAddrPort(address); err == nil {
+	if addr, err := netip.ParseAddrPort(address); err == nil && addr.Addr().Is4() {
 		g.sent.Add(1)
-		_, _ = g.socket.WriteToUDPAddrPort(data, addr) // the protocol tolerates lost datagrams
+		_ = sendNow(g.raw, data, &unix.SockaddrInet4{Addr: addr.Addr().As4(), Port: int(addr.Port())}) // the protocol tolerates lost datagrams
+	}
+}
+
+// sendNow sends a datagram, or returns EAGAIN if the send buffer of the socket is full. It never waits: datagrams to a machine
+// that is gone, or over a congested link, fill the buffer for seconds.
+func sendNow(socket syscall.RawConn, data []byte, to unix.Sockaddr) (err error) {
+	if closed := socket.Write(func(fd uintptr) bool {
+		err = unix.Sendto(int(fd), data, 0, to)
+		return true
+	}); closed != nil {
+		return closed
 	}
+	return err
 }
