entry: neither its log nor SIGHUP ends the process

What callers see: all requests that an entry has in flight are cut when the reader of its log ends, or on SIGHUP. An entry whose log's reader has stalled neither serves nor stops.

Cause: the log was written directly to standard error, with SIGPIPE as it is by default, and SIGHUP was not caught, although entries need no reload.

Change: the log is written by an AsyncWriter, and so are messages of libraries; SIGPIPE and SIGHUP are ignored.

--- a/cmd/shalewick/entry.go
+++ b/cmd/shalewick/entry.go
@@ -4,11 +4,17 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
+	"google.golang.org/grpc/grpclog"
 
 	"shalewick/process/entry"
+	"shalewick/process/logging"
 )
 
 func entryCommand() *cobra.Command {
@@ -18,7 +24,13 @@
 		Short: "Run an instance",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			e, err := entry.Start(s, os.Stderr)
+			signal.Ignore(syscall.SIGHUP) // files are read again after a change without it
+			logging.IgnoreBrokenPipes()
+			out := logging.NewAsyncWriter(os.Stderr)
+			defer out.Close()
+			logging.RedirectStandardLog(out)
+			grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, log.Writer()))
+			e, err := entry.Start(s, out)
 			if err != nil {
 				return err
 			}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -65,7 +65,6 @@
 	deployment      Deployment
 	log             zerolog.Logger
 	logLimiter      *logging.RateLimiter
-	logWriter       *logging.AsyncWriter // nil: the log is written without a queue
 	startTime       time.Time
 	startedAt       time.Duration // start time by the clock of the deployment
 	members         *cluster.Members
@@ -125,7 +124,7 @@
 		settings: s, deployment: d, startTime: time.Now(), metrics: metric.NewSet(), logLimiter: limit, rowLost: make(chan struct{}, 1),
 		log: logging.New(logTo).Level(level).Hook(limit).With().Str("instance", s.Instance).Logger(),
 	}
-	e.logWriter, _ = logTo.(*logging.AsyncWriter)
+	e.metrics.LogWriter(logTo)
 	if e.deployment.Clock == nil {
 		e.deployment.Clock = clock.Now
 	}
@@ -299,9 +298,6 @@
 	e.metrics.Gauge("requests_quarantined").Update(int64(e.quarantine.Count()))
 	e.metrics.Gauge("rollouts_running").Update(e.rolloutState.running.Load())
 	e.metrics.Gauge("log_lines_left_out").Update(e.logLimiter.Suppressed())
-	if e.logWriter != nil {
-		e.metrics.Gauge("log_lines_dropped").Update(e.logWriter.Dropped())
-	}
 	e.metrics.Gauge("store_epoch").Update(e.deployment.Store.Epoch())
 	e.metrics.Gauge("configuration_age_ms").Update(e.follower.Age().Milliseconds())
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -88,6 +88,7 @@
 		return nil, errors.Trace(err)
 	}
 	metrics := metric.NewSet()
+	metrics.LogWriter(logTo)
 	e := &Entry{
 		settings:      s,
 		log:           logging.New(logTo).Level(level).With().Str("instance", s.Instance).Logger(),
--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Close writes the queued lines, as many as can be written within closeTimeout. Lines that are written afterwards are lost: goroutines that wait for
-// the network may log while the process ends.
+// Close writes the queued lines, as many as can be written within closeTimeout. Lines that are written afterwards are
+// lost: goroutines that wait for the network may log while the process ends.
 func (a *AsyncWriter) Close() {
 	close(a.closing)
 	select {
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -18,6 +18,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"shalewick/process/logging"
 	"shalewick/process/ratelimit"
 	"shalewick/request"
 )
@@ -116,6 +117,13 @@
 	s.Gauge(`permits{result="unanswered"}`).Update(n.Unanswered)
 }
 
+// LogWriter adds the number of dropped lines of the log, if its writer counts them.
+func (s *Set) LogWriter(w io.Writer) {
+	if a, ok := w.(*logging.AsyncWriter); ok {
+		_ = s.registry.Register("log_lines_dropped", metrics.NewFunctionalGauge(a.Dropped)) // fails only the second time
+	}
+}
+
 // InvalidRateLimit counts a response of a backend server whose rate limit is invalid.
 func (s *Set) InvalidRateLimit(service string) {
 	s.Counter("rate_limits_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -71,8 +71,8 @@
 	return p
 }
 
-// crashMarkers are texts that the Go runtime writes for a data race, a panic or a fatal error.
-var crashMarkers = []string{"DATA RACE", "panic:", "fatal error:"}
+// crashMarkers are texts that the Go runtime and net/http write for a data race, a panic or a fatal error.
+var crashMarkers = []string{"DATA RACE", "panic:", "panic serving", "fatal error:"}
 
 // logTailBytes is how much of the end of a log is printed.
 const logTailBytes = 4000
