region: a simulated network between regions, with delay and shared bandwidth

Tests could only delay every read of a link by 80 ms, one after the other. A path between two regions has a one-way delay and a bandwidth that all links share, each way; pieces are in transit at the same time.

The stand-in of backend servers records when the work on a request began.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"shalewick/standin/network"
+	"shalewick/standin/region"
 )
 
 // Mode says how the link treats bytes and connections.
@@ -43,9 +44,20 @@
 	changed  chan struct{}
 	conns    map[net.Conn]bool // open connections; true once blackholed
 	cut      []netip.Addr      // clients that are cut off
+	paths    PathsFunc         // nil: without delay
 	closed   bool
 }
 
+// PathsFunc returns the paths from a client to the target of a link, and back.
+type PathsFunc func(client netip.Addr) (there, back *region.Path)
+
+// SetPaths makes new connections cross the network between regions.
+func (k *Link) SetPaths(paths PathsFunc) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.paths = paths
+}
+
 // Start starts a link from listen, an IP address and port, to target.
 func Start(listen, target string) (*Link, error) {
 	l, err := listenTCP(listen)
@@ -167,7 +179,7 @@
 			return
 		}
 		k.mu.Lock()
-		refuse := k.mode == Refuse
+		refuse, paths := k.mode == Refuse, k.paths
 		k.mu.Unlock()
 		if refuse {
 			reset(in)
@@ -182,8 +194,14 @@
 		}
 		k.track(in, out)
 		client := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
-		go k.forward(out, in, client, false)
-		go k.forward(in, out, client, true)
+		var there, back *region.Path
+		if paths != nil {
+			there, back = paths(client)
+		}
+		// The first bytes arrive after the handshake.
+		opened := time.Now().Add(2*there.Delay() + back.Delay())
+		go k.forward(out, in, there.Carry(in, opened), client, false)
+		go k.forward(in, out, back.Carry(out, opened), client, true)
 	}
 }
 
@@ -213,11 +231,12 @@
 	}
 }
 
-// forward copies from one side to the other until one of them ends.
-func (k *Link) forward(to, from net.Conn, client netip.Addr, back bool) {
+// forward copies what arrives from one side to the other until one of them ends.
+func (k *Link) forward(to, from net.Conn, arriving io.ReadCloser, client netip.Addr, back bool) {
+	defer arriving.Close()
 	buf := make([]byte, 16<<10)
 	for {
-		n, err := from.Read(buf)
+		n, err := arriving.Read(buf)
 		if n > 0 && !k.blackholed(from) {
 			k.waitUnblocked(client, back)
 			if _, werr := to.Write(buf[:n]); werr != nil {
--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -159,7 +159,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{
 		ID: id, Method: req.Method, Path: req.RequestURI, Body: string(body),
-		Object: req.Header.Get(s.Names.Affinity), Header: req.Header,
+		Object: req.Header.Get(s.Names.Affinity), Header: req.Header, At: time.Now(),
 	})
 	s.mu.Unlock()
 	if s.CrashOn != nil && s.CrashOn(req) {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -47,6 +47,7 @@
 type Run struct {
 	ID, Method, Path, Body, Object string
 	Header                         http.Header
+	At                             time.Time // when its work began
 }
 
 // EarlyResponse describes a request that was responded to before its body was read.
