--- a/process/drain/doc.go
+++ b/process/drain/doc.go
@@ -5,8 +5,10 @@
 
 	server.ConnState = conns.OnStateChange
 	server.ConnContext = conns.ConnContext // if its handler tracks requests with Request
-	accepted = conns.Track(accepted) // in the listener
+	queue := drain.NewQueue(tcpListener)
+	go server.Serve(drain.Listener{TCPListener: queue, Conns: &conns})
 	...
+	queue.Drain()                    // closes the listener once no connection waits
 	conns.EndIdle(minAge)            // callers have learned of the stop
 	for conns.Pending(maxAge) > 0    // requests of which a part was read
 	conns.Refuse(response)           // the process is about to exit
