edge: a stop does not end before its listener has drained

What callers may see: a reset on a new connection with a request. The wait for 150 ms without a request did not ask whether the listener had drained, which it does beside it, and which takes longer in a process that gets little time.

Evidence: read in the review of the draining listener; TestStopAwaitsListener fails without the change (the wait ended after 163 ms with the listener open). No run of an instance showed it.

--- a/process/drain/listener.go
+++ b/process/drain/listener.go
@@ -50,8 +50,15 @@
 	}
 }
 
-// Closed returns a channel that is closed when the listener is.
-func (q *Queue) Closed() <-chan struct{} { return q.closed }
+// IsClosed reports whether the listener is closed.
+func (q *Queue) IsClosed() bool {
+	select {
+	case <-q.closed:
+		return true
+	default:
+		return false
+	}
+}
 
 // Close closes the listener at once.
 func (q *Queue) Close() error {
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -65,16 +65,15 @@
 	return b
 }
 
-// awaitIdle waits until no request has been in flight for minIdleTime, in which requests arrive
-// that were on their way to the draining listener. Idle
-// connections are closed, since a request that comes on one later could be cut; their number is returned.
+// awaitIdle waits until the listener has drained and no request has been in flight for minIdleTime, at most until end.
+// Idle connections are closed, since a request that comes on one later could be cut; their number is returned.
 func (e *Edge) awaitIdle(end time.Time) (ended int) {
 	idle := time.Duration(0)
 	for idle < minIdleTime && time.Now().Before(end) {
 		time.Sleep(idlePollInterval)
 		idle += idlePollInterval
 		ended += e.frontConns.EndIdle(requestReadTimeout)
-		if e.proxy.InFlight() > 0 || e.frontConns.Pending(requestReadTimeout) > 0 {
+		if !e.frontListener.IsClosed() || e.proxy.InFlight() > 0 || e.frontConns.Pending(requestReadTimeout) > 0 {
 			idle = 0
 		}
 	}
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -82,14 +82,7 @@
 // then get the response; their number is returned.
 func (e *Entry) refuseFront(ctx context.Context, response []byte) (refused int) {
 	e.frontQueue.Drain()
-	await(ctx, func() bool {
-		select {
-		case <-e.frontQueue.Closed():
-			return e.frontConns.Pending(requestReadTimeout) == 0
-		default:
-			return false
-		}
-	})
+	await(ctx, func() bool { return e.frontQueue.IsClosed() && e.frontConns.Pending(requestReadTimeout) == 0 })
 	e.frontConns.EndIdle(0)
 	return e.frontConns.Refuse(response)
 }
