--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -71,10 +71,8 @@
 	}
 	switch to {
 	case http.StateActive:
-		if !t.move(stateReading, stateServing) {
-			if t.move(stateAnswered, stateServing) {
-				t.requests.Add(1)
-			}
+		if !t.move(stateReading, stateServing) && t.move(stateAnswered, stateServing) {
+			t.requests.Add(1)
 		}
 	case http.StateIdle:
 		t.request.Store(nil)
@@ -89,8 +87,8 @@
 	}
 }
 
-// errEnded is the error of a read from a connection that has been ended. After it net/http sends no response, unless it
-// has read a part of a header line: then it sends 400.
+// errEnded is the error of a read from a connection that has been ended. After it net/http writes no response, or 400 if it
+// has read a part of a header line, which Write drops.
 var errEnded = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 
 // Read reads from the connection. What arrives at a connection that has been ended is dropped.
