edge: a stop that was suspended over its end accepts what waits

What callers saw: a reset, or EOF, on a new connection with a request, if the process was suspended from before the close of its listener until the end of its stop. They can't know that the request has not run.

Cause: the wait for the listener ended with the grace time, so that after a suspension all steps followed each other within a millisecond. Found by the review of this change.

Change: before requests in flight are ended, the stop waits until the listener has drained and what it accepted is read, at most 40 polls. A stop that is on time finds both done.

--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -16,13 +16,15 @@
 type state int32
 
 const (
-	stateNew         state = iota // open, and nothing has been read
-	stateIdle                     // a response has been sent, and the server waits for the next request, of which it has read nothing
-	stateReading                  // a part of a request has been read
-	stateServing                  // the handler has the request
-	stateServingNext              // as stateServing, and the next request has been read in part
-	stateAnswered                 // a response has been sent; the next request may have been read together with the one before
-	stateEnded                    // ended by EndIdle or Refuse
+	stateNew state = iota // open, and nothing has been read
+	// stateIdle: a response has been sent, and the server waits for the next request. It has read nothing of that, unless a
+	// part came together with the request before.
+	stateIdle
+	stateReading     // a part of a request has been read
+	stateServing     // the handler has the request
+	stateServingNext // as stateServing, and the next request has been read in part
+	stateAnswered    // a response has been sent; the next request may have been read together with the one before
+	stateEnded       // ended by EndIdle or Refuse
 )
 
 // serving reports whether a request is served or its response is being sent.
@@ -36,8 +38,7 @@
 	conns map[*trackedConn]struct{}
 }
 
-// trackedConn is a connection of which the server has read either a part of a request, or nothing since its last
-// response.
+// trackedConn is a connection with the state of what the server has read from it and written to it.
 type trackedConn struct {
 	*net.TCPConn
 	opened   time.Time
@@ -187,6 +188,16 @@
 	return pending
 }
 
+// Unread returns the number of connections on which a request has arrived that the server has not read yet.
+func (s *Conns) Unread() (unread int) {
+	for _, t := range s.list() {
+		if t.unread() {
+			unread++
+		}
+	}
+	return unread
+}
+
 // Serving returns the number of connections on which a request is served or its response is being sent.
 func (s *Conns) Serving() (serving int) {
 	for _, t := range s.list() {
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -15,6 +15,9 @@
 	// noticeTime is how long callers need to learn of the stop: until the others no longer list the instance,
 	// and the responses of the directory that do have expired.
 	noticeTime = directoryTTL + 300*time.Millisecond
+	// maxQueuePolls bounds the wait for the listener at the end, in polls of idlePollInterval. It is no limit of time: a process
+	// that was suspended must still accept what waits.
+	maxQueuePolls = 40
 	// loopEndTimeout bounds the wait for the background loops.
 	loopEndTimeout = 200 * time.Millisecond
 )
@@ -83,11 +86,23 @@
 // refuse rejects all requests that are not in flight. It returns the number of those that had arrived in part.
 func (e *Edge) refuse() (refused int) {
 	e.proxy.StopAt(time.Time{}, time.Time{})
+	e.awaitQueue()
 	e.frontConns.EndIdle(0)
 	e.queryConns.EndIdle(0)
 	return e.frontConns.Refuse(e.proxy.LeavingResponse())
 }
 
+// awaitQueue waits until the listener has drained and the first bytes of what it has accepted are read. It takes time only in a process
+// that was suspended over the end of its stop.
+func (e *Edge) awaitQueue() {
+	for range maxQueuePolls {
+		if e.frontListener.IsClosed() && e.frontConns.Unread() == 0 {
+			return
+		}
+		time.Sleep(idlePollInterval)
+	}
+}
+
 // shutdown ends all servers and loops.
 func (e *Edge) shutdown() {
 	ended := make(chan struct{})
