front: a planned stop aborts the reading of a forwarded request's body

Read in a review: the request of a ticket that another member owns was read before its work could be aborted, so that its caller got EOF at the end of a stop.

--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -137,7 +137,7 @@
 	fw.placement.Tried[0], fw.placement.Tried[1] = name, fw.placement.Tried[0]
 	start = fw.front.Now()
 	fw.call.tracked.BeginAttempt()
-	fw.call.tracked.SetSent() // or connecting, which is brief
+	fw.call.tracked.SetSent() // the log may call an attempt sent that still connects
 	exchange, err := place.Dispatch(ctx, fw.newRequest(ctx, fw.call.deadline), fw.call.deadline)
 	fw.front.Metrics.Stage(metric.StageDispatch, fw.front.Now()-start)
 	if err != nil {
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -136,12 +136,12 @@
 		f.finish(c, retryWithTicket(request.ConnectFailed))
 		return
 	}
+	ctx, cancel := c.begin(c.r.Context())
+	defer cancel()
 	if err := c.readBody(); err != nil {
 		f.finish(c, *bodyErrorResult(err, true))
 		return
 	}
-	ctx, cancel := c.begin(c.r.Context())
-	defer cancel()
 	fw := &forwarder{front: f, call: c}
 	req := fw.newRequest(ctx, c.deadline)
 	req.Header.Set(request.HeaderTicket, t.String())
