soak: a test of backend servers that send responses without end

With a header line that never ends in one response of ten of three backend servers all three instances exceed 284 MB within 3 s (318 MB seen; 209 of 2,089 requests served); with header lines of 900 and of 6 bytes they hold 134 and 131 MB, where the size that they are designed for and a fifth of their memory for buffers allow 88. Interim responses, trailers and chunked bodies without end stay below 26 MB.

--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -279,6 +279,9 @@
 	case NoResponse:
 		_, _ = io.Copy(io.Discard, c)
 		return false
+	case EndlessHeaderLine, EndlessHeader, EndlessShortLines, EndlessInterim, EndlessTrailer, EndlessBody:
+		s.respondEndlessly(c, f, id)
+		return false
 	case NotHTTP:
 		_, _ = io.WriteString(c, "this is no answer\r\n\r\n")
 		return false
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -38,6 +38,12 @@
 	ShedSlowly                // the same, after shedDelay
 	InternalError             // the request runs and gets status 500
 	Misdirected               // rejected as sent to the wrong backend server
+	EndlessHeaderLine         // the request runs, and a header line of its response never ends
+	EndlessHeader             // the same with header lines of some hundred bytes
+	EndlessShortLines         // the same with header lines of a few bytes
+	EndlessInterim            // the same with interim (1xx) responses
+	EndlessTrailer            // the same with the trailer of a chunked body
+	EndlessBody               // the same with a chunked body
 )
 
 // shedDelay is the delay of a rejection with ShedSlowly.
