edge: a short grace time leaves requests their last sixth

An instance ended the requests in flight 0.5 s before it is killed, however short the grace time is. With a graceS below 3 s that is before its last sixth, in which alone the users' rule LOST excuses that a request is ended at which a backend server is at work.

TestStopEndsBeforeKill, which now checks this, failed before: with 1 s, requests were ended after 0.5 s (0.83 s wanted); 2 s gave 1.5 s (read).

--- a/process/edge/margin.go
+++ b/process/edge/margin.go
@@ -6,8 +6,10 @@
 
 // Safety margins below limits that must not be exceeded.
 const (
-	// killMargin is how long before Settings.KillAfter a stopping process exits.
-	killMargin = 500 * time.Millisecond
+	// maxKillMargin bounds how long before Settings.KillAfter a stopping process ends its requests, to write their responses and to exit.
+	maxKillMargin = 500 * time.Millisecond
+	// killMarginShare bounds that time by a share of KillAfter.
+	killMarginShare = 0.125
 	// maxLinger bounds how long a stopping process continues to accept requests: clients cache
 	// responses of the directory for directoryTTL.
 	maxLinger = 3200 * time.Millisecond
@@ -21,7 +23,12 @@
 )
 
 // grace returns the time after which a stopping process ends requests that are still in flight.
-func (s *Settings) grace() time.Duration { return s.KillAfter - killMargin }
+func (s *Settings) grace() time.Duration { return s.KillAfter - s.killMargin() }
+
+// killMargin returns how long before KillAfter that is.
+func (s *Settings) killMargin() time.Duration {
+	return min(maxKillMargin, time.Duration(killMarginShare*float64(s.KillAfter)))
+}
 
 // linger returns how long a stopping process continues to accept requests.
 func (s *Settings) linger() time.Duration {
--- a/process/edge/margin_test.go
+++ b/process/edge/margin_test.go
@@ -10,13 +10,15 @@
 )
 
 // TestStopEndsBeforeKill checks that a stopping process has time to accept requests, to finish them
-// and to exit before it would be killed, however short KillAfter is.
+// and to exit before it would be killed, however short KillAfter is. It guards against a stop that
+// ends requests before the last sixth of that time, in which alone the users' rules allow it.
 func TestStopEndsBeforeKill(t *testing.T) {
 	for _, killAfter := range []time.Duration{minKillAfter, 2 * time.Second, 6 * time.Second, time.Minute} {
 		s := Settings{KillAfter: killAfter}
 		assert.Assert(t, s.linger() > 0 && s.linger() <= maxLinger, "%s", killAfter)
 		assert.Assert(t, s.linger() < s.grace(), "%s", killAfter)
 		assert.Assert(t, s.grace() < killAfter, "%s", killAfter)
+		assert.Assert(t, s.grace() >= killAfter-killAfter/6, "%s: requests are ended after %s", killAfter, s.grace())
 	}
 }
 
