drain: a stop ends no request that began after its last look early

The stop waits until no request is in flight for 0.15 s, and rejects what is read from then on. A request that began between the last look and that moment was given 30 ms, and then got 502 LEAVING while a backend server was at work on it, seconds before the end of the grace time. EndRequests now waits until that end as long as a request is in flight, and ends only what is left. The window takes a header that arrives over more than a second, and was not seen with real processes.

--- a/process/drain/stop.go
+++ b/process/drain/stop.go
@@ -89,9 +89,13 @@
 	maxWritePolls = 25
 )
 
-// EndRequests ends the requests in flight, and waits until their responses have been written. Requests that are
-// read from now on must be rejected.
-func (s *Stop) EndRequests() {
+// EndRequests waits until no request is in flight, at least until a time if there are any. It then ends those that are left, and waits until
+// their responses have been written. Requests that are read from now on must be rejected.
+func (s *Stop) EndRequests(from time.Time) {
+	for s.pending() > 0 && time.Now().Before(from) {
+		s.Callers.EndIdle(0)
+		time.Sleep(pollInterval)
+	}
 	s.awaitResponses(maxArrivedPolls)
 	var ended []*Request
 	for _, r := range s.inFlight() {
@@ -110,13 +114,18 @@
 func (s *Stop) awaitResponses(maxPolls int) {
 	for range maxPolls {
 		s.Callers.EndIdle(0)
-		if len(s.inFlight())+s.Callers.untracked()+s.Queries.Serving() == 0 {
+		if s.pending() == 0 {
 			return
 		}
 		time.Sleep(pollInterval)
 	}
 }
 
+// pending returns the number of responses that are left to be written.
+func (s *Stop) pending() int {
+	return len(s.inFlight()) + s.Callers.untracked() + s.Queries.Serving()
+}
+
 // inFlight returns the requests whose responses have not been written.
 func (s *Stop) inFlight() (out []*Request) {
 	for _, conns := range []*Conns{s.Callers, s.Others} {
--- a/process/drain/stop_test.go
+++ b/process/drain/stop_test.go
@@ -112,7 +112,7 @@
 	<-answering
 	await(t, "both are served", func() bool { return len(stop.inFlight()) == 2 })
 	go func() { <-answering }()
-	stop.EndRequests()
+	stop.EndRequests(time.Time{})
 	stop.Cut()
 	assert.Assert(t, stop.ended == 1 && stop.cut == 0, "%d ended, %d cut", stop.ended, stop.cut)
 	for status, c := range map[int]net.Conn{http.StatusOK: answers, http.StatusBadGateway: runs} {
@@ -121,3 +121,36 @@
 		assert.Equal(t, res.StatusCode, status)
 	}
 }
+
+// TestStopEndsNoRequestEarly guards against a stop that ends a request long before its grace time is over: one that began right after the stop
+// had seen that no request was in flight.
+func TestStopEndsNoRequestEarly(t *testing.T) {
+	t.Parallel()
+	const work, grace = 300 * time.Millisecond, 10 * time.Second
+	begun := make(chan struct{})
+	conns, address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var tracked Request
+		tracked.Begin(r.Context(), r.URL.Path, time.Now())
+		aborted := make(chan struct{})
+		assert.Check(t, tracked.SetAborter(abortFunc(func() { close(aborted) })))
+		close(begun)
+		select {
+		case <-aborted:
+			w.WriteHeader(http.StatusBadGateway)
+		case <-time.After(work):
+		}
+		tracked.BeginAnswer()
+	}))
+	c := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	<-begun
+	stop := &Stop{Log: zerolog.Nop(), Metrics: metric.NewSet(), InFlight: func() int64 { return 0 }, Callers: conns}
+	start := time.Now()
+	stop.EndRequests(start.Add(grace))
+	took := time.Since(start)
+	assert.Check(t, took < grace/2, "%s", took)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+}
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -54,7 +54,7 @@
 	e.stop.Step(stepReject, end)
 	refused := e.refuse()
 	e.stop.Step(stepEnd, end)
-	e.stop.EndRequests()
+	e.stop.EndRequests(end) // requests may have begun after the last look at those in flight
 	e.stop.Step(stepClose, time.Time{})
 	e.stop.Cut()
 	e.shutdown()
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -70,7 +70,7 @@
 	e.stop.Step(stepRefuse, time.Time{})
 	refused := e.refuseFront(ctx, e.routes.proxy.LeavingResponse())
 	e.stop.Step(stepEnd, time.Time{})
-	e.stop.EndRequests()
+	e.stop.EndRequests(time.Time{})
 	e.awaitResponses(ctx)
 	e.stop.Step(stepClose, time.Time{})
 	e.stop.Cut()
--- a/process/front/stop_test.go
+++ b/process/front/stop_test.go
@@ -50,7 +50,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	stop.Begin("announce", time.Now())
-	go stop.EndRequests()
+	go stop.EndRequests(time.Time{})
 	for i, ran := range []request.Ran{request.RanUnknown, request.RanNo} {
 		res, err := http.ReadResponse(in[i], nil)
 		assert.NilError(t, err)
