--- a/standin/server/serve.go
+++ b/standin/server/serve.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -256,6 +257,9 @@
 	case Truncated:
 		_, _ = io.WriteString(c, text[:len(text)-3])
 		return false
+	case CutHead:
+		_, _ = io.WriteString(c, text[:rand.IntN(strings.Index(text, "\r\n\r\n"))])
+		return false
 	case CloseDelimited, CloseDelimitedReset:
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\n\r\n%s", s.Names.ID, id, s.Names.Seal, id, ResponseBody(id))
 		if tcp, ok := c.(*net.TCPConn); ok && f == CloseDelimitedReset {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -44,6 +44,7 @@
 	EndlessInterim            // the same with interim (1xx) responses
 	EndlessTrailer            // the same with the trailer of a chunked body
 	EndlessBody               // the same with a chunked body
+	CutHead                   // the request runs, and the response ends within its header
 )
 
 // shedDelay is the delay of a rejection with ShedSlowly.
