process/startup: a start waits for addresses that are in use or not there yet

Callers and operators saw a process end at once when one of its addresses was still in use, and again with each restart until it was free.

Cause: each listener and the UDP socket were opened once, while others served already, and every error ended the process with 1, the same code as a wrong setting.

None is held while another one is missing, since a connection that waits unaccepted is worse for a caller than one that is refused; no row is written, and nobody is told. A line each second says what is missing. After the time the process ends with 75, and a line that names the setting, the address, the reason and the flag. The last line on standard error does not wait for a reader that has stalled.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -20,6 +20,7 @@
 	"shalewick/process/edge"
 	"shalewick/process/logging"
 	"shalewick/process/setting"
+	"shalewick/process/startup"
 )
 
 // Timeouts of connections to the store.
@@ -34,14 +35,17 @@
 
 func main() {
 	// Before anything else, since a SIGHUP that is not caught ends the process.
-	if err := newCommand(catchSignals()).Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "error:", err)
-		os.Exit(1)
+	received := catchSignals()
+	logging.IgnoreBrokenPipes()
+	if err := newCommand(received).ExecuteContext(received.running); err != nil {
+		logging.WriteLast(os.Stderr, "error: "+err.Error())
+		os.Exit(startup.ExitCode(err))
 	}
 }
 
 func newCommand(received signals) *cobra.Command {
 	var path, level, source string
+	var startTimeout time.Duration
 	var gcPercent int
 	var check bool
 	cmd := &cobra.Command{
@@ -58,7 +62,7 @@
 				return checkSettings(cmd, path, level, source)
 			}
 			debug.SetGCPercent(gcPercent)
-			return run(path, level, source, received)
+			return run(cmd.Context(), path, level, source, startTimeout, received)
 		},
 	}
 	f := cmd.Flags()
@@ -67,6 +71,7 @@
 	f.StringVar(&source, "source", "", "IP address that connections to backend servers come from; empty: chosen by the system")
 	f.BoolVar(&check, "check", false, "check the settings, print them, and exit")
 	f.IntVar(&gcPercent, "collect", 50, "growth of the heap, in percent, that triggers a garbage collection")
+	startup.AddTimeoutFlag(f, &startTimeout)
 	setting.Describe(f)
 	return cmd
 }
@@ -98,32 +103,31 @@
 	return errors.Annotate(err, "--source")
 }
 
-func run(path, level, source string, received signals) error {
+func run(ctx context.Context, path, level, source string, startTimeout time.Duration, received signals) error {
 	live, err := platform.LoadSettingsFile(path)
 	if err != nil {
 		return err
 	}
-	logging.IgnoreBrokenPipes()
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	logging.RedirectStandardLog(out)
 	settings := live.Settings().Edge()
-	settings.LogLevel = level
+	settings.LogLevel, settings.StartTimeout = level, startTimeout
 	if err := setSource(&settings, source); err != nil {
 		return err
 	}
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(settings.Memory / 2)
 	}
-	if len(received.stop) > 0 {
+	e, err := edge.StartContext(ctx, settings, live.Deployment(conn.NewDialer(storeDialTimeout, storeAckTimeout).DialContext), out)
+	if errors.Is(err, context.Canceled) {
 		return nil // there is nothing to stop yet
 	}
-	e, err := edge.Start(settings, live.Deployment(conn.NewDialer(storeDialTimeout, storeAckTimeout).DialContext), out)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	go reloadSettings(ctx, live, e, received.reload)
+	reloads, cancel := context.WithCancel(context.Background())
+	go reloadSettings(reloads, live, e, received.reload)
 	signalledAt := <-received.stop
 	cancel()
 	e.Stop(signalledAt)
--- a/cmd/shalewick-edge/signals.go
+++ b/cmd/shalewick-edge/signals.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,6 +14,8 @@
 type signals struct {
 	// stop gets the time of the first SIGTERM or SIGINT. Later ones have no effect.
 	stop <-chan time.Time
+	// running is canceled by the first SIGTERM or SIGINT.
+	running context.Context
 	// reload gets a value after SIGHUP. Several signals may result in one.
 	reload <-chan os.Signal
 }
@@ -24,9 +27,11 @@
 	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
 	stop := make(chan time.Time, 1)
+	running, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-stopSignals
 		stop <- time.Now()
+		cancel()
 	}()
-	return signals{stop: stop, reload: reload}
+	return signals{stop: stop, running: running, reload: reload}
 }
--- a/cmd/shalewick/entry.go
+++ b/cmd/shalewick/entry.go
@@ -10,11 +10,13 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc/grpclog"
 
 	"shalewick/process/entry"
 	"shalewick/process/logging"
+	"shalewick/process/startup"
 )
 
 func entryCommand() *cobra.Command {
@@ -30,7 +32,10 @@
 			defer out.Close()
 			logging.RedirectStandardLog(out)
 			grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, log.Writer()))
-			e, err := entry.Start(s, out)
+			e, err := entry.StartContext(cmd.Context(), s, out)
+			if errors.Is(err, context.Canceled) {
+				return nil // there is nothing to stop yet
+			}
 			if err != nil {
 				return err
 			}
@@ -53,5 +58,6 @@
 	f.StringVar(&s.Key, "key", "", "PEM file of the certificate's key")
 	f.StringVar(&s.Authority, "authority", "", "PEM file of the certificate authority of all instances")
 	f.StringVar(&s.LogLevel, "log-level", "info", "minimum level of log lines: debug, info, warn, error")
+	startup.AddTimeoutFlag(f, &s.StartTimeout)
 	return cmd
 }
--- a/cmd/shalewick/main.go
+++ b/cmd/shalewick/main.go
@@ -6,23 +6,24 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"shalewick/process/logging"
 	"shalewick/process/setting"
+	"shalewick/process/startup"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := newRootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "error:", err)
+		logging.WriteLast(os.Stderr, "error: "+err.Error())
 		stop()
-		os.Exit(1)
+		os.Exit(startup.ExitCode(err))
 	}
 }
 
--- a/process/cluster/beat.go
+++ b/process/cluster/beat.go
@@ -72,22 +72,14 @@
 // Sent returns the number of datagrams sent.
 func (g *Gossiper) Sent() int64 { return g.sent.Load() }
 
-// Listen opens the gossip socket.
-func Listen(members *Members) (*Gossiper, error) {
-	addr, err := net.ResolveUDPAddr("udp4", members.Self().Peer)
+// NewGossiper returns a Gossiper that uses a socket. It closes the socket when Run ends.
+func NewGossiper(members *Members, socket *net.UDPConn) (*Gossiper, error) {
+	raw, err := socket.SyscallConn()
 	if err != nil {
+		_ = socket.Close()
 		return nil, errors.Trace(err)
 	}
-	s, err := net.ListenUDP("udp4", addr)
-	if err != nil {
-		return nil, errors.Annotate(err, "listen for heartbeats")
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		_ = s.Close()
-		return nil, errors.Trace(err)
-	}
-	return &Gossiper{members: members, socket: s, raw: raw, wake: make(chan struct{}, 1)}, nil
+	return &Gossiper{members: members, socket: socket, raw: raw, wake: make(chan struct{}, 1)}, nil
 }
 
 // Run sends and receives until the context is done.
--- a/process/cluster/cluster_test.go
+++ b/process/cluster/cluster_test.go
@@ -157,13 +157,12 @@
 	var all []*Members
 	var gossipers []*Gossiper
 	for i := range 3 {
-		s, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		s, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		assert.NilError(t, err)
 		x := member(fmt.Sprintf("m%d", i), "north", 1)
 		x.Peer = s.LocalAddr().String()
-		assert.NilError(t, s.Close())
 		m := NewMembers(x, now)
-		b, err := Listen(m)
+		b, err := NewGossiper(m, s)
 		assert.NilError(t, err)
 		go b.Run(ctx)
 		all, gossipers = append(all, m), append(gossipers, b)
--- a/process/cluster/doc.go
+++ b/process/cluster/doc.go
@@ -5,7 +5,7 @@
 live, and which to request the tables of the store from.
 
 	members := cluster.NewMembers(self, now)
-	gossiper, err := cluster.Listen(members) // UDP; run with gossiper.Run
+	gossiper, err := cluster.NewGossiper(members, socket) // UDP; run with gossiper.Run
 	peers := cluster.NewPeers(members, dial)
 	members.Live()    // the live instances
 	members.Sources() // where to request the tables
--- a/process/cluster/owner_test.go
+++ b/process/cluster/owner_test.go
@@ -63,16 +63,12 @@
 // TestMessagesFromUnknownSendersAreDropped sends messages to an instance from a known and from an
 // unknown address.
 func TestMessagesFromUnknownSendersAreDropped(t *testing.T) {
-	freeAddress := func() string {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
 	newGossiper := func() *Gossiper {
+		s, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		assert.NilError(t, err)
 		self := member("edge-"+fmt.Sprint(time.Now().UnixNano()), "north", 1)
-		self.Peer = freeAddress()
-		b, err := Listen(NewMembers(self, func() time.Duration { return time.Hour }))
+		self.Peer = s.LocalAddr().String()
+		b, err := NewGossiper(NewMembers(self, func() time.Duration { return time.Hour }), s)
 		assert.NilError(t, err)
 		t.Cleanup(func() { b.socket.Close() })
 		return b
--- a/process/edge/discovery_test.go
+++ b/process/edge/discovery_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -62,11 +63,12 @@
 		return 1
 	})
 	self := testMember(fleet/2, 9)
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
 	self.Peer = "127.0.0.1:0"
 	e := &Edge{log: zerolog.Nop(), settings: Settings{Instance: self.Name}, deployment: Deployment{Store: s, InstanceTable: "instances", RecordTable: "records"}}
 	e.members = cluster.NewMembers(self, func() time.Duration { return time.Hour })
-	var err error
-	e.heartbeats, err = cluster.Listen(e.members)
+	e.heartbeats, err = cluster.NewGossiper(e.members, socket)
 	assert.NilError(t, err)
 	return e, s
 }
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"shalewick/clock"
@@ -30,6 +29,7 @@
 	"shalewick/process/ratelimit"
 	"shalewick/process/rollout"
 	"shalewick/process/rolloutview"
+	"shalewick/process/startup"
 	"shalewick/process/state"
 	"shalewick/retry"
 	"shalewick/version"
@@ -113,8 +113,15 @@
 	loops            sync.WaitGroup
 }
 
-// Start starts an instance that writes its log to logTo.
+// Start is StartContext without a context.
 func Start(s Settings, d Deployment, logTo io.Writer) (*Edge, error) {
+	return StartContext(context.Background(), s, d, logTo)
+}
+
+// StartContext starts an instance that writes its log to logTo. Until all its addresses can be listened on, for at most
+// Settings.StartTimeout, nothing else is done: no other instance knows of this one, and it has no connection that could
+// use one of the ports. The context ends this wait only.
+func StartContext(ctx context.Context, s Settings, d Deployment, logTo io.Writer) (*Edge, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
@@ -125,6 +132,11 @@
 		log: logging.New(logTo).Level(level).Hook(limit).With().Str("instance", s.Instance).Logger(),
 	}
 	e.metrics.LogWriter(logTo)
+	sockets, err := startup.Retrier{Timeout: s.StartTimeout, Log: e.log}.Listen(ctx, s.addresses())
+	if err != nil {
+		return nil, err
+	}
+	e.metrics.Gauge("start_wait_ms").Update(time.Since(e.startTime).Milliseconds())
 	if e.deployment.Clock == nil {
 		e.deployment.Clock = clock.Now
 	}
@@ -136,14 +148,12 @@
 	if s.First {
 		e.members.SetInitialStart()
 	}
-	var err error
-	if e.heartbeats, err = cluster.Listen(e.members); err != nil {
+	if e.heartbeats, err = cluster.NewGossiper(e.members, sockets.UDP[settingPeer]); err != nil {
+		sockets.Close()
 		return nil, err
 	}
 	e.build()
-	if err := e.listen(); err != nil {
-		return nil, err
-	}
+	e.serve(sockets.TCP)
 	e.run()
 	e.log.Info().Str("front", s.Front).Str("hall", s.Hall).Msg("started")
 	return e, nil
@@ -216,8 +226,8 @@
 	}
 }
 
-// listen opens the listeners and serves them.
-func (e *Edge) listen() error {
+// serve serves the listeners, which are given by their settings.
+func (e *Edge) serve(listeners map[string]*net.TCPListener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+e.deployment.ReadyPath, e.serveReadiness)
 	mux.HandleFunc("GET "+e.deployment.DirectoryPath, e.serveDirectory)
@@ -228,18 +238,14 @@
 	control.HandleFunc("GET /metrics", e.serveMetrics)
 	control.Handle("GET "+rolloutview.Pattern, rolloutview.Handler(e.rolloutStatus))
 	for _, x := range []struct {
-		address string
+		setting string
 		handler http.Handler
 		conns   *drain.Conns
 	}{
-		{e.settings.Front, e.proxy, &e.frontConns}, {e.settings.Ready, mux, &e.queryConns}, {e.settings.Directory, mux, &e.queryConns},
-		{e.settings.Control, control, &e.peerConns}, {e.settings.Peer, e.peerHandler(control), &e.peerConns},
+		{settingFront, e.proxy, &e.frontConns}, {settingReady, mux, &e.queryConns}, {settingDirectory, mux, &e.queryConns},
+		{settingControl, control, &e.peerConns}, {settingPeer, e.peerHandler(control), &e.peerConns},
 	} {
-		inner, err := net.Listen("tcp4", x.address)
-		if err != nil {
-			return errors.Annotatef(err, "listen on %s", x.address)
-		}
-		tcp := inner.(*net.TCPListener)
+		tcp := listeners[x.setting]
 		s := &http.Server{
 			Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout,
 			ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext,
@@ -257,7 +263,6 @@
 		e.servers = append(e.servers, s)
 		go func() { _ = s.Serve(l) }() // returns when the server is closed
 	}
-	return nil
 }
 
 // run starts the background loops.
--- a/process/edge/settings.go
+++ b/process/edge/settings.go
@@ -16,6 +16,7 @@
 	"shalewick/process/quarantine"
 	"shalewick/process/quota"
 	"shalewick/process/rollout"
+	"shalewick/process/startup"
 	"shalewick/process/state"
 	"shalewick/request"
 	"shalewick/version"
@@ -65,6 +66,29 @@
 	Rollouts rollout.Bounds
 	// LogLevel is the minimum level of log lines.
 	LogLevel string
+	// StartTimeout is how long a start waits until all addresses can be listened on.
+	StartTimeout time.Duration
+}
+
+// Names of the settings that hold addresses to listen on.
+const (
+	settingFront     = "front"
+	settingReady     = "ready"
+	settingDirectory = "directory"
+	settingControl   = "control"
+	settingPeer      = "peer"
+)
+
+// addresses returns the addresses to listen on, that of callers last: it is not opened while another one is not available.
+func (s *Settings) addresses() []startup.Address {
+	return []startup.Address{
+		{Setting: settingPeer, Network: "udp4", Address: s.Peer},
+		{Setting: settingPeer, Network: "tcp4", Address: s.Peer},
+		{Setting: settingControl, Network: "tcp4", Address: s.Control},
+		{Setting: settingDirectory, Network: "tcp4", Address: s.Directory},
+		{Setting: settingReady, Network: "tcp4", Address: s.Ready},
+		{Setting: settingFront, Network: "tcp4", Address: s.Front},
+	}
 }
 
 // minKillAfter is the shortest time in which a planned stop can be completed.
@@ -78,7 +102,7 @@
 		}
 	}
 	for _, a := range []struct{ name, value string }{
-		{"front", s.Front}, {"ready", s.Ready}, {"directory", s.Directory}, {"control", s.Control}, {"peer", s.Peer},
+		{settingFront, s.Front}, {settingReady, s.Ready}, {settingDirectory, s.Directory}, {settingControl, s.Control}, {settingPeer, s.Peer},
 	} {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			return errors.Errorf("%s: %q is not an IP address and port", a.name, a.value)
@@ -102,6 +126,9 @@
 	if b := s.Rollouts; !(b.Share >= 0 && b.Share <= 1) || !(b.Slack >= 0) || b.StopWithin < 0 {
 		return errors.New("rollout share: must be from 0 to 1, and slack and stop within must not be negative")
 	}
+	if err := startup.CheckTimeout(s.StartTimeout); err != nil {
+		return err
+	}
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
 		return errors.Errorf("log-level: %q is not one of debug, info, warn, error", s.LogLevel)
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -76,10 +76,16 @@
 	probeClient *http.Client
 }
 
-// Start validates the settings, opens the listeners and starts the background
-// loops. When it returns, the entry serves; it refuses requests until it has a
-// configuration version.
+// Start is StartContext without a context.
 func Start(s Settings, logTo io.Writer) (*Entry, error) {
+	return StartContext(context.Background(), s, logTo)
+}
+
+// StartContext validates the settings, opens the listeners, for at most
+// Settings.StartTimeout, and starts the background loops. When it returns, the
+// entry serves; it refuses requests until it has a configuration version. The
+// context ends the wait for the listeners only.
+func StartContext(ctx context.Context, s Settings, logTo io.Writer) (*Entry, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
@@ -106,15 +112,15 @@
 	if err := e.loadCredentials(); err != nil {
 		return nil, err
 	}
-	if err := e.listen(); err != nil {
+	if err := e.listen(ctx); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	loops, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	for _, loop := range []func(context.Context){
 		e.limitLoop, e.exchangeLoop, e.pushLoop, e.platformLoop, e.splitLoop, e.borrowLoop, e.probeLoop, e.tickLoop, e.routes.table.WatchLinks,
 	} {
-		e.loops.Go(func() { loop(ctx) })
+		e.loops.Go(func() { loop(loops) })
 	}
 	e.log.Info().Str("id", e.members.Self().GetId()).Str("front", s.Front).
 		Str("peer", s.Peer).Str("admin", s.Admin).Str("hall", s.Hall).Msg("started")
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -3,19 +3,20 @@
 package entry
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
 	"shalewick/process/drain"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
+	"shalewick/process/startup"
 )
 
 // Limits of the listeners for callers and operators.
@@ -27,35 +28,19 @@
 	maxHeaderBytes = 1 << 20
 )
 
-// listen opens all listeners and serves on them. If one can't be opened, it
-// closes the others.
-func (e *Entry) listen() error {
+// listen opens all listeners and serves on them.
+func (e *Entry) listen(ctx context.Context) error {
 	adminHandler, err := e.adminHandler()
 	if err != nil {
 		return err
 	}
-	var opened []net.Listener
-	open := func(flag, address string) net.Listener {
-		if err != nil {
-			return nil
-		}
-		var l net.Listener
-		l, err = net.Listen("tcp", address)
-		err = errors.Annotatef(err, "--%s", flag)
-		if err == nil {
-			opened = append(opened, l)
-		}
-		return l
-	}
-	frontListener := open("front", e.settings.Front)
-	peerListener := open("peer", e.settings.Peer)
-	adminListener := open("admin", e.settings.Admin)
+	start := e.now()
+	sockets, err := startup.Retrier{Timeout: e.settings.StartTimeout, Log: e.log}.Listen(ctx, e.settings.addresses())
 	if err != nil {
-		for _, l := range opened {
-			_ = l.Close() // the first error is returned
-		}
 		return err
 	}
+	e.metrics.Gauge("start_wait_ms").Update((e.now() - start).Milliseconds())
+	var adminListener net.Listener = sockets.TCP[flagAdmin]
 	options := []grpc.ServerOption{grpc.StatsHandler(e.peers.traffic)}
 	if e.identity != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.identity.ServerConfig(true))))
@@ -63,7 +48,7 @@
 	}
 	e.grpc = grpc.NewServer(options...)
 	peer.RegisterPeerServer(e.grpc, &peerServer{entry: e})
-	go func() { _ = e.grpc.Serve(peerListener) }() // ends when the entry stops
+	go func() { _ = e.grpc.Serve(sockets.TCP[flagPeer]) }() // ends when the entry stops
 	e.frontServer = e.newServer(http.HandlerFunc(e.serveCaller))
 	recordFirstByte := e.firstByteRecorder()
 	e.frontServer.ConnState = func(c net.Conn, state http.ConnState) {
@@ -71,7 +56,7 @@
 		recordFirstByte(c, state)
 	}
 	e.frontServer.ConnContext = e.frontConns.ConnContext
-	e.serveFront(frontListener.(*net.TCPListener))
+	e.serveFront(sockets.TCP[flagFront])
 	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
 }
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -12,6 +12,7 @@
 
 	"shalewick/process/front"
 	"shalewick/process/setting"
+	"shalewick/process/startup"
 )
 
 // Settings configure an entry. Start validates all of them first.
@@ -27,6 +28,9 @@
 	// lookups that callers have cached expire first.
 	Grace    time.Duration
 	LogLevel string
+	// StartTimeout is how long a start waits until all addresses can be
+	// listened on.
+	StartTimeout time.Duration
 
 	// WorkspaceTokens is the path of the workspace token file, see package auth.
 	WorkspaceTokens string
@@ -35,6 +39,23 @@
 	Cert, Key, Authority string
 }
 
+// Flags of the addresses to listen on.
+const (
+	flagFront = "front"
+	flagPeer  = "peer"
+	flagAdmin = "admin"
+)
+
+// addresses returns the addresses to listen on, that of callers last: it is not
+// opened while another one is not available.
+func (s *Settings) addresses() []startup.Address {
+	return []startup.Address{
+		{Setting: flagPeer, Network: "tcp", Address: s.Peer},
+		{Setting: flagAdmin, Network: "tcp", Address: s.Admin},
+		{Setting: flagFront, Network: "tcp", Address: s.Front},
+	}
+}
+
 // authenticated reports whether operators and instances must authenticate.
 func (s *Settings) authenticated() bool { return s.WorkspaceTokens != "" && s.Cert != "" }
 
@@ -49,8 +70,8 @@
 	if s.Hall == "" {
 		return errors.New("--hall: must be set")
 	}
-	for _, a := range []struct{ flag, value string }{{"front", s.Front}, {"peer", s.Peer}, {"admin", s.Admin}} {
-		if err := setting.CheckAddress(a.flag, a.value); err != nil {
+	for _, a := range s.addresses() {
+		if err := setting.CheckAddress(a.Setting, a.Address); err != nil {
 			return err
 		}
 	}
@@ -68,6 +89,9 @@
 	if s.Grace < 0 {
 		return errors.New("--grace: must not be negative")
 	}
+	if err := startup.CheckTimeout(s.StartTimeout); err != nil {
+		return err
+	}
 	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
 		return errors.Errorf("--log-level: %q is not one of debug, info, warn, error", s.LogLevel)
 	}
@@ -83,9 +107,9 @@
 	if s.authenticated() {
 		return nil
 	}
-	for _, a := range []struct{ flag, value string }{{"front", s.Front}, {"peer", s.Peer}, {"admin", s.Admin}} {
-		if ap, err := netip.ParseAddrPort(a.value); err == nil && !ap.Addr().IsLoopback() {
-			return errors.Errorf("--%s: %s is not loopback, which needs --workspace-tokens, --cert, --key and --authority", a.flag, a.value)
+	for _, a := range s.addresses() {
+		if ap, err := netip.ParseAddrPort(a.Address); err == nil && !ap.Addr().IsLoopback() {
+			return errors.Errorf("--%s: %s is not loopback, which needs --workspace-tokens, --cert, --key and --authority", a.Setting, a.Address)
 		}
 	}
 	return nil
--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -50,6 +50,13 @@
 	return len(p), nil
 }
 
+// WriteLast writes the last line of a process, for at most as long as Close waits.
+func WriteLast(out io.Writer, line string) {
+	a := NewAsyncWriter(out)
+	_, _ = a.Write([]byte(line + "\n")) // never fails
+	a.Close()
+}
+
 // Dropped returns the number of lines that were dropped.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
--- /dev/null
+++ b/process/startup/retry.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+
+package startup
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/pflag"
+
+	"shalewick/clock"
+)
+
+// DefaultTimeout is the default of Retrier.Timeout. A planned stop of the predecessor takes less.
+const DefaultTimeout = 10 * time.Second
+
+const (
+	retryInterval = 100 * time.Millisecond // between two attempts
+	logInterval   = time.Second            // between two log lines of one wait
+)
+
+// timeoutFlag is the name of the flag of Retrier.Timeout.
+const timeoutFlag = "start-timeout"
+
+// AddTimeoutFlag adds the flag of Retrier.Timeout to a command.
+func AddTimeoutFlag(f *pflag.FlagSet, timeout *time.Duration) {
+	f.DurationVar(timeout, timeoutFlag, DefaultTimeout,
+		"how long a start waits for what is not there yet, such as an address that another process still uses; 0: not at all")
+}
+
+// CheckTimeout checks the value of the flag.
+func CheckTimeout(timeout time.Duration) error {
+	if timeout < 0 {
+		return errors.Errorf("--%s: %s must not be negative", timeoutFlag, timeout)
+	}
+	return nil
+}
+
+// Retrier repeats a step of a start whose failure may be temporary.
+type Retrier struct {
+	Timeout time.Duration // how long it is repeated; zero: it is attempted once
+	Log     zerolog.Logger
+}
+
+// Run calls f until it succeeds or returns an error that is not temporary, for at most Timeout, and returns the last error. Each
+// second it logs what it waits for. If the context ends, its error is returned.
+func (r Retrier) Run(ctx context.Context, step string, temporary func(error) bool, f func() error) error {
+	start, logged := time.Now(), time.Time{}
+	for attempts := 1; ; attempts++ {
+		if ctx.Err() != nil {
+			r.Log.Info().Str("step", step).Dur("waited", time.Since(start)).Msg("start-canceled")
+			return ctx.Err()
+		}
+		err := f()
+		waited := time.Since(start)
+		if err == nil {
+			if attempts > 1 {
+				r.Log.Info().Str("step", step).Dur("waited", waited).Int("attempts", attempts).Msg("start-continued")
+			}
+			return nil
+		}
+		if !temporary(err) {
+			return err
+		}
+		if waited >= r.Timeout {
+			return errors.Annotatef(err, "start not completed within %s (--%s)", r.Timeout, timeoutFlag)
+		}
+		if time.Since(logged) >= logInterval {
+			logged = time.Now()
+			r.Log.Warn().Err(err).Str("step", step).Dur("waited", waited).Dur("timeout", r.Timeout).Msg("start-waiting")
+		}
+		clock.Sleep(ctx, min(retryInterval, r.Timeout-waited))
+	}
+}
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -151,3 +151,15 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// AwaitExit waits until the process ends, and returns its exit code; -1 if a signal has ended it. The test fails if it
+// doesn't end within the limit.
+func (p *Process) AwaitExit(t testing.TB, limit time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(limit):
+		t.Fatalf("the process has not ended within %s", limit)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
