drain, edge, entry: bound the memory of request heads

What callers saw: an instance that was killed for its memory, with all requests that it had read, since callers sent request heads without end or held many that were not complete.

Cause: the HTTP servers read a head of up to 1 MB before any limit on requests applies, as many at once as there are connections. Lines of a few bytes take many times their bytes, as each becomes an entry of a map.

Fix: a head may have 128 KiB (the proxy still answers 431 above the operator's limit), and all heads that are being read share an eighth of the memory, with 200 bytes for each line. Beyond it those connections are ended that have read most, of the address that holds the most. `shalewick entry` has the same with 64 MB.

--- a/process/drain/conns.go
+++ b/process/drain/conns.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,7 @@
 	stateServing     // the handler has the request
 	stateServingNext // as stateServing, and the next request has been read in part
 	stateAnswered    // a response has been sent; the next request may have been read together with the one before
-	stateEnded       // ended by EndIdle or Refuse
+	stateEnded       // ended by EndIdle, Refuse or a HeadBudget
 )
 
 // serving reports whether a request is served or its response is being sent.
@@ -34,6 +35,9 @@
 
 // Conns holds the open connections of an HTTP server. The zero value is ready for use.
 type Conns struct {
+	// Heads, if set before use, bounds the memory of the heads that are being read.
+	Heads *HeadBudget
+
 	mu    sync.Mutex
 	conns map[*trackedConn]struct{}
 }
@@ -48,12 +52,20 @@
 	since    atomic.Int64            // when it was opened, or the request in stateReading began; Unix time in nanoseconds
 	// refusing is held while Refuse ends the connection.
 	refusing sync.Mutex
+
+	heads        *HeadBudget // nil: unlimited
+	caller       netip.Addr
+	head         int64       // memory of the head in stateReading, in bytes; guarded by heads.mu
+	headRejected atomic.Bool // the next Read in stateReading ends the connection; written with heads.mu held
 }
 
 // Track returns a connection that is to be used in place of c. The ConnState hook of its server must be
 // OnStateChange.
 func (s *Conns) Track(c *net.TCPConn) net.Conn {
-	t := &trackedConn{TCPConn: c, opened: time.Now()}
+	t := &trackedConn{TCPConn: c, opened: time.Now(), heads: s.Heads}
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		t.caller = a.AddrPort().Addr()
+	}
 	t.since.Store(t.opened.UnixNano())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,7 +83,8 @@
 		return
 	}
 	switch to {
-	case http.StateActive:
+	case http.StateActive: // the head is complete, or can't be read
+		t.heads.release(t)
 		if !t.move(stateReading, stateServing) && t.move(stateAnswered, stateServing) {
 			t.requests.Add(1)
 		}
@@ -82,6 +95,7 @@
 			t.requests.Add(1)
 		}
 	case http.StateClosed, http.StateHijacked:
+		t.heads.release(t)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, t)
@@ -95,8 +109,14 @@
 // Read reads from the connection. What arrives at a connection that has been ended is dropped.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	t.move(stateAnswered, stateIdle) // the server reads only if it has no request
+	if t.headRejected.Load() {       // the server may have replaced the deadline that wakes it
+		return 0, t.endHead()
+	}
 	n, err := t.TCPConn.Read(p)
 	if n == 0 {
+		if t.headRejected.Load() {
+			return 0, t.endHead()
+		}
 		return n, err
 	}
 	switch state(t.state.Load()) {
@@ -111,6 +131,9 @@
 			return 0, errEnded
 		}
 		t.requests.Add(1)
+		return t.readHead(p[:n], err)
+	case stateReading:
+		return t.readHead(p[:n], err)
 	case stateEnded:
 		return 0, errEnded
 	}
--- a/process/drain/doc.go
+++ b/process/drain/doc.go
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: MIT
 
 /*
-Package drain ends the connections of an HTTP server in a planned stop without losing requests.
+Package drain ends the connections of an HTTP server without losing requests: in a planned stop, and if request heads take
+too much memory.
 
 	server.ConnState = conns.OnStateChange
 	server.ConnContext = conns.ConnContext // if its handler tracks requests with Request
@@ -18,6 +19,9 @@
 connection, between the read of its first byte and the end of the connection. net/http has no such order:
 http.Server.Shutdown drops requests that it has read, and http.Server.Close also those that run.
 
+A HeadBudget bounds the memory of request heads: a server reads them before any limit on requests applies. It ends
+connections while they read, so that no request with a complete head is lost.
+
 Stop logs the steps of a stop, and each Request whose connection it closes.
 */
 package drain
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -59,6 +59,9 @@
 // for garbage.
 const bufferMemoryDivisor = 5
 
+// headMemoryDivisor divides an instance's memory: the quotient may be taken by request heads that are being read.
+const headMemoryDivisor = 8
+
 // Edge is a running instance.
 type Edge struct {
 	settings        Settings
@@ -102,12 +105,13 @@
 	skipped       map[string]string // reasons of the rows that cannot be used at present, by key; guarded by compileMu
 	// skippedCounts holds the numbers of such rows by reason; guarded by compileMu.
 	skippedCounts    map[string]int64
-	expiredRowsTimer *time.Timer      // recompiles when expired rows are dropped; guarded by compileMu
-	quarantineTimer  *time.Timer      // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
-	frontListener    *limitedListener // for clients' requests
-	frontConns       drain.Conns      // of clients with requests
-	queryConns       drain.Conns      // of clients that query the directory, and of readiness checks
-	peerConns        drain.Conns      // of other instances
+	expiredRowsTimer *time.Timer       // recompiles when expired rows are dropped; guarded by compileMu
+	quarantineTimer  *time.Timer       // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
+	frontListener    *limitedListener  // for clients' requests
+	frontConns       drain.Conns       // of clients with requests
+	queryConns       drain.Conns       // of clients that query the directory, and of readiness checks
+	peerConns        drain.Conns       // of other instances
+	heads            *drain.HeadBudget // of all connections; nil: unlimited
 	servers          []*http.Server
 	cancel           context.CancelFunc
 	loops            sync.WaitGroup
@@ -214,6 +218,10 @@
 			Fixed: e.settings.RetryFixed * retryFixedShare, Instances: e.members.Count,
 		},
 	}
+	if e.settings.Memory > 0 {
+		e.heads = &drain.HeadBudget{Limit: e.settings.Memory / headMemoryDivisor, Response: e.proxy.MemoryFullResponse(), Log: e.log, Metrics: e.metrics}
+	}
+	e.frontConns.Heads, e.queryConns.Heads, e.peerConns.Heads = e.heads, e.heads, e.heads
 }
 
 // listen opens the listeners and serves them.
@@ -241,7 +249,7 @@
 		}
 		tcp := inner.(*net.TCPListener)
 		s := &http.Server{
-			Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout,
+			Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: drain.MaxHeadBytes,
 			ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext,
 		}
 		var l net.Listener = drain.Listener{TCPListener: tcp, Conns: x.conns}
@@ -294,6 +302,7 @@
 	for _, k := range []held.Kind{held.Requests, held.Bodies, held.Responses} {
 		e.metrics.Gauge("held_bytes{kind=" + strconv.Quote(k.String()) + "}").Update(e.memoryBudget.Held(k))
 	}
+	e.metrics.Gauge("head_bytes").Update(e.heads.Held())
 	e.metrics.Gauge("requests_running").Update(e.proxy.InFlight())
 	e.metrics.Gauge("requests_quarantined").Update(int64(e.quarantine.Count()))
 	e.metrics.Gauge("rollouts_running").Update(e.rolloutState.running.Load())
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -22,9 +22,8 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes is the limit of the HTTP server. Package front refuses
-	// smaller headers with a result.
-	maxHeaderBytes = 1 << 20
+	// headMemory is the memory in bytes that request heads of callers may take while they are being read.
+	headMemory = 64 << 20
 )
 
 // listen opens all listeners and serves on them. If one can't be opened, it
@@ -71,6 +70,7 @@
 		recordFirstByte(c, state)
 	}
 	e.frontServer.ConnContext = e.frontConns.ConnContext
+	e.frontConns.Heads = &drain.HeadBudget{Limit: headMemory, Response: e.routes.proxy.MemoryFullResponse(), Log: e.log, Metrics: e.metrics}
 	e.serveFront(frontListener.(*net.TCPListener))
 	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
@@ -102,7 +102,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    drain.MaxHeadBytes,
 	}
 	e.servers = append(e.servers, s)
 	return s
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -139,7 +139,17 @@
 // LeavingResponse returns a response that rejects a request of which only a part has been read, since the process
 // stops. The response must end its connection.
 func (p *Proxy) LeavingResponse() []byte {
-	res := notRun(request.Leaving, minRetryAfter)
+	return unavailableResponse(notRun(request.Leaving, minRetryAfter))
+}
+
+// MemoryFullResponse returns a response that rejects a request of which only a part has been read, for lack of
+// memory. The response must end its connection.
+func (p *Proxy) MemoryFullResponse() []byte {
+	return unavailableResponse(notRun(request.MemoryFull, memoryRetryAfter))
+}
+
+// unavailableResponse returns a response with status 503 that ends its connection.
+func unavailableResponse(res *request.Result) []byte {
 	h := http.Header{"Connection": {"close"}, "Content-Length": {"0"}}
 	h.Set(request.HeaderResult, res.Code.String())
 	h.Set(request.HeaderRan, string(res.Ran))
