--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -23,9 +23,8 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes is the limit of the HTTP server. Package front refuses
-	// smaller headers with a result.
-	maxHeaderBytes = 1 << 20
+	// headMemory is the memory in bytes that request heads of callers may take while they are being read.
+	headMemory = 64 << 20
 )
 
 // listen opens all listeners and serves on them.
@@ -56,6 +55,7 @@
 		recordFirstByte(c, state)
 	}
 	e.frontServer.ConnContext = e.frontConns.ConnContext
+	e.frontConns.Heads = &drain.HeadBudget{Limit: headMemory, Response: e.routes.proxy.MemoryFullResponse(), Log: e.log, Metrics: e.metrics}
 	e.serveFront(sockets.TCP[flagFront])
 	e.serve(e.newServer(adminHandler), adminListener)
 	return nil
@@ -87,7 +87,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    drain.MaxHeadBytes,
 	}
 	e.servers = append(e.servers, s)
 	return s
