--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/juju/errors"
 )
@@ -18,8 +19,9 @@
 	portTries = 100
 )
 
-// Ports allocates addresses, each of them once. The zero value is ready to use.
+// Ports allocates addresses, each of them once. The zero value is ready to use, by several goroutines at once.
 type Ports struct {
+	mu   sync.Mutex
 	next int
 }
 
@@ -31,6 +33,8 @@
 
 // AllocateAt returns n addresses at an IP address with consecutive ports on which nothing listens.
 func (p *Ports) AllocateAt(ip netip.Addr, n int) ([]netip.AddrPort, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.next == 0 {
 		p.next = firstPort + rand.IntN(lastPort-firstPort)
 	}
