conn: the head of a response is limited

Callers lost all requests of an instance at once when a backend server sent the head of a response without an end: the instance exceeded its memory and was killed, and its next process met the same.

Cause: http.ReadResponse reads a head without a limit, and the pool called it on the connection in three places. The deadline of the request was the only end. The same pool carries forwarded requests and those of `shalewick entry`. The trailer of a chunked body is limited by net/http to the size of the buffer, but not in lines, and parsing many short ones costs a multiple of their bytes.

Now one function reads all heads. It waits until the whole head is in the buffer that the connection has anyway, and parses it from there: 16 KiB for the interim responses and the final head together, and 100 header lines. Interim responses are dropped unparsed. The chunked body is read by net/http's reader of chunks, and its trailer by the same function. What can't become a head ends the wait at once, as before.

The limit is one on the buffer and not on the reader, as http.Transport does it, since then parsing can't wait and a head that arrives in many pieces is searched once.

--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -95,10 +95,7 @@
 		ex.Close()
 		return nil, &DispatchError{Sent: sent, Err: err}
 	}
-	res, err := http.ReadResponse(conn.r, req)
-	for err == nil && res.StatusCode/100 == 1 {
-		res, err = http.ReadResponse(conn.r, req)
-	}
+	res, err := conn.readResponse(req)
 	if err != nil {
 		// If Allowed withheld the body, its sender has interrupted the read. No byte was sent, and
 		// none will be, since the connection is closed.
@@ -116,14 +113,18 @@
 // SkipResponse discards the current response, which belongs to another request, and reads the next
 // one on the same connection. On error the exchange must be closed.
 func (ex *Exchange) SkipResponse(req *http.Request) error {
-	if _, err := io.CopyN(io.Discard, ex.Response.Body, maxSkippedBytes); err != io.EOF {
+	_, err := io.CopyN(io.Discard, ex.Response.Body, maxSkippedBytes)
+	if err == nil {
 		return errors.New("the response to another request is too long")
 	}
+	if err != io.EOF {
+		return errors.Annotate(err, "read response to another request")
+	}
 	ex.complete = false
 	if ex.Response.Close {
 		return errors.New("the connection ends after the response to another request")
 	}
-	res, err := http.ReadResponse(ex.conn.r, req)
+	res, err := ex.conn.readResponse(req)
 	if err != nil {
 		return errors.Annotate(err, "read response after that to another request")
 	}
--- /dev/null
+++ b/conn/head.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// MaxHeadBytes is the maximum size of the head of a response in bytes, with those of the interim responses before
+	// it. A trailer may have as many.
+	MaxHeadBytes = bufferSize
+	// MaxHeadLines is the maximum number of header lines of a head or trailer.
+	MaxHeadLines = 100
+)
+
+// ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines.
+const ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
+
+// readResponse reads the head of the response to req. It skips interim responses. The error is ErrHeadTooLarge if a
+// limit is exceeded.
+func (c *pooledConn) readResponse(req *http.Request) (*http.Response, error) {
+	for left := MaxHeadBytes; ; {
+		size, err := c.awaitHead(&headScanner{statusLine: true}, left)
+		if err != nil {
+			return nil, err
+		}
+		left -= size
+		head, err := c.r.Peek(size)
+		if err != nil {
+			return nil, err
+		}
+		if isInterim(head) {
+			_, _ = c.r.Discard(size) // can't fail, since it is buffered
+			continue
+		}
+		res, err := http.ReadResponse(c.r, req)
+		if err != nil {
+			return nil, err
+		}
+		if len(res.TransferEncoding) > 0 && res.Body != http.NoBody {
+			res.Body = &chunkedBody{conn: c, chunks: httputil.NewChunkedReader(c.r)}
+		}
+		return res, nil
+	}
+}
+
+// awaitHead waits until the buffer holds a whole head of at most limit bytes, and returns its size. So parsing it reads
+// nothing from the connection.
+func (c *pooledConn) awaitHead(s *headScanner, limit int) (size int, err error) {
+	for {
+		buffered, err := c.r.Peek(c.r.Buffered())
+		if err != nil {
+			return 0, err
+		}
+		size, err := s.scan(buffered[:min(len(buffered), limit)])
+		if size > 0 || err != nil {
+			return size, err
+		}
+		if len(buffered) >= limit {
+			return 0, errors.Annotatef(ErrHeadTooLarge, "%d bytes without an end", limit)
+		}
+		if _, err := c.r.Peek(len(buffered) + 1); err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return 0, err
+		}
+	}
+}
+
+// isInterim reports whether a head is that of an interim response (1xx). These are not parsed any further.
+func isInterim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte{' '})
+	status = bytes.TrimLeft(status, " ")
+	return len(status) > 3 && status[0] == '1' && bytes.IndexByte([]byte(" \r\n"), status[3]) >= 0
+}
+
+// headScanner searches for the end of a head, of which it is passed ever more bytes.
+type headScanner struct {
+	statusLine bool // the status line is still to come
+	lines      int  // header lines that were seen
+	start      int  // of the first line that is not complete
+	searched   int  // bytes after which the search continues
+}
+
+var statusLinePrefix = []byte("HTTP/")
+
+// scan returns the size of the head that b begins with, or zero if b does not contain its end. It fails as soon as b
+// can't be the beginning of a head, so that nobody waits for the end of bytes that are no response.
+func (s *headScanner) scan(b []byte) (size int, err error) {
+	if n := min(len(b), len(statusLinePrefix)); s.statusLine && !bytes.Equal(b[:n], statusLinePrefix[:n]) {
+		return 0, errors.Errorf("malformed status line %.40q", b)
+	}
+	for {
+		n := bytes.IndexByte(b[s.searched:], '\n')
+		if n < 0 {
+			s.searched = len(b)
+			return 0, nil
+		}
+		end := s.searched + n
+		line := bytes.TrimSuffix(b[s.start:end], []byte{'\r'})
+		s.start, s.searched = end+1, end+1
+		if len(line) == 0 {
+			return s.start, nil
+		}
+		if err := s.check(line); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// check checks a line that is not empty.
+func (s *headScanner) check(line []byte) error {
+	if s.statusLine {
+		s.statusLine = false
+		return nil
+	}
+	s.lines++
+	if s.lines > MaxHeadLines {
+		return errors.Annotatef(ErrHeadTooLarge, "more than %d lines", MaxHeadLines)
+	}
+	continued := line[0] == ' ' || line[0] == '\t'
+	if !continued && bytes.IndexByte(line, ':') <= 0 {
+		return errors.Errorf("malformed header line %.40q", line)
+	}
+	return nil
+}
+
+// chunkedBody reads a chunked body. Unlike the body of http.ReadResponse it limits the lines of the trailer, which it
+// discards.
+type chunkedBody struct {
+	conn   *pooledConn
+	chunks io.Reader
+	err    error // ended the body
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (n int, err error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, b.err = b.chunks.Read(p)
+	if b.err == io.EOF {
+		if err := b.conn.skipTrailer(); err != nil {
+			b.err = err
+		}
+	}
+	return n, b.err
+}
+
+// Close implements io.Closer. The exchange closes the connection.
+func (b *chunkedBody) Close() error { return nil }
+
+// skipTrailer reads the trailer of a chunked body, which may be empty.
+func (c *pooledConn) skipTrailer() error {
+	if _, err := c.awaitHead(&headScanner{}, MaxHeadBytes); err != nil {
+		return errors.Annotate(err, "read trailer")
+	}
+	_, err := textproto.NewReader(c.r).ReadMIMEHeader()
+	return errors.Annotate(err, "read trailer")
+}
--- a/process/front/peer_test.go
+++ b/process/front/peer_test.go
@@ -18,11 +18,16 @@
 // newForwardFixtures returns a front whose backend server can't be reached, and others that it forwards
 // requests to.
 func newForwardFixtures(t *testing.T, others int) (f *fixture, helpers []*fixture) {
-	f = newFixture(t)
-	f.breakLinks()
 	for range others {
 		helpers = append(helpers, newFixture(t))
 	}
+	return newForwardFixtureTo(t, helpers...), helpers
+}
+
+// newForwardFixtureTo returns a front whose backend server can't be reached, and that forwards requests to others.
+func newForwardFixtureTo(t *testing.T, helpers ...*fixture) *fixture {
+	f := newFixture(t)
+	f.breakLinks()
 	f.front.Forward = &forward.Targets{
 		Now: f.front.Now, Self: "m", Region: func() string { return "north" },
 		List: func() (out []forward.Instance) {
@@ -34,7 +39,7 @@
 		},
 		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a} },
 	}
-	return f, helpers
+	return f
 }
 
 // breakLinks makes connections to the backend server fail.
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -41,6 +41,14 @@
 	r.pick.Release()
 }
 
+// sender returns the name of the backend server, or of the instance that the request was forwarded to.
+func (r *response) sender() string {
+	if r.forwarded != nil {
+		return r.forwarded.Name
+	}
+	return r.pick.Name
+}
+
 // transaction runs the attempts of one request.
 type transaction struct {
 	p     *Proxy
