--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -6,10 +6,13 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -121,6 +124,24 @@
 // Signal sends a signal. It does nothing if the process has ended.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// HandlesHangup reports whether the process ignores or handles SIGHUP. It does neither before its program is loaded.
+func (p *Process) HandlesHangup(t testing.TB) bool {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	assert.Check(t, err == nil || errors.Is(err, os.ErrNotExist), "%v", err)
+	for _, line := range strings.Split(string(b), "\n") {
+		name, mask, _ := strings.Cut(line, ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		signals, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
+		assert.Check(t, err)
+		if signals>>(syscall.SIGHUP-1)&1 == 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Suspend stops the process with SIGSTOP until Resume.
 func (p *Process) Suspend() { p.Signal(syscall.SIGSTOP) }
 
