--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"runtime/debug"
@@ -104,13 +105,16 @@
 }
 
 func run(ctx context.Context, path, level, source string, startTimeout time.Duration, received signals) error {
-	live, err := platform.LoadSettingsFile(path)
-	if err != nil {
-		return err
-	}
 	out := logging.NewAsyncWriter(os.Stdout)
 	defer out.Close()
 	logging.RedirectStandardLog(out)
+	live, err := loadSettings(ctx, path, startTimeout, out)
+	if errors.Is(err, context.Canceled) {
+		return nil // there is nothing to stop yet
+	}
+	if err != nil {
+		return err
+	}
 	settings := live.Settings().Edge()
 	settings.LogLevel, settings.StartTimeout = level, startTimeout
 	if err := setSource(&settings, source); err != nil {
@@ -134,6 +138,16 @@
 	return nil
 }
 
+// loadSettings reads the settings file. If that can't be read, or is not complete, it is read again for at most timeout: the platform may
+// be writing it.
+func loadSettings(ctx context.Context, path string, timeout time.Duration, logTo io.Writer) (live *platform.SettingsFile, err error) {
+	err = startup.Retrier{Timeout: timeout, Log: logging.New(logTo)}.Run(ctx, "settings", platform.IsIncomplete, func() (err error) {
+		live, err = platform.LoadSettingsFile(path)
+		return err
+	})
+	return live, err
+}
+
 // reloadSettings reloads the settings on SIGHUP and whenever the file has changed, until the context ends. Reading the
 // file may take any time.
 func reloadSettings(ctx context.Context, live *platform.SettingsFile, e *edge.Edge, reload <-chan os.Signal) {
