proxy: charge requests in flight for the memory of large heads

What callers saw: an instance near its memory limit since callers held requests in flight whose heads have many short lines, all within the operator's limit.

Cause: a request is charged 64 KiB, its head included, but a line of a few bytes takes some 200 bytes as an entry of a map, and again in the copy for a backend server. A head of 16 kB with 2,700 lines takes over half a megabyte.

Evidence: TestLargeHeadsAreChargedForTheirMemory failed before (64 KiB held for a head of 500 lines).

Fix: what a head takes above 16 KiB is reserved from the lease beside the fixed costs, by the same rules as bodies: a quarter of the budget stays free for requests with normal heads, and one owner may hold an eighth of what is free.

--- a/process/proxy/held.go
+++ b/process/proxy/held.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"shalewick/conn"
+	"shalewick/process/drain"
 	"shalewick/process/held"
 	"shalewick/request"
 )
@@ -29,10 +30,31 @@
 	if !ok {
 		return notRun(request.MemoryFull, memoryRetryAfter+rand.N(memoryRetryAfter))
 	}
+	if n := excessHeadMemory(c.r); n > 0 && !lease.Grow(held.Requests, n) {
+		lease.End()
+		return notRun(request.MemoryFull, memoryRetryAfter+rand.N(memoryRetryAfter))
+	}
 	c.lease = lease
 	return nil
 }
 
+const (
+	// includedHeadMemory is the memory of a head, in bytes, that held.RequestOverhead includes.
+	includedHeadMemory = 16 << 10
+	// headerCopies is the number of header maps of a request: that of the caller, and that for the backend server, which
+	// shares its strings.
+	headerCopies = 2
+)
+
+// excessHeadMemory returns by how many bytes the memory of a head exceeds includedHeadMemory.
+func excessHeadMemory(r *http.Request) int64 {
+	lines := 0
+	for _, values := range r.Header {
+		lines += len(values)
+	}
+	return max(0, headerSize(r)+headerCopies*drain.HeaderLineOverhead*int64(lines)-includedHeadMemory)
+}
+
 // memoryOwner returns the owner that the request's memory is charged to: its workspace, or else its
 // caller's address.
 func (c *call) memoryOwner() string {
--- a/process/proxy/held_test.go
+++ b/process/proxy/held_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shalewick/process/drain"
 	"shalewick/process/held"
 	"shalewick/process/logging"
 	"shalewick/request"
@@ -164,3 +165,29 @@
 	assert.NilError(t, err)
 	assert.Equal(t, res.StatusCode, http.StatusNotFound)
 }
+
+// TestLargeHeadsAreChargedForTheirMemory guards against requests in flight whose heads take far more memory than a request is
+// charged for: lines of a few bytes, each of which is an entry of a map.
+func TestLargeHeadsAreChargedForTheirMemory(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, 1)
+	b := f.limitMemory(100)
+	const lines = 500
+	var head strings.Builder
+	fmt.Fprintf(&head, "POST /reads/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5")
+	for i := range lines {
+		fmt.Fprintf(&head, "\r\n%x:", i)
+	}
+	slow := f.openSlowCaller(head.String(), "")
+	eventually(t, "the head is charged for", func() bool { return b.Held(held.Requests) >= held.RequestOverhead+lines*drain.HeaderLineOverhead })
+	_, err := http.ReadResponse(slow.r, nil)
+	assert.NilError(t, err)
+	eventually(t, "all memory is released", func() bool { return b.Held(held.Requests) == 0 })
+
+	f.limitMemory(2) // enough for a request, not for the head
+	res, err := http.ReadResponse(f.openSlowCaller(head.String(), "").r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Header.Get(request.HeaderResult), request.MemoryFull.String())
+	assert.Equal(t, res.Header.Get(request.HeaderRan), string(request.RanNo))
+	f.assertServed(f.send("small", "/reads/2", ""), "small")
+}
