logging: bound the bytes of queued log lines

What callers saw: nothing yet; found while looking for what else is kept without a bound. Cause: the queue of a log whose reader has stalled holds up to 1,024 lines of any length, and lines contain what callers send, as the ids of requests.

Evidence: TestLongLinesOfAStalledLogTakeLittleMemory without the bound: 104,857,600 bytes of lines of 100 KiB are queued. With it at most 1 MB; further lines are dropped and counted as those that find the queue full.

--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -13,6 +13,8 @@
 const (
 	// maxQueuedLines is the maximum number of lines that wait to be written.
 	maxQueuedLines = 1024
+	// maxQueuedBytes is the maximum length of these lines together.
+	maxQueuedBytes = 1 << 20
 	// closeTimeout bounds the wait until the queued lines are written, so that a reader of the log that has stalled
 	// doesn't delay the end of the process.
 	closeTimeout = 100 * time.Millisecond
@@ -21,11 +23,12 @@
 // AsyncWriter is a writer that never blocks its caller. Lines that find the queue full or cannot be written are
 // dropped and counted. The first line after some were dropped is followed by one with their number.
 type AsyncWriter struct {
-	out     io.Writer
-	lines   chan []byte
-	closing chan struct{}
-	done    chan struct{}
-	dropped atomic.Int64
+	out         io.Writer
+	lines       chan []byte
+	queuedBytes atomic.Int64 // of the lines that wait or are being written
+	closing     chan struct{}
+	done        chan struct{}
+	dropped     atomic.Int64
 }
 
 // NewAsyncWriter returns a writer that writes lines to out in a separate goroutine.
@@ -41,15 +44,26 @@
 
 // Write queues one line. It copies the line and never fails.
 func (a *AsyncWriter) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
-	select {
-	case a.lines <- line:
-	default:
+	if !a.enqueue(p) {
 		a.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// enqueue copies a line to the queue. It returns false if the queue is full.
+func (a *AsyncWriter) enqueue(p []byte) bool {
+	size := int64(len(p))
+	if a.queuedBytes.Add(size) <= maxQueuedBytes {
+		select {
+		case a.lines <- append([]byte(nil), p...):
+			return true
+		default:
+		}
+	}
+	a.queuedBytes.Add(-size)
+	return false
+}
+
 // Dropped returns the number of lines that were dropped.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
@@ -58,6 +72,7 @@
 	log := New(a.out)
 	reported := int64(0)
 	write := func(line []byte) {
+		defer a.queuedBytes.Add(-int64(len(line)))
 		if _, err := a.out.Write(line); err != nil {
 			a.dropped.Add(1) // the gauge tells it: there is no log to report it to
 			return
--- a/process/logging/async_test.go
+++ b/process/logging/async_test.go
@@ -63,3 +63,35 @@
 	assert.Equal(t, strings.Count(out.String(), "kept"), 2)
 	assert.Equal(t, strings.Count(out.String(), "event=log-lines-dropped lines=3"), 1, out.String())
 }
+
+// blockedWriter is a writer whose writes wait until it is released.
+type blockedWriter struct {
+	bytes.Buffer
+	released chan struct{}
+}
+
+func (b *blockedWriter) Write(p []byte) (int, error) {
+	<-b.released
+	return b.Buffer.Write(p)
+}
+
+// TestLongLinesOfAStalledLogTakeLittleMemory guards against a log whose reader has stalled and that queues lines of any length:
+// they contain what callers send, as the ids of their requests.
+func TestLongLinesOfAStalledLogTakeLittleMemory(t *testing.T) {
+	const lineBytes = 100 << 10
+	out := &blockedWriter{released: make(chan struct{})}
+	a := NewAsyncWriter(out)
+	line := append(bytes.Repeat([]byte("x"), lineBytes-1), '\n')
+	for range maxQueuedLines {
+		_, _ = a.Write(line)
+	}
+	queued := (maxQueuedLines - a.Dropped()) * lineBytes
+	assert.Assert(t, queued > 0 && queued <= maxQueuedBytes, "%d bytes", queued)
+	close(out.released)
+	for a.queuedBytes.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, _ = a.Write([]byte("short\n"))
+	a.Close()
+	assert.Equal(t, strings.Count(out.String(), "short\n"), 1)
+}
