config, entry: an odd row among the changes no longer stops an instance

Callers of `shalewick entry` got UNCONFIRMED from an instance once another writer had left one odd row in the table of changes, damaged a change that the instance had not read yet, or the head: CatchUp returned an error at each poll, so nothing was confirmed, the split and the members behind it were not read, and no later version was followed. An instance that started with an odd row in an empty table never got a version. A row under the key of the next change made all commits fail ("too many changes at once").

Rows whose key is not that of an accepted change are skipped. The head alone decides whether a change is accepted, so a row under its key is replaced. Each such row is logged once (row-skipped) and counted (rows_skipped_total{table,reason}, configuration_unreadable). An unreadable split still confirms nothing, since the owners of the tokens are unknown then.

--- a/process/config/commit.go
+++ b/process/config/commit.go
@@ -6,11 +6,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 
 	"shalewick/process/platform"
+	"shalewick/process/state"
 	"shalewick/version"
 )
 
@@ -34,12 +36,43 @@
 type Log struct {
 	Platform platform.Platform
 	Store    *Store
+	// OnUnreadable, if set, is called whenever a row or object was read that can't be used.
+	OnUnreadable func(*state.RowError)
 }
 
+// ErrUnreadable is returned while a row or object of the configuration can't be used. The last valid
+// version stays in force.
+const ErrUnreadable = errors.ConstError("a row or object of the configuration can't be used")
+
+// Reasons why a row or object can't be used.
+const (
+	reasonUnreadable = "unreadable" // it has another format
+	reasonMissing    = "missing"    // the object does not exist
+	reasonKey        = "key"        // the key is not a sequence number
+	reasonSequence   = "sequence"   // it contains another version than its key says
+	reasonInvalid    = "invalid"    // the resulting configuration violates a rule
+)
+
 func changeKey(seq int64) string { return fmt.Sprintf("%020d", seq) }
 
+// parseChangeKey returns the sequence number in the key of a change's row. The bool is false for
+// the key of another row.
+func parseChangeKey(key string) (seq int64, ok bool) {
+	seq, err := strconv.ParseInt(key, 10, 64)
+	return seq, err == nil && key == changeKey(seq)
+}
+
 func snapshotName(seq int64) string { return fmt.Sprintf("config-%020d", seq) }
 
+// unreadable reports a row or object that can't be used, and returns its error.
+func (l *Log) unreadable(key, reason string, err error) error {
+	rowErr := &state.RowError{Key: key, Reason: reason, Err: err}
+	if l.OnUnreadable != nil {
+		l.OnUnreadable(rowErr)
+	}
+	return errors.WithType(rowErr, ErrUnreadable)
+}
+
 // readHead returns the head row and its revision, which is 0 if there is no row yet.
 func (l *Log) readHead(ctx context.Context) (head, int64, error) {
 	var h head
@@ -51,14 +84,15 @@
 		return h, 0, errors.Annotate(err, "read head")
 	}
 	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return h, 0, errors.Annotate(err, "read head")
+		return head{}, 0, l.unreadable(keyHead, reasonUnreadable, err)
 	}
 	return h, row.Revision, nil
 }
 
 // CatchUp applies everything in the platform that is newer than the version in force.
 // If it succeeds, the version in force is at least the platform's at the time of the
-// call.
+// call. The error is ErrUnreadable if a newer version can't be read: the versions before
+// it are in force then, and later ones once a snapshot or a peer provides them.
 func (l *Log) CatchUp(ctx context.Context) error {
 	_, _, err := l.catchUp(ctx)
 	return err
@@ -73,52 +107,89 @@
 	if ok && seq >= h.Seq {
 		return h, revision, nil
 	}
+	var snapshotErr error
 	if h.Snapshot > seq {
-		if err := l.readSnapshot(ctx, h.Snapshot); err != nil {
-			return h, 0, err
+		// The changes since the previous snapshot are kept, so that an unreadable snapshot may not
+		// be needed.
+		if snapshotErr = l.readSnapshot(ctx, h.Snapshot); snapshotErr != nil && !errors.Is(snapshotErr, ErrUnreadable) {
+			return h, 0, snapshotErr
 		}
 	}
-	if err := l.readChanges(ctx); err != nil {
+	if err := l.readChanges(ctx, h.Seq); err != nil {
 		return h, 0, err
 	}
 	if !ok && h.Seq == 0 {
 		return h, revision, l.Store.AdoptSnapshot(&version.Config{})
 	}
 	if seq, _, _ := l.Store.InForce(); seq < h.Seq {
+		if snapshotErr != nil {
+			return h, 0, snapshotErr
+		}
 		return h, 0, errors.Errorf("changes %d to %d are missing in the platform", seq+1, h.Seq)
 	}
 	return h, revision, nil
 }
 
 func (l *Log) readSnapshot(ctx context.Context, seq int64) error {
-	b, err := l.Platform.GetObject(ctx, snapshotName(seq))
+	name := snapshotName(seq)
+	b, err := l.Platform.GetObject(ctx, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return l.unreadable(name, reasonMissing, err)
+	}
 	if err != nil {
 		return errors.Annotate(err, "read snapshot")
 	}
 	var s version.Snapshot
 	if err := json.Unmarshal(b, &s); err != nil {
-		return errors.Annotate(err, "read snapshot")
+		return l.unreadable(name, reasonUnreadable, err)
 	}
-	return l.Store.AdoptSnapshot(s.Config())
+	if s.Seq != seq {
+		return l.unreadable(name, reasonSequence, errors.Errorf("it contains version %d", s.Seq))
+	}
+	if err := l.Store.AdoptSnapshot(s.Config()); err != nil {
+		return l.unreadable(name, reasonInvalid, err)
+	}
+	return nil
 }
 
-func (l *Log) readChanges(ctx context.Context) error {
+// readChanges applies the changes after the version in force up to the last one that was accepted. It
+// skips rows that are not changes: other writers may use the table too.
+func (l *Log) readChanges(ctx context.Context, last int64) error {
 	rows, err := l.Platform.Scan(ctx, tableChanges, changeKey(l.Store.Config().Seq))
 	if err != nil {
 		return errors.Annotate(err, "read changes")
 	}
 	for _, row := range rows {
-		var ch version.Change
-		if err := json.Unmarshal(row.Value, &ch); err != nil {
-			return errors.Annotatef(err, "read change %s", row.Key)
+		seq, ok := parseChangeKey(row.Key)
+		if !ok {
+			_ = l.unreadable(row.Key, reasonKey, errors.New("the key is not that of a change")) // the versions don't depend on it
+			continue
 		}
-		if err := l.Store.Adopt(ch); err != nil {
+		if seq > last {
+			continue // not accepted, or accepted since the head was read
+		}
+		if err := l.readChange(row, seq); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// readChange applies the change in a row.
+func (l *Log) readChange(row platform.Row, seq int64) error {
+	var ch version.Change
+	if err := json.Unmarshal(row.Value, &ch); err != nil {
+		return l.unreadable(row.Key, reasonUnreadable, err)
+	}
+	if ch.Seq != seq {
+		return l.unreadable(row.Key, reasonSequence, errors.Errorf("it contains change %d", ch.Seq))
+	}
+	if err := l.Store.Adopt(ch); err != nil {
+		return l.unreadable(row.Key, reasonInvalid, err)
+	}
+	return nil
+}
+
 // ErrNotAllowed is returned for a change that the caller is not allowed to make.
 const ErrNotAllowed = errors.ConstError("the change is not allowed")
 
@@ -141,6 +212,10 @@
 			time.Sleep(time.Duration(attempt) * 10 * time.Millisecond)
 		}
 		h, revision, err := l.catchUp(ctx)
+		if errors.Is(err, ErrUnreadable) {
+			// The error has another cause than the caller's change.
+			err = errors.WithType(errors.Errorf("read the configuration: %s", err), platform.ErrUnavailable)
+		}
 		if err != nil {
 			return 0, asUnknown(outcomeUnknown, err)
 		}
@@ -183,11 +258,13 @@
 	return err
 }
 
+// commitOps returns the operations that have a change accepted. The revision of the head alone decides
+// whether it is: a row under the key of the change that was written without the head is replaced.
 func commitOps(h head, revision int64, ch version.Change) []platform.Op {
 	h.Seq = ch.Seq
 	return []platform.Op{
 		{Kind: platform.OpPut, Table: tableConfig, Key: keyHead, Revision: revision, Value: encode(h)},
-		{Kind: platform.OpPut, Table: tableChanges, Key: changeKey(ch.Seq), Revision: 0, Value: encode(ch)},
+		{Kind: platform.OpPut, Table: tableChanges, Key: changeKey(ch.Seq), Revision: platform.AnyRevision, Value: encode(ch)},
 	}
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -30,6 +30,7 @@
 	"shalewick/process/platform"
 	"shalewick/process/ratelimit"
 	"shalewick/process/slots"
+	"shalewick/process/state"
 	"shalewick/process/steer"
 	"shalewick/process/ticket"
 	"shalewick/version"
@@ -56,6 +57,7 @@
 	routes     *routes
 	peers      *peerConns
 	splitter   splitter
+	skipped    skippedRows
 	workspaces *auth.Workspaces // nil: operators are not authenticated
 	identity   *auth.Identity   // nil: connections between instances don't use TLS
 
@@ -140,7 +142,11 @@
 		OnShortage: func() { notify(e.tokenShortage) },
 	}
 	e.store = &config.Store{Now: e.now, OnInstall: e.onInstall}
-	e.changes = &config.Log{Platform: e.platform, Store: e.store}
+	e.skipped.log, e.skipped.metrics = e.log, e.metrics
+	e.changes = &config.Log{
+		Platform: e.platform, Store: e.store,
+		OnUnreadable: func(err *state.RowError) { e.skipped.report(tableConfig, err) },
+	}
 	e.ledger = ticket.NewLedger(id, e.now)
 	e.stop = &drain.Stop{Log: e.log, Metrics: e.metrics, InFlight: e.inFlight, Callers: &e.frontConns}
 	e.front = &front.Front{
--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -11,13 +11,16 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"shalewick/clock"
+	"shalewick/process/config"
 	"shalewick/process/peer"
 	"shalewick/process/platform"
 	"shalewick/process/slots"
+	"shalewick/process/state"
 )
 
 // Tables and keys on the platform.
 const (
+	tableConfig  = "config" // including the table of changes and the snapshots
 	tableMembers = "members"
 	tableSlots   = "slots"
 	keySplit     = "split"
@@ -58,7 +61,7 @@
 		err = e.readMembers(ctx)
 	}
 	if err == nil {
-		err = e.changes.CatchUp(ctx)
+		err = e.catchUp(ctx)
 	}
 	if err == nil {
 		err = e.readSplit(ctx)
@@ -73,6 +76,21 @@
 	}
 }
 
+// catchUp applies the changes of the configuration. While one can't be read, the last valid version stays
+// in force and counts as confirmed, since no caller is served better by an instance that refuses; peers
+// that know a later version provide it.
+func (e *Entry) catchUp(ctx context.Context) error {
+	err := e.changes.CatchUp(ctx)
+	_, _, ok := e.store.InForce()
+	keep := ok && errors.Is(err, config.ErrUnreadable)
+	e.metrics.Gauge("configuration_unreadable").Update(0)
+	if !keep {
+		return err
+	}
+	e.metrics.Gauge("configuration_unreadable").Update(1)
+	return nil
+}
+
 // heartbeat writes the own member's row.
 func (e *Entry) heartbeat(ctx context.Context) error {
 	var row *peer.Member
@@ -105,7 +123,7 @@
 		ids = append(ids, row.Key)
 		m := &peer.Member{}
 		if err := protojson.Unmarshal(row.Value, m); err != nil {
-			e.log.Warn().Err(err).Str("key", row.Key).Msg("bad-member-row")
+			e.skipped.report(tableMembers, &state.RowError{Key: row.Key, Reason: reasonUnreadable, Err: err})
 			continue
 		}
 		members = append(members, m)
@@ -127,7 +145,8 @@
 		return errors.Annotate(err, "read split")
 	}
 	s, err := slots.ParseSplit(row.Value)
-	if err != nil {
+	if err != nil { // the owners of the tokens are unknown, so that nothing is confirmed
+		e.skipped.report(tableSlots, &state.RowError{Key: keySplit, Reason: reasonUnreadable, Err: err})
 		return err
 	}
 	e.slots.SetSplit(s, e.now())
