entry: the head of a gRPC message is limited

gRPC accepts heads of 16 MB from another entry by default, on each call; the requests and responses between entries have heads of some hundred bytes. Both sides now accept as much as the head of a response of a backend server may have, 16 KiB. The messages themselves are limited to 4 MB by default, which stays.

--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"shalewick/conn"
 	"shalewick/process/auth"
 	"shalewick/process/health"
 	"shalewick/process/metric"
@@ -79,7 +80,7 @@
 			return nil, err
 		}
 		cc, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(creds),
-			grpc.WithConnectParams(reconnectParams), grpc.WithStatsHandler(p.traffic))
+			grpc.WithConnectParams(reconnectParams), grpc.WithStatsHandler(p.traffic), grpc.WithMaxHeaderListSize(conn.MaxHeadBytes))
 		if err != nil {
 			return nil, errors.Annotatef(err, "connect to peer %s", address)
 		}
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"shalewick/conn"
 	"shalewick/process/drain"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
@@ -56,7 +57,7 @@
 		}
 		return err
 	}
-	options := []grpc.ServerOption{grpc.StatsHandler(e.peers.traffic)}
+	options := []grpc.ServerOption{grpc.StatsHandler(e.peers.traffic), grpc.MaxHeaderListSize(conn.MaxHeadBytes)}
 	if e.identity != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.identity.ServerConfig(true))))
 		adminListener = tls.NewListener(adminListener, e.identity.ServerConfig(false))
