all clients: the head of a response is limited

Several calls of each kind run at a time, so a defective or hostile peer could take a large part of an instance's memory, by the same cause as in package conn.

A write that got such a response has an unknown outcome, as when the response is lost.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"shalewick/clock"
+	"shalewick/conn"
 	"shalewick/process/front"
 	"shalewick/request"
 	"shalewick/retry"
@@ -83,7 +84,7 @@
 
 // New returns a client that finds instances through the seeds.
 func New(seeds []string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{Seeds: seeds, lookupSlot: make(chan struct{}, 1), HTTP: &http.Client{Transport: t}}
 }
 
@@ -94,6 +95,9 @@
 	ticketMaxAge   = time.Minute
 	maxLookupBytes = 64 << 10
 	retryInterval  = 50 * time.Millisecond
+	// maxHeadBytes is the maximum size of the head of a response: what an instance accepts from a backend server, and
+	// as much again for what the instance adds.
+	maxHeadBytes = 2 * conn.MaxHeadBytes
 	// An attempt gets the remaining time of its request divided by
 	// attemptDivisor, unless the body is larger than maxRetryBody, in bytes.
 	attemptDivisor = 4
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"shalewick/conn"
 	"shalewick/process/front"
 	"shalewick/request"
 )
@@ -104,3 +107,21 @@
 	wg.Wait()
 	assert.Equal(t, lookups.Load(), int64(1))
 }
+
+// TestHeadOfResponseIsLimited guards against a response whose head takes 10 MB of a caller's memory, the default limit of
+// net/http, and checks that what an instance passes on from a backend server is accepted.
+func TestHeadOfResponseIsLimited(t *testing.T) {
+	for _, x := range []struct {
+		size     int
+		accepted bool
+	}{{conn.MaxHeadBytes, true}, {2 * maxHeadBytes, false}} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Large", strings.Repeat("x", x.size))
+			_, _ = io.WriteString(w, "{}")
+		}))
+		var l front.Lookup
+		err := New(nil).callInstance(context.Background(), s.Listener.Addr().String(), "lookup", &l)
+		assert.Equal(t, err == nil, x.accepted, "%d bytes: %v", x.size, err)
+		s.Close()
+	}
+}
--- a/cmd/shalewick/operator.go
+++ b/cmd/shalewick/operator.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 	"sigs.k8s.io/yaml"
 
+	"shalewick/conn"
 	"shalewick/operator"
 	"shalewick/request"
 	"shalewick/version"
@@ -56,7 +57,9 @@
 		return nil, errors.Errorf("--authority: no certificates in %s", a.authority)
 	}
 	c.TLS = true
-	c.HTTP.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	c.HTTP.Transport = &http.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}, MaxResponseHeaderBytes: conn.MaxHeadBytes,
+	}
 	return c, nil
 }
 
--- a/conn/head_test.go
+++ b/conn/head_test.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -281,3 +282,14 @@
 		})
 	}
 }
+
+// TestHeadOfProbeIsLimited guards against a load report whose head takes 10 MB, the default limit of net/http.
+func TestHeadOfProbeIsLimited(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Large", strings.Repeat("x", 2*MaxHeadBytes))
+		_, _ = io.WriteString(w, `{"state":"ready","boot":"b","inFlight":1,"slots":4}`)
+	}))
+	defer s.Close()
+	_, err := Probe(t.Context(), NewProbeClient(giveUpDeadline), s.Listener.Addr().String())
+	assert.ErrorContains(t, err, "headers exceeded")
+}
--- a/conn/report.go
+++ b/conn/report.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -29,6 +30,13 @@
 // maxReportBytes limits the size of a load report, in bytes.
 const maxReportBytes = 4 << 10
 
+// NewProbeClient returns a client for Probe that gives up after timeout, or if the head of a response exceeds MaxHeadBytes.
+func NewProbeClient(timeout time.Duration) *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = MaxHeadBytes
+	return &http.Client{Transport: transport, Timeout: timeout}
+}
+
 // Probe requests the load report of the backend server at address.
 func Probe(ctx context.Context, client *http.Client, address string) (Report, error) {
 	var report Report
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"shalewick/clock"
+	"shalewick/conn"
 	"shalewick/process/admin"
 	"shalewick/request"
 	"shalewick/version"
@@ -49,7 +50,9 @@
 
 // New returns a client of the instances at the given admin addresses.
 func New(addresses []string) *Client {
-	return &Client{Addresses: addresses, HTTP: &http.Client{}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = conn.MaxHeadBytes
+	return &Client{Addresses: addresses, HTTP: &http.Client{Transport: transport}}
 }
 
 // RefusedError is the error of a call that was rejected, with its result.
--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"shalewick/conn"
 	"shalewick/process/state"
 )
 
@@ -56,7 +57,10 @@
 
 // NewPeers returns a client for other instances. Dial opens its connections.
 func NewPeers(members *Members, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Peers {
-	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true, IdleConnTimeout: 30 * time.Second,
+		MaxResponseHeaderBytes: conn.MaxHeadBytes,
+	}
 	return &Peers{Members: members, client: &http.Client{Transport: transport}}
 }
 
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 
 	"shalewick/clock"
+	"shalewick/conn"
 	"shalewick/process/admin"
 	"shalewick/process/auth"
 	"shalewick/process/config"
@@ -100,7 +101,7 @@
 		pushNeeded:    make(chan struct{}, 1),
 		splitNeeded:   make(chan struct{}, 1),
 		synced:        make(chan struct{}),
-		probeClient:   &http.Client{Timeout: probeTimeout},
+		probeClient:   conn.NewProbeClient(probeTimeout),
 	}
 	e.initComponents()
 	if err := e.loadCredentials(); err != nil {
