--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"shalewick/conn"
 	"shalewick/process/drain"
 	"shalewick/process/metric"
 	"shalewick/process/peer"
@@ -40,7 +41,7 @@
 	}
 	e.metrics.Gauge("start_wait_ms").Update((e.now() - start).Milliseconds())
 	var adminListener net.Listener = sockets.TCP[flagAdmin]
-	options := []grpc.ServerOption{grpc.StatsHandler(e.peers.traffic)}
+	options := []grpc.ServerOption{grpc.StatsHandler(e.peers.traffic), grpc.MaxHeaderListSize(conn.MaxHeadBytes)}
 	if e.identity != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.identity.ServerConfig(true))))
 		adminListener = tls.NewListener(adminListener, e.identity.ServerConfig(false))
