conn: an instance can listen on the local addresses of connections

An instance did not start while a connection, of its predecessor or of another instance on the machine, had one of its ports as its local port. The kernel takes such ports from a range in which ports of the settings may lie, and keeps them for a minute after the connection was closed, longer than a start waits.

Seen with a socket each: bind to the local address of a connection fails with EADDRINUSE in 4 of 4 cases (open or in TIME_WAIT, with a source address or without); with SO_REUSEADDR on the connection, as listeners have it, it succeeds in 4 of 4.

All outgoing TCP connections set SO_REUSEADDR now: to the store, backend servers and other instances, and those of `shalewick entry` (platform, peers, probes). A listener that is open still keeps its port from being given to a connection.

--- a/conn/dialer.go
+++ b/conn/dialer.go
@@ -17,8 +17,18 @@
 // connection with a slow peer, which count against the memory of the process.
 const SocketBufferSize = 128 << 10
 
+// ReuseLocalAddress is a net.Dialer.Control. It lets a process listen on the local address of the connection, which can be one of its
+// settings; otherwise the connection would keep the address for a minute beyond its end.
+func ReuseLocalAddress(_, _ string, c syscall.RawConn) error { return c.Control(reuseLocalAddress) }
+
+func reuseLocalAddress(fd uintptr) {
+	// The connection works without it, so an error is ignored.
+	_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+}
+
 // NewDialer returns a dialer that gives up after timeout. Its connections fail if sent bytes stay
-// unacknowledged for ackTimeout, and their receive buffers are set to SocketBufferSize.
+// unacknowledged for ackTimeout, their receive buffers are set to SocketBufferSize, and their local
+// addresses can be listened on.
 func NewDialer(timeout, ackTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
@@ -28,6 +38,7 @@
 				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
 				// The connection works without it, so an error is ignored.
 				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, SocketBufferSize)
+				reuseLocalAddress(fd)
 			})
 			if err != nil {
 				return err
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -104,7 +104,7 @@
 func (p *Pool) dial(ctx context.Context) (*pooledConn, error) {
 	d := p.Dialer
 	if d == nil {
-		d = &net.Dialer{Timeout: DialTimeout}
+		d = &net.Dialer{Timeout: DialTimeout, Control: ReuseLocalAddress}
 	}
 	netConn, err := d.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -106,7 +106,7 @@
 		pushNeeded:    make(chan struct{}, 1),
 		splitNeeded:   make(chan struct{}, 1),
 		synced:        make(chan struct{}),
-		probeClient:   &http.Client{Timeout: probeTimeout},
+		probeClient:   newProbeClient(),
 	}
 	e.initComponents()
 	if err := e.loadCredentials(); err != nil {
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"shalewick/conn"
 	"shalewick/process/auth"
 	"shalewick/process/health"
 	"shalewick/process/metric"
@@ -79,7 +81,7 @@
 			return nil, err
 		}
 		cc, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(creds),
-			grpc.WithConnectParams(reconnectParams), grpc.WithStatsHandler(p.traffic))
+			grpc.WithConnectParams(reconnectParams), grpc.WithStatsHandler(p.traffic), grpc.WithContextDialer(dialPeer))
 		if err != nil {
 			return nil, errors.Annotatef(err, "connect to peer %s", address)
 		}
@@ -88,6 +90,11 @@
 	return peer.NewPeerClient(cc), nil
 }
 
+// dialPeer opens a connection to another instance.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{Control: conn.ReuseLocalAddress}).DialContext(ctx, "tcp", address)
+}
+
 func (p *peerConns) credentials() (credentials.TransportCredentials, error) {
 	if p.identity == nil {
 		return insecure.NewCredentials(), nil
--- a/process/entry/probe.go
+++ b/process/entry/probe.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"slices"
 	"time"
 
@@ -21,6 +23,12 @@
 	probersPerBackend = 2
 )
 
+func newProbeClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = (&net.Dialer{Control: conn.ReuseLocalAddress}).DialContext // probeTimeout bounds it
+	return &http.Client{Timeout: probeTimeout, Transport: transport}
+}
+
 // probeLoop requests load reports from backend servers. Each backend server is
 // probed by a few members of its region, chosen by rendezvous hashing; if one
 // of them learns that it is leaving, it announces that to the others. A member
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"shalewick/conn"
 )
 
 // Errors of calls to the platform.
@@ -101,7 +103,8 @@
 
 // NewClient returns a client of the platform at baseURL, like "http://127.0.0.1:7000".
 func NewClient(baseURL string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, DialContext: (&net.Dialer{Timeout: CallTimeout}).DialContext}
+	dialer := &net.Dialer{Timeout: CallTimeout, Control: conn.ReuseLocalAddress}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, DialContext: dialer.DialContext}
 	return &Client{baseURL: baseURL, httpClient: http.Client{Transport: transport, Timeout: CallTimeout}}
 }
 
