process/edge: a stop leaves no row of the instance behind

An instance that was stopped within its first second stayed in the table of instances: instances that started later counted it as alive for their grace period, and nothing removed the row.

Cause: the stop deleted the row once, beside the loop that writes it. A write that was on its way, or followed, arrived after the deletion: at the start, and when the store had lost rows (rowLost). A deletion that failed was not repeated.

Only the loop that registers the instance changes the row. It completes a write that it has begun, and then deletes the row, until that succeeds or the process ends.

--- a/process/edge/discovery.go
+++ b/process/edge/discovery.go
@@ -33,35 +33,56 @@
 // instances, and follows the table of instances along the distribution tree.
 const smallFleet = cluster.MaxSmallFleet
 
-// register writes this instance's row and reads those of the others, and reads them again at
+// register keeps this instance registered until staying ends, and deletes its row then. Nothing else changes the row, so none of its
+// writes can arrive after the deletion.
+func (e *Edge) register(ctx, staying context.Context) {
+	e.keepRegistered(ctx, staying)
+	e.unregister(ctx)
+}
+
+// keepRegistered writes this instance's row and reads those of the others, and reads them again at
 // intervals. At the first start of the whole system it writes first, so that of two instances that
 // start at the same time at least one finds the other. Otherwise the rows of the others are
-// present, and reading them first provides the tables sooner.
-func (e *Edge) register(ctx context.Context) {
+// present, and reading them first provides the tables sooner. A write that has begun is completed when staying ends.
+func (e *Edge) keepRegistered(ctx, staying context.Context) {
 	written, read := false, false
 	pause, reread := minRetryPause, minRereadInterval
-	for ctx.Err() == nil {
+	for staying.Err() == nil {
 		if e.settings.First && !written {
 			written = e.storeCall(ctx, e.writeInstanceRow) == nil
 		}
 		if !read {
-			read = e.storeCall(ctx, e.readInstanceRows) == nil
+			read = e.storeCall(staying, e.readInstanceRows) == nil
 		}
-		if !written {
+		if !written && staying.Err() == nil {
 			written = e.storeCall(ctx, e.writeInstanceRow) == nil
 		}
 		if written && read {
 			read = e.followsInstances.Load() // the table is followed, so the rows need not be read again
 			pause = minRetryPause
-			written = !e.awaitReread(ctx, reread)
+			written = !e.awaitReread(staying, reread)
 			reread = min(2*reread, rereadInterval)
 			continue
 		}
-		clock.Sleep(ctx, pause/2+rand.N(pause))
+		clock.Sleep(staying, pause/2+rand.N(pause))
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// unregister deletes this instance's row, until that succeeds or the context ends.
+func (e *Edge) unregister(ctx context.Context) {
+	for pause := minRetryPause; ctx.Err() == nil; pause = min(2*pause, maxRetryPause) {
+		err := e.storeCall(ctx, func(ctx context.Context) error {
+			return e.deployment.Store.Delete(ctx, e.deployment.InstanceTable, e.settings.Instance)
+		})
+		if err == nil {
+			return
+		}
+		e.log.Info().Err(err).Msg("row-not-deleted")
+		clock.Sleep(ctx, pause)
+	}
+}
+
 // awaitReread waits until the rows have to be read again, for a shorter time if no other instance has
 // been seen, and reports whether this instance's row has to be written again before.
 func (e *Edge) awaitReread(ctx context.Context, whileAlone time.Duration) bool {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -110,6 +110,7 @@
 	peerConns        drain.Conns      // of other instances
 	servers          []*http.Server
 	cancel           context.CancelFunc
+	leave            context.CancelFunc // ends the registration
 	loops            sync.WaitGroup
 }
 
@@ -269,8 +270,11 @@
 func (e *Edge) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	staying, leave := context.WithCancel(ctx)
+	e.leave = leave
+	e.loops.Go(func() { e.register(ctx, staying) })
 	for _, loop := range []func(context.Context){
-		e.follower.Run, e.heartbeats.Run, e.watchTables, e.register, e.followInstances, e.querySeeds, e.watchMembers, e.tickQuota, e.tickLimits, e.watchEpoch, e.watchUtilization,
+		e.follower.Run, e.heartbeats.Run, e.watchTables, e.followInstances, e.querySeeds, e.watchMembers, e.tickQuota, e.tickLimits, e.watchEpoch, e.watchUtilization,
 		e.tickRollouts, e.writeSteps, e.probeUnresponsive, e.table.WatchLinks, e.tickQuarantine, e.syncQuarantine, e.persistQuarantine,
 	} {
 		e.loops.Go(func() { loop(ctx) })
--- a/process/edge/stop.go
+++ b/process/edge/stop.go
@@ -2,10 +2,7 @@
 
 package edge
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // Times of a planned stop.
 const (
@@ -41,7 +38,7 @@
 	e.proxy.DisableKeepAlives()
 	e.proxy.StopAt(end, earlier(noticed, closing))
 	e.heartbeats.Announce()
-	go e.deleteInstanceRow()
+	e.leave()
 	time.Sleep(time.Until(earlier(noticed, closing)))
 	e.stop.Step(stepEndIdle, earlier(noticed, closing))
 	ended := e.frontConns.EndIdle(requestReadTimeout)
@@ -125,12 +122,3 @@
 	}
 	e.loops.Wait()
 }
-
-func (e *Edge) deleteInstanceRow() {
-	err := e.storeCall(context.Background(), func(ctx context.Context) error {
-		return e.deployment.Store.Delete(ctx, e.deployment.InstanceTable, e.settings.Instance)
-	})
-	if err != nil {
-		e.log.Info().Err(err).Msg("row-not-deleted")
-	}
-}
