--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -65,6 +65,8 @@
 	synced        chan struct{} // closed once a version is in force and confirmed
 	syncedOnce    sync.Once
 
+	rowMu sync.Mutex // held while the own member's row is written or deleted
+
 	servers     []*http.Server
 	frontServer *http.Server // one of servers
 	frontConns  drain.Conns  // of frontServer
--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -73,11 +73,12 @@
 	}
 }
 
-// heartbeat writes the own member's row.
+// heartbeat writes the own member's row, unless it is gone.
 func (e *Entry) heartbeat(ctx context.Context) error {
-	var row *peer.Member
+	e.rowMu.Lock()
+	defer e.rowMu.Unlock()
 	e.members.UpdateSelf(func(m *peer.Member) { m.Beat++ })
-	row = e.members.Self()
+	row := e.members.Self()
 	if row.GetGone() {
 		return nil
 	}
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -215,8 +215,10 @@
 	}
 }
 
-// deleteRow deletes the own member's row from the platform.
+// deleteRow deletes the own member's row from the platform. A heartbeat that is on its way arrives first.
 func (e *Entry) deleteRow(ctx context.Context) {
+	e.rowMu.Lock()
+	defer e.rowMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, finalTimeout)
 	defer cancel()
 	op := platform.Op{Kind: platform.OpDelete, Table: tableMembers, Key: e.members.Self().GetId(), Revision: platform.AnyRevision}
--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -22,6 +22,8 @@
 	"gotest.tools/v3/assert"
 
 	"shalewick/process/logging"
+	"shalewick/process/peer"
+	"shalewick/process/platform"
 	"shalewick/request"
 	"shalewick/standin/fleet"
 	"shalewick/standin/server"
@@ -211,3 +213,31 @@
 	e.awaitResponses(context.Background())
 	callers.Wait()
 }
+
+// TestNoHeartbeatAfterDeletion guards against a row that a heartbeat on its way writes again after the stop has deleted it.
+func TestNoHeartbeatAfterDeletion(t *testing.T) {
+	t.Parallel()
+	e := newTestEntry()
+	started, release := make(chan struct{}), make(chan struct{})
+	kinds := make(chan platform.OpKind, 2)
+	e.platform = &fakePlatform{onCommit: func(ops []platform.Op) error {
+		if ops[0].Kind == platform.OpPut {
+			close(started)
+			<-release
+		}
+		kinds <- ops[0].Kind
+		return nil
+	}}
+	var calls sync.WaitGroup
+	calls.Go(func() { assert.Check(t, e.heartbeat(t.Context())) })
+	<-started
+	e.members.UpdateSelf(func(m *peer.Member) { m.Gone = true })
+	calls.Go(func() { e.deleteRow(t.Context()) })
+	time.Sleep(50 * time.Millisecond) // for a deletion that does not wait
+	close(release)
+	calls.Wait()
+	assert.Equal(t, <-kinds, platform.OpPut)
+	assert.Equal(t, <-kinds, platform.OpDelete)
+	assert.NilError(t, e.heartbeat(t.Context()))
+	assert.Equal(t, len(kinds), 0, "a heartbeat after the deletion")
+}
