--- a/conn/report.go
+++ b/conn/report.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -33,6 +34,7 @@
 // NewProbeClient returns a client for Probe that gives up after timeout, or if the head of a response exceeds MaxHeadBytes.
 func NewProbeClient(timeout time.Duration) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = (&net.Dialer{Control: ReuseLocalAddress}).DialContext // timeout bounds it
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
 	return &http.Client{Transport: transport, Timeout: timeout}
 }
--- a/process/entry/exchange.go
+++ b/process/entry/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -80,7 +81,8 @@
 			return nil, err
 		}
 		cc, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(creds),
-			grpc.WithConnectParams(reconnectParams), grpc.WithStatsHandler(p.traffic), grpc.WithMaxHeaderListSize(conn.MaxHeadBytes))
+			grpc.WithConnectParams(reconnectParams), grpc.WithStatsHandler(p.traffic), grpc.WithMaxHeaderListSize(conn.MaxHeadBytes),
+			grpc.WithContextDialer(dialPeer))
 		if err != nil {
 			return nil, errors.Annotatef(err, "connect to peer %s", address)
 		}
@@ -89,6 +91,11 @@
 	return peer.NewPeerClient(cc), nil
 }
 
+// dialPeer opens a connection to another instance.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{Control: conn.ReuseLocalAddress}).DialContext(ctx, "tcp", address)
+}
+
 func (p *peerConns) credentials() (credentials.TransportCredentials, error) {
 	if p.identity == nil {
 		return insecure.NewCredentials(), nil
--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -91,11 +91,12 @@
 	return nil
 }
 
-// heartbeat writes the own member's row.
+// heartbeat writes the own member's row, unless it is gone.
 func (e *Entry) heartbeat(ctx context.Context) error {
-	var row *peer.Member
+	e.rowMu.Lock()
+	defer e.rowMu.Unlock()
 	e.members.UpdateSelf(func(m *peer.Member) { m.Beat++ })
-	row = e.members.Self()
+	row := e.members.Self()
 	if row.GetGone() {
 		return nil
 	}
