cluster: bound all decompressed tables of a response together

What callers saw: nothing yet; found while looking for what is kept without a bound. Cause: each decompressed table of another instance's response was bounded, but not their number.

Evidence: TestDecompressedTablesAreBoundedTogether before: 2,357 bytes were decompressed to 32,505,856. With it a response yields at most 16 MiB, the bound that one table had.

--- a/process/cluster/answer.go
+++ b/process/cluster/answer.go
@@ -16,7 +16,7 @@
 	"shalewick/process/state"
 )
 
-// maxResponseBytes bounds a response of another instance, and each decompressed table in it.
+// maxResponseBytes bounds a response of another instance, and all decompressed tables in it together.
 const maxResponseBytes = 16 << 20
 
 // encodedTable is one table of a changes response.
@@ -36,21 +36,21 @@
 	return s2.Encode(nil, b), nil
 }
 
-func decodeDelta(p encodedTable) (state.Delta, error) {
-	var d state.Delta
-	size, err := s2.DecodedLen(p.Delta)
-	if err != nil || size > maxResponseBytes {
-		return d, errors.Errorf("compressed table of %d bytes: %v", size, err)
+// decodeDelta decodes a table that may have up to maxBytes. It returns its decompressed size, too.
+func decodeDelta(p encodedTable, maxBytes int) (d state.Delta, size int, err error) {
+	size, err = s2.DecodedLen(p.Delta)
+	if err != nil || size > maxBytes {
+		return d, 0, errors.Errorf("compressed table of %d bytes, %d are allowed: %v", size, maxBytes, err)
 	}
 	b, err := s2.Decode(nil, p.Delta)
 	if err != nil {
-		return d, errors.Annotate(err, "decompress table")
+		return d, 0, errors.Annotate(err, "decompress table")
 	}
 	if err := unmarshal(b, &d); err != nil {
-		return d, err
+		return d, 0, err
 	}
 	d.Age = p.Age
-	return d, nil
+	return d, size, nil
 }
 
 // decodeResponse decodes a changes response.
@@ -60,11 +60,13 @@
 		return nil, err
 	}
 	out := make(map[string]state.Delta, len(parts))
+	left := maxResponseBytes
 	for name, p := range parts {
-		d, err := decodeDelta(p)
+		d, size, err := decodeDelta(p, left)
 		if err != nil {
 			return nil, errors.Annotatef(err, "table %s", name)
 		}
+		left -= size
 		out[name] = d
 	}
 	return out, nil
