cluster: bound the number of other instances that are remembered

What callers saw: nothing yet; found while looking for what is kept without a bound. Cause: each datagram or list that names an unknown instance added one, for two minutes at least.

Evidence: TestInstancesAreBounded before: 4,106 of 4,106 are remembered. With it 4,096, more than six times the largest fleet that the design has; the gauge instances_ignored counts the others, and room returns when instances are forgotten.

--- a/process/cluster/hostile_test.go
+++ b/process/cluster/hostile_test.go
@@ -44,3 +44,22 @@
 	_, err = decodeResponse(b)
 	assert.Assert(t, err != nil, "%d bytes are decompressed to %d", len(b), len(parts)*size)
 }
+
+// TestInstancesAreBounded guards against any number of instances that are remembered because datagrams or lists name them. Room
+// returns when they are forgotten.
+func TestInstancesAreBounded(t *testing.T) {
+	m, c := newMembers()
+	var list []Member
+	for i := range maxInstances + 10 {
+		list = append(list, member(fmt.Sprintf("x%05d", i), "north", 1))
+	}
+	m.Merge(false, list...)
+	assert.Equal(t, len(m.Others()), maxInstances)
+	assert.Equal(t, m.Ignored(), int64(10))
+	m.Merge(true, member("x00000", "north", 2))
+	assert.Equal(t, m.Others()[0].Incarnation, int64(2))
+	c.now += forgetAfter + forgetInterval
+	m.Merge(true, member("x00000", "north", 2))
+	m.Merge(true, member("late", "north", 1))
+	assert.Equal(t, len(m.Others()), 2)
+}
--- a/process/cluster/learn.go
+++ b/process/cluster/learn.go
@@ -29,6 +29,10 @@
 	}
 	ps := m.others[x.Name]
 	if ps == nil {
+		if len(m.others) >= maxInstances {
+			m.ignored++
+			return
+		}
 		ps = &peerState{Member: x, hash: xxhash.Sum64String(x.Name), firstSeen: now}
 		m.insert(ps)
 	}
@@ -53,6 +57,13 @@
 	}
 }
 
+// Ignored returns how often an instance was not remembered since there were too many.
+func (m *Members) Ignored() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ignored
+}
+
 // insert adds an instance, keeping the list sorted by name. The caller holds the lock.
 func (m *Members) insert(ps *peerState) {
 	m.others[ps.Name] = ps
--- a/process/cluster/members.go
+++ b/process/cluster/members.go
@@ -60,6 +60,8 @@
 	// minStoreUnreachable is how long it counts so even if a later call succeeds: some calls may
 	// be answered while others are not.
 	minStoreUnreachable = 2 * time.Second
+	// maxInstances bounds the other instances that are remembered; further ones are ignored until some are forgotten.
+	maxInstances = 4096
 	// forgetAfter is how long an instance is remembered that was neither seen nor reported.
 	forgetAfter = 2 * time.Minute
 )
@@ -73,11 +75,12 @@
 	storeFailedAt time.Duration // time of the last failed store call; zero: none
 	storeAnswered bool          // a store call succeeded since
 	startedAt     time.Duration
-	listedAt      time.Duration // when the member list was first read; zero: not yet
-	unknownSince  time.Duration // since when liveness entries refer to unknown instances; zero: they don't
-	initialStart  bool          // the other instances register at the same time
-	others        map[string]*peerState
-	sorted        []*peerState // the others by name
+	listedAt      time.Duration         // when the member list was first read; zero: not yet
+	unknownSince  time.Duration         // since when liveness entries refer to unknown instances; zero: they don't
+	initialStart  bool                  // the other instances register at the same time
+	others        map[string]*peerState // at most maxInstances
+	ignored       int64                 // instances that were not added to others
+	sorted        []*peerState          // the others by name
 	now           func() time.Duration
 	shuffle       func(n int, swap func(i, j int)) // rand.Shuffle, except in simulations
 	// The fields below, up to pendingReports, are used in regions that use probing.
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -299,6 +299,7 @@
 		e.metrics.Gauge("spare").Update(1)
 	}
 	e.metrics.Gauge("instances").Update(int64(e.members.Count()))
+	e.metrics.Gauge("instances_ignored").Update(e.members.Ignored())
 	for _, k := range []held.Kind{held.Requests, held.Bodies, held.Responses} {
 		e.metrics.Gauge("held_bytes{kind=" + strconv.Quote(k.String()) + "}").Update(e.memoryBudget.Held(k))
 	}
