metric: bound the number of services with separate metrics

What callers saw: nothing yet; found while looking for what is kept without a bound. Cause: each service that the configuration ever named keeps its metrics until the process ends.

With it the first 256 services have metrics of their own, the others are counted together, as workspaces and versions are.

--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -29,6 +29,7 @@
 // Set holds the metrics of one process.
 type Set struct {
 	registry   metrics.Registry
+	services   serviceLabels
 	workspaces topWorkspaces
 	versions   softwareVersions
 }
@@ -47,6 +48,7 @@
 
 // Request records the result and the latency of a caller's request.
 func (s *Set) Request(service string, class request.Class, code request.Code, took time.Duration) {
+	service = s.services.label(service)
 	if service == "" {
 		service = "none"
 	}
@@ -76,6 +78,7 @@
 
 // Retry counts a retry of a request.
 func (s *Set) Retry(service string) {
+	service = s.services.label(service)
 	s.Counter("retries_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
@@ -88,23 +91,27 @@
 
 // Forwarded records a request that was forwarded to another instance, and the time until its end.
 func (s *Set) Forwarded(service, reason, end string, took time.Duration) {
+	service = s.services.label(service)
 	s.Counter(fmt.Sprintf("requests_forwarded_total{service=%q,reason=%q,end=%q}", service, reason, end)).Inc(1)
 	s.histogram(fmt.Sprintf("forwarded_us{service=%q}", service), reservoir).Update(took.Microseconds())
 }
 
 // ServedForOther counts a request that another instance forwarded to this one, by its result.
 func (s *Set) ServedForOther(service string, code request.Code) {
+	service = s.services.label(service)
 	s.Counter(fmt.Sprintf("requests_for_others_total{service=%q,result=%q}", service, code.Info().Name)).Inc(1)
 }
 
 // InvalidLoadReport counts a response of a backend server whose load report is invalid, entirely
 // or in part.
 func (s *Set) InvalidLoadReport(service string) {
+	service = s.services.label(service)
 	s.Counter("load_reports_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
 // RateLimit counts a response in which a backend server announces a rate limit.
 func (s *Set) RateLimit(service string) {
+	service = s.services.label(service)
 	s.Counter("answers_rate_limit_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
@@ -126,6 +133,7 @@
 
 // InvalidRateLimit counts a response of a backend server whose rate limit is invalid.
 func (s *Set) InvalidRateLimit(service string) {
+	service = s.services.label(service)
 	s.Counter("rate_limits_bad_total{service=" + strconv.Quote(service) + "}").Inc(1)
 }
 
@@ -138,6 +146,7 @@
 // UnreadBody counts a response that was sent before the end of the request's body. Kept is set if the caller sent the
 // rest, so that its connection was kept.
 func (s *Set) UnreadBody(service string, kept bool) {
+	service = s.services.label(service)
 	connection := "closed"
 	if kept {
 		connection = "kept"
@@ -148,6 +157,7 @@
 // Notice counts a response in which a backend server announces that it is leaving, or
 // requests a backoff.
 func (s *Set) Notice(service string, n request.Notice) {
+	service = s.services.label(service)
 	labels := "{service=" + strconv.Quote(service) + "}"
 	if n.Leaving {
 		s.Counter("answers_leaving_total" + labels).Inc(1)
@@ -168,6 +178,7 @@
 // RequestWithNotice counts the outcome of a request that received a notice from a backend server.
 // It shows how leaving servers and rejections affect callers.
 func (s *Set) RequestWithNotice(service string, n request.Notice, outcome string) {
+	service = s.services.label(service)
 	count := func(notice string) {
 		s.Counter(fmt.Sprintf("requests_noticed_total{service=%q,notice=%q,end=%q}", service, notice, outcome)).Inc(1)
 	}
--- a/process/metric/software.go
+++ b/process/metric/software.go
@@ -47,7 +47,7 @@
 	if software == "" {
 		return
 	}
-	m := s.software(softwareKey{service, software})
+	m := s.software(softwareKey{s.services.label(service), software})
 	m.requests.Inc(1)
 	if failed {
 		m.failures.Inc(1)
