ticket: bound the memory of retained responses

Cause: the response to each ticket is retained for one to two minutes, up to 16 KiB of body and its headers. The headers of a response that was too large to retain were kept for twice the lifetime of the ticket.

Evidence: TestRetainedResponsesAreBounded without the bound: 8,192 of 8,192 responses of 16 KiB are retained, 128 MiB. With it 64 MiB, the newest; a repeated call for an older one gets TICKET_USED, as for a response that was too large. A response that is not retained leaves nothing but the use of its ticket.

--- a/process/ticket/ledger.go
+++ b/process/ticket/ledger.go
@@ -24,7 +24,9 @@
 const (
 	// MaxRetainedBody is the maximum size of a retained response body, in bytes.
 	MaxRetainedBody = 16 << 10
-	// ResponseRetention is how long a response is retained at least; the next Purge
+	// maxRetainedBytes is the maximum size of all retained responses, in bytes. The oldest ones are dropped above it.
+	maxRetainedBytes = 64 << 20
+	// ResponseRetention is how long a response is retained unless there are too many; the next Purge
 	// after that drops it. The use of the ticket is remembered for longer.
 	ResponseRetention = time.Minute
 )
@@ -62,6 +64,9 @@
 	mu      sync.Mutex
 	tickets map[string]*memberTickets
 	stopped bool
+	// retained holds the entries with a retained response, oldest first.
+	retained      []*Entry
+	retainedBytes int64
 }
 
 // NewLedger returns the ledger of a new member. Now returns the time since some
@@ -119,12 +124,48 @@
 // Finish records the outcome of an entry.
 func (l *Ledger) Finish(e *Entry, outcome Outcome) {
 	l.mu.Lock()
-	e.outcome = outcome
-	e.finished = l.now()
+	l.retain(e, outcome)
 	l.mu.Unlock()
 	close(e.Done)
 }
 
+// retain records the outcome of an entry if its response is retained. The caller holds the lock.
+func (l *Ledger) retain(e *Entry, outcome Outcome) {
+	e.finished = l.now()
+	if !outcome.Retained {
+		return
+	}
+	e.outcome = outcome
+	l.retained = append(l.retained, e)
+	l.retainedBytes += outcome.size()
+	for l.retainedBytes > maxRetainedBytes {
+		l.dropOldest()
+	}
+}
+
+// dropOldest drops the response that has been retained for longest. The caller holds the lock.
+func (l *Ledger) dropOldest() {
+	e := l.retained[0]
+	l.retained[0] = nil
+	l.retained = l.retained[1:]
+	l.retainedBytes -= e.outcome.size()
+	e.outcome = Outcome{}
+}
+
+// size returns the memory of a response in bytes.
+func (o *Outcome) size() int64 {
+	n := len(o.Body)
+	for name, values := range o.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerOverhead
+		}
+	}
+	return int64(n)
+}
+
+// headerOverhead is the memory of a header field beside its bytes.
+const headerOverhead = 200
+
 // Outcome returns the outcome of an entry whose Done is closed. The response may
 // have been dropped since.
 func (l *Ledger) Outcome(e *Entry) Outcome {
@@ -145,11 +186,11 @@
 			if age-e.issued > 2*Lifetime {
 				delete(m.used, n)
 			}
-			if e.outcome.Retained && l.now()-e.finished > ResponseRetention {
-				e.outcome = Outcome{}
-			}
 		}
 	}
+	for len(l.retained) > 0 && l.now()-l.retained[0].finished > ResponseRetention {
+		l.dropOldest()
+	}
 }
 
 // Record is a used ticket in a handover. Its Outcome is zero if the outcome was not
@@ -198,7 +239,8 @@
 	}
 	m := &memberTickets{key: h.Key, started: l.now() - h.Age, used: make(map[Nonce]*Entry)}
 	for _, r := range h.Records {
-		e := &Entry{Done: make(chan struct{}), outcome: r.Outcome, issued: h.Age, finished: l.now()}
+		e := &Entry{Done: make(chan struct{}), issued: h.Age}
+		l.retain(e, r.Outcome)
 		close(e.Done)
 		m.used[r.Nonce] = e
 	}
--- a/process/ticket/ticket_test.go
+++ b/process/ticket/ticket_test.go
@@ -3,6 +3,7 @@
 package ticket
 
 import (
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,3 +110,36 @@
 		}
 	})
 }
+
+// TestRetainedResponsesAreBounded guards against responses that take any amount of memory, since callers use many tickets within
+// ResponseRetention. The oldest are dropped, and their tickets stay used.
+func TestRetainedResponsesAreBounded(t *testing.T) {
+	var c clock
+	l := NewLedger("m", c.now)
+	const tickets = 2 * maxRetainedBytes / MaxRetainedBody
+	var used []Ticket
+	body := make([]byte, MaxRetainedBody)
+	for range tickets {
+		tk := l.Issue()
+		e, first, err := l.Begin(tk)
+		assert.NilError(t, err)
+		assert.Assert(t, first)
+		l.Finish(e, Outcome{Status: 200, Header: http.Header{"A": {"b"}}, Body: body, Retained: true})
+		used = append(used, tk)
+	}
+	retained := 0
+	for _, tk := range used {
+		e, first, err := l.Begin(tk)
+		assert.NilError(t, err)
+		assert.Assert(t, !first)
+		if l.Outcome(e).Retained {
+			retained++
+		} else {
+			assert.Equal(t, retained, 0, "a newer response than the retained ones is dropped")
+		}
+	}
+	assert.Assert(t, retained > tickets/3 && retained*MaxRetainedBody <= maxRetainedBytes, "%d of %d", retained, tickets)
+	c.at.Store(int64(ResponseRetention + 1))
+	l.Purge()
+	assert.Equal(t, l.retainedBytes, int64(0))
+}
