crash: cut the paths of suspects

What callers saw: nothing yet; found while looking for what is kept without a bound. Cause: the detector and the reports of crashes remember up to 24 requests of each of 64 backend servers with their whole paths, which may have the size of a head. The reports cut them, but a part of a string holds all of it.

Evidence: TestPathsOfSuspectsAreCut before: the heap grows by over 16 MB for 1,000 lost requests with paths of 64 KiB. With it 256 bytes of each are kept, as a copy.

--- a/process/crash/detector.go
+++ b/process/crash/detector.go
@@ -3,6 +3,7 @@
 package crash
 
 import (
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,8 @@
 	MaxSuspects = 24
 	// maxCandidates limits the number of backend servers that are tracked at a time.
 	maxCandidates = 64
+	// maxPathBytes limits the length of the path of a suspect.
+	maxPathBytes = 256
 )
 
 // Suspect is a request that was in flight at a backend server that crashed.
@@ -80,6 +83,9 @@
 
 // RecordLoss processes a lost request.
 func (d *Detector) RecordLoss(l Loss) {
+	if len(l.Suspect.Path) > maxPathBytes {
+		l.Suspect.Path = strings.Clone(l.Suspect.Path[:maxPathBytes]) // a part of a string holds all of it
+	}
 	d.mu.Lock()
 	now := d.Now()
 	x := d.candidates[l.Backend]
--- a/process/crash/detector_test.go
+++ b/process/crash/detector_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"os"
+	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -105,3 +107,34 @@
 	assert.Assert(t, got.suspects() <= maxCandidates*MaxSuspects, "%d", got.suspects())
 	assert.Assert(t, len(d.candidates) <= maxCandidates)
 }
+
+// TestPathsOfSuspectsAreCut guards against requests with long paths that fill the memory when they are lost: a suspect is remembered for
+// as long as its crash.
+func TestPathsOfSuspectsAreCut(t *testing.T) {
+	const pathBytes, losses = 64 << 10, 1000
+	d, got, _ := newDetector()
+	before := heapBytes()
+	for i := range losses {
+		loss := lossAt(fmt.Sprint("b", i%maxCandidates), i, refuse)
+		loss.Suspect.Path = "a.example/" + strings.Repeat("x", pathBytes)
+		d.RecordLoss(loss)
+	}
+	assert.Assert(t, heapBytes()-before < losses*pathBytes/4)
+	for end := time.Now().Add(5 * time.Second); got.suspects() < losses && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, got.suspects(), losses)
+	for _, c := range got.list {
+		for _, s := range c.Suspects {
+			assert.Assert(t, len(s.Path) == maxPathBytes && strings.HasPrefix(s.Path, "a.example/xxx"), s.Path)
+		}
+	}
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
