platform, edge: odd rows of other writers are skipped for what is wrong with them

Rows of instances were logged at each read (three lines for three reads; none for a row that names no instance) and not counted, records at each compilation.

--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -92,6 +92,8 @@
 // place of the backend servers. If the rows are invalid, the last valid version stays in force.
 func (e *Edge) compile(operator, backends []state.Row, spare bool) {
 	c, problems := e.documents.Configuration(operator, backends)
+	records, recordProblems := knownRecords(e.records())
+	problems = append(problems, recordProblems...)
 	e.logSkipped(problems)
 	if c == nil {
 		return
@@ -102,7 +104,7 @@
 	e.lastAnnounced = c.Announced
 	e.spare.usesKeys.Store(len(c.List(version.KindWorkspace)) > 0)
 	old := e.table.Routing()
-	orders, records := e.ordersAndRecords(c)
+	orders := ordersOf(c)
 	if old == nil && (e.mustAwaitRecords(orders, records) || e.mustAwaitQuarantine()) {
 		return
 	}
--- a/process/edge/discovery.go
+++ b/process/edge/discovery.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -113,9 +115,9 @@
 func (e *Edge) mergeInstanceRows(rows []state.Row) {
 	list := make([]cluster.Member, 0, len(rows))
 	for _, r := range rows {
-		var m cluster.Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
-			e.log.Warn().Err(err).Str("row", r.Key).Msg("instance-row-skipped")
+		m, err := parseInstance(r)
+		if err != nil {
+			e.instanceRowSkipped(err)
 			continue
 		}
 		list = append(list, m)
@@ -123,6 +125,53 @@
 	e.members.Merge(false, list...)
 }
 
+// parseInstance returns the instance in a row. Rows may be written by anyone: one that names another
+// instance, or an address that can't be called, would hide a live instance or draw calls.
+func parseInstance(r state.Row) (m cluster.Member, rowErr *state.RowError) {
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return m, &state.RowError{Key: r.Key, Reason: reasonUnreadable, Err: err}
+	}
+	fail := func(format string, args ...any) (cluster.Member, *state.RowError) {
+		return cluster.Member{}, &state.RowError{Key: r.Key, Reason: reasonValue, Err: errors.Errorf(format, args...)}
+	}
+	if m.Name == "" || m.Name != r.Key {
+		return fail("it names instance %.60q", m.Name)
+	}
+	for _, address := range []string{m.Peer, m.Front} {
+		at, err := netip.ParseAddrPort(address)
+		if err != nil || at.Port() == 0 || at.Addr().IsUnspecified() || at.Addr().IsMulticast() {
+			return fail("address %.60q can't be called", address)
+		}
+	}
+	if m.Hall == "" || m.Region == "" {
+		return fail("hall %.60q or region %.60q is missing", m.Hall, m.Region)
+	}
+	if m.Link < 0 || m.Cores < 0 {
+		return fail("link %g or cores %g is negative", m.Link, m.Cores)
+	}
+	return m, nil
+}
+
+// maxSkippedInstances bounds the number of rows that are remembered as logged.
+const maxSkippedInstances = 1000
+
+// instanceRowSkipped logs and counts the row of an instance that can't be used, once for each reason: rows are
+// read again at intervals.
+func (e *Edge) instanceRowSkipped(err *state.RowError) {
+	e.skippedInstancesMu.Lock()
+	known := e.skippedInstances[err.Key] == err.Error()
+	if e.skippedInstances == nil || len(e.skippedInstances) >= maxSkippedInstances {
+		e.skippedInstances = make(map[string]string)
+	}
+	e.skippedInstances[err.Key] = err.Error()
+	e.skippedInstancesMu.Unlock()
+	if known {
+		return
+	}
+	e.metrics.Counter("instance_rows_skipped_total{reason=" + strconv.Quote(err.Reason) + "}").Inc(1)
+	e.log.Warn().Err(err.Err).Str("row", err.Key).Str("reason", err.Reason).Msg("instance-row-skipped")
+}
+
 // followInstances merges changes of the table of instances, if it is followed, until the context
 // ends. A deleted row is ignored: an instance that stops announces that itself, and a late delete
 // may remove the row of its next start.
--- a/process/edge/discovery_test.go
+++ b/process/edge/discovery_test.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +16,9 @@
 	"gotest.tools/v3/assert"
 
 	"shalewick/process/cluster"
+	"shalewick/process/metric"
 	"shalewick/process/state"
+	"shalewick/version"
 )
 
 // rowStore is a store with the rows of instances that counts reads.
@@ -41,7 +45,7 @@
 	hall := fmt.Sprintf("hall-%d", i%halls)
 	return cluster.Member{
 		Name: fmt.Sprintf("edge-%s-%04d", hall, i), Incarnation: int64(i + 1), Hall: hall, Region: fmt.Sprintf("r%d", i%halls%3),
-		Peer: fmt.Sprintf("127.0.0.1:%d", 20000+i),
+		Peer: fmt.Sprintf("127.0.0.1:%d", 20000+i), Front: fmt.Sprintf("127.0.0.2:%d", 20000+i),
 	}
 }
 
@@ -99,3 +103,63 @@
 	assert.DeepEqual(t, changedRows(nil, now), now)
 	assert.Equal(t, len(changedRows(now, now)), 0)
 }
+
+// TestOddInstanceRowIsSkipped guards against an odd row among those of the instances that hides a live instance,
+// draws calls, or is logged whenever the rows are read.
+func TestOddInstanceRowIsSkipped(t *testing.T) {
+	e, s := newStartingInstance(t, 4)
+	live := s.rows[0].Key
+	for i, value := range []string{
+		``, `null`, `[]`, `{"n":7}`, `{"n":"odd","i":99999999999999999999}`, `{"n":"odd","m":1e400}`,
+		`{"n":"` + live + `","i":9223372036854775807,"p":"127.0.0.9:1","f":"127.0.0.9:2","h":"hall-0","r":"r0"}`,
+		`{"n":"odd","i":1,"p":"127.0.0.9:0","f":"127.0.0.9:2","h":"hall-0","r":"r0"}`, `{"n":"odd","i":1,"p":"127.0.0.9:1","f":"0.0.0.0:2","h":"hall-0","r":"r0"}`,
+		`{"n":"odd","i":1,"p":"224.0.0.1:1","f":"127.0.0.9:2","h":"hall-0","r":"r0"}`, `{"n":"odd","i":1,"p":"127.0.0.9:1","f":"127.0.0.9:2","h":"hall-0"}`,
+		`{"n":"odd","i":1,"p":"127.0.0.9:1","f":"127.0.0.9:2","h":"hall-0","r":"r0","m":-1}`, strings.Repeat("[", 20_000),
+	} {
+		s.rows = append(s.rows[:4:4], state.Row{Key: "odd", Value: []byte(value), Version: int64(100 + i)})
+		var log strings.Builder
+		e.log = zerolog.New(&log)
+		e.metrics = metric.NewSet()
+		for range 3 {
+			assert.NilError(t, e.readInstanceRows(context.Background()))
+		}
+		assert.Equal(t, len(e.members.NotLeaving()), 4, "%.100s", value)
+		assert.Equal(t, strings.Count(log.String(), "instance-row-skipped"), 1, "%.100s: %s", value, log.String())
+	}
+}
+
+// FuzzInstanceRow reads the row of an instance with any value. An instance that it adds can be called.
+func FuzzInstanceRow(f *testing.F) {
+	for _, value := range []string{`null`, `{"n":"odd","i":1,"p":"127.0.0.9:1","f":"127.0.0.9:2","h":"h","r":"r","m":1e3}`, `{"n":"odd","p":"[::1%lo]:1","f":"[::ffff:1.1.1.1]:2"}`} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		m, err := parseInstance(state.Row{Key: "odd", Value: value})
+		if err != nil {
+			assert.Equal(t, err.Key, "odd")
+			return
+		}
+		assert.Equal(t, m.Name, "odd")
+		assert.Assert(t, netip.MustParseAddrPort(m.Peer).Port() != 0 && netip.MustParseAddrPort(m.Front).Port() != 0)
+		members := cluster.NewMembers(testMember(1, 2), func() time.Duration { return time.Hour })
+		members.Merge(false, m)
+		members.Merge(true, m)
+		assert.Equal(t, len(members.NotLeaving()) <= 2, true)
+	})
+}
+
+// FuzzRecordRow reads the row of a rollout's record with any value.
+func FuzzRecordRow(f *testing.F) {
+	for _, value := range []string{`null`, `{}`, `{"phase":"canary","order":1,"target":"v2","within":"1s","began":"1s","deadline":"9s"}`, `{"phase":"completed","order":-1}`} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		table := state.NewTable()
+		table.Apply(state.Delta{Full: true, Version: 5, Rows: []state.Row{{Key: "s", Value: value, Version: 4}}}, time.Hour)
+		records, problems := knownRecords(table)
+		assert.Equal(t, len(records)+len(problems), 1)
+		c := testConfig([2]string{"s", "v1"}, [2]string{"s", "v2"})
+		c.Software = admitVersions(c, nil, records, nil)
+		rolloutServices(version.CompileRouting(c, nil), c.Software, nil, records)
+	})
+}
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -100,6 +100,9 @@
 	// by compileMu.
 	lastAnnounced []*version.AnnouncedBackend
 	skipped       map[string]string // reasons of the rows that cannot be used at present, by key; guarded by compileMu
+	// skippedInstances holds the errors of the rows of instances that can't be used, by key.
+	skippedInstancesMu sync.Mutex
+	skippedInstances   map[string]string
 	// skippedCounts holds the numbers of such rows by reason; guarded by compileMu.
 	skippedCounts    map[string]int64
 	expiredRowsTimer *time.Timer      // recompiles when expired rows are dropped; guarded by compileMu
--- a/process/edge/record.go
+++ b/process/edge/record.go
@@ -28,6 +28,16 @@
 	return k.record != nil && k.record.Phase.Ended() && k.record.For(o)
 }
 
+// recordKeyPrefix precedes the keys of the rows of records in the log, which tells them from those of backend
+// servers.
+const recordKeyPrefix = "rollout-record/"
+
+// Reasons why a row can't be used.
+const (
+	reasonUnreadable = "unreadable" // it has another format
+	reasonValue      = "value"      // a field has an invalid value
+)
+
 // records returns the table of rollout records.
 func (e *Edge) records() *state.Table { return e.follower.Tables[e.deployment.RecordTable] }
 
@@ -37,12 +47,11 @@
 	out := make(map[string]knownRecord)
 	var problems []error
 	for _, row := range table.Rows() {
-		r := new(rollout.Record)
-		if err := json.Unmarshal(row.Value, r); err != nil {
-			problems = append(problems, errors.Annotatef(err, "unmarshal the record of the roll-out of %s", row.Key))
+		r, err := parseRecord(row)
+		if err != nil {
+			problems = append(problems, err)
 			continue
 		}
-		r.Service = row.Key
 		k := knownRecord{record: r, revision: row.Version}
 		if stored, lost := held[row.Key]; lost {
 			k.revision, k.lostByStore = stored, true
@@ -52,6 +61,21 @@
 	return out, problems
 }
 
+// parseRecord returns the record in a row. Rows may be written by anyone.
+func parseRecord(row state.Row) (*rollout.Record, *state.RowError) {
+	r := new(rollout.Record)
+	if err := json.Unmarshal(row.Value, r); err != nil {
+		return nil, &state.RowError{Key: recordKeyPrefix + row.Key, Reason: reasonUnreadable, Err: err}
+	}
+	switch r.Phase {
+	case rollout.Canary, rollout.Promote, rollout.Completed, rollout.Reverted:
+	default:
+		return nil, &state.RowError{Key: recordKeyPrefix + row.Key, Reason: reasonValue, Err: errors.Errorf("unknown phase %q", r.Phase)}
+	}
+	r.Service = row.Key
+	return r, nil
+}
+
 // readRecords reads the records from the store itself and puts them in force.
 func (e *Edge) readRecords(ctx context.Context) error {
 	requested := e.now()
--- a/process/edge/rollout.go
+++ b/process/edge/rollout.go
@@ -97,15 +97,6 @@
 	return true
 }
 
-// ordersAndRecords returns the operators' orders and the records of rollouts, by service.
-func (e *Edge) ordersAndRecords(c *version.Config) (map[string]*rollout.Order, map[string]knownRecord) {
-	records, problems := knownRecords(e.records())
-	for _, p := range problems {
-		e.log.Warn().Err(p).Msg("rollout-record-skipped")
-	}
-	return ordersOf(c), records
-}
-
 // maxRecordsWait bounds how long a starting instance waits for the records of rollouts before it
 // serves without them: other instances provide them within a few round trips, and a relay reads
 // them within a second.
--- a/process/edge/step.go
+++ b/process/edge/step.go
@@ -108,7 +108,7 @@
 // informed reports whether there was enough time to receive from other instances what they know of
 // the rollouts that are running.
 func (w *stepWriter) informed() bool {
-	records, _ := knownRecords(w.edge.records()) // unreadable records are logged by ordersAndRecords
+	records, _ := knownRecords(w.edge.records()) // unreadable records are logged by compile
 	now := w.edge.now()
 	for name, o := range w.owned {
 		if records[name].running() && now < o.decideFrom {
