conn: a connection with bytes behind a response is never reused

Cause: a connection counted as idle when its socket had nothing to read, although the buffered reader in front of it held the bytes already. Also, a request with a body was read for a response while it waited for its first byte to be sent, so what arrived then was taken for its response.

A connection is now idle only if both the reader and the socket have nothing, checked when it is put back, when it is taken, and right before the first byte of a request is written. Then the request fails with ErrNotIdle: not sent, tried elsewhere within the usual limits, and the backend server's failure counts as a lost response. Reading of the response of a request with a body begins with its first write. A connection on which a request was withheld is closed at once; it was half-closed before, and held its slot until the deadline.

--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -77,8 +77,7 @@
 		opts.Release(false)
 		return nil, &DispatchError{Err: err}
 	}
-	conn.bytesSent = 0
-	conn.allowed = opts.Allowed
+	conn.begin(opts.Allowed)
 	ex := &Exchange{pool: p, conn: conn, opts: opts}
 	if err := conn.SetDeadline(opts.Deadline); err != nil {
 		closeBody(req)
@@ -97,12 +96,12 @@
 	}
 	res, err := conn.readResponse(req)
 	if err != nil {
-		// If Allowed withheld the body, its sender has interrupted the read. No byte was sent, and
-		// none will be, since the connection is closed.
+		// If the body was withheld, its sender has interrupted the read. No byte was sent, and none
+		// will be, since the connection is closed.
 		withheld := conn.withheld.Load()
 		ex.Close()
-		if withheld {
-			return nil, &DispatchError{Err: ErrNotAllowed}
+		if withheld != nil {
+			return nil, &DispatchError{Err: *withheld}
 		}
 		return nil, &DispatchError{Sent: true, Err: errors.Annotate(err, "read response")}
 	}
@@ -179,9 +178,25 @@
 		}
 		ex.bodySent <- err
 	}()
+	ex.awaitFirstWrite()
 	return nil
 }
 
+// awaitFirstWrite waits until the first byte of a request with a body is about to be sent, or never will be. What the
+// connection receives before is no response to the request.
+func (ex *Exchange) awaitFirstWrite() {
+	timer := time.NewTimer(time.Until(ex.opts.Deadline))
+	defer timer.Stop()
+	select {
+	case <-ex.conn.started:
+	case err := <-ex.bodySent:
+		ex.bodySent <- err // for Close
+	case <-ex.cancelled:
+	case <-timer.C:
+		_ = ex.conn.SetDeadline(aLongTimeAgo) // fails the first write if it has not begun
+	}
+}
+
 // closeBody closes the body of a request that is not written.
 func closeBody(req *http.Request) {
 	if req.Body != nil {
@@ -214,7 +229,7 @@
 	if !notCancelled {
 		<-ex.cancelled
 	}
-	sent := ex.bodySent != nil || ex.conn.bytesSent > 0
+	sent := ex.conn.withheld.Load() == nil && (ex.bodySent != nil || ex.conn.bytesSent > 0)
 	if !sent {
 		_ = ex.conn.Conn.Close() // nothing was sent on it
 		ex.opts.Release(false)
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -53,26 +53,59 @@
 	// allowed is called right before the first write of each request, so that a process that was
 	// frozen in between does not send a request that it may no longer send.
 	allowed func() bool
-	// withheld is set once allowed has returned false.
-	withheld atomic.Bool
+	// started is closed right before the first write of the current request.
+	started chan struct{}
+	// withheld is why the first write was refused, which ends the connection; nil before.
+	withheld atomic.Pointer[error]
 }
 
 const bufferSize = 16 << 10
 
-// ErrNotAllowed is the error of a request that Options.Allowed refused. No byte of it was sent.
-const ErrNotAllowed = errors.ConstError("the dispatch is no longer allowed")
+// Errors of requests of which no byte was sent.
+const (
+	// ErrNotAllowed is the error of a request that Options.Allowed refused.
+	ErrNotAllowed = errors.ConstError("the dispatch is no longer allowed")
+	// ErrNotIdle is the error of a request whose connection was closed, or had bytes to read, when the request was to be
+	// sent.
+	ErrNotIdle = errors.ConstError("the connection is closed or has unexpected bytes")
+)
+
+// begin prepares the connection for a request.
+func (c *pooledConn) begin(allowed func() bool) {
+	c.bytesSent = 0
+	c.allowed = allowed
+	c.started = make(chan struct{})
+}
 
 // Write writes to the connection and counts the bytes.
 func (c *pooledConn) Write(p []byte) (int, error) {
-	if c.bytesSent == 0 && !c.allowed() {
-		c.withheld.Store(true)
-		return 0, ErrNotAllowed
+	if c.bytesSent == 0 {
+		if err := c.checkFirstWrite(); err != nil {
+			c.withheld.Store(&err)
+			return 0, err
+		}
 	}
 	n, err := c.Conn.Write(p)
 	c.bytesSent += int64(n)
 	return n, err
 }
 
+// checkFirstWrite returns an error if the current request may not be sent on this connection.
+func (c *pooledConn) checkFirstWrite() error {
+	if !c.isIdle() {
+		return ErrNotIdle
+	}
+	if !c.allowed() {
+		return ErrNotAllowed
+	}
+	close(c.started)
+	return nil
+}
+
+// isIdle reports whether the connection is open, and everything that arrived on it has been read. Bytes after a response
+// belong to no request, so the next one must not be sent on the connection.
+func (c *pooledConn) isIdle() bool { return c.r.Buffered() == 0 && isIdle(c.Conn) }
+
 // getConn returns an idle connection that still appears open, or a new one.
 func (p *Pool) getConn(ctx context.Context) (*pooledConn, error) {
 	for {
@@ -80,10 +113,10 @@
 		if conn == nil {
 			break
 		}
-		if clock.Now()-conn.idleSince < conn.idleTimeout && isIdle(conn.Conn) {
+		if clock.Now()-conn.idleSince < conn.idleTimeout && conn.isIdle() {
 			return conn, nil
 		}
-		_ = conn.Conn.Close() // expired, or closed by the backend server
+		_ = conn.Conn.Close() // expired, or the backend server has closed it or sent more than a response
 	}
 	return p.dial(ctx)
 }
@@ -150,7 +183,12 @@
 	return conn
 }
 
+// putIdle keeps a connection for a later request if it is idle.
 func (p *Pool) putIdle(conn *pooledConn) {
+	if !conn.isIdle() {
+		_ = conn.Conn.Close() // by the backend server, or it has sent more than a response
+		return
+	}
 	conn.idleSince = clock.Now()
 	p.mu.Lock()
 	if len(p.idle) < MaxIdleConns {
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -260,6 +260,10 @@
 		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 		return fw.newResult(request.DeadlinePassed), false
 	}
+	if errors.Is(err, conn.ErrNotIdle) { // the backend server may accept new connections
+		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
+		return fw.newResult(request.ConnectFailed), fw.call.body.Reclaim()
+	}
 	if !sent {
 		fw.front.Steer.Health.RecordUnreachable(name, fw.front.Now())
 		return fw.newResult(request.ConnectFailed), fw.call.body.Reclaim()
--- a/process/front/head_test.go
+++ b/process/front/head_test.go
@@ -34,3 +34,23 @@
 		}
 	}
 }
+
+// TestConnectionWithSurplusIsNotReused guards against a request that gets the bytes that a backend server, or another
+// entry, sent after the response to the previous one.
+func TestConnectionWithSurplusIsNotReused(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		s := &server.Server{Name: "c1", Names: request.OwnNames, Slots: 8, FaultOf: func(*http.Request) server.Fault { return server.ExtraAfter }}
+		assert.NilError(t, s.Start())
+		t.Cleanup(s.Close)
+		f := newFixtureAt(t, s.Address())
+		if forwarded {
+			f = newForwardFixtureTo(t, &fixture{url: "http://" + s.Address()})
+		}
+		const calls = 4
+		for range calls {
+			r, _ := f.call(t, http.MethodGet, "/lots/1", nil)
+			assert.Equal(t, r.Code, request.OK)
+		}
+		assert.Equal(t, s.Connections(), calls)
+	}
+}
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -48,7 +48,11 @@
 		t.logLine(pick).Dur("left", t.c.timeLeft()).Msg("withdrawn")
 		return t.result(request.BackendRefused, minRetryAfter)
 	}
-	pick.Done(balance.Unreachable, nil)
+	outcome := balance.Unreachable
+	if errors.Is(err, conn.ErrNotIdle) { // the backend server may accept new connections
+		outcome = balance.Lost
+	}
+	pick.Done(outcome, nil)
 	t.logLine(pick).Err(err).Msg("connect-failed")
 	return t.result(request.ConnectFailed, minRetryAfter)
 }
