proxy: a refusal counts only with the id of the request

Cause: after two responses to other requests had been skipped, the third was taken for the response if its status was 421, whatever its id. Each response repeats the id of its request, also that of a server that the request was not meant for.

A response now counts only with the id of the request; two others may come before it. After that the connection is closed, and the request may have run.

TestRefusalOfAnotherRequestCountsForNone failed before: 503 in place of 502. TestBackendFaults passes, with its case of a server that moved: its 421 has the id, and the request is tried elsewhere.

--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -207,21 +207,12 @@
 // readResponse reads the response to an attempt that was sent at the given time.
 func (t *transaction) readResponse(ctx context.Context, ex *conn.Exchange, pick *balance.Pick, sent time.Time) (*response, *request.Result) {
 	names := &t.p.Names
-	for range maxMismatchedResponses {
-		if ex.Response.Header.Get(names.ID) == t.c.id {
-			break
-		}
-		if err := ex.SkipResponse(t.c.r); err != nil {
-			t.c.body.CloseExchange(ex)
-			return nil, t.exchangeLost(ctx, pick, err, sent)
-		}
-	}
-	header := ex.Response.Header
-	if header.Get(names.ID) != t.c.id && ex.Response.StatusCode != http.StatusMisdirectedRequest {
+	if err := t.awaitOwnResponse(ex); err != nil {
 		ex.Response.Close = true
 		t.c.body.CloseExchange(ex)
-		return nil, t.exchangeLost(ctx, pick, errors.New("responses to other requests"), sent)
+		return nil, t.exchangeLost(ctx, pick, err, sent)
 	}
+	header := ex.Response.Header
 	notice := t.applyNotice(ex.Response, pick)
 	limit := t.applyRateLimit(ex.Response, pick)
 	if header.Get(names.NotRun) != "" || ex.Response.StatusCode == http.StatusMisdirectedRequest {
@@ -254,6 +245,24 @@
 	return resp, nil
 }
 
+// awaitOwnResponse skips responses that belong to other requests. On error the connection can't be used any more, and
+// whether the request has run is not known, whatever the skipped responses say.
+func (t *transaction) awaitOwnResponse(ex *conn.Exchange) error {
+	names := &t.p.Names
+	for skipped := 0; ; skipped++ {
+		header := ex.Response.Header
+		if header.Get(names.ID) == t.c.id {
+			return nil
+		}
+		if skipped == maxMismatchedResponses {
+			return errors.New("responses to other requests")
+		}
+		if err := ex.SkipResponse(t.c.r); err != nil {
+			return err
+		}
+	}
+}
+
 // logResponse logs a response that is relayed to the caller.
 func (t *transaction) logResponse(resp *response) {
 	names, pick := &t.p.Names, resp.pick
--- a/process/proxy/head_test.go
+++ b/process/proxy/head_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -18,23 +19,28 @@
 	"shalewick/standin/server"
 )
 
-// endlessResponder returns the address of a server that sends a beginning, and then text without an end. The beginning
-// is made from the id of the request.
-func endlessResponder(t *testing.T, beginning func(id string) string) string {
+// rawServer responds to the first request of each connection with bytes that respond writes.
+type rawServer struct {
+	address  string
+	requests atomic.Int64
+}
+
+// startRawServer starts a server whose function respond gets the id of each request. The connection is closed when it
+// returns.
+func startRawServer(t *testing.T, respond func(c net.Conn, id string)) *rawServer {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	text := strings.Repeat("x", 64<<10)
-	respond := func(c net.Conn) {
+	s := &rawServer{address: l.Addr().String()}
+	serve := func(c net.Conn) {
 		defer c.Close()
 		r, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
 		}
-		_, err = io.WriteString(c, beginning(r.Header.Get(request.OwnNames.ID)))
-		for err == nil {
-			_, err = io.WriteString(c, text)
-		}
+		s.requests.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		respond(c, r.Header.Get(request.OwnNames.ID))
 	}
 	go func() {
 		for {
@@ -42,10 +48,22 @@
 			if err != nil {
 				return
 			}
-			go respond(c)
+			go serve(c)
 		}
 	}()
-	return l.Addr().String()
+	return s
+}
+
+// respondEndlessly returns a function that sends a beginning, and then text without an end. The beginning is made from
+// the id of the request.
+func respondEndlessly(beginning func(id string) string) func(net.Conn, string) {
+	text := strings.Repeat("x", 64<<10)
+	return func(c net.Conn, id string) {
+		_, err := io.WriteString(c, beginning(id))
+		for err == nil {
+			_, err = io.WriteString(c, text)
+		}
+	}
 }
 
 // assertHeadTooLarge checks that the only line of an event tells that the head of a response was too large, and that
@@ -84,11 +102,11 @@
 // has no end: the caller must not take it for whole.
 func TestTrailerOfStreamedResponseIsLimited(t *testing.T) {
 	f := newFixture(t, 0)
-	f.backend("u0", endlessResponder(t, func(id string) string {
+	f.backend("u0", startRawServer(t, respondEndlessly(func(id string) string {
 		const size = 2 * maxBufferedResponse
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX: ",
 			request.OwnNames.ID, id, size, strings.Repeat("v", size))
-	}))
+	})).address)
 	f.install()
 	var log syncBuffer
 	f.proxy.Log = logging.New(&log)
@@ -101,9 +119,46 @@
 // it forwarded a request to. The request may have run.
 func TestEndlessResponseOfOtherInstance(t *testing.T) {
 	f := newForwardFixture(t, 0)
-	f.addresses = append(f.addresses, endlessResponder(t, func(string) string { return "HTTP/1.1 200 OK\r\nX: " }))
+	f.addresses = append(f.addresses, startRawServer(t, respondEndlessly(func(string) string { return "HTTP/1.1 200 OK\r\nX: " })).address)
 	var log syncBuffer
 	f.proxy.Log = logging.New(&log)
 	f.assertResult(f.send("b1", "/bids/1", "an offer"), http.StatusBadGateway, "b1")
 	f.assertHeadTooLarge(&log, "forwarded")
 }
+
+// assertMayHaveRun checks that a request that is not repeatable, and gets a response of either of two servers, is sent to
+// one of them only, and that the caller is told that it may have run.
+func assertMayHaveRun(t *testing.T, response func(id string) string) {
+	t.Helper()
+	f := newFixture(t, 0)
+	respond := func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, response(id))
+		_, _ = io.Copy(io.Discard, c) // keeps the connection
+	}
+	servers := []*rawServer{startRawServer(t, respond), startRawServer(t, respond)}
+	for i, s := range servers {
+		f.backend(fmt.Sprint("u", i), s.address)
+	}
+	f.install()
+	f.assertResult(f.send("b1", "/bids/1", "an offer"), http.StatusBadGateway, "b1")
+	assert.Equal(t, servers[0].requests.Load()+servers[1].requests.Load(), int64(1))
+}
+
+// rawResponse returns a response without a body. Headers are added as they are.
+func rawResponse(status int, id string, headers ...string) string {
+	lines := append([]string{fmt.Sprintf("HTTP/1.1 %d S", status), request.OwnNames.ID + ": " + id}, headers...)
+	return strings.Join(lines, "\r\n") + "\r\nContent-Length: 0\r\n\r\n"
+}
+
+// TestRefusalOfAnotherRequestCountsForNone guards against a request that runs twice, or gets 503 though it has run, since
+// a surplus response says that another request was sent to the wrong server.
+func TestRefusalOfAnotherRequestCountsForNone(t *testing.T) {
+	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusServiceUnavailable} {
+		for _, id := range []string{"another", ""} {
+			assertMayHaveRun(t, func(own string) string {
+				surplus := rawResponse(status, id, request.OwnNames.NotRun+": 1")
+				return strings.Repeat(surplus, maxMismatchedResponses+1) + rawResponse(http.StatusOK, own)
+			})
+		}
+	}
+}
