conn: a response that is made of several ones counts for none

A backend server that breaks off within the head of a surplus response, and keeps the connection, sends the next response right behind it. If the first part comes when the connection was found idle and the request has been sent, both are read as one response: its status says that the request was not run, or its body is another one's, or its seal.

The head shows that it is made of several: a status line within a line, two lengths, or a header that stands once and is there twice (id, seal, refusal, load). Such a response is an error, ErrMerged: the request may have run, and the connection is closed. So is one with an id of another request before the own one, which was skipped, with the response behind it.

TestMergedResponseIsNoResponse cuts a head at each byte and puts a response behind it; it failed before ("HTTP/1.1 503 " was read as 503 with the headers of the next response), and so did TestResponseWithRepeatedHeaderCountsForNone (200 in place of 502).

--- a/conn/doc.go
+++ b/conn/doc.go
@@ -16,6 +16,15 @@
 whether a byte was sent. Requests that may not be repeated need control over both, so this
 package writes the request itself, once.
 
+# Which bytes belong to a response
+
+A backend server may send bytes that belong to no request. A connection is used for a request
+only if nothing is left to read on it: when it is put back, when it is taken, and right before
+the first byte of the request (pooledConn.isIdle). What arrives later is read as the response.
+Its head is read whole into the buffer of the connection before it is parsed, within
+MaxHeadBytes and MaxHeadLines, and a head that shows that it is made of several is an error
+(readResponse). The package does not know the ids of requests, so the caller compares them.
+
 # When a slot becomes free
 
 The caller holds a slot token while a request is at a backend server. Close ends the
--- a/conn/head.go
+++ b/conn/head.go
@@ -20,11 +20,16 @@
 	MaxHeadLines = 100
 )
 
+// ErrMerged is the error of a response that consists of parts of several ones: a backend server that breaks off within a
+// response and keeps the connection sends the next one right behind the first part. It can't be told which request the
+// response belongs to.
+const ErrMerged = errors.ConstError("the response is made of several ones")
+
 // ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines.
 const ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
 
 // readResponse reads the head of the response to req. It skips interim responses. The error is ErrHeadTooLarge if a
-// limit is exceeded.
+// limit is exceeded, and ErrMerged if the response has parts of another one.
 func (c *pooledConn) readResponse(req *http.Request) (*http.Response, error) {
 	for left := MaxHeadBytes; ; {
 		size, err := c.awaitHead(&headScanner{statusLine: true}, left)
@@ -86,11 +91,42 @@
 type headScanner struct {
 	statusLine bool // the status line is still to come
 	lines      int  // header lines that were seen
+	lengths    int  // those of them that give the length of the body
 	start      int  // of the first line that is not complete
 	searched   int  // bytes after which the search continues
 }
 
-var statusLinePrefix = []byte("HTTP/")
+var (
+	statusLinePrefix = []byte("HTTP/")
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
+// containsStatusLine reports whether a part of a line looks like the beginning of a status line: the version and a status.
+func containsStatusLine(line []byte) bool {
+	for {
+		i := bytes.Index(line, statusLinePrefix)
+		if i < 0 {
+			return false
+		}
+		line = line[i+len(statusLinePrefix):]
+		if len(line) >= 7 && line[1] == '.' && line[3] == ' ' && isDigit(line[0]) && isDigit(line[2]) && isDigit(line[4]) && isDigit(line[5]) && isDigit(line[6]) {
+			return true
+		}
+	}
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// RepeatedHeader returns the first of the names that h contains more than once, or "".
+func RepeatedHeader(h http.Header, names ...string) string {
+	for _, name := range names {
+		if len(h.Values(name)) > 1 {
+			return name
+		}
+	}
+	return ""
+}
 
 // scan returns the size of the head that b begins with, or zero if b does not contain its end. It fails as soon as b
 // can't be the beginning of a head, so that nobody waits for the end of bytes that are no response.
@@ -118,10 +154,19 @@
 
 // check checks a line that is not empty.
 func (s *headScanner) check(line []byte) error {
+	if containsStatusLine(line[1:]) || !s.statusLine && containsStatusLine(line) {
+		return errors.Annotatef(ErrMerged, "line %.80q", line)
+	}
 	if s.statusLine {
 		s.statusLine = false
 		return nil
 	}
+	if name, _, _ := bytes.Cut(line, []byte{':'}); bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding) {
+		s.lengths++
+	}
+	if s.lengths > 1 {
+		return errors.Annotate(ErrMerged, "two lengths")
+	}
 	s.lines++
 	if s.lines > MaxHeadLines {
 		return errors.Annotatef(ErrHeadTooLarge, "more than %d lines", MaxHeadLines)
--- a/conn/surplus_test.go
+++ b/conn/surplus_test.go
@@ -101,3 +101,24 @@
 		assert.Equal(t, got, "ok")
 	}
 }
+
+// brokenOffHead is a response that breaks off within its head if any part of its end is missing.
+const brokenOffHead = "HTTP/1.1 503 Service Unavailable\r\nX-Server-Load: 6,18,6\r\nX-Attempt-Id: another\r\nContent-Length: 0\r\n"
+
+// TestMergedResponseIsNoResponse guards against a response that broke off within its head, and is taken for the beginning
+// of the next one. That may come too late to tell the connection from an idle one.
+func TestMergedResponseIsNoResponse(t *testing.T) {
+	for i := 1; i <= len(brokenOffHead); i++ {
+		res, _, err := readFrom(strings.NewReader(brokenOffHead[:i] + typicalHead))
+		assert.Assert(t, err != nil, "%q before a response is read as %v", brokenOffHead[:i], res)
+	}
+	for _, head := range []string{"Content-Length: 2\r\nContent-Length: 2\r\n", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"} {
+		_, _, err := readFrom(strings.NewReader(okLine + head + "\r\nok"))
+		assert.ErrorIs(t, err, ErrMerged)
+	}
+	res, _, err := readFrom(strings.NewReader(okLine + "Via: HTTP/1.1 proxy\r\nServer: HTTP/1.1\r\nUpgrade: HTTP/2.0\r\nLink: <http/1.1 200 ok>\r\n\r\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(res.Header), 4)
+	_, _, err = readFrom(strings.NewReader("HTTP/1.1 505 HTTP Version Not Supported\r\n\r\n"))
+	assert.NilError(t, err)
+}
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -147,7 +147,7 @@
 	wasSent := fw.sent
 	fw.sent = true
 	h := exchange.Response.Header
-	if h.Get(request.HeaderID) != fw.call.id {
+	if !fw.call.isOwnResponse(h) {
 		exchange.Response.Close = true
 		fw.call.body.CloseExchange(exchange)
 		fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
@@ -167,6 +167,13 @@
 	return fw.receive(exchange, name, start)
 }
 
+// isOwnResponse reports whether a response belongs to the request: it has the id of the request, and no header that
+// shows that it is made of two.
+func (c *call) isOwnResponse(h http.Header) bool {
+	return h.Get(request.HeaderID) == c.id &&
+		conn.RepeatedHeader(h, request.HeaderID, request.HeaderNotRun, request.HeaderResult, request.HeaderRan) == ""
+}
+
 // recordRateLimit records the rate limit that a response names, or that it names none.
 func (fw *forwarder) recordRateLimit(place *steer.Placement, h http.Header, sentAt time.Duration) {
 	limit, err := request.OwnNames.RateLimit(h)
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -164,7 +164,7 @@
 		f.finish(c, retryWithTicket(request.AnswerLost))
 		return
 	}
-	if exchange.Response.Header.Get(request.HeaderID) != c.id {
+	if !c.isOwnResponse(exchange.Response.Header) {
 		c.body.CloseExchange(exchange)
 		f.finish(c, retryWithTicket(request.AnswerWrong))
 		return
--- a/process/front/peer.go
+++ b/process/front/peer.go
@@ -73,7 +73,7 @@
 		return nil, fw.lostAt(err), fw.lostOutcome()
 	}
 	h := exchange.Response.Header
-	if h.Get(request.HeaderID) != fw.call.id {
+	if !fw.call.isOwnResponse(h) {
 		exchange.Response.Close = true
 		fw.call.body.CloseExchange(exchange)
 		fw.sent = true
--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -251,6 +251,9 @@
 	names := &t.p.Names
 	for skipped := 0; ; skipped++ {
 		header := ex.Response.Header
+		if name := conn.RepeatedHeader(header, names.ID, names.Seal, names.NotRun, names.Load); name != "" {
+			return errors.Annotatef(conn.ErrMerged, "header %s is repeated", name)
+		}
 		if header.Get(names.ID) == t.c.id {
 			return nil
 		}
--- a/process/proxy/head_test.go
+++ b/process/proxy/head_test.go
@@ -162,3 +162,22 @@
 		}
 	}
 }
+
+// TestResponseWithRepeatedHeaderCountsForNone guards against a response that is made of parts of two, and counts as the
+// response to the request.
+func TestResponseWithRepeatedHeaderCountsForNone(t *testing.T) {
+	names := &request.OwnNames
+	for _, response := range []func(id string) string{
+		func(id string) string { return rawResponse(http.StatusOK, id, names.ID+": another") },
+		func(id string) string { return rawResponse(http.StatusOK, "another", names.ID+": "+id) },
+		func(id string) string { return rawResponse(http.StatusOK, id, names.Seal+": a", names.Seal+": b") },
+		func(id string) string {
+			return rawResponse(http.StatusServiceUnavailable, id, names.NotRun+": 1", names.Load+": 1,0,6", names.Load+": 1,0,6")
+		},
+		func(id string) string {
+			return rawResponse(http.StatusServiceUnavailable, id, names.NotRun+": 1", names.Load+": 1,0,6HTTP/1.1 200 OK")
+		},
+	} {
+		assertMayHaveRun(t, response)
+	}
+}
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -222,7 +222,7 @@
 		target.Done(forward.Declined) // it runs an earlier release
 		return nil, t.result(request.ConnectFailed, minRetryAfter), true, nil
 	}
-	if h.Get(t.p.Names.ID) != t.c.id || end == "" {
+	if h.Get(t.p.Names.ID) != t.c.id || end == "" || conn.RepeatedHeader(h, t.p.Names.ID, headerForwardedEnd, request.HeaderResult) != "" {
 		ex.Response.Close = true
 		t.c.body.CloseExchange(ex)
 		return nil, nil, false, errors.New("the response is not to this request")
