process/entry: files that are being written are read again

While a process ran, an empty workspace file was taken for one without workspaces, and operators got 401; and a file that was read incomplete and completed with the same modification time was not read again.

An error can't tell files that are being replaced from wrong ones, as with a certificate whose key follows. An empty workspace file is an error, which leaves the previous one in force. The size tells versions of a file apart too, in one place for both commands.

TestEntryWaitsForCredentials covers the start. Two tests of auth reset the renamed field.

--- a/process/auth/auth_test.go
+++ b/process/auth/auth_test.go
@@ -44,7 +44,7 @@
 	_, err = workspaces.Find("secret", now)
 	assert.NilError(t, err)
 	writeFile(t, path, "workspaces:\n- {name: c, hash: "+tokenHash("new")+"}\n")
-	workspaces.file.checkedAt, workspaces.file.modTimes = time.Time{}, nil
+	workspaces.file.checkedAt, workspaces.file.states = time.Time{}, nil
 	_, err = workspaces.Find("secret", now)
 	assert.ErrorIs(t, err, ErrTokenUnknown)
 }
@@ -163,6 +163,36 @@
 	e := open(ours, "e", -time.Minute)
 	assert.Assert(t, handshake(t, a, e) != nil)
 	ours.Write(t, filepath.Join(dir, "e"), time.Hour)
-	e.file.checkedAt, e.file.modTimes = time.Time{}, nil
+	e.file.checkedAt, e.file.states = time.Time{}, nil
 	assert.NilError(t, handshake(t, a, e))
 }
+
+// TestFileThatIsBeingWritten guards against a file that is read while it is written, and taken for one without workspaces, or never read again
+// since it is completed within the resolution of its modification time.
+func TestFileThatIsBeingWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "workspaces")
+	written := time.Now()
+	write := func(text string) {
+		writeFile(t, path, text)
+		assert.NilError(t, os.Chtimes(path, written, written))
+	}
+	first := "workspaces:\n- {name: a, hash: " + tokenHash("secret") + "}\n"
+	write(first)
+	workspaces, err := OpenWorkspaces(path)
+	assert.NilError(t, err)
+	for text, wants := range map[string]map[string]error{
+		"": {"secret": nil, "new": ErrTokenUnknown},
+		first + "- {name: b, hash: " + tokenHash("new") + "}\n": {"secret": nil, "new": nil},
+	} {
+		write(text)
+		workspaces.file.checkedAt = time.Time{}
+		for token, want := range wants {
+			_, err := workspaces.Find(token, time.Now())
+			assert.ErrorIs(t, err, want)
+		}
+		write(first)
+		workspaces.file.checkedAt = time.Time{}
+		_, err := workspaces.Find("secret", time.Now())
+		assert.NilError(t, err)
+	}
+}
--- a/process/auth/watched.go
+++ b/process/auth/watched.go
@@ -3,9 +3,11 @@
 package auth
 
 import (
-	"os"
+	"slices"
 	"sync"
 	"time"
+
+	"shalewick/process/filestate"
 )
 
 // checkInterval is how often files are checked for changes.
@@ -21,7 +23,7 @@
 	value     T
 	loaded    bool
 	checkedAt time.Time
-	modTimes  []time.Time // of the files when value was read
+	states    []filestate.State // of the files when value was read
 }
 
 // get returns the current value. If reading fails, it returns the previous
@@ -33,27 +35,23 @@
 		return w.value, nil
 	}
 	w.checkedAt = time.Now()
-	times, changed := w.checkModTimes()
-	if w.loaded && !changed {
+	states := w.currentStates()
+	if w.loaded && slices.Equal(states, w.states) {
 		return w.value, nil
 	}
 	v, err := w.read(w.paths)
 	if err != nil {
 		return w.value, err
 	}
-	w.value, w.loaded, w.modTimes = v, true, times
+	w.value, w.loaded, w.states = v, true, states
 	return v, nil
 }
 
-// checkModTimes returns the modification times of the files, and whether one
-// differs from that of the last read.
-func (w *watchedFiles[T]) checkModTimes() (times []time.Time, changed bool) {
-	times = make([]time.Time, len(w.paths))
+// currentStates returns the states of the files.
+func (w *watchedFiles[T]) currentStates() []filestate.State {
+	states := make([]filestate.State, len(w.paths))
 	for i, p := range w.paths {
-		if info, err := os.Stat(p); err == nil {
-			times[i] = info.ModTime()
-		}
-		changed = changed || i >= len(w.modTimes) || !times[i].Equal(w.modTimes[i])
+		states[i] = filestate.Of(p)
 	}
-	return times, changed
+	return states
 }
--- a/process/auth/workspace.go
+++ b/process/auth/workspace.go
@@ -50,6 +50,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if len(b) == 0 {
+		return nil, errors.Errorf("%s is empty", paths[0]) // it is being written
+	}
 	var f struct {
 		Workspaces []Workspace `json:"workspaces"`
 	}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -30,6 +30,7 @@
 	"shalewick/process/platform"
 	"shalewick/process/ratelimit"
 	"shalewick/process/slots"
+	"shalewick/process/startup"
 	"shalewick/process/steer"
 	"shalewick/process/ticket"
 	"shalewick/version"
@@ -83,10 +84,10 @@
 	return StartContext(context.Background(), s, logTo)
 }
 
-// StartContext validates the settings, opens the listeners, for at most
-// Settings.StartTimeout, and starts the background loops. When it returns, the
-// entry serves; it refuses requests until it has a configuration version. The
-// context ends the wait for the listeners only.
+// StartContext validates the settings, reads the credentials, opens the listeners
+// and starts the background loops. When it returns, the entry serves; it refuses
+// requests until it has a configuration version. The context ends the waits of
+// the start only, which are limited by Settings.StartTimeout.
 func StartContext(ctx context.Context, s Settings, logTo io.Writer) (*Entry, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
@@ -111,10 +112,13 @@
 		probeClient:   newProbeClient(),
 	}
 	e.initComponents()
-	if err := e.loadCredentials(); err != nil {
+	retrier := startup.Retrier{Timeout: s.StartTimeout, Log: e.log}
+	// An error can't tell files that are being replaced from wrong ones.
+	always := func(error) bool { return true }
+	if err := retrier.Run(ctx, "credentials", always, e.loadCredentials); err != nil {
 		return nil, err
 	}
-	if err := e.listen(ctx); err != nil {
+	if err := e.listen(ctx, retrier); err != nil {
 		return nil, err
 	}
 	loops, cancel := context.WithCancel(context.Background())
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -29,13 +29,13 @@
 )
 
 // listen opens all listeners and serves on them.
-func (e *Entry) listen(ctx context.Context) error {
+func (e *Entry) listen(ctx context.Context, retrier startup.Retrier) error {
 	adminHandler, err := e.adminHandler()
 	if err != nil {
 		return err
 	}
 	start := e.now()
-	sockets, err := startup.Retrier{Timeout: e.settings.StartTimeout, Log: e.log}.Listen(ctx, e.settings.addresses())
+	sockets, err := retrier.Listen(ctx, e.settings.addresses())
 	if err != nil {
 		return err
 	}
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -28,8 +28,8 @@
 	// lookups that callers have cached expire first.
 	Grace    time.Duration
 	LogLevel string
-	// StartTimeout is how long a start waits until all addresses can be
-	// listened on.
+	// StartTimeout is how long a start waits until the credentials can be
+	// read, and then until all addresses can be listened on.
 	StartTimeout time.Duration
 
 	// WorkspaceTokens is the path of the workspace token file, see package auth.
--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -90,3 +92,16 @@
 	p.Signal(syscall.SIGTERM)
 	assert.Equal(t, p.AwaitExit(t, time.Second), 0)
 }
+
+// TestEntryWaitsForCredentials guards against an entry that ends since one of its files is replaced while it starts.
+func TestEntryWaitsForCredentials(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "workspaces.yaml")
+	p := launchEntry(t, freeAddresses(t), "--workspace-tokens", path)
+	awaitLog(t, p, "event=start-waiting")
+	assert.NilError(t, os.WriteFile(path, []byte("workspaces: []\n"), 0o600))
+	awaitLog(t, p, "event=started")
+	p = launchEntry(t, freeAddresses(t), "--workspace-tokens", path+".missing", "--start-timeout", "300ms")
+	assert.Equal(t, p.AwaitExit(t, entryStartTime), startup.ExitFailure)
+	assert.Check(t, bytes.Contains(p.Log(t), []byte("--workspace-tokens")), "%s", p.Log(t))
+}
