process/startup: SIGTERM ends a start whose files can't be read

Each attempt of a step of the start runs beside the wait for the signal. Retry returns its value, so that one that is left behind changes nothing. `shalewick entry` reads its credentials in the same way.

--- a/cmd/shalewick-edge/main.go
+++ b/cmd/shalewick-edge/main.go
@@ -140,12 +140,11 @@
 
 // loadSettings reads the settings file. If that can't be read, or is not complete, it is read again for at most timeout: the platform may
 // be writing it.
-func loadSettings(ctx context.Context, path string, timeout time.Duration, logTo io.Writer) (live *platform.SettingsFile, err error) {
-	err = startup.Retrier{Timeout: timeout, Log: logging.New(logTo)}.Run(ctx, "settings", platform.IsIncomplete, func() (err error) {
-		live, err = platform.LoadSettingsFile(path)
-		return err
+func loadSettings(ctx context.Context, path string, timeout time.Duration, logTo io.Writer) (*platform.SettingsFile, error) {
+	retrier := startup.Retrier{Timeout: timeout, Log: logging.New(logTo)}
+	return startup.Retry(ctx, retrier, "settings", platform.IsIncomplete, func() (*platform.SettingsFile, error) {
+		return platform.LoadSettingsFile(path)
 	})
-	return live, err
 }
 
 // reloadSettings reloads the settings on SIGHUP and whenever the file has changed, until the context ends. Reading the
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -42,23 +42,22 @@
 	log      zerolog.Logger
 	started  time.Time
 
-	platform   platform.Platform
-	members    *member.Registry
-	store      *config.Store
-	changes    *config.Log
-	slots      *slots.Table
-	health     *health.Table
-	steer      *steer.Steerer
-	limits     *ratelimit.Limiter
-	owners     atomic.Pointer[limitOwners]
-	ledger     *ticket.Ledger
-	metrics    *metric.Set
-	front      *front.Front
-	routes     *routes
-	peers      *peerConns
-	splitter   splitter
-	workspaces *auth.Workspaces // nil: operators are not authenticated
-	identity   *auth.Identity   // nil: connections between instances don't use TLS
+	platform platform.Platform
+	members  *member.Registry
+	store    *config.Store
+	changes  *config.Log
+	slots    *slots.Table
+	health   *health.Table
+	steer    *steer.Steerer
+	limits   *ratelimit.Limiter
+	owners   atomic.Pointer[limitOwners]
+	ledger   *ticket.Ledger
+	metrics  *metric.Set
+	front    *front.Front
+	routes   *routes
+	peers    *peerConns
+	splitter splitter
+	authFiles
 
 	tokenShortage chan struct{} // signalled when a request waits for a token
 	pushNeeded    chan struct{} // signalled when there is an update for all peers
@@ -113,9 +112,7 @@
 	}
 	e.initComponents()
 	retrier := startup.Retrier{Timeout: s.StartTimeout, Log: e.log}
-	// An error can't tell files that are being replaced from wrong ones.
-	always := func(error) bool { return true }
-	if err := retrier.Run(ctx, "credentials", always, e.loadCredentials); err != nil {
+	if err := e.loadCredentials(ctx, retrier); err != nil {
 		return nil, err
 	}
 	if err := e.listen(ctx, retrier); err != nil {
@@ -164,20 +161,36 @@
 	e.front.Forward = e.routes.proxy.Forward
 }
 
-// loadCredentials reads the files that authenticate operators and instances.
-func (e *Entry) loadCredentials() (err error) {
-	if e.settings.WorkspaceTokens != "" {
-		if e.workspaces, err = auth.OpenWorkspaces(e.settings.WorkspaceTokens); err != nil {
-			return errors.Annotate(err, "--workspace-tokens")
+// authFiles authenticate operators and instances.
+type authFiles struct {
+	workspaces *auth.Workspaces // nil: operators are not authenticated
+	identity   *auth.Identity   // nil: connections between instances don't use TLS
+}
+
+// readCredentials reads the files that authenticate operators and instances.
+func (s *Settings) readCredentials() (f authFiles, err error) {
+	if s.WorkspaceTokens != "" {
+		if f.workspaces, err = auth.OpenWorkspaces(s.WorkspaceTokens); err != nil {
+			return f, errors.Annotate(err, "--workspace-tokens")
 		}
 	}
-	if e.settings.Cert != "" {
-		e.identity, err = auth.OpenIdentity(e.settings.Cert, e.settings.Key, e.settings.Authority)
-		if err != nil {
-			return errors.Annotate(err, "--cert, --key, --authority")
+	if s.Cert != "" {
+		if f.identity, err = auth.OpenIdentity(s.Cert, s.Key, s.Authority); err != nil {
+			return f, errors.Annotate(err, "--cert, --key, --authority")
 		}
-		e.peers.identity = e.identity
 	}
+	return f, nil
+}
+
+// loadCredentials reads the credentials. An error can't tell files that are being replaced from wrong ones, so they are read again.
+func (e *Entry) loadCredentials(ctx context.Context, retrier startup.Retrier) error {
+	always := func(error) bool { return true }
+	files, err := startup.Retry(ctx, retrier, "credentials", always, e.settings.readCredentials)
+	if err != nil {
+		return err
+	}
+	e.authFiles = files
+	e.peers.identity = files.identity
 	if !e.settings.authenticated() {
 		e.log.Warn().Str("reason", "no --workspace-tokens or no --cert").Msg("loopback-only")
 	}
--- a/process/startup/listen.go
+++ b/process/startup/listen.go
@@ -90,18 +90,18 @@
 // Listen opens sockets for all addresses, in their order. While one address is not available none of them is open: a connection that
 // waits to be accepted would be worse for a caller than one that is refused. The error is an UnavailableError if an address
 // was not available within the timeout.
-func (r Retrier) Listen(ctx context.Context, addresses []Address) (s Sockets, err error) {
+func (r Retrier) Listen(ctx context.Context, addresses []Address) (Sockets, error) {
 	temporary := func(err error) bool {
 		var unavailable *UnavailableError
 		return errors.As(err, &unavailable)
 	}
 	if err := checkDistinct(addresses); err != nil {
-		return s, err
+		return Sockets{}, err
+	}
+	s, err := Retry(ctx, r, "listen", temporary, func() (Sockets, error) { return openAll(addresses) })
+	if err != nil {
+		s.Close() // the context may have ended after they were opened
 	}
-	err = r.Run(ctx, "listen", temporary, func() error {
-		s, err = openAll(addresses)
-		return err
-	})
 	return s, err
 }
 
--- a/process/startup/retry.go
+++ b/process/startup/retry.go
@@ -38,34 +38,34 @@
 	return nil
 }
 
-// Retrier repeats a step of a start whose failure may be temporary.
+// Retrier says how long, and with which log, a step of a start is repeated whose failure may be temporary.
 type Retrier struct {
 	Timeout time.Duration // how long it is repeated; zero: it is attempted once
 	Log     zerolog.Logger
 }
 
-// Run calls f until it succeeds or returns an error that is not temporary, for at most Timeout, and returns the last error. Each
-// second it logs what it waits for. If the context ends, its error is returned.
-func (r Retrier) Run(ctx context.Context, step string, temporary func(error) bool, f func() error) error {
+// Retry calls f until it succeeds or returns an error that is not temporary, for at most r.Timeout, and returns its last result. Each
+// second it logs what it waits for. If the context ends, its error is returned at once, also while f runs: a file system may not respond.
+func Retry[T any](ctx context.Context, r Retrier, step string, temporary func(error) bool, f func() (T, error)) (T, error) {
 	start, logged := time.Now(), time.Time{}
 	for attempts := 1; ; attempts++ {
+		v, err := attempt(ctx, f)
+		waited := time.Since(start)
 		if ctx.Err() != nil {
-			r.Log.Info().Str("step", step).Dur("waited", time.Since(start)).Msg("start-canceled")
-			return ctx.Err()
+			r.Log.Info().Str("step", step).Dur("waited", waited).Msg("start-canceled")
+			return v, ctx.Err()
 		}
-		err := f()
-		waited := time.Since(start)
 		if err == nil {
 			if attempts > 1 {
 				r.Log.Info().Str("step", step).Dur("waited", waited).Int("attempts", attempts).Msg("start-continued")
 			}
-			return nil
+			return v, nil
 		}
 		if !temporary(err) {
-			return err
+			return v, err
 		}
 		if waited >= r.Timeout {
-			return errors.Annotatef(err, "start not completed within %s (--%s)", r.Timeout, timeoutFlag)
+			return v, errors.Annotatef(err, "start not completed within %s (--%s)", r.Timeout, timeoutFlag)
 		}
 		if time.Since(logged) >= logInterval {
 			logged = time.Now()
@@ -74,3 +74,23 @@
 		clock.Sleep(ctx, min(retryInterval, r.Timeout-waited))
 	}
 }
+
+// attempt calls f, and returns without its result if the context ends first.
+func attempt[T any](ctx context.Context, f func() (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		v, err := f()
+		done <- result{v, err}
+	}()
+	select {
+	case r := <-done:
+		return r.value, r.err
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
--- a/process/startup/startup_test.go
+++ b/process/startup/startup_test.go
@@ -52,26 +52,27 @@
 	t.Parallel()
 	temporary := func(err error) bool { return errors.Is(err, os.ErrNotExist) }
 	calls := 0
-	fail := func(err error) func() error {
-		return func() error {
+	fail := func(err error) func() (int, error) {
+		return func() (int, error) {
 			calls++
-			return err
+			return calls, err
 		}
 	}
 	r := Retrier{Timeout: 2 * retryInterval, Log: zerolog.Nop()}
-	assert.ErrorIs(t, r.Run(t.Context(), "x", temporary, fail(os.ErrInvalid)), os.ErrInvalid)
+	_, err := Retry(t.Context(), r, "x", temporary, fail(os.ErrInvalid))
+	assert.ErrorIs(t, err, os.ErrInvalid)
 	assert.Equal(t, calls, 1, "an error that is not temporary")
 	start := time.Now()
-	err := r.Run(t.Context(), "x", temporary, fail(os.ErrNotExist))
+	_, err = Retry(t.Context(), r, "x", temporary, fail(os.ErrNotExist))
 	assert.ErrorIs(t, err, os.ErrNotExist)
 	assert.ErrorContains(t, err, "--start-timeout")
 	assert.Check(t, time.Since(start) >= r.Timeout && calls >= 3, "%d attempts", calls)
 	assert.Equal(t, ExitCode(err), ExitFailure)
 	ctx, cancel := context.WithCancel(t.Context())
 	r.Timeout = time.Hour
-	err = r.Run(ctx, "x", temporary, func() error {
+	_, err = Retry(ctx, r, "x", temporary, func() (int, error) {
 		cancel()
-		return os.ErrNotExist
+		select {} // as a read of a file system that does not respond
 	})
 	assert.ErrorIs(t, err, context.Canceled)
 }
@@ -82,7 +83,7 @@
 	var log bytes.Buffer
 	r := Retrier{Timeout: 2 * logInterval, Log: zerolog.New(&log)}
 	start := time.Now()
-	err := r.Run(t.Context(), "x", func(error) bool { return true }, func() error { return os.ErrNotExist })
+	_, err := Retry(t.Context(), r, "x", func(error) bool { return true }, func() (int, error) { return 0, os.ErrNotExist })
 	assert.ErrorIs(t, err, os.ErrNotExist)
 	lines := strings.Count(log.String(), "start-waiting")
 	assert.Check(t, lines >= 1 && lines <= 1+int(time.Since(start)/logInterval), "%d lines", lines)
