proxy: a response without an id ends the attempt at once

Callers got 504 at their deadlines when a row named the address of a server that is no backend server but answers, like another port of an instance: its 404 has no request id, was skipped as a surplus response to another request, and the attempt waited for the next one until the route's timeout.

Backend servers put the id of the request into each response, so a response without one is not followed by another. The attempt ends at once, as one that may have run: a POST gets 502, a request that may be repeated goes to another backend server, and this one rests sooner.

--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -200,7 +200,8 @@
 func (t *transaction) readResponse(ctx context.Context, ex *conn.Exchange, pick *balance.Pick, sent time.Time) (*response, *request.Result) {
 	names := &t.p.Names
 	for range maxMismatchedResponses {
-		if ex.Response.Header.Get(names.ID) == t.c.id {
+		// A response without an id is not a surplus one of a backend server, so that no other follows.
+		if id := ex.Response.Header.Get(names.ID); id == t.c.id || id == "" {
 			break
 		}
 		if err := ex.SkipResponse(t.c.r); err != nil {
