--- a/process/proxy/attempt.go
+++ b/process/proxy/attempt.go
@@ -254,8 +254,11 @@
 		if name := conn.RepeatedHeader(header, names.ID, names.Seal, names.NotRun, names.Load); name != "" {
 			return errors.Annotatef(conn.ErrMerged, "header %s is repeated", name)
 		}
-		if header.Get(names.ID) == t.c.id {
+		switch header.Get(names.ID) {
+		case t.c.id:
 			return nil
+		case "": // not a surplus response of a backend server, so that no other follows
+			return errors.New("a response without a request id")
 		}
 		if skipped == maxMismatchedResponses {
 			return errors.New("responses to other requests")
