--- a/process/entry/stop_test.go
+++ b/process/entry/stop_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,8 +38,8 @@
 	return startStopping(t, grace, io.Discard, backend.Address()), backend
 }
 
-// startStopping starts an entry whose routes have a backend server at an address.
-func startStopping(t *testing.T, grace time.Duration, log io.Writer, backend string) *Entry {
+// startStopping starts an entry whose routes have a backend server at an address. More documents may be added.
+func startStopping(t *testing.T, grace time.Duration, log io.Writer, backend string, more ...string) *Entry {
 	t.Helper()
 	var ports fleet.Ports
 	addresses, err := ports.Allocate(3)
@@ -47,7 +48,7 @@
 	s.Front, s.Peer, s.Admin, s.Grace = addresses[0].String(), addresses[1].String(), addresses[2].String(), grace
 	e, err := Start(s, log)
 	assert.NilError(t, err)
-	rs, err := version.Parse(fmt.Appendf(nil, "%s---\nkind: backend\nname: u0\nspec: {service: s, hall: h, address: %q, slots: 40}\n", routeDocuments, backend))
+	rs, err := version.Parse(fmt.Appendf(nil, "%s---\nkind: backend\nname: u0\nspec: {service: s, hall: h, address: %q, slots: 40}\n%s", routeDocuments, backend, strings.Join(more, "")))
 	assert.NilError(t, err)
 	config, _, err := (&version.Config{}).Propose(version.Change{Operation: "o", Puts: rs})
 	assert.NilError(t, err)
@@ -177,6 +178,52 @@
 	}
 }
 
+// TestStopServesLongRequestsAndUploads guards against requests that get a response of the instance while their backend server works on them,
+// since they last longer than the grace time, or since their body is still on its way when it ends.
+func TestStopServesLongRequestsAndUploads(t *testing.T) {
+	t.Parallel()
+	const grace, work, piecePause = 300 * time.Millisecond, 1500 * time.Millisecond, 200 * time.Millisecond
+	backend := &server.Server{Name: "u0", Names: request.OwnNames, Slots: 40, Work: work}
+	assert.NilError(t, backend.Start())
+	t.Cleanup(backend.Close)
+	const route = `---
+kind: route
+name: long
+spec: {host: a.example, prefix: /long/, class: commit, repeatable: false, timeout: 30s, attempts: 2, split: [{service: s, weight: 1}]}
+`
+	e := startStopping(t, grace, io.Discard, backend.Address(), route)
+	var callers sync.WaitGroup
+	send := func(id string, pieces int) {
+		c, err := net.Dial("tcp", e.settings.Front)
+		assert.NilError(t, err)
+		callers.Go(func() {
+			defer c.Close()
+			fmt.Fprintf(c, "POST /long/1 HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", request.HeaderID, id, 4*pieces)
+			for range pieces {
+				_, err := io.WriteString(c, "body")
+				assert.Check(t, err)
+				if pieces > 1 {
+					time.Sleep(piecePause)
+				}
+			}
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if assert.Check(t, err, id) {
+				assert.Check(t, res.StatusCode == http.StatusOK, "%s: %d %s", id, res.StatusCode, res.Header.Get(request.HeaderResult))
+			}
+		})
+	}
+	for i := range 8 {
+		send(fmt.Sprint("long-", i), 1)
+		send(fmt.Sprint("upload-", i), 2+i)
+	}
+	for e.inFlight() < 16 {
+		time.Sleep(time.Millisecond)
+	}
+	e.Stop(context.Background())
+	callers.Wait()
+	assert.Equal(t, len(backend.Runs()), 16)
+}
+
 // TestStopAnswersWaitingConnections guards against connections that have sent a request, wait to be accepted, and are reset when
 // the stop closes the listener.
 func TestStopAnswersWaitingConnections(t *testing.T) {
