conn: what an instance adds to a head does not make it too large

An instance adds headers to the response that it passes on to the instance that forwarded the request. So one that a backend server sent with a head close to the limit was served by the first instance and given up by the second, and the caller got 502.

The limits of a backend server's head are now 1 KiB and 16 lines below those of another instance's: 15 KiB and 100 lines, and 16 KiB, the size of the buffer, and 116 lines. The pools of connections to instances say that they are (Pool.ToInstance).

TestLargestHeadIsForwarded failed without the difference: 502 in place of 200. go test -race ./process/front ./process/entry passes, and the tests of heads in conn and process/proxy.

--- a/conn/head.go
+++ b/conn/head.go
@@ -15,11 +15,27 @@
 const (
 	// MaxHeadBytes is the maximum size of the head of a response in bytes, with those of the interim responses before
 	// it. A trailer may have as many.
-	MaxHeadBytes = bufferSize
+	MaxHeadBytes = bufferSize - addedBytes
 	// MaxHeadLines is the maximum number of header lines of a head or trailer.
 	MaxHeadLines = 100
+
+	// addedBytes and addedLines are what the response of another instance may have in addition: the headers that it adds
+	// to the response of a backend server.
+	addedBytes = 1 << 10
+	addedLines = 16
 )
 
+// headLimits are the limits of the heads that a connection may receive.
+type headLimits struct{ bytes, lines int }
+
+// limits returns the limits of the connection.
+func (c *pooledConn) limits() headLimits {
+	if c.toInstance {
+		return headLimits{bytes: MaxHeadBytes + addedBytes, lines: MaxHeadLines + addedLines}
+	}
+	return headLimits{bytes: MaxHeadBytes, lines: MaxHeadLines}
+}
+
 // ErrMerged is the error of a response that consists of parts of several ones: a backend server that breaks off within a
 // response and keeps the connection sends the next one right behind the first part. It can't be told which request the
 // response belongs to.
@@ -31,12 +47,12 @@
 // readResponse reads the head of the response to req. It skips interim responses. The error is ErrHeadTooLarge if a
 // limit is exceeded, and ErrMerged if the response has parts of another one.
 func (c *pooledConn) readResponse(req *http.Request) (*http.Response, error) {
-	for left := MaxHeadBytes; ; {
-		size, err := c.awaitHead(&headScanner{statusLine: true}, left)
+	for left := c.limits(); ; {
+		size, err := c.awaitHead(&headScanner{statusLine: true, maxLines: left.lines}, left.bytes)
 		if err != nil {
 			return nil, err
 		}
-		left -= size
+		left.bytes -= size
 		head, err := c.r.Peek(size)
 		if err != nil {
 			return nil, err
@@ -89,6 +105,7 @@
 
 // headScanner searches for the end of a head, of which it is passed ever more bytes.
 type headScanner struct {
+	maxLines   int
 	statusLine bool // the status line is still to come
 	lines      int  // header lines that were seen
 	lengths    int  // those of them that give the length of the body
@@ -168,8 +185,8 @@
 		return errors.Annotate(ErrMerged, "two lengths")
 	}
 	s.lines++
-	if s.lines > MaxHeadLines {
-		return errors.Annotatef(ErrHeadTooLarge, "more than %d lines", MaxHeadLines)
+	if s.lines > s.maxLines {
+		return errors.Annotatef(ErrHeadTooLarge, "more than %d lines", s.maxLines)
 	}
 	continued := line[0] == ' ' || line[0] == '\t'
 	if !continued && bytes.IndexByte(line, ':') <= 0 {
@@ -205,7 +222,8 @@
 
 // skipTrailer reads the trailer of a chunked body, which may be empty.
 func (c *pooledConn) skipTrailer() error {
-	if _, err := c.awaitHead(&headScanner{}, MaxHeadBytes); err != nil {
+	limits := c.limits()
+	if _, err := c.awaitHead(&headScanner{maxLines: limits.lines}, limits.bytes); err != nil {
 		return errors.Annotate(err, "read trailer")
 	}
 	_, err := textproto.NewReader(c.r).ReadMIMEHeader()
--- a/conn/pool.go
+++ b/conn/pool.go
@@ -37,6 +37,9 @@
 	// IdleTimeout is how long an idle connection is kept, unless the backend server announces a
 	// shorter time. Zero means DefaultIdleTimeout.
 	IdleTimeout time.Duration
+	// ToInstance is set if the address is that of another instance, which adds headers to the responses of backend
+	// servers.
+	ToInstance bool
 
 	mu   sync.Mutex
 	idle []*pooledConn // most recently used last
@@ -45,6 +48,7 @@
 // pooledConn is a connection with its buffers.
 type pooledConn struct {
 	net.Conn
+	toInstance  bool // as in the pool
 	r           *bufio.Reader
 	w           *bufio.Writer
 	idleSince   time.Duration // when it became idle, by clock.Now
@@ -143,7 +147,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "open connection to %s", p.Address)
 	}
-	conn := &pooledConn{Conn: netConn, r: bufio.NewReaderSize(netConn, bufferSize)}
+	conn := &pooledConn{Conn: netConn, toInstance: p.ToInstance, r: bufio.NewReaderSize(netConn, bufferSize)}
 	conn.w = bufio.NewWriterSize(conn, bufferSize)
 	return conn, nil
 }
--- a/process/edge/links.go
+++ b/process/edge/links.go
@@ -21,7 +21,7 @@
 	return &forward.Targets{
 		Now: e.now, Self: e.settings.Instance, Region: func() string { return e.settings.Region }, List: e.forwardInstances,
 		NewPool: func(address string) *conn.Pool {
-			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: peerIdleTimeout}
+			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: peerIdleTimeout, ToInstance: true}
 		},
 	}
 }
--- a/process/entry/routes.go
+++ b/process/entry/routes.go
@@ -67,7 +67,9 @@
 	rt.proxy.Forward = &forward.Targets{
 		Now: e.now, Self: e.members.Self().GetId(), Region: rt.regionName, List: rt.forwardInstances,
 		NewPool: func(address string) *conn.Pool {
-			return &conn.Pool{Address: address, Dialer: conn.NewDialer(routeDialTimeout, peerAckTimeout), IdleTimeout: routeIdleTimeout}
+			return &conn.Pool{
+				Address: address, Dialer: conn.NewDialer(routeDialTimeout, peerAckTimeout), IdleTimeout: routeIdleTimeout, ToInstance: true,
+			}
 		},
 	}
 	rt.proxy.CallersReachPeers = true // requests are forwarded to the address for callers
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -218,7 +218,7 @@
 	}
 	p := f.peerPools[address]
 	if p == nil {
-		p = &conn.Pool{Address: address}
+		p = &conn.Pool{Address: address, ToInstance: true}
 		f.peerPools[address] = p
 	}
 	return p
--- a/process/front/peer_test.go
+++ b/process/front/peer_test.go
@@ -37,7 +37,7 @@
 			}
 			return out
 		},
-		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a} },
+		NewPool: func(a string) *conn.Pool { return &conn.Pool{Address: a, ToInstance: true} },
 	}
 	return f
 }
--- a/process/proxy/head_test.go
+++ b/process/proxy/head_test.go
@@ -8,12 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"shalewick/conn"
 	"shalewick/process/logging"
 	"shalewick/request"
 	"shalewick/standin/server"
@@ -126,6 +128,22 @@
 	f.assertHeadTooLarge(&log, "forwarded")
 }
 
+// TestLargestHeadIsForwarded guards against a response that one instance accepts from a backend server, and another one
+// rejects since the first has added headers.
+func TestLargestHeadIsForwarded(t *testing.T) {
+	f := newForwardFixture(t, 1)
+	backend := startRawServer(t, func(c net.Conn, id string) {
+		response := rawResponse(http.StatusOK, id, slices.Repeat([]string{"X: a"}, conn.MaxHeadLines-3)...)
+		padding := "X-Padding: " + strings.Repeat("v", conn.MaxHeadBytes-len(response)-len("X-Padding: \r\n")) + "\r\n"
+		_, _ = io.WriteString(c, strings.Replace(response, "Content-Length", padding+"Content-Length", 1))
+	})
+	for i := range f.helpers[0].backends {
+		f.helpers[0].backend(fmt.Sprint("u", i), backend.address)
+	}
+	f.helpers[0].install()
+	assert.Equal(t, f.send("x1", "/reads/1", "").status, http.StatusOK)
+}
+
 // assertMayHaveRun checks that a request that is not repeatable, and gets a response of either of two servers, is sent to
 // one of them only, and that the caller is told that it may have run.
 func assertMayHaveRun(t *testing.T, response func(id string) string) {
--- a/process/proxy/peer_test.go
+++ b/process/proxy/peer_test.go
@@ -52,7 +52,7 @@
 	f.targets = &forward.Targets{
 		Now: f.proxy.Now, Self: "self", Region: func() string { return "north" }, List: f.list,
 		NewPool: func(a string) *conn.Pool {
-			return &conn.Pool{Address: a, Dialer: conn.NewDialer(200*time.Millisecond, time.Second)}
+			return &conn.Pool{Address: a, Dialer: conn.NewDialer(200*time.Millisecond, time.Second), ToInstance: true}
 		},
 	}
 	f.proxy.Forward = f.targets
