conn: interim responses are parsed, and their number is limited

FuzzReadResponse, which is new, compares the reading of responses with net/http's, at once and byte by byte. Within 27 s it found a head that net/http rejects and that was skipped as an interim response: "HTTP/ 10", an empty line, and another response, which was then read. No caller is known to have seen this; it came with the limit on heads, which skipped interim responses unparsed so that many of them cost no allocations.

They are parsed by net/http again. So that an endless series of small ones still takes no more than the request accounts for, 16 may precede a response.

TestEndlessResponseTakesNoMemory and TestEndlessHeadIsGivenUp hold as before, TestLargestHeadFitsOverhead tries 16 and 17. The fuzz target found one other difference, which is meant: a trailer may end with LF, as a head may.

--- a/conn/head.go
+++ b/conn/head.go
@@ -18,6 +18,8 @@
 	MaxHeadBytes = bufferSize - addedBytes
 	// MaxHeadLines is the maximum number of header lines of a head or trailer.
 	MaxHeadLines = 100
+	// MaxInterim is the maximum number of interim responses (1xx) before a response.
+	MaxInterim = 16
 
 	// addedBytes and addedLines are what the response of another instance may have in addition: the headers that it adds
 	// to the response of a backend server.
@@ -41,30 +43,31 @@
 // response belongs to.
 const ErrMerged = errors.ConstError("the response is made of several ones")
 
-// ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines.
+// ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines, or that follows
+// more than MaxInterim interim responses.
 const ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
 
 // readResponse reads the head of the response to req. It skips interim responses. The error is ErrHeadTooLarge if a
 // limit is exceeded, and ErrMerged if the response has parts of another one.
 func (c *pooledConn) readResponse(req *http.Request) (*http.Response, error) {
+	interim := 0
 	for left := c.limits(); ; {
 		size, err := c.awaitHead(&headScanner{statusLine: true, maxLines: left.lines}, left.bytes)
 		if err != nil {
 			return nil, err
 		}
 		left.bytes -= size
-		head, err := c.r.Peek(size)
+		res, err := http.ReadResponse(c.r, req)
 		if err != nil {
 			return nil, err
 		}
-		if isInterim(head) {
-			_, _ = c.r.Discard(size) // can't fail, since it is buffered
+		if res.StatusCode/100 == 1 {
+			interim++
+			if interim > MaxInterim {
+				return nil, errors.Annotatef(ErrHeadTooLarge, "more than %d interim responses", MaxInterim)
+			}
 			continue
 		}
-		res, err := http.ReadResponse(c.r, req)
-		if err != nil {
-			return nil, err
-		}
 		if len(res.TransferEncoding) > 0 && res.Body != http.NoBody {
 			res.Body = &chunkedBody{conn: c, chunks: httputil.NewChunkedReader(c.r)}
 		}
@@ -96,13 +99,6 @@
 	}
 }
 
-// isInterim reports whether a head is that of an interim response (1xx). These are not parsed any further.
-func isInterim(head []byte) bool {
-	_, status, _ := bytes.Cut(head, []byte{' '})
-	status = bytes.TrimLeft(status, " ")
-	return len(status) > 3 && status[0] == '1' && bytes.IndexByte([]byte(" \r\n"), status[3]) >= 0
-}
-
 // headScanner searches for the end of a head, of which it is passed ever more bytes.
 type headScanner struct {
 	maxLines   int
--- a/conn/head_test.go
+++ b/conn/head_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
@@ -104,9 +105,9 @@
 	maps.Copy(responses, endlessChunkLines())
 	for name, e := range responses {
 		var err error
-		bytes := allocated(func() { _, _, err = readFrom(e.reader()) })
+		size := allocated(func() { _, _, err = readFrom(e.reader()) })
 		assert.Check(t, err != nil, name)
-		assert.Check(t, bytes < held.RequestOverhead, "%s: %d bytes allocated", name, bytes)
+		assert.Check(t, size < held.RequestOverhead, "%s: %d bytes allocated", name, size)
 	}
 }
 
@@ -193,10 +194,14 @@
 	assert.ErrorIs(t, err, ErrHeadTooLarge)
 	_, _, err = readFrom(strings.NewReader("HTTP/1.1 200 OK\r\n" + strings.Repeat("X: a\r\n", MaxHeadLines+1) + "\r\n"))
 	assert.ErrorIs(t, err, ErrHeadTooLarge)
+	for _, interim := range []int{MaxInterim, MaxInterim + 1} {
+		_, _, err = readFrom(strings.NewReader(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", interim) + typicalHead))
+		assert.Equal(t, err == nil, interim == MaxInterim, "%d: %v", interim, err)
+	}
 
-	bytes := allocated(func() { _, _, err = readFrom(strings.NewReader(head)) }) // with the buffer that it is read from
+	size := allocated(func() { _, _, err = readFrom(strings.NewReader(head)) }) // with the buffer that it is read from
 	assert.NilError(t, err)
-	assert.Assert(t, bytes+bufferSize < held.RequestOverhead, "%d bytes allocated for a head of %d", bytes, len(head))
+	assert.Assert(t, size+bufferSize < held.RequestOverhead, "%d bytes allocated for a head of %d", size, len(head))
 }
 
 // TestSlowHeadIsRead guards against a false alarm: a head of some kB that arrives slowly and in small pieces, after an
@@ -293,3 +298,51 @@
 	_, err := Probe(t.Context(), NewProbeClient(giveUpDeadline), s.Listener.Addr().String())
 	assert.ErrorContains(t, err, "headers exceeded")
 }
+
+// FuzzReadResponse checks that what is read as a response is one for net/http, too, with the same head and body, and that
+// what net/http reads as one within the limits and made of one response is read, however it is cut into pieces.
+func FuzzReadResponse(f *testing.F) {
+	for _, seed := range []string{
+		typicalHead, okLine + "\r\n", okLine + "Content-Length: 2\r\n\r\nok", okLine + chunked + "2\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n", "HTTP/1.0 200 OK\n\nbody",
+		"HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n" + typicalHead, okLine + "X: a\r\n b\r\n\r\n", okLine + "X : a\r\n\r\n", okLine + " X: a\r\n\r\n",
+		brokenOffHead + typicalHead, brokenOffHead[:15] + typicalHead, typicalHead + typicalHead, okLine + chunked + "2\r\nok\r\n0\r\nX\r\n\r\n", "HTTP/1.1 10", "\r\n\r\n",
+		"HTTP/1.1 2\r\r\nX: a\r\n\r\n", "HTTP/1.1 1000 OK\r\n\r\n", "HTTP/1.1  103 \r\n\r\n" + typicalHead,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		res, body, err := readFrom(bytes.NewReader(b))
+		slowRes, slowBody, slowErr := readFrom(iotest.OneByteReader(bytes.NewReader(b)))
+		assert.Equal(t, err == nil, slowErr == nil, "%v, but %v byte by byte", err, slowErr)
+		assert.Equal(t, body, slowBody)
+		want, wantBody, wantErr := readByNetHTTP(b)
+		if err != nil {
+			if wantErr == nil && !errors.Is(err, ErrHeadTooLarge) && !errors.Is(err, ErrMerged) {
+				t.Fatalf("%q is not read: %v", b, err)
+			}
+			return
+		}
+		if wantErr != nil && strings.Contains(wantErr.Error(), "trailer") {
+			return // net/http accepts LF as the end of a line in a head, but not at the end of a trailer
+		}
+		assert.NilError(t, wantErr, "%q is read", b)
+		assert.Equal(t, body, wantBody)
+		assert.Equal(t, res.StatusCode, want.StatusCode)
+		assert.DeepEqual(t, res.Header, want.Header)
+		assert.DeepEqual(t, res.Header, slowRes.Header)
+	})
+}
+
+// readByNetHTTP reads a response without limits.
+func readByNetHTTP(b []byte) (*http.Response, string, error) {
+	r := bufio.NewReaderSize(bytes.NewReader(b), max(bufferSize, len(b)))
+	res, err := http.ReadResponse(r, nil)
+	for err == nil && res.StatusCode/100 == 1 {
+		res, err = http.ReadResponse(r, nil)
+	}
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
