--- a/conn/head.go
+++ b/conn/head.go
@@ -15,40 +15,59 @@
 const (
 	// MaxHeadBytes is the maximum size of the head of a response in bytes, with those of the interim responses before
 	// it. A trailer may have as many.
-	MaxHeadBytes = bufferSize
+	MaxHeadBytes = bufferSize - addedBytes
 	// MaxHeadLines is the maximum number of header lines of a head or trailer.
 	MaxHeadLines = 100
+	// MaxInterim is the maximum number of interim responses (1xx) before a response.
+	MaxInterim = 16
+
+	// addedBytes and addedLines are what the response of another instance may have in addition: the headers that it adds
+	// to the response of a backend server.
+	addedBytes = 1 << 10
+	addedLines = 16
 )
 
+// headLimits are the limits of the heads that a connection may receive.
+type headLimits struct{ bytes, lines int }
+
+// limits returns the limits of the connection.
+func (c *pooledConn) limits() headLimits {
+	if c.toInstance {
+		return headLimits{bytes: MaxHeadBytes + addedBytes, lines: MaxHeadLines + addedLines}
+	}
+	return headLimits{bytes: MaxHeadBytes, lines: MaxHeadLines}
+}
+
 // ErrMerged is the error of a response that consists of parts of several ones: a backend server that breaks off within a
 // response and keeps the connection sends the next one right behind the first part. It can't be told which request the
 // response belongs to.
 const ErrMerged = errors.ConstError("the response is made of several ones")
 
-// ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines.
+// ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines, or that follows
+// more than MaxInterim interim responses.
 const ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
 
 // readResponse reads the head of the response to req. It skips interim responses. The error is ErrHeadTooLarge if a
 // limit is exceeded, and ErrMerged if the response has parts of another one.
 func (c *pooledConn) readResponse(req *http.Request) (*http.Response, error) {
-	for left := MaxHeadBytes; ; {
-		size, err := c.awaitHead(&headScanner{statusLine: true}, left)
+	interim := 0
+	for left := c.limits(); ; {
+		size, err := c.awaitHead(&headScanner{statusLine: true, maxLines: left.lines}, left.bytes)
 		if err != nil {
 			return nil, err
 		}
-		left -= size
-		head, err := c.r.Peek(size)
+		left.bytes -= size
+		res, err := http.ReadResponse(c.r, req)
 		if err != nil {
 			return nil, err
 		}
-		if isInterim(head) {
-			_, _ = c.r.Discard(size) // can't fail, since it is buffered
+		if res.StatusCode/100 == 1 {
+			interim++
+			if interim > MaxInterim {
+				return nil, errors.Annotatef(ErrHeadTooLarge, "more than %d interim responses", MaxInterim)
+			}
 			continue
 		}
-		res, err := http.ReadResponse(c.r, req)
-		if err != nil {
-			return nil, err
-		}
 		if len(res.TransferEncoding) > 0 && res.Body != http.NoBody {
 			res.Body = &chunkedBody{conn: c, chunks: httputil.NewChunkedReader(c.r)}
 		}
@@ -80,15 +99,9 @@
 	}
 }
 
-// isInterim reports whether a head is that of an interim response (1xx). These are not parsed any further.
-func isInterim(head []byte) bool {
-	_, status, _ := bytes.Cut(head, []byte{' '})
-	status = bytes.TrimLeft(status, " ")
-	return len(status) > 3 && status[0] == '1' && bytes.IndexByte([]byte(" \r\n"), status[3]) >= 0
-}
-
 // headScanner searches for the end of a head, of which it is passed ever more bytes.
 type headScanner struct {
+	maxLines   int
 	statusLine bool // the status line is still to come
 	lines      int  // header lines that were seen
 	lengths    int  // those of them that give the length of the body
@@ -168,8 +181,8 @@
 		return errors.Annotate(ErrMerged, "two lengths")
 	}
 	s.lines++
-	if s.lines > MaxHeadLines {
-		return errors.Annotatef(ErrHeadTooLarge, "more than %d lines", MaxHeadLines)
+	if s.lines > s.maxLines {
+		return errors.Annotatef(ErrHeadTooLarge, "more than %d lines", s.maxLines)
 	}
 	continued := line[0] == ' ' || line[0] == '\t'
 	if !continued && bytes.IndexByte(line, ':') <= 0 {
@@ -205,7 +218,8 @@
 
 // skipTrailer reads the trailer of a chunked body, which may be empty.
 func (c *pooledConn) skipTrailer() error {
-	if _, err := c.awaitHead(&headScanner{}, MaxHeadBytes); err != nil {
+	limits := c.limits()
+	if _, err := c.awaitHead(&headScanner{maxLines: limits.lines}, limits.bytes); err != nil {
 		return errors.Annotate(err, "read trailer")
 	}
 	_, err := textproto.NewReader(c.r).ReadMIMEHeader()
