drain: count no part of a body as a head

What callers saw: with the budget for heads, 503 for a request whose body has many lines, while heads take much memory.

Cause: the part of a body that is read together with its head counted as a head, 200 bytes for each line.

Evidence: TestBodyDoesNotCountAsHead before: 503 for a body of 2,000 lines. A part that contains the end of the head is not counted any more, so a request that arrives in one piece is never refused for its head, and takes no lock.

TestRejectedRequestNeverRuns has a smaller limit, so that it still sees rejections.

--- a/process/drain/heads.go
+++ b/process/drain/heads.go
@@ -143,8 +143,16 @@
 // aLongTimeAgo is a deadline that interrupts pending I/O immediately.
 var aLongTimeAgo = time.Unix(1, 0)
 
+// endsHead reports whether a part contains the empty line after a head. What follows it is a body.
+func endsHead(part []byte) bool {
+	return bytes.Contains(part, []byte("\n\r\n")) || bytes.Contains(part, []byte("\n\n"))
+}
+
 // readHead counts a part of a head that has been read, and returns the result of Read.
 func (t *trackedConn) readHead(part []byte, err error) (int, error) {
+	if endsHead(part) && !t.headRejected.Load() {
+		return len(part), err
+	}
 	if !t.heads.add(t, part) {
 		return 0, t.endHead()
 	}
--- a/process/drain/heads_test.go
+++ b/process/drain/heads_test.go
@@ -105,13 +105,31 @@
 	assert.Equal(t, headCost([]byte("GET / HT")), int64(8))
 }
 
+// TestBodyDoesNotCountAsHead guards against requests that are refused for the lines of their bodies, of which a part is read together
+// with the head.
+func TestBodyDoesNotCountAsHead(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("\n", 2000)
+	conns, address := serveWithBudget(t, 8<<10, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		assert.Check(t, err == nil && string(b) == body)
+	}))
+	for range 20 {
+		res, err := http.Post("http://"+address, "text/plain", strings.NewReader(body))
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, conns.Heads.Metrics.Counter("request_heads_rejected_total").Count(), int64(0))
+}
+
 // TestRejectedRequestNeverRuns guards against a request that runs though its caller was told that it does not, or is dropped though
 // its head was read as a whole. Heads arrive in pieces while others exceed the budget at any moment.
 func TestRejectedRequestNeverRuns(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
 	ran := make(map[string]bool)
-	conns, address := serveWithBudget(t, 12<<10, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	conns, address := serveWithBudget(t, 2<<10, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		ran[r.URL.Path] = true
 		mu.Unlock()
