standin/fleet: allocated ports stay free while other tests start processes

Cause: the allocator listens on a port and closes it again. A process that is being started has inherited the listener until it runs its program, so the port was in use for a moment longer.

No process is started now while the allocator has listeners open.

--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -51,6 +52,9 @@
 }
 
 func allFree(addresses []netip.AddrPort) bool {
+	// A process that was started meanwhile would have the listeners open until it runs its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for _, a := range addresses {
 		l, err := net.Listen("tcp", a.String())
 		if err != nil {
