edge, balance: a row at the address of a live backend server no longer takes its place

A row of another writer with the address of a backend server took all of its requests away for as long as the row was there: of several rows with one address the newest is held to be the right one, the server answers 421 to requests that name it, and its own, older row was left out of the tables.

The 421 says which row is wrong. A row that got one gives way to another row at its address until it changes, with the reason "misdirected" in the log and in rows_skipped; if all rows of an address got one, the newest stays. A row is marked once for each of its versions, so that rows can't take turns. The server at the address decides, so the entry of a backend server that has reused an address is used as before.

--- a/process/balance/outcome.go
+++ b/process/balance/outcome.go
@@ -157,4 +157,7 @@
 	defer p.table.mu.Unlock()
 	p.backend.failures = max(p.backend.failures, 3)
 	p.backend.suspendedUntil = p.table.Now() + p.table.Policy.MaxSuspension
+	if p.table.OnMisdirected != nil {
+		p.table.OnMisdirected(p.Name)
+	}
 }
--- a/process/balance/table.go
+++ b/process/balance/table.go
@@ -27,6 +27,9 @@
 	// OnSuspend, if set, is called when a backend server is suspended, with the number of
 	// consecutive failures, and with 0 failures when it responds again. It must not call the table.
 	OnSuspend func(backend string, failures int, pause time.Duration)
+	// OnMisdirected, if set, is called when the server at the address of a backend server says that it is
+	// another one. It must not call the table.
+	OnMisdirected func(backend string)
 	// OnLinks is called by WatchLinks when this instance reaches no backend server any more, and
 	// when it does again.
 	OnLinks func(lost bool)
--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -97,6 +97,7 @@
 	problems = append(problems, recordProblems...)
 	if c != nil {
 		problems = append(problems, e.removeInstances(c)...)
+		problems = append(problems, e.removeMisdirected(c)...)
 	}
 	e.logSkipped(problems)
 	if c == nil {
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -99,7 +99,10 @@
 	// lastAnnounced holds the backend servers of the last compilation, ordered by name; guarded
 	// by compileMu.
 	lastAnnounced []*version.AnnouncedBackend
-	skipped       map[string]string // reasons of the rows that cannot be used at present, by key; guarded by compileMu
+	// misdirected holds the versions of the rows at whose addresses another server answers, by key; guarded
+	// by compileMu.
+	misdirected map[string]int64
+	skipped     map[string]string // reasons of the rows that cannot be used at present, by key; guarded by compileMu
 	// skippedInstances holds the errors of the rows of instances that can't be used, by key.
 	skippedInstancesMu sync.Mutex
 	skippedInstances   map[string]string
@@ -189,7 +192,8 @@
 	e.table = &balance.Table{
 		Limits: e.limits,
 		Now:    e.now, MemberIndex: e.sharePosition, Region: e.settings.Region, Hall: e.settings.Hall, OnSuspend: e.logSuspension,
-		OnLinks: e.onLinks, OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeavingGrace: e.settings.DrainWithin / drainNoticeDivisor,
+		OnMisdirected: func(backend string) { go e.recordMisdirected(backend) },
+		OnLinks:       e.onLinks, OnNotice: e.logNotice, OnAvoid: e.logAvoided, LeavingGrace: e.settings.DrainWithin / drainNoticeDivisor,
 		Probe: func(p *conn.Pool) error { return p.Open(context.Background()) },
 		NewPool: func(address string) *conn.Pool {
 			return &conn.Pool{Address: address, Dialer: dialer, IdleTimeout: backendIdleTimeout}
