proxy: a red test of a part of another response in front of a response

A further 26 s of fuzzing FuzzKeptConnection, without the parts behind a response, found that a part of a status line in front of a response, in the same piece, gives that response its status: HTTP/1.1 200 O, then HTTP/1.1 500 and the whole response, reaches the caller as a 200. No check of the connection between two requests can see this; the reason phrase shows it. Requests of the target have ids of their own, so that test processes that take over each other's ports are told apart.

--- a/process/proxy/kept_test.go
+++ b/process/proxy/kept_test.go
@@ -23,6 +23,7 @@
 	ops      []byte
 	previous string         // the last response
 	statuses map[string]int // of the requests that got a response
+	sent     map[string]int // how often each request arrived
 }
 
 // Kinds of trouble with a response on a kept connection.
@@ -52,6 +53,7 @@
 		status = 500
 	}
 	k.statuses[id] = status
+	k.sent[id]++
 	body := server.ResponseBody(id)
 	whole := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), request.OwnNames.ID, id, request.OwnNames.Seal, id, len(body), body)
@@ -77,11 +79,11 @@
 	return out
 }
 
-// status returns the status of the response to a request.
-func (k *keptScript) status(id string) int {
+// request returns the status of the response to a request, and how often it arrived.
+func (k *keptScript) request(id string) (status, sent int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.statuses[id]
+	return k.statuses[id], k.sent[id]
 }
 
 // FuzzKeptConnection sends requests over a connection whose backend server cuts, doubles and mixes its responses.
@@ -98,7 +100,7 @@
 
 // checkKeptConnection sends four requests over a connection, whose responses are made out of ops.
 func checkKeptConnection(t *testing.T, ops []byte) {
-	k := &keptScript{ops: ops, statuses: make(map[string]int)}
+	k := &keptScript{ops: ops, statuses: make(map[string]int), sent: make(map[string]int)}
 	s := &cut.Server{Respond: k.respond}
 	assert.NilError(t, s.Start())
 	defer s.Close()
@@ -107,21 +109,21 @@
 	fx.backend("u0", s.Address())
 	fx.install()
 	for i := range 4 {
-		id, path, body := fmt.Sprintf("request-%d", i), "/reads/1", ""
+		id, path, body := fmt.Sprintf("request-%d-%s", i, s.Address()), "/reads/1", "" // no other test process uses it
 		if i%2 == 1 {
 			path, body = "/bids/1", "a bid"
 		}
-		requests := s.Requests()
 		r := fx.send(id, path, body)
+		status, sent := k.request(id)
 		if seal := r.header.Get(request.OwnNames.Seal); r.err != nil || seal == "" {
 			assert.Assert(t, r.err != nil || r.status >= 500, "%s got %d %q without a seal", id, r.status, r.body)
 		} else {
 			assert.Equal(t, seal, "seal-"+id)
 			assert.Equal(t, r.body, server.ResponseBody(id))
-			assert.Equal(t, r.status, k.status(id))
+			assert.Equal(t, r.status, status)
 		}
 		if strings.HasPrefix(path, "/bids/") {
-			assert.Assert(t, s.Requests()-requests <= 1, "%s was sent twice", id)
+			assert.Assert(t, sent <= 1, "%s was sent %d times", id, sent)
 		}
 	}
 }
@@ -134,3 +136,12 @@
 		checkKeptConnection(t, []byte{keptPartAfter, part, keptWhole, 1 - part%2})
 	}
 }
+
+// TestPartBeforeResponseIsNotUsed guards against a part of another response that a backend server sends before a
+// response, in the same piece, and whose status takes the place of that response's own.
+func TestPartBeforeResponseIsNotUsed(t *testing.T) {
+	t.Parallel()
+	for part := range byte(60) {
+		checkKeptConnection(t, []byte{keptWhole, 1 - part%2, keptPartBefore, part})
+	}
+}
