held: of leases that hold about the same, the longest waiting is cut off

With full memory, a stalled request of the owner that holds most is cut off, the largest first. Responses of one route differ by a few bytes, so those decided, and not the time: a caller that had not read for one second could be cut off in place of others that had not for four. A cut response counts as lost by the users' rule, around a stop and, more than three times, at any time.

TestLongestWaitingIsCutOffFirst failed before: the caller that had waited for a second less was cut off, since its response is 7 bytes longer.

--- a/process/held/budget_test.go
+++ b/process/held/budget_test.go
@@ -138,6 +138,29 @@
 	assert.DeepEqual(t, f.cutOffOwners, []string{"large"})
 }
 
+// TestLongestWaitingIsCutOffFirst guards against a caller that has just begun to read its response and is cut off in place of one that has not
+// read for seconds, since its response is a few bytes longer.
+func TestLongestWaitingIsCutOffFirst(t *testing.T) {
+	const owner = "workspace"
+	f := newFixture(100)
+	cut := ""
+	admit := func(name string, bytes int64) *Lease {
+		l, ok := f.Admit(owner, func(Kind) { cut = name })
+		assert.Assert(t, ok)
+		assert.Assert(t, l.Grow(Responses, bytes))
+		l.Wait(Responses)
+		return l
+	}
+	admit("stalled", 3*RequestOverhead)
+	f.now += minStall
+	admit("reading", 3*RequestOverhead+7)
+	f.now += minStall
+	for i := 0; cut == ""; i++ {
+		f.admit(t, fmt.Sprint("other", i))
+	}
+	assert.Equal(t, cut, "stalled")
+}
+
 // TestBackendThatDoesNotReadIsCutOff checks that a body that its backend server does not read is
 // cut off even if there is free memory, and that other waits are not.
 func TestBackendThatDoesNotReadIsCutOff(t *testing.T) {
--- a/process/held/doc.go
+++ b/process/held/doc.go
@@ -22,7 +22,7 @@
 # Cutting off stalled requests
 
 A lease is stalled once it has waited for its peer for some time. When memory is short,
-stalled leases are cut off: first those of the owner that holds the most, and of these the
-largest.
+stalled leases are cut off: first those of the owner that holds the most, of these the
+largest, and of those that hold about the same the one that has waited longest.
 */
 package held
--- a/process/held/lease.go
+++ b/process/held/lease.go
@@ -117,12 +117,13 @@
 	return n
 }
 
-// cutOffBefore reports whether l is cut off in preference to o.
+// cutOffBefore reports whether l is cut off in preference to o. Differences of less than RequestOverhead don't count: of leases that hold
+// about the same, the one that has waited longest is cut off.
 func (l *Lease) cutOffBefore(o *Lease) bool {
 	if l.owner.held != o.owner.held {
 		return l.owner.held > o.owner.held
 	}
-	if a, b := l.total(), o.total(); a != b {
+	if a, b := l.total()/RequestOverhead, o.total()/RequestOverhead; a != b {
 		return a > b
 	}
 	return l.waitingSince < o.waitingSince
