conn: a request that is aborted before its first write reads no response

The reader waits for the first write, but went on after the deadline or a cancellation although the sender had not begun. It returns there now; such a request counts as sent, as before.

--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -94,6 +95,10 @@
 		ex.Close()
 		return nil, &DispatchError{Sent: sent, Err: err}
 	}
+	if err := ex.awaitFirstWrite(); err != nil {
+		ex.Close()
+		return nil, &DispatchError{Sent: true, Err: errors.Annotate(err, "send request")}
+	}
 	res, err := conn.readResponse(req)
 	if err != nil {
 		// If the body was withheld, its sender has interrupted the read. No byte was sent, and none
@@ -178,22 +183,29 @@
 		}
 		ex.bodySent <- err
 	}()
-	ex.awaitFirstWrite()
 	return nil
 }
 
-// awaitFirstWrite waits until the first byte of a request with a body is about to be sent, or never will be. What the
-// connection receives before is no response to the request.
-func (ex *Exchange) awaitFirstWrite() {
+// awaitFirstWrite waits until the first byte of a request with a body is about to be sent, or its sender has ended. What the
+// connection receives before is no response to the request. On error the response must not be read, since the sender may
+// still look at what has been received.
+func (ex *Exchange) awaitFirstWrite() error {
+	if ex.bodySent == nil {
+		return nil
+	}
 	timer := time.NewTimer(time.Until(ex.opts.Deadline))
 	defer timer.Stop()
 	select {
 	case <-ex.conn.started:
+		return nil
 	case err := <-ex.bodySent:
 		ex.bodySent <- err // for Close
+		return nil
 	case <-ex.cancelled:
+		return context.Canceled
 	case <-timer.C:
 		_ = ex.conn.SetDeadline(aLongTimeAgo) // fails the first write if it has not begun
+		return os.ErrDeadlineExceeded
 	}
 }
 
