edge: rows at the addresses of other instances are answered with 421, not refused

What callers would have seen: the rule that refuses rows at an instance's address took the addresses of other instances from their rows, which any writer can change.

An instance now refuses only rows at its own addresses, which it knows for certain, and answers 421 to what others send it for such a row, as a backend server with another name does: not run, and the sender suspends the row. So a request is handled by one instance at most.

--- a/process/edge/configuration.go
+++ b/process/edge/configuration.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -96,7 +95,7 @@
 	records, recordProblems := knownRecords(e.records())
 	problems = append(problems, recordProblems...)
 	if c != nil {
-		problems = append(problems, e.removeInstances(c)...)
+		problems = append(problems, e.removeOwnAddresses(c)...)
 		problems = append(problems, e.removeMisdirected(c)...)
 	}
 	e.logSkipped(problems)
@@ -134,45 +133,6 @@
 	}
 }
 
-// reasonInstance is the reason of a row that names the address of an instance as that of a backend server.
-const reasonInstance = "instance"
-
-// removeInstances removes the announced backend servers whose address is one of an instance, and returns
-// their rows: requests to them would go round between the instances until their deadlines.
-func (e *Edge) removeInstances(c *version.Config) (problems []error) {
-	addresses := e.instanceAddresses()
-	kept := make([]*version.AnnouncedBackend, 0, len(c.Announced))
-	for _, x := range c.Announced {
-		if instance, found := addresses[x.Backend.Address]; found {
-			problems = append(problems, &state.RowError{Key: x.Name, Reason: reasonInstance, Err: errors.Errorf(
-				"address %s is that of instance %s", x.Backend.Address, instance)})
-			continue
-		}
-		kept = append(kept, x)
-	}
-	c.Announced = kept
-	return problems
-}
-
-// instanceAddresses returns the addresses of this instance and of the others that are live, with the names
-// of the instances.
-func (e *Edge) instanceAddresses() map[netip.AddrPort]string {
-	out := make(map[netip.AddrPort]string)
-	add := func(instance string, addresses ...string) {
-		for _, a := range addresses {
-			if at, err := netip.ParseAddrPort(a); err == nil {
-				out[netip.AddrPortFrom(at.Addr().Unmap(), at.Port())] = instance
-			}
-		}
-	}
-	for _, m := range e.members.Live() {
-		add(m.Name, m.Front, m.Peer)
-	}
-	s := &e.settings
-	add(s.Instance, s.Front, s.Ready, s.Directory, s.Control, s.Peer)
-	return out
-}
-
 // reasonOther is the reason of a problem that does not concern a single row.
 const reasonOther = "other"
 
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -110,7 +110,9 @@
 	skippedInstancesMu sync.Mutex
 	skippedInstances   map[string]string
 	// skippedCounts holds the numbers of such rows by reason; guarded by compileMu.
-	skippedCounts    map[string]int64
+	skippedCounts map[string]int64
+	// ownRows holds the names of the backend servers that rows announce at addresses of this instance.
+	ownRows          atomic.Pointer[map[string]bool]
 	expiredRowsTimer *time.Timer       // recompiles when expired rows are dropped; guarded by compileMu
 	quarantineTimer  *time.Timer       // recompiles when the start has waited long enough for the quarantine; guarded by compileMu
 	frontListener    *limitedListener  // for clients' requests
@@ -263,7 +265,7 @@
 	} {
 		tcp := listeners[x.setting]
 		s := &http.Server{
-			Handler: x.handler, IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: drain.MaxHeadBytes,
+			Handler: e.rejectMisdirected(x.handler), IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: drain.MaxHeadBytes,
 			ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext,
 		}
 		var l net.Listener = drain.Listener{TCPListener: tcp, Conns: x.conns}
--- a/process/edge/misdirected.go
+++ b/process/edge/misdirected.go
@@ -29,7 +29,8 @@
 			e.misdirected = make(map[string]int64)
 		}
 		e.misdirected[name] = x.Version
-		shared = slices.ContainsFunc(e.lastAnnounced, func(o *version.AnnouncedBackend) bool { return o != x && o.Backend.Address == x.Backend.Address })
+		// With several recorded, the one that answers may have been removed from lastAnnounced.
+		shared = len(e.misdirected) > 1 || slices.ContainsFunc(e.lastAnnounced, func(o *version.AnnouncedBackend) bool { return o != x && o.Backend.Address == x.Backend.Address })
 	}
 	e.compileMu.Unlock()
 	if shared {
