--- a/process/entry/platform.go
+++ b/process/entry/platform.go
@@ -127,6 +127,10 @@
 			e.skipped.report(tableMembers, &state.RowError{Key: row.Key, Reason: reasonUnreadable, Err: err})
 			continue
 		}
+		if m.GetId() != row.Key { // would hide a live member
+			e.skipped.report(tableMembers, &state.RowError{Key: row.Key, Reason: reasonKey, Err: errors.Errorf("it names member %.60q", m.GetId())})
+			continue
+		}
 		members = append(members, m)
 	}
 	e.members.ApplyRows(members, e.now())
--- a/process/entry/skipped.go
+++ b/process/entry/skipped.go
@@ -12,8 +12,11 @@
 	"shalewick/process/state"
 )
 
-// reasonUnreadable is the reason of a row that has another format.
-const reasonUnreadable = "unreadable"
+// Reasons why a row can't be used.
+const (
+	reasonUnreadable = "unreadable" // it has another format
+	reasonKey        = "key"        // it contains another id than its key
+)
 
 // maxSkippedRows bounds the number of rows that are remembered as logged, because rows may be written by
 // anyone.
--- a/process/entry/unreadable_test.go
+++ b/process/entry/unreadable_test.go
@@ -22,11 +22,12 @@
 // TestOddRowsDoNotStopPolling guards against an instance that refuses all requests because another writer
 // left an odd row in the tables that it reads, or damaged a change that it had not read yet.
 func TestOddRowsDoNotStopPolling(t *testing.T) {
-	for _, x := range []struct{ name, table, key, reason string }{
-		{"stray row between changes", "changes", "00000000000000000001x", "key"},
-		{"damaged change", "changes", "00000000000000000002", "unreadable"},
-		{"head", "config", "head", "unreadable"},
-		{"member", "members", "odd", "unreadable"},
+	for _, x := range []struct{ name, table, key, reason, value string }{
+		{"stray row between changes", "changes", "00000000000000000001x", "key", `{"seq":"2"}`},
+		{"damaged change", "changes", "00000000000000000002", "unreadable", `{"seq":"2"}`},
+		{"head", "config", "head", "unreadable", `{"seq":"2"}`},
+		{"member", "members", "odd", "unreadable", `{"seq":"2"}`},
+		{"member of another name", "members", "odd", "key", `{"id":"live","gone":true}`},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			var s standin.Server
@@ -48,7 +49,7 @@
 			e.poll(context.Background())
 			assert.Assert(t, e.Ready())
 			commit("2", 1)
-			op := platform.Op{Kind: platform.OpPut, Table: x.table, Key: x.key, Revision: platform.AnyRevision, Value: json.RawMessage(`{"seq":"2"}`)}
+			op := platform.Op{Kind: platform.OpPut, Table: x.table, Key: x.key, Revision: platform.AnyRevision, Value: json.RawMessage(x.value)}
 			assert.NilError(t, e.platform.Commit(context.Background(), []platform.Op{op}))
 			for range 3 {
 				time.Sleep(20 * time.Millisecond) // since the last confirmation
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -146,7 +146,7 @@
 // HeadTooLarge counts a response of a backend server or another instance that was given up since its head, or its
 // trailer, exceeds the limits of package conn.
 func (s *Set) HeadTooLarge(service string) {
-	s.Counter("answers_head_too_large_total{service=" + strconv.Quote(service) + "}").Inc(1)
+	s.Counter("answers_head_too_large_total{service=" + strconv.Quote(s.services.label(service)) + "}").Inc(1)
 }
 
 // UnreadBody counts a response that was sent before the end of the request's body. Kept is set if the caller sent the
