--- a/process/drain/heads.go
+++ b/process/drain/heads.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// MaxHeadBytes is the limit of a server for one request head, in bytes. Handlers refuse smaller ones with a result.
-	MaxHeadBytes = 128 << 10
+	// MaxRequestHeadBytes is the limit of a server for one request head, in bytes. Handlers refuse smaller ones with a result.
+	MaxRequestHeadBytes = 128 << 10
 	// HeaderLineOverhead is the memory of a header line beside its bytes: its entry in a map, and its strings.
 	HeaderLineOverhead = 200
 	// reclaimDivisor sets how far below its limit a HeadBudget goes when it is exceeded: the limit divided by it.
--- a/process/drain/heads_test.go
+++ b/process/drain/heads_test.go
@@ -28,7 +28,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	conns := &Conns{Heads: &HeadBudget{Limit: limit, Response: []byte(rejection), Log: zerolog.Nop(), Metrics: metric.NewSet()}}
-	s := &http.Server{Handler: h, ConnState: conns.OnStateChange, ConnContext: conns.ConnContext, MaxHeaderBytes: MaxHeadBytes}
+	s := &http.Server{Handler: h, ConnState: conns.OnStateChange, ConnContext: conns.ConnContext, MaxHeaderBytes: MaxRequestHeadBytes}
 	go func() { _ = s.Serve(Listener{l.(*net.TCPListener), conns}) }() // returns when the server is closed
 	t.Cleanup(func() { _ = s.Close() })
 	return conns, l.Addr().String()
--- a/process/edge/edge.go
+++ b/process/edge/edge.go
@@ -265,7 +265,7 @@
 	} {
 		tcp := listeners[x.setting]
 		s := &http.Server{
-			Handler: e.rejectMisdirected(x.handler), IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: drain.MaxHeadBytes,
+			Handler: e.rejectMisdirected(x.handler), IdleTimeout: clientIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: drain.MaxRequestHeadBytes,
 			ConnState: x.conns.OnStateChange, ConnContext: x.conns.ConnContext,
 		}
 		var l net.Listener = drain.Listener{TCPListener: tcp, Conns: x.conns}
--- a/process/entry/listen.go
+++ b/process/entry/listen.go
@@ -88,7 +88,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    drain.MaxHeadBytes,
+		MaxHeaderBytes:    drain.MaxRequestHeadBytes,
 	}
 	e.servers = append(e.servers, s)
 	return s
