--- a/conn/pool.go
+++ b/conn/pool.go
@@ -108,7 +108,7 @@
 
 // isIdle reports whether the connection is open, and everything that arrived on it has been read. Bytes after a response
 // belong to no request, so the next one must not be sent on the connection.
-func (c *pooledConn) isIdle() bool { return c.r.Buffered() == 0 && isIdle(c.Conn) }
+func (c *pooledConn) isIdle() bool { return c.r.Buffered() == 0 && hasNothingToRead(c.Conn) }
 
 // getConn returns an idle connection that still appears open, or a new one.
 func (p *Pool) getConn(ctx context.Context) (*pooledConn, error) {
@@ -212,9 +212,9 @@
 	}
 }
 
-// isIdle reports whether a connection is open with nothing to read. A connection that the backend
+// hasNothingToRead reports whether a connection is open with nothing to read. A connection that the backend
 // server has closed, or on which it has sent an unexpected response, is not idle.
-func isIdle(c net.Conn) bool {
+func hasNothingToRead(c net.Conn) bool {
 	if _, ok := c.(syscall.Conn); !ok {
 		return true
 	}
