--- a/process/edge/misdirected.go
+++ b/process/edge/misdirected.go
@@ -19,23 +19,28 @@
 // recordMisdirected records that another server answers at the address of a backend server. If several rows
 // name the address, the newest is held to be the right one; now an older one takes its place.
 func (e *Edge) recordMisdirected(name string) {
+	if e.addMisdirected(name) {
+		e.recompile()
+	}
+}
+
+// addMisdirected records a backend server, and reports whether another row may take its place.
+func (e *Edge) addMisdirected(name string) (replaceable bool) {
 	e.compileMu.Lock()
+	defer e.compileMu.Unlock()
 	at, found := slices.BinarySearchFunc(e.lastAnnounced, name, func(x *version.AnnouncedBackend, name string) int { return cmp.Compare(x.Name, name) })
-	isNew := found && e.misdirected[name] != e.lastAnnounced[at].Version
-	shared := false
-	if isNew {
-		x := e.lastAnnounced[at]
-		if e.misdirected == nil {
-			e.misdirected = make(map[string]int64)
-		}
-		e.misdirected[name] = x.Version
-		// With several recorded, the one that answers may have been removed from lastAnnounced.
-		shared = len(e.misdirected) > 1 || slices.ContainsFunc(e.lastAnnounced, func(o *version.AnnouncedBackend) bool { return o != x && o.Backend.Address == x.Backend.Address })
+	if !found || e.misdirected[name] == e.lastAnnounced[at].Version {
+		return false
 	}
-	e.compileMu.Unlock()
-	if shared {
-		e.recompile()
+	x := e.lastAnnounced[at]
+	if e.misdirected == nil {
+		e.misdirected = make(map[string]int64)
+	}
+	e.misdirected[name] = x.Version
+	if len(e.misdirected) > 1 {
+		return true // the other row may have been removed from lastAnnounced
 	}
+	return slices.ContainsFunc(e.lastAnnounced, func(o *version.AnnouncedBackend) bool { return o != x && o.Backend.Address == x.Backend.Address })
 }
 
 // removeMisdirected removes the announced backend servers at whose addresses another server answers, if other
--- a/process/edge/misdirected_test.go
+++ b/process/edge/misdirected_test.go
@@ -37,3 +37,26 @@
 	assert.DeepEqual(t, remaining(announced("odd", 5, 80), own), []string{"odd"}) // its row has changed
 	assert.Equal(t, len(e.misdirected), 1)
 }
+
+// TestMisdirectedRowComesBack guards against a row that has given way for good although the row in its place is misdirected too.
+func TestMisdirectedRowComesBack(t *testing.T) {
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	newer, older := version.NewAnnouncedBackend("newer", 2, &version.Backend{Address: address}), version.NewAnnouncedBackend("older", 1, &version.Backend{Address: address})
+	e := new(Edge)
+	compile := func() (names []string) {
+		c := &version.Config{Announced: []*version.AnnouncedBackend{newer, older}}
+		e.removeMisdirected(c)
+		e.lastAnnounced = c.Announced
+		for _, x := range c.Announced {
+			names = append(names, x.Name)
+		}
+		return names
+	}
+	assert.DeepEqual(t, compile(), []string{"newer", "older"})
+	assert.Assert(t, e.addMisdirected("newer"))
+	assert.DeepEqual(t, compile(), []string{"older"})
+	assert.Assert(t, !e.addMisdirected("newer"))
+	assert.Assert(t, e.addMisdirected("older"), "the rows are not compiled again")
+	assert.DeepEqual(t, compile(), []string{"newer", "older"})
+	assert.Assert(t, !e.addMisdirected("older"))
+}
