conn: a reset during an upload is no end of the response

What callers saw: a backend server answered an upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being sent. The caller got the part as a complete response.

Cause: the kernel reports a reset to one call only. If that is the write of the body, the read of the response finds an end of the stream, and a response without a length is complete then. The sender sets the connection's deadline after its error, which hides the fault only if it comes before the read. The same holds for a close with unread bytes, which is a reset, and for other failures of the connection that a write finds, such as an acknowledgement timeout.

Change: conn.socket, below the buffers of each pooled connection, keeps the first error of a write. At the end of the stream, Read aborts the write that is in progress, waits for it, and returns its error if it found a failure. EPIPE is none: after a FIN the kernel reports it for a reset, and the response before the FIN is whole. The wait doesn't depend on the caller, since the sender holds the lock during a write only, not while it reads the body.

--- a/conn/pool.go
+++ b/conn/pool.go
@@ -47,7 +47,7 @@
 
 // pooledConn is a connection with its buffers.
 type pooledConn struct {
-	net.Conn
+	socket
 	toInstance  bool // as in the pool
 	r           *bufio.Reader
 	w           *bufio.Writer
@@ -89,7 +89,7 @@
 			return 0, err
 		}
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.socket.Write(p)
 	c.bytesSent += int64(n)
 	return n, err
 }
@@ -147,7 +147,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "open connection to %s", p.Address)
 	}
-	conn := &pooledConn{Conn: netConn, toInstance: p.ToInstance, r: bufio.NewReaderSize(netConn, bufferSize)}
+	conn := &pooledConn{socket: socket{Conn: netConn}, toInstance: p.ToInstance}
+	conn.r = bufio.NewReaderSize(conn, bufferSize)
 	conn.w = bufio.NewWriterSize(conn, bufferSize)
 	return conn, nil
 }
--- /dev/null
+++ b/process/proxy/reset_test.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: MIT
+
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"shalewick/request"
+	"shalewick/standin/cut"
+	"shalewick/standin/early"
+)
+
+// upload sends a request whose body goes on until it is answered, and returns the status and body of the response, or an
+// error if it was not complete.
+func (f *fixture) upload(t *testing.T) (status int, body string, err error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.proxyServer.URL+"/bids/1", early.NewUpload(maxBufferedBody, 64, 200*time.Microsecond))
+	assert.NilError(t, err)
+	req.Host = "a.example"
+	req.Header.Set(request.OwnNames.ID, "x")
+	res, err := f.proxyServer.Client().Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), err
+}
+
+// TestResetDuringUploadIsNoSuccess guards against a response without a length whose connection is reset while the body of
+// the request is still being sent, and that reaches the caller as a success.
+func TestResetDuringUploadIsNoSuccess(t *testing.T) {
+	t.Parallel()
+	const uploads, parallel = 200, 8
+	part := wholeResponse("200 OK", "", "a part")
+	for name, x := range map[string]struct {
+		response   string
+		newFixture func(address string) *fixture
+	}{
+		"backend server": {part, func(address string) *fixture {
+			f := newFixture(t, 0)
+			f.backend("u0", address)
+			f.install()
+			return f
+		}},
+		"other instance": {forwardedResponse(part), func(address string) *fixture {
+			f := newUnreachableFixture(t)
+			f.addresses = []string{address}
+			return f.fixture
+		}},
+	} {
+		s := &cut.Server{Early: true, Respond: func(*http.Request) cut.Response { return cut.Response{Text: x.response, Reset: true} }}
+		assert.NilError(t, s.Start())
+		defer s.Close()
+		var whole atomic.Int64
+		var wg sync.WaitGroup
+		for range parallel {
+			wg.Go(func() {
+				for range uploads / parallel {
+					f := x.newFixture(s.Address()) // one of its own, as the backend server is suspended after a failure
+					if status, _, err := f.upload(t); err == nil && status < http.StatusInternalServerError {
+						whole.Add(1)
+					}
+					f.proxyServer.Close()
+				}
+			})
+		}
+		wg.Wait()
+		assert.Check(t, whole.Load() == 0, "%s: %d of %d parts reach the caller as a whole response", name, whole.Load(), uploads)
+		assert.Equal(t, s.Requests(), uploads)
+	}
+}
--- a/standin/cut/cut.go
+++ b/standin/cut/cut.go
@@ -29,9 +29,11 @@
 }
 
 // Server is a server on loopback. Respond, which must be set before use, returns the response to a request
-// whose body has been read.
+// whose body has been read. If Early is set, the response is sent at once and the body read meanwhile, until the connection
+// ends.
 type Server struct {
 	Respond func(*http.Request) Response
+	Early   bool
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -95,7 +97,9 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		if s.Early {
+			go func() { _, _ = io.Copy(io.Discard, req.Body) }() // until the connection ends
+		} else if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
 		s.mu.Lock()
--- a/standin/early/early.go
+++ b/standin/early/early.go
@@ -2,7 +2,7 @@
 
 /*
 Package early is a test double of a backend server that responds to each request before it has read the body,
-keeps the connection and reads on. It records what it has read.
+keeps the connection and reads on. It records what it has read. Upload is a body for such requests.
 */
 package early
 
