conn: a response that has arrived outlives a reset during the upload

What callers saw: a response with a length or in chunks that had arrived whole was replaced by a 502 or 504 if its connection was reset while the upload was still being sent.

Cause: a sender that failed set a deadline in the past, to unblock the reader of the response. What the kernel had received but the process had not yet read was cut off with it, and the failure was taken for a passed deadline.

Change: the sender leaves the deadline alone if its write found that the peer is gone (EPIPE, ECONNRESET). The reader is woken by the same event, gets what has arrived, and then the end of the stream. Errors of the caller's body, and others that leave the connection open, interrupt the reader as before.

Evidence: TestWholeResponseBeforeResetIsDelivered, whose caller reads only after the sender has failed, failed before at its first response ("i/o timeout"); 200 of 200 are delivered after.

--- a/conn/dispatch.go
+++ b/conn/dispatch.go
@@ -178,7 +178,7 @@
 		if err == nil {
 			err = conn.w.Flush()
 		}
-		if err != nil {
+		if err != nil && !conn.isPeerGone() {
 			_ = conn.SetDeadline(aLongTimeAgo) // unblocks the reader of the response
 		}
 		ex.bodySent <- err
--- a/conn/reset_test.go
+++ b/conn/reset_test.go
@@ -5,9 +5,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +24,9 @@
 	untilClose = okLine + "Connection: close\r\n\r\n" + partOfBody
 )
 
+// largeBody does not fit the buffer of a connection.
+var largeBody = strings.Repeat("large body ", 2*bufferSize/11)
+
 // resetGap is the pause between a response and the end of its connection, in which the client receives it.
 const resetGap = 3 * time.Millisecond
 
@@ -117,3 +122,23 @@
 		}
 	}
 }
+
+// TestWholeResponseBeforeResetIsDelivered guards against a response that has arrived whole and is lost, since the sender
+// of the request's body has found that the connection was reset.
+func TestWholeResponseBeforeResetIsDelivered(t *testing.T) {
+	for name, response := range map[string]string{
+		"length": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okLine, len(largeBody), largeBody),
+		"chunks": fmt.Sprintf("%s%s%x\r\n%s\r\n0\r\n\r\n", okLine, chunked, len(largeBody), largeBody),
+	} {
+		p := startEarlyBackend(t, response, reset)
+		for range 100 {
+			body := early.NewUpload(0, 64, 200*time.Microsecond)
+			got, err := upload(t, p, body, func() {
+				<-body.Closed() // by the sender, which has failed
+				time.Sleep(resetGap)
+			})
+			assert.NilError(t, err, name)
+			assert.Assert(t, got == largeBody, "%s: %d bytes", name, len(got))
+		}
+	}
+}
--- a/conn/socket.go
+++ b/conn/socket.go
@@ -55,3 +55,11 @@
 	}
 	return s.writeErr
 }
+
+// isPeerGone reports whether a write has found that the peer has closed or reset the connection. What has arrived before
+// can still be read, and so can the end of the stream.
+func (s *socket) isPeerGone() bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return errors.Is(s.writeErr, syscall.EPIPE) || errors.Is(s.writeErr, syscall.ECONNRESET)
+}
