conn: a response needs a valid status line

What callers saw: a backend server in trouble answered with status 000. The handler panicked ("invalid WriteHeader code 0"), the caller's connection closed without a response, and a stack trace went to standard error. The status lines 600, 999, +20, HTTP/0.9, HTTP/2.0, HTTP/9.9 and a control character in the reason were passed on.

Cause: net/http's ReadResponse takes any number of three characters for a status, and any version and reason.

Several blanks before the status are still read (RFC 9112, 4).

--- a/conn/head.go
+++ b/conn/head.go
@@ -43,12 +43,15 @@
 // response belongs to.
 const ErrMerged = errors.ConstError("the response is made of several ones")
 
+// ErrMalformed is the error of a response whose head or trailer breaks the syntax of HTTP/1.1 (RFC 9112).
+const ErrMalformed = errors.ConstError("the head of the response is malformed")
+
 // ErrHeadTooLarge is the error of a response whose head or trailer exceeds MaxHeadBytes or MaxHeadLines, or that follows
 // more than MaxInterim interim responses.
 const ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
 
 // readResponse reads the head of the response to req. It skips interim responses. The error is ErrHeadTooLarge if a
-// limit is exceeded, and ErrMerged if the response has parts of another one.
+// limit is exceeded, ErrMerged if the response has parts of another one, and ErrMalformed if it is no response.
 func (c *pooledConn) readResponse(req *http.Request) (*http.Response, error) {
 	interim := 0
 	for left := c.limits(); ; {
@@ -59,7 +62,7 @@
 		left.bytes -= size
 		res, err := http.ReadResponse(c.r, req)
 		if err != nil {
-			return nil, err
+			return nil, errors.WithType(err, ErrMalformed)
 		}
 		if res.StatusCode/100 == 1 {
 			interim++
@@ -145,7 +148,7 @@
 // can't be the beginning of a head, so that nobody waits for the end of bytes that are no response.
 func (s *headScanner) scan(b []byte) (size int, err error) {
 	if n := min(len(b), len(statusLinePrefix)); s.statusLine && !bytes.Equal(b[:n], statusLinePrefix[:n]) {
-		return 0, errors.Errorf("malformed status line %.40q", b)
+		return 0, errors.Annotatef(ErrMalformed, "status line %.40q", b)
 	}
 	for {
 		n := bytes.IndexByte(b[s.searched:], '\n')
@@ -172,7 +175,7 @@
 	}
 	if s.statusLine {
 		s.statusLine = false
-		return nil
+		return checkStatusLine(line)
 	}
 	if name, _, _ := bytes.Cut(line, []byte{':'}); bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding) {
 		s.lengths++
@@ -186,11 +189,30 @@
 	}
 	continued := line[0] == ' ' || line[0] == '\t'
 	if !continued && bytes.IndexByte(line, ':') <= 0 {
-		return errors.Errorf("malformed header line %.40q", line)
+		return errors.Annotatef(ErrMalformed, "header line %.40q", line)
+	}
+	return nil
+}
+
+// checkStatusLine checks a status line: the version, a status from 100 to 599, and a reason, which may be missing. It allows
+// several blanks before the status (RFC 9112, 4).
+func checkStatusLine(line []byte) error {
+	const versionSize, statusSize = len("HTTP/1.1"), len("200")
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	valid := len(version) == versionSize && bytes.HasPrefix(version, []byte("HTTP/1.")) && isDigit(version[versionSize-1]) &&
+		len(status) == statusSize && '1' <= status[0] && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
+	if !valid || containsControl(reason) {
+		return errors.Annotatef(ErrMalformed, "status line %.80q", line)
 	}
 	return nil
 }
 
+// containsControl reports whether a part of a line contains a control character other than a tab.
+func containsControl(b []byte) bool {
+	return bytes.ContainsFunc(b, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+}
+
 // chunkedBody reads a chunked body. Unlike the body of http.ReadResponse it limits the lines of the trailer, which it
 // discards.
 type chunkedBody struct {
--- a/process/front/attempt.go
+++ b/process/front/attempt.go
@@ -223,7 +223,7 @@
 		return nil, fw.newResult(request.Leaving), false
 	}
 	if err != nil {
-		fw.front.recordHeadTooLarge(fw.call, name, err)
+		fw.front.recordBadHead(fw.call, name, err)
 		fw.front.Steer.Health.RecordFailure(name, now)
 		return nil, fw.newResult(lostResponseCode(err, fw.call.deadline)), fw.repeatable()
 	}
@@ -275,19 +275,19 @@
 		fw.front.Steer.Health.RecordUnreachable(name, fw.front.Now())
 		return fw.newResult(request.ConnectFailed), fw.call.body.Reclaim()
 	}
-	fw.front.recordHeadTooLarge(fw.call, name, err)
+	fw.front.recordBadHead(fw.call, name, err)
 	fw.front.Steer.Health.RecordFailure(name, fw.front.Now())
 	return fw.newResult(lostResponseCode(err, fw.call.deadline)), fw.repeatable()
 }
 
-// recordHeadTooLarge counts and logs a response that was given up for the size of its head, if err says so. Name is
-// that of the backend server or instance that sent it.
-func (f *Front) recordHeadTooLarge(c *call, name string, err error) {
-	if !errors.Is(err, conn.ErrHeadTooLarge) {
+// recordBadHead counts and logs a response that was given up for its head or trailer, if err says so. Name is that of the
+// backend server or instance that sent it.
+func (f *Front) recordBadHead(c *call, name string, err error) {
+	bad := f.Metrics.BadHead(c.service, err)
+	if bad == (metric.BadHead{}) {
 		return
 	}
-	f.Metrics.HeadTooLarge(c.service)
-	f.Log.Info().Str("id", c.id).Str("service", c.service).Str("backend", name).Bool("headTooLarge", true).Err(err).Msg("answer-lost")
+	f.Log.Info().Str("id", c.id).Str("service", c.service).Str("backend", name).EmbedObject(bad).Err(err).Msg("answer-lost")
 }
 
 // deadlineSlack is how long before its deadline a lost response counts as a
--- a/process/front/once.go
+++ b/process/front/once.go
@@ -160,7 +160,7 @@
 		return
 	}
 	if err != nil {
-		f.recordHeadTooLarge(c, owner.GetId(), err)
+		f.recordBadHead(c, owner.GetId(), err)
 		f.finish(c, retryWithTicket(request.AnswerLost))
 		return
 	}
@@ -171,7 +171,7 @@
 	}
 	resp, err := c.readResponse(exchange)
 	if err != nil {
-		f.recordHeadTooLarge(c, owner.GetId(), err)
+		f.recordBadHead(c, owner.GetId(), err)
 		f.finish(c, retryWithTicket(lostResponseCode(err, c.deadline)))
 		return
 	}
--- a/process/front/peer.go
+++ b/process/front/peer.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		var dispatchErr *conn.DispatchError
 		fw.sent = !errors.As(err, &dispatchErr) || dispatchErr.Sent
-		fw.front.recordHeadTooLarge(fw.call, target.Name, err)
+		fw.front.recordBadHead(fw.call, target.Name, err)
 		return nil, fw.lostAt(err), fw.lostOutcome()
 	}
 	h := exchange.Response.Header
@@ -87,7 +87,7 @@
 	resp, err := fw.call.readResponse(exchange)
 	if err != nil {
 		fw.sent = true
-		fw.front.recordHeadTooLarge(fw.call, target.Name, err)
+		fw.front.recordBadHead(fw.call, target.Name, err)
 		return nil, fw.lostAt(err), fw.lostOutcome()
 	}
 	resp.backend = h.Get(request.HeaderBackend)
--- a/process/front/relay.go
+++ b/process/front/relay.go
@@ -41,7 +41,7 @@
 	if resp.exchange != nil {
 		if err == nil {
 			_, err = io.Copy(c.w, resp.exchange.Response.Body)
-			f.recordHeadTooLarge(c, resp.backend, err) // that of the trailer
+			f.recordBadHead(c, resp.backend, err) // that of the trailer
 		}
 		c.body.CloseExchange(resp.exchange)
 	}
--- a/process/metric/metric.go
+++ b/process/metric/metric.go
@@ -143,12 +143,6 @@
 	s.Counter("requests_cut_off_total{waited_for=" + strconv.Quote(kind) + "}").Inc(1)
 }
 
-// HeadTooLarge counts a response of a backend server or another instance that was given up since its head, or its
-// trailer, exceeds the limits of package conn.
-func (s *Set) HeadTooLarge(service string) {
-	s.Counter("answers_head_too_large_total{service=" + strconv.Quote(s.services.label(service)) + "}").Inc(1)
-}
-
 // UnreadBody counts a response that was sent before the end of the request's body. Kept is set if the caller sent the
 // rest, so that its connection was kept.
 func (s *Set) UnreadBody(service string, kept bool) {
--- a/process/proxy/answer.go
+++ b/process/proxy/answer.go
@@ -59,8 +59,8 @@
 	if errors.Is(err, errCutOff) && !c.isCutOff.Load() {
 		p.recordCutOff(c, held.Responses)
 	}
-	if p.countHeadTooLarge(c.service, err) { // the trailer of a response that was streamed
-		p.Log.Info().Str("id", c.id).Str("service", c.service).Str("backend", resp.sender()).Bool("headTooLarge", true).Err(err).Msg("answer-lost")
+	if bad := p.Metrics.BadHead(c.service, err); bad != (metric.BadHead{}) { // the trailer of a response that was streamed
+		p.Log.Info().Str("id", c.id).Str("service", c.service).Str("backend", resp.sender()).EmbedObject(bad).Err(err).Msg("answer-lost")
 	}
 	took := time.Since(c.startedAt)
 	p.recordMetrics(c, c.route.Class, code, took)
--- a/process/proxy/failure.go
+++ b/process/proxy/failure.go
@@ -90,7 +90,7 @@
 	}
 	inconclusive := code == request.DeadlinePassed && t.c.deadlineTooShort(pick, sent)
 	t.reportLost(pick, rollout.Outcome{Failed: !inconclusive, Inconclusive: inconclusive, Latency: time.Since(sent)})
-	t.logLine(pick).Str("request", t.c.fingerprint.String()).Str("path", t.c.path()).Bool("headTooLarge", t.p.countHeadTooLarge(t.c.service, err)).
+	t.logLine(pick).Str("request", t.c.fingerprint.String()).Str("path", t.c.path()).EmbedObject(t.p.Metrics.BadHead(t.c.service, err)).
 		Err(err).Msg("answer-lost")
 	if code != request.DeadlinePassed { // a crash of the backend server's process would have closed the connection
 		t.reportLoss(pick)
@@ -98,15 +98,6 @@
 	return t.result(code, 0)
 }
 
-// countHeadTooLarge counts a response that was given up for the size of its head, and reports whether err says so.
-func (p *Proxy) countHeadTooLarge(service string, err error) bool {
-	if !errors.Is(err, conn.ErrHeadTooLarge) {
-		return false
-	}
-	p.Metrics.HeadTooLarge(service)
-	return true
-}
-
 // outcomeOf returns the outcome of an exchange that was sent and failed with err. ETIMEDOUT means
 // that the peer acknowledged nothing for TCP_USER_TIMEOUT, so it counts as unreachable.
 func outcomeOf(err error) balance.Outcome {
--- a/process/proxy/peer.go
+++ b/process/proxy/peer.go
@@ -321,7 +321,7 @@
 		}
 	}
 	if err != nil {
-		e.Err(err).Bool("headTooLarge", t.p.countHeadTooLarge(t.c.service, err))
+		e.Err(err).EmbedObject(t.p.Metrics.BadHead(t.c.service, err))
 	}
 	e.Msg("forwarded")
 	t.p.Metrics.Forwarded(t.c.service, reason, end, took)
