conn: an HTTP/1.0 response has no transfer encoding

What callers saw: the sizes of the chunks in the body of an HTTP/1.0 response with "Transfer-Encoding: chunked", as 200.

Cause: net/http ignores the encoding of HTTP/1.0 messages, so the response ends with its connection. By RFC 9112, 6.1, its framing is faulty. It is the same symptom as that of "Transfer-Encoding : chunked".

Change: such a head is malformed.

--- a/conn/head.go
+++ b/conn/head.go
@@ -107,6 +107,7 @@
 type headScanner struct {
 	maxLines   int
 	statusLine bool // the status line is still to come
+	http10     bool // the status line is that of HTTP/1.0
 	lines      int  // header lines that were seen
 	lengths    int  // those of them that give the length of the body
 	start      int  // of the first line that is not complete
@@ -176,6 +177,7 @@
 	}
 	if s.statusLine {
 		s.statusLine = false
+		s.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return checkStatusLine(line)
 	}
 	s.lines++
@@ -194,7 +196,11 @@
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 		return errors.Annotatef(ErrMalformed, "header line %.80q", line)
 	}
-	if bytes.EqualFold(name, contentLength) || bytes.EqualFold(name, transferEncoding) {
+	hasEncoding := bytes.EqualFold(name, transferEncoding)
+	if hasEncoding && s.http10 { // net/http ignores it, so the chunks would be the body (RFC 9112, 6.1)
+		return errors.Annotate(ErrMalformed, "HTTP/1.0 response with a transfer encoding")
+	}
+	if hasEncoding || bytes.EqualFold(name, contentLength) {
 		s.lengths++
 	}
 	if s.lengths > 1 {
--- a/conn/malformed_test.go
+++ b/conn/malformed_test.go
@@ -68,3 +68,13 @@
 		}
 	}
 }
+
+// TestChunksOfHTTP10AreNoResponse guards against an HTTP/1.0 response in chunks, whose body had their sizes in it.
+func TestChunksOfHTTP10AreNoResponse(t *testing.T) {
+	assertNoResponses(t, malformed.Framings("X-Id: 1\r\n", "ok"))
+	for _, length := range []string{"Content-Length: 2\r\n", "Connection: close\r\n"} {
+		_, body, err := readFrom(strings.NewReader("HTTP/1.0 200 OK\r\n" + length + "\r\nok"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+	}
+}
--- a/process/proxy/malformed_test.go
+++ b/process/proxy/malformed_test.go
@@ -65,3 +65,9 @@
 	t.Parallel()
 	testMalformedResponses(t, malformed.FieldLines)
 }
+
+// TestChunksOfHTTP10AreNoResponse guards against an HTTP/1.0 response in chunks, whose body had their sizes in it.
+func TestChunksOfHTTP10AreNoResponse(t *testing.T) {
+	t.Parallel()
+	testMalformedResponses(t, malformed.Framings)
+}
--- a/standin/malformed/malformed.go
+++ b/standin/malformed/malformed.go
@@ -56,3 +56,12 @@
 	}
 	return out
 }
+
+// Framings returns responses whose version does not allow the lines that tell the length of the body.
+func Framings(header, body string) []Response {
+	chunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	return []Response{
+		{"HTTP/1.0 in chunks", "HTTP/1.0 200 OK\r\n" + header + chunks},
+		{"HTTP/1.0 in chunks behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n" + header + chunks},
+	}
+}
