conn: the clients of net/http give up malformed responses, too

What callers saw: nothing yet.

Cause: these clients use http.Transport, whose reader has the faults, and not a Pool.

Change: conn.Strict checks the heads on the connections of an http.Transport with the scanner that a Pool uses, and its connections are sockets that tell a reset from an end. Transport keeps its limits of size, its connections and its retries. Trailers, which nobody reads there, and TLS are not checked.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -85,7 +85,7 @@
 // New returns a client that finds instances through the seeds.
 func New(seeds []string) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
-	return &Client{Seeds: seeds, lookupSlot: make(chan struct{}, 1), HTTP: &http.Client{Transport: t}}
+	return &Client{Seeds: seeds, lookupSlot: make(chan struct{}, 1), HTTP: &http.Client{Transport: conn.Strict(t)}}
 }
 
 const (
--- a/conn/head.go
+++ b/conn/head.go
@@ -108,6 +108,7 @@
 	maxLines   int
 	statusLine bool // the status line is still to come
 	http10     bool // the status line is that of HTTP/1.0
+	interim    bool // the status line is that of an interim response
 	lines      int  // header lines that were seen
 	lengths    int  // those of them that give the length of the body
 	start      int  // of the first line that is not complete
@@ -177,8 +178,7 @@
 	}
 	if s.statusLine {
 		s.statusLine = false
-		s.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
-		return checkStatusLine(line)
+		return s.checkStatusLine(line)
 	}
 	s.lines++
 	if s.lines > s.maxLines {
@@ -219,7 +219,7 @@
 
 // checkStatusLine checks a status line: the version, a status from 100 to 599, and a reason, which may be missing. It allows
 // several blanks before the status (RFC 9112, 4).
-func checkStatusLine(line []byte) error {
+func (s *headScanner) checkStatusLine(line []byte) error {
 	const versionSize, statusSize = len("HTTP/1.1"), len("200")
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
@@ -228,6 +228,8 @@
 	if !valid || containsControl(reason) {
 		return errors.Annotatef(ErrMalformed, "status line %.80q", line)
 	}
+	s.http10 = version[versionSize-1] == '0'
+	s.interim = status[0] == '1'
 	return nil
 }
 
--- a/conn/malformed_test.go
+++ b/conn/malformed_test.go
@@ -57,6 +57,7 @@
 // character: the line was dropped, or the body had more than that of the response.
 func TestMalformedFieldLineIsNoResponse(t *testing.T) {
 	assertNoResponses(t, malformed.FieldLines("X-Id: 1\r\n", "ok"))
+	assertNoResponses(t, malformed.TrailerLines("X-Id: 1\r\n", "ok"))
 	for _, line := range []string{"X:", "X: ", "x!#$%&'*+-.^_`|~09AZ:1", "X: \t\xe4: \"a, b\"\t", "X: a\r\n b c: d\r\n\te"} {
 		for _, text := range []string{
 			okLine + line + "\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + okLine + "Content-Length: 2\r\n\r\nok",
--- a/conn/report.go
+++ b/conn/report.go
@@ -36,7 +36,7 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = (&net.Dialer{Control: ReuseLocalAddress}).DialContext // timeout bounds it
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
-	return &http.Client{Transport: transport, Timeout: timeout}
+	return &http.Client{Transport: Strict(transport), Timeout: timeout}
 }
 
 // Probe requests the load report of the backend server at address.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -52,7 +52,7 @@
 func New(addresses []string) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = conn.MaxHeadBytes
-	return &Client{Addresses: addresses, HTTP: &http.Client{Transport: transport}}
+	return &Client{Addresses: addresses, HTTP: &http.Client{Transport: conn.Strict(transport)}}
 }
 
 // RefusedError is the error of a call that was rejected, with its result.
--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -61,7 +61,7 @@
 		DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true, IdleConnTimeout: 30 * time.Second,
 		MaxResponseHeaderBytes: conn.MaxHeadBytes,
 	}
-	return &Peers{Members: members, client: &http.Client{Transport: transport}}
+	return &Peers{Members: members, client: &http.Client{Transport: conn.Strict(transport)}}
 }
 
 // Relay reports whether this instance queries the store on behalf of its region.
--- a/process/front/malformed_test.go
+++ b/process/front/malformed_test.go
@@ -49,6 +49,7 @@
 func TestMalformedFieldLineIsNoResponse(t *testing.T) {
 	t.Parallel()
 	testMalformedResponses(t, malformed.FieldLines)
+	testMalformedResponses(t, malformed.TrailerLines)
 }
 
 // TestChunksOfHTTP10AreNoResponse guards against an HTTP/1.0 response in chunks, whose body had their sizes in it.
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -105,7 +105,7 @@
 func NewClient(baseURL string) *Client {
 	dialer := &net.Dialer{Timeout: CallTimeout, Control: conn.ReuseLocalAddress}
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, DialContext: dialer.DialContext, MaxResponseHeaderBytes: conn.MaxHeadBytes}
-	return &Client{baseURL: baseURL, httpClient: http.Client{Transport: transport, Timeout: CallTimeout}}
+	return &Client{baseURL: baseURL, httpClient: http.Client{Transport: conn.Strict(transport), Timeout: CallTimeout}}
 }
 
 // Get implements Platform.
--- a/standin/malformed/malformed.go
+++ b/standin/malformed/malformed.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -32,34 +33,51 @@
 	"X: \x00", "X: 1\x01", "X: 1\r2", "X: \x7f",
 }
 
-// FieldLines returns responses with a malformed line in their head, in the head of an interim response, or in the trailer, or
-// with one that would tell the length of the body. Header is the lines of their head, each with CRLF.
+const okLine = "HTTP/1.1 200 OK\r\n"
+
+// FieldLines returns responses with a malformed line in their head or in the head of an interim response, or with one that
+// would tell the length of the body. Header is the lines of their head, each with CRLF.
 func FieldLines(header, body string) []Response {
 	var out []Response
 	add := func(where, line, text string) {
 		out = append(out, Response{fmt.Sprintf("%q %s", line, where), strings.ReplaceAll(text, "LINE", line)})
 	}
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
-	const status = "HTTP/1.1 200 OK\r\n"
 	for _, line := range fieldLines {
-		add("first", line, status+"LINE\r\n"+header+length)
+		add("first", line, okLine+"LINE\r\n"+header+length)
 		if line[0] != ' ' { // which would continue the line before
-			add("last", line, status+header+strings.Replace(length, "\r\n\r\n", "\r\nLINE\r\n\r\n", 1))
+			add("last", line, okLine+header+strings.Replace(length, "\r\n\r\n", "\r\nLINE\r\n\r\n", 1))
 		}
-		add("of an interim response", line, "HTTP/1.1 103 Early Hints\r\nLINE\r\n\r\n"+status+header+length)
-		add("of the trailer", line, status+header+"Transfer-Encoding: chunked\r\n\r\n"+chunks+"LINE\r\n\r\n")
+		add("of an interim response", line, "HTTP/1.1 103 Early Hints\r\nLINE\r\n\r\n"+okLine+header+length)
 	}
 	for _, blank := range []string{" ", "\t"} {
-		add("with a longer body", "Content-Length"+blank+": 2", status+header+"LINE\r\n\r\n"+body+body)
-		add("with chunks", "Transfer-Encoding"+blank+": chunked", status+header+"LINE\r\n\r\n"+chunks+"\r\n")
+		add("with a longer body", "Content-Length"+blank+": 2", okLine+header+"LINE\r\n\r\n"+body+body)
+		add("with chunks", "Transfer-Encoding"+blank+": chunked", okLine+header+"LINE\r\n\r\n"+chunked(body)+"\r\n")
+	}
+	return out
+}
+
+// TrailerLines returns responses in chunks with a malformed line in their trailer.
+func TrailerLines(header, body string) []Response {
+	var out []Response
+	for _, line := range fieldLines {
+		text := okLine + header + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body) + line + "\r\n\r\n"
+		out = append(out, Response{fmt.Sprintf("%q of the trailer", line), text})
 	}
 	return out
 }
 
+// chunked returns a body in one chunk, up to its trailer.
+func chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body) }
+
+// All returns all responses whose heads are malformed.
+func All(header, body string) []Response {
+	return slices.Concat(StatusLines(header, body), FieldLines(header, body), Framings(header, body))
+}
+
 // Framings returns responses whose version does not allow the lines that tell the length of the body.
 func Framings(header, body string) []Response {
-	chunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	chunks := "Transfer-Encoding: chunked\r\n\r\n" + chunked(body) + "\r\n"
 	return []Response{
 		{"HTTP/1.0 in chunks", "HTTP/1.0 200 OK\r\n" + header + chunks},
 		{"HTTP/1.0 in chunks behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n" + header + chunks},
