conn: a body that exceeds its limit is an error

What other operators saw: a server sent a body without an end, and the machine that had called it kept all of it. Here the bodies that are passed on to callers are bounded. Of the others that are read whole, the beginning of an endless one was taken for the whole one, up to the limit: a load report with blanks behind it counted as that of a backend server that is ready; under shalewick entry a write without a whole acknowledgement was accepted and the first 64 MiB were an object; any bytes of another instance were the answer to a ping.

Cause: io.LimitReader ends a body at the limit as if the sender had, and io.ReadAll copies a growing body again and again, so that it takes several times what was read.

Change: conn.ReadBody, for load reports, the store, other instances, the platform and operators, returns ErrBodyTooLarge above the limit, and keeps what it reads in parts. The platform's acknowledgements may have 64 KiB and its list of instances 4 MiB, no longer 64 MiB.

Evidence: with ReadBody as io.ReadAll of an io.LimitReader, TestReadBody, TestEndlessBodyTakesLittleMemory, TestEndlessProbeIsNoSuccess, TestEndlessResponseOfPlatformIsAnError and TestEndlessResponseOfInstanceIsNoAnswer fail.

--- a/conn/report.go
+++ b/conn/report.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -54,7 +53,7 @@
 	if res.StatusCode != http.StatusOK {
 		return report, errors.Errorf("probe of %s: status %d", address, res.StatusCode)
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxReportBytes))
+	b, err := ReadBody(res, maxReportBytes)
 	if err != nil {
 		return report, errors.Annotatef(err, "probe of %s", address)
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -242,7 +242,7 @@
 		return false, errors.Annotatef(err, "call %s", address)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	b, err := conn.ReadBody(res, maxResponseBytes)
 	if err != nil {
 		return false, errors.Annotatef(err, "call %s", address)
 	}
--- a/process/cluster/ask.go
+++ b/process/cluster/ask.go
@@ -146,7 +146,7 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("instance at %s responded with status %d", address, res.StatusCode)
 	}
-	out, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	out, err := conn.ReadBody(res, maxResponseBytes)
 	return out, errors.Annotatef(err, "read response of the instance at %s", address)
 }
 
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -98,8 +97,12 @@
 // CallTimeout limits the duration of each call of a Client.
 const CallTimeout = 2 * time.Second
 
-// maxResponseBytes limits the size of a response from the platform.
-const maxResponseBytes = 64 << 20
+// Limits of the size of a response from the platform, in bytes.
+const (
+	maxRowsBytes      = 64 << 20 // rows and objects
+	maxInstancesBytes = 4 << 20
+	maxAckBytes       = 64 << 10 // the response to a write
+)
 
 // NewClient returns a client of the platform at baseURL, like "http://127.0.0.1:7000".
 func NewClient(baseURL string) *Client {
@@ -111,32 +114,32 @@
 // Get implements Platform.
 func (c *Client) Get(ctx context.Context, table, key string) (Row, error) {
 	var r Row
-	err := c.getJSON(ctx, "/v1/tables/"+url.PathEscape(table)+"/"+url.PathEscape(key), &r)
+	err := c.getJSON(ctx, "/v1/tables/"+url.PathEscape(table)+"/"+url.PathEscape(key), maxRowsBytes, &r)
 	return r, err
 }
 
 // Scan implements Platform.
 func (c *Client) Scan(ctx context.Context, table, after string) ([]Row, error) {
 	var rs []Row
-	err := c.getJSON(ctx, "/v1/tables/"+url.PathEscape(table)+"?after="+url.QueryEscape(after), &rs)
+	err := c.getJSON(ctx, "/v1/tables/"+url.PathEscape(table)+"?after="+url.QueryEscape(after), maxRowsBytes, &rs)
 	return rs, err
 }
 
 // Instances implements Platform.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	var is []Instance
-	err := c.getJSON(ctx, "/v1/instances", &is)
+	err := c.getJSON(ctx, "/v1/instances", maxInstancesBytes, &is)
 	return is, err
 }
 
 // GetObject implements Platform.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	return c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil)
+	return c.call(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(name), nil, maxRowsBytes)
 }
 
 // PutObject implements Platform.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	_, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), data)
+	_, err := c.call(ctx, http.MethodPut, "/v1/objects/"+url.PathEscape(name), data, maxAckBytes)
 	return err
 }
 
@@ -146,13 +149,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = c.call(ctx, http.MethodPost, "/v1/commit", b)
+	_, err = c.call(ctx, http.MethodPost, "/v1/commit", b, maxAckBytes)
 	return err
 }
 
-// getJSON decodes the response to a GET request into v.
-func (c *Client) getJSON(ctx context.Context, path string, v any) error {
-	b, err := c.call(ctx, http.MethodGet, path, nil)
+// getJSON decodes the response to a GET request, of up to limit bytes, into v.
+func (c *Client) getJSON(ctx context.Context, path string, limit int, v any) error {
+	b, err := c.call(ctx, http.MethodGet, path, nil, limit)
 	if err != nil {
 		return err
 	}
@@ -162,8 +165,8 @@
 	return nil
 }
 
-// call sends one request and returns the response body.
-func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// call sends one request and returns the response body, of up to limit bytes.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, limit int) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.baseURL+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnavailable)
@@ -173,7 +176,7 @@
 		return nil, callError(method, err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	b, err := conn.ReadBody(res, limit)
 	if err != nil {
 		return nil, callError(method, err)
 	}
--- a/standin/cut/cut.go
+++ b/standin/cut/cut.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-// Package cut is a test double of a server that breaks off in the middle of its responses.
+// Package cut is a test double of a server that breaks off in the middle of its responses, or does not end them.
 package cut
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +27,8 @@
 	// Reset resets the connection after the text instead of closing it, and KeepOpen waits for the next
 	// request.
 	Reset, KeepOpen bool
+	// Endless, if not empty, is sent again and again after the text, until the client closes the connection.
+	Endless string
 }
 
 // Server is a server on loopback. Respond, which must be set before use, returns the response to a request
@@ -123,6 +126,10 @@
 	if _, err := io.WriteString(c, r.Text[r.Split:]); err != nil {
 		return false
 	}
+	if r.Endless != "" {
+		sendEndlessly(c, r.Endless)
+		return false
+	}
 	if tcp, ok := c.(*net.TCPConn); ok && r.Reset {
 		time.Sleep(resetDelay)
 		_ = tcp.SetLinger(0)
@@ -130,6 +137,18 @@
 	return r.KeepOpen
 }
 
+// endlessWriteBytes is the number of bytes of an endless response that are sent at a time, about.
+const endlessWriteBytes = 64 << 10
+
+func sendEndlessly(c net.Conn, unit string) {
+	units := strings.Repeat(unit, endlessWriteBytes/len(unit))
+	for {
+		if _, err := io.WriteString(c, units); err != nil {
+			return // the client has closed the connection
+		}
+	}
+}
+
 // Each calls f with a response that ends at each byte of a whole one, or at each step-th, in one or two
 // pieces, closed or reset. Only the whole one, in two pieces, is complete; it keeps the connection open.
 // Step should be odd, so that all ways to end occur.
--- a/standin/tablestore/serve.go
+++ b/standin/tablestore/serve.go
@@ -4,10 +4,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -94,10 +96,25 @@
 	case f.Status != 0:
 		w.WriteHeader(f.Status)
 		return true
+	case f.Endless != "":
+		respondEndlessly(w, f)
+		return true
 	}
 	return false
 }
 
+// endlessWriteBytes is the number of bytes of an endless response that are written at a time, about.
+const endlessWriteBytes = 64 << 10
+
+// respondEndlessly writes a body that has no end, until the client closes the connection.
+func respondEndlessly(w http.ResponseWriter, f Fault) {
+	_, err := io.WriteString(w, f.Endless)
+	units := strings.Repeat(f.EndlessUnit, endlessWriteBytes/len(f.EndlessUnit))
+	for err == nil {
+		_, err = io.WriteString(w, units)
+	}
+}
+
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, f Fault) {
 	q := r.URL.Query()
 	s.mu.Lock()
--- a/standin/tablestore/store.go
+++ b/standin/tablestore/store.go
@@ -39,6 +39,9 @@
 	Unresponsive bool          // calls get no response until the client gives up
 	Reset        bool          // closes the connection of each call without a response
 	Delay        time.Duration // before each response
+	// Endless, if not empty, is the beginning of the body of each response; EndlessUnit follows it until the client closes
+	// the connection.
+	Endless, EndlessUnit string
 	// WriteDelay is the additional delay before a transaction is carried out.
 	WriteDelay    time.Duration
 	LoseResponses bool // carries transactions out and closes the connection
