caller: a response may have 64 MiB

What callers would see: their process ends for lack of memory, since a response without an end was kept until the deadline of its request (10 s by default).

Cause: the body of a response was read without a limit.

Change: Client.MaxBody, 64 MiB by default. A larger response counts as lost, so its request may have run.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -4,9 +4,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -67,6 +67,8 @@
 	// instance uses the remote address of the connection.
 	Address string
 	HTTP    *http.Client
+	// MaxBody is the maximum size of the body of a response in bytes; zero means DefaultMaxBody. A larger one counts as lost.
+	MaxBody int
 
 	lookupSlot    chan struct{} // semaphore that admits one lookup at a time
 	earlyTimeouts retry.Budget  // budget of attempts cancelled before the deadline of their request
@@ -88,6 +90,9 @@
 	return &Client{Seeds: seeds, lookupSlot: make(chan struct{}, 1), HTTP: &http.Client{Transport: conn.Strict(t)}}
 }
 
+// DefaultMaxBody is the default of Client.MaxBody.
+const DefaultMaxBody = 64 << 20
+
 const (
 	lookupTimeout  = 400 * time.Millisecond
 	avoidDuration  = time.Second
@@ -260,7 +265,7 @@
 		return nil, nil, errors.Annotatef(err, "send to %s", entry)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
+	body, err := conn.ReadBody(res, cmp.Or(c.MaxBody, DefaultMaxBody))
 	if err != nil {
 		return nil, nil, errors.Annotatef(err, "read response of %s", entry)
 	}
