proxy, front: the panic of a handler is logged with its id

What callers saw: with status 000 the connection closed without a response, and operators had a stack trace of net/http without the id of the request. That status does not reach the handler any more; another defect could.

Cause: net/http recovers the panic of a handler and writes a message of its own (library-message).

Change: logging.HandlerPanic writes a line handler-panicked with the id, the reason and the stack, and ends the connection.

--- a/process/front/front.go
+++ b/process/front/front.go
@@ -18,6 +18,7 @@
 	"shalewick/conn"
 	"shalewick/process/drain"
 	"shalewick/process/forward"
+	"shalewick/process/logging"
 	"shalewick/process/member"
 	"shalewick/process/metric"
 	"shalewick/process/steer"
@@ -81,6 +82,7 @@
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, id: rand.Text(), started: time.Now()}
+	defer logging.HandlerPanic(&f.Log, &c.id)
 	f.serve(c)
 	if !c.framed || c.unread() == 0 {
 		return
--- a/process/proxy/proxy.go
+++ b/process/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"shalewick/process/drain"
 	"shalewick/process/forward"
 	"shalewick/process/held"
+	"shalewick/process/logging"
 	"shalewick/process/metric"
 	"shalewick/process/quarantine"
 	"shalewick/process/quota"
@@ -169,6 +170,7 @@
 
 // serveAndDrain serves one request, and discards the part of its body that is not needed for the response.
 func (p *Proxy) serveAndDrain(c *call) {
+	defer logging.HandlerPanic(&p.Log, &c.id)
 	upload.Respond(c.w, c.r)
 	p.serve(c)
 	if !c.framed || c.unread() == 0 {
