proxy: addresses of tests that refuse connections are never used

Cause: the unreachable backend servers of the test had ports that were free a moment before, which a server of another test process may get.

Change: closedAddress returns ports from 1 to 8, as newUnreachableFixture does.

--- a/process/proxy/peer_test.go
+++ b/process/proxy/peer_test.go
@@ -39,7 +39,7 @@
 func newForwardFixture(t *testing.T, helpers int) *forwardFixture {
 	f := &forwardFixture{fixture: newFixture(t, 0)}
 	for i := range 2 {
-		f.fixture.backend(fmt.Sprintf("u%d", i), closedAddress(t))
+		f.fixture.backend(fmt.Sprintf("u%d", i), closedAddress())
 	}
 	f.install()
 	for range helpers {
@@ -67,12 +67,15 @@
 	return out
 }
 
-// closedAddress returns an address that refuses connections.
-func closedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+// closedAddresses is the number of addresses that closedAddress returns in turn.
+const closedAddresses = 8
+
+var closedAddressCalls atomic.Uint32
+
+// closedAddress returns an address that refuses connections. Its port is one that nobody gets, unlike one that was free a
+// moment ago, which a test that runs at the same time may get.
+func closedAddress() string {
+	return fmt.Sprintf("127.0.0.1:%d", 1+closedAddressCalls.Add(1)%closedAddresses)
 }
 
 // helperRuns returns the requests that ran at the helpers.
@@ -133,7 +136,7 @@
 	var hops atomic.Int64
 	for i, h := range f.helpers {
 		for k := range 2 {
-			h.backend(fmt.Sprintf("u%d", k), closedAddress(t))
+			h.backend(fmt.Sprintf("u%d", k), closedAddress())
 		}
 		h.install()
 		h.proxy.Forward = f.targets
@@ -162,7 +165,7 @@
 		"leaving":       func(f *forwardFixture) { f.helpers[0].proxy.DisableKeepAlives() },
 		"unconfirmed":   func(f *forwardFixture) { f.helpers[0].proxy.ConfigFresh = func() bool { return false } },
 		"old release":   func(f *forwardFixture) { f.addresses[0] = notFoundServer(t) },
-		"down":          func(f *forwardFixture) { f.addresses[0] = closedAddress(t) },
+		"down":          func(f *forwardFixture) { f.addresses[0] = closedAddress() },
 		"without route": func(f *forwardFixture) { f.helpers[0].config.Resources = nil; f.helpers[0].install() },
 	} {
 		t.Run(name, func(t *testing.T) {
