--- a/standin/fleet/ports.go
+++ b/standin/fleet/ports.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 
@@ -56,7 +57,11 @@
 }
 
 func allFree(addresses []netip.AddrPort) bool {
-	// A process that was started meanwhile would have the listeners open until it runs its program.
+	// A process that was started meanwhile would have the listeners open until it runs its program. Package os starts one
+	// without the lock when it is first asked for a process.
+	if _, err := os.FindProcess(os.Getpid()); err != nil {
+		return false
+	}
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	for _, a := range addresses {
