--- a/conn/doc.go
+++ b/conn/doc.go
@@ -22,8 +22,15 @@
 only if nothing is left to read on it: when it is put back, when it is taken, and right before
 the first byte of the request (pooledConn.isIdle). What arrives later is read as the response.
 Its head is read whole into the buffer of the connection before it is parsed, within
-MaxHeadBytes and MaxHeadLines, and a head that shows that it is made of several is an error
-(readResponse). The package does not know the ids of requests, so the caller compares them.
+MaxHeadBytes and MaxHeadLines, and a head that shows that it is made of several, or that breaks
+the syntax of HTTP/1.1, is an error (readResponse). The package does not know the ids of
+requests, so the caller compares them.
+
+A response without a length ends with its connection. A connection that failed, as by a reset, is
+no such end, whichever call the kernel reports the failure to (socket).
+
+Strict applies both to the clients of load reports, the store, and other instances' tables, which
+use http.Transport, and ReadBody reads their bodies.
 
 # When a slot becomes free
 
