conn: a test of a response that ends properly before a reset

A backend server that has read all closes the connection, what the upload sends later is answered with a reset, and the sender learns of it before the response is read.

--- a/conn/reset_test.go
+++ b/conn/reset_test.go
@@ -123,6 +123,30 @@
 	}
 }
 
+// TestResponseThatEndsBeforeResetIsWhole guards against a false alarm: the backend server closes a connection of which it has
+// read everything, and what arrives later is answered with a reset. The sender of the request's body learns of that before
+// the response is read.
+func TestResponseThatEndsBeforeResetIsWhole(t *testing.T) {
+	p := startScriptedBackend(t, func(c net.Conn, r *bufio.Reader) {
+		defer c.Close()
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, untilClose); err == nil {
+			_, _ = req.Body.Read(make([]byte, 1)) // the rest of this piece is in the buffer, and the next one comes later
+		}
+	})
+	for range 20 {
+		body := early.NewUpload(0, 64, 20*time.Millisecond)
+		got, err := upload(t, p, body, func() {
+			<-body.Closed() // by the sender, which has failed
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, got, partOfBody)
+	}
+}
+
 // TestWholeResponseBeforeResetIsDelivered guards against a response that has arrived whole and is lost, since the sender
 // of the request's body has found that the connection was reset.
 func TestWholeResponseBeforeResetIsDelivered(t *testing.T) {
