review: a large answer whose server falls silent is held past timeoutS

Requests that outlast their route's timeoutS get no final answer 0.5 s after it.

At fault: bufferResponse keeps the first 1 MiB of an answer under the request's deadline; streamRest (process/proxy/held.go) detaches the rest from it and waits held.MaxStall, 5 s, for each read.

--- /dev/null
+++ b/review/site/upstream.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"shalewick/platform"
+)
+
+// answerParts is the number of parts in which an upstream sends an answer while it works on it.
+const answerParts = 32
+
+// upstream is a server of a service. It sends an answer while it works on it.
+type upstream struct {
+	site          *site
+	service, zone string
+	address       string
+	slots, bytes  int // bytes of an answer
+	work          time.Duration
+
+	mu      sync.Mutex
+	id      string // of the present start
+	starts  int
+	running int
+	dark    chan struct{} // closed when the present start ends; nothing is sent from then on
+	server  *http.Server
+}
+
+// startUpstream starts an upstream and writes its row.
+func (s *site) startUpstream(service, zone string, slots, bytes int, work time.Duration) (*upstream, error) {
+	u := &upstream{site: s, service: service, zone: zone, slots: slots, bytes: bytes, work: work, address: "127.0.0.1:0"}
+	s.upstreams = append(s.upstreams, u)
+	return u, u.start()
+}
+
+// start begins a start of the upstream, which has an id of its own.
+func (u *upstream) start() error {
+	l, err := net.Listen("tcp4", u.address)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.address = l.Addr().String()
+	u.starts++
+	u.id = fmt.Sprintf("i-%s-%d", u.address[len("127.0.0.1:"):], u.starts)
+	u.running, u.dark = 0, make(chan struct{})
+	u.server = &http.Server{Handler: u.handler(u.id, u.dark)}
+	go func(x *http.Server) { _ = x.Serve(l) }(u.server) // returns when the server is closed
+	row, err := json.Marshal(map[string]any{
+		"address": u.address, "info": map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
+		"status": map[string]any{"state": "ready", "sequence": 1, "coldRemainingS": 0},
+	})
+	if err != nil {
+		return err
+	}
+	u.site.store.Put(platform.TableUpstreams, u.id, string(row))
+	return nil
+}
+
+// fall makes the upstream silent, as a crash of its machine does: its connections stay open, and nothing is sent any more.
+func (u *upstream) fall() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.site.log("upstream %s falls silent with %d requests", u.id, u.running)
+	close(u.dark)
+}
+
+// restart ends the silence with another start. The store has dropped the row of the one before.
+func (u *upstream) restart() error {
+	u.close()
+	u.site.store.Delete(platform.TableUpstreams, u.id)
+	if err := u.start(); err != nil {
+		return err
+	}
+	u.site.log("upstream %s starts", u.id)
+	return nil
+}
+
+// close closes the connections.
+func (u *upstream) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.server != nil {
+		_ = u.server.Close() // its connections are gone in any case
+	}
+}
+
+// enter takes a slot. It returns the load, and whether there was a slot.
+func (u *upstream) enter() (load string, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	load = fmt.Sprintf("%d,0,%d", u.running, u.slots)
+	if u.running >= u.slots {
+		return load, false
+	}
+	u.running++
+	return load, true
+}
+
+func (u *upstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+}
+
+// handler serves the requests to one start.
+func (u *upstream) handler(start string, dark chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-dark:
+			<-r.Context().Done()
+			return
+		default:
+		}
+		h := w.Header()
+		id := r.Header.Get("X-Attempt-Id")
+		h.Set("X-Attempt-Id", id)
+		target := r.Header.Get("X-Target-Instance")
+		switch {
+		case r.URL.Path == "/health":
+			h.Set("X-Instance-Id", start)
+			return
+		case target != "" && target != start:
+			h.Set("X-Instance-Id", start)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		load, ok := u.enter()
+		h.Set("X-Server-Load", load)
+		if !ok {
+			h.Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		u.site.log("run %s at %s, budget %s ms", id, start, r.Header.Get("X-Time-Budget-Ms"))
+		u.answer(w, r, id, dark)
+		u.leave()
+	})
+}
+
+// answer sends the answer to a request while it is worked on. It stops if the upstream falls silent, or the connection closes.
+func (u *upstream) answer(w http.ResponseWriter, r *http.Request, id string, dark chan struct{}) {
+	w.Header().Set("X-Response-Seal", "seal-"+id)
+	w.Header().Set("Content-Length", strconv.Itoa(u.bytes))
+	part := make([]byte, u.bytes/answerParts)
+	for range answerParts {
+		select {
+		case <-time.After(u.work / answerParts):
+		case <-dark:
+			<-r.Context().Done()
+			return
+		case <-r.Context().Done():
+			return
+		}
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // an error means that the connection is closed
+	}
+}
