review: restarted machines name a lost machine to clients

More than three answers of the directory name, beside a running machine, one that was killed over contactS + 3 s before.

Disruption: one of 12 machines is killed for good; later the other machines of its region are stopped and started in turn, twice.

At fault: the row of a killed instance is never deleted, and Members.live (process/cluster/members.go) counts an instance that is only known from its row as live for initialGrace, 4 s, which is longer than contactS.

--- a/review/site/main.go
+++ b/review/site/main.go
@@ -25,7 +25,8 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"unanswered": unanswered,
+	"unanswered":  unanswered,
+	"dead-listed": deadListed,
 }
 
 func main() { os.Exit(run()) }
