review: restarted instances send requests to a version nobody ordered

Disruption, planned work only: two releases that replace all servers of the version in force, then machines that are stopped and started in turn, while two servers of the next version already stand by.

At fault: SelectVersions (process/rollout/versions.go) takes the version with the oldest row of a server at an instance that has just started and knows neither an order nor a record.

--- a/review/site/deadlisted.go
+++ b/review/site/deadlisted.go
@@ -54,7 +54,7 @@
 		"service": "catalogue", "maxAttempts": 2, "sticky": true, "homeRegions": []string{},
 	})
 	for _, zone := range machineZones {
-		if _, err := s.startUpstream("catalogue", zone, slots, 1000, 100*time.Millisecond); err != nil {
+		if _, err := s.startUpstream("catalogue", zone, "v1", slots, 1000, 100*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
@@ -94,7 +94,6 @@
 		if err := m.roll(); err != nil {
 			return err
 		}
-		time.Sleep(rollGap)
 	}
 	return nil
 }
@@ -108,13 +107,17 @@
 	x.lost.kill()
 }
 
-// roll stops a machine as planned and starts it again.
+// roll stops a machine as planned, starts it again and waits for rollGap.
 func (m *machine) roll() error {
 	m.signal(syscall.SIGTERM)
 	m.awaitEnd()
 	m.site.log("%s has ended", m.name)
 	time.Sleep(restartDelay)
-	return m.start()
+	if err := m.start(); err != nil {
+		return err
+	}
+	time.Sleep(rollGap)
+	return nil
 }
 
 // askRepeatedly is one client of a zone. It asks again when the answer that it holds has expired.
--- a/review/site/main.go
+++ b/review/site/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
 	"unanswered":  unanswered,
 	"dead-listed": deadListed,
+	"unordered":   unordered,
 }
 
 func main() { os.Exit(run()) }
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,15 @@
 	"evacuateS=5", "recoveryS=15", "ttl_max_s=5", "maxShift=0.15",
 }
 
+// contracts names the parts of the rules that are in force on the site.
+var contracts = []string{"base", "drain", "config", "cost", "retry", "recover", "places", "platform"}
+
+// rolloutContract and rolloutBounds are what the settings of a site with roll-outs hold in addition.
+var (
+	rolloutContract = "rollout"
+	rolloutBounds   = []string{"exposeShare=0.1", "exposeSlack=50", "rollbackS=5"}
+)
+
 // contactS is the bound of that name, and some of the processes' settings depend on it.
 const contactS = 3 * time.Second
 
@@ -41,6 +51,7 @@
 	machines  []*machine
 	upstreams []*upstream
 	started   time.Time
+	rollouts  bool // the site has roll-outs
 
 	mu     sync.Mutex
 	record *os.File
@@ -137,6 +148,10 @@
 	}
 	var port int
 	_, _ = fmt.Sscanf(m.listen["peer"][strings.LastIndex(m.listen["peer"], ":")+1:], "%d", &port)
+	inForce, limits := contracts, bounds
+	if m.site.rollouts {
+		inForce, limits = append(slices.Clone(contracts), rolloutContract), append(slices.Clone(bounds), rolloutBounds...)
+	}
 	settings := map[string]any{
 		"nodeName": m.name, "role": "instance", "machineClass": "edge", "serves": []string{"edge", "control", "directory"},
 		"ip": m.ip, "zone": m.zone, "region": zones[m.zone], "zones": zones,
@@ -144,9 +159,9 @@
 		"portRange": []int{port, port}, "seeds": seeds, "bootstrap": m.bootstrap, "countInTolerance": false,
 		"limits":  map[string]any{"cpuShare": 0.32, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
 		"dataDir": nil, "discovery": "platform", "entry": "directory", "heartbeatS": 1.5,
-		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "places", "platform"},
+		"contracts":      inForce,
 		"faultTolerance": map[string]any{"machines": 2, "zones": 1, "regions": 1},
-		"bounds":         bounds,
+		"bounds":         limits,
 		"platform": map[string]any{"address": m.site.store.Address(), "form": "table", "writes_per_s": 400, "reads_per_s": 2000, "tx_s": 0.005,
 			"part_writes_per_s": 200, "row_bytes": 65536, "across": false, "historyS": 20, "blob_bytes": 8388608, "blob_s": 0.025, "blob_mb_per_s": 80.0},
 	}
--- a/review/site/unanswered.go
+++ b/review/site/unanswered.go
@@ -46,7 +46,7 @@
 	})
 	halls := []string{"north-a", "north-b", "central-a", "central-b", "south-a", "south-b"}
 	for i := range servers {
-		if _, err := s.startUpstream("catalogue", halls[i%len(halls)], slots, answerBytes, answerWork); err != nil {
+		if _, err := s.startUpstream("catalogue", halls[i%len(halls)], "v1", slots, answerBytes, answerWork); err != nil {
 			return false, err
 		}
 	}
@@ -58,7 +58,7 @@
 	stop, stopClients := context.WithCancel(context.Background())
 	defer stopClients()
 	var clients sync.WaitGroup
-	clients.Go(func() { s.sendReads(stop, ends) })
+	clients.Go(func() { s.send(stop, http.MethodGet, "/lot/", clientDeadline, requestPause, ends) })
 	for n := range darkTimes {
 		time.Sleep(darkPause)
 		first := n * darkServers
@@ -107,8 +107,8 @@
 	return open >= minUnanswered && 4*open > outlast
 }
 
-// sendReads sends requests to the machines in turn until the context is done, each from a client of its own.
-func (s *site) sendReads(stop context.Context, ends chan<- end) {
+// send sends requests to the machines in turn until the context is done, each from a client of its own.
+func (s *site) send(stop context.Context, method, prefix string, deadline, pause time.Duration, ends chan<- end) {
 	var open sync.WaitGroup
 	defer open.Wait()
 	for n := 0; stop.Err() == nil; n++ {
@@ -116,28 +116,28 @@
 		open.Go(func() {
 			id := fmt.Sprintf("%016x", n+1)
 			s.log("send %s to %s", id, m.name)
-			e := read(m.listen["front"], id, n%40)
+			e := request(method, m.listen["front"], prefix, id, n%40, deadline)
 			s.log("end %s after %.3f s: status %d, %d bytes, %v", id, e.took.Seconds(), e.status, e.bytes, e.err)
 			ends <- e
 		})
-		time.Sleep(requestPause)
+		time.Sleep(pause)
 	}
 }
 
-// read sends one request and reads its answer. It leaves at its deadline.
-func read(front, id string, object int) (e end) {
-	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
+// request sends one request and reads its answer. It leaves at its deadline.
+func request(method, front, prefix, id string, object int, deadline time.Duration) (e end) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	start := time.Now()
 	defer func() { e.took = time.Since(start) }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/lot/%d", front, object), nil)
+	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s%d", front, prefix, object), nil)
 	if err != nil {
 		return end{err: err}
 	}
 	req.Host = "jepu9.example"
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Affinity-Key", fmt.Sprint(object))
-	req.Header.Set("X-Time-Budget-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
+	req.Header.Set("X-Time-Budget-Ms", fmt.Sprint(deadline.Milliseconds()))
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return end{err: err}
--- a/review/site/upstream.go
+++ b/review/site/upstream.go
@@ -21,6 +21,7 @@
 type upstream struct {
 	site          *site
 	service, zone string
+	version       string // of its software
 	address       string
 	slots, bytes  int // bytes of an answer
 	work          time.Duration
@@ -29,13 +30,14 @@
 	id      string // of the present start
 	starts  int
 	running int
+	runs    int           // requests that it began to work on
 	dark    chan struct{} // closed when the present start ends; nothing is sent from then on
 	server  *http.Server
 }
 
 // startUpstream starts an upstream and writes its row.
-func (s *site) startUpstream(service, zone string, slots, bytes int, work time.Duration) (*upstream, error) {
-	u := &upstream{site: s, service: service, zone: zone, slots: slots, bytes: bytes, work: work, address: "127.0.0.1:0"}
+func (s *site) startUpstream(service, zone, version string, slots, bytes int, work time.Duration) (*upstream, error) {
+	u := &upstream{site: s, service: service, zone: zone, version: version, slots: slots, bytes: bytes, work: work, address: "127.0.0.1:0"}
 	s.upstreams = append(s.upstreams, u)
 	return u, u.start()
 }
@@ -54,14 +56,35 @@
 	u.running, u.dark = 0, make(chan struct{})
 	u.server = &http.Server{Handler: u.handler(u.id, u.dark)}
 	go func(x *http.Server) { _ = x.Serve(l) }(u.server) // returns when the server is closed
+	return u.writeRow("ready")
+}
+
+// writeRow writes the row of the present start. The caller holds the lock.
+func (u *upstream) writeRow(state string) error {
 	row, err := json.Marshal(map[string]any{
-		"address": u.address, "info": map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
-		"status": map[string]any{"state": "ready", "sequence": 1, "coldRemainingS": 0},
+		"address": u.address, "info": map[string]any{"service": u.service, "version": u.version, "zone": u.zone, "slots": u.slots},
+		"status": map[string]any{"state": state, "sequence": 1, "coldRemainingS": 0},
 	})
 	if err != nil {
 		return err
 	}
 	u.site.store.Put(platform.TableUpstreams, u.id, string(row))
+	u.site.log("upstream %s of %s, version %s, is %s", u.id, u.service, u.version, state)
+	return nil
+}
+
+// drain announces the end of the upstream, and ends it once it has served on for a time.
+func (u *upstream) drain(serveOn time.Duration) error {
+	u.mu.Lock()
+	err := u.writeRow("draining")
+	u.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	time.Sleep(serveOn)
+	u.site.store.Delete(platform.TableUpstreams, u.id)
+	u.close()
+	u.site.log("upstream %s has ended", u.id)
 	return nil
 }
 
@@ -102,6 +125,7 @@
 		return load, false
 	}
 	u.running++
+	u.runs++
 	return load, true
 }
 
@@ -140,7 +164,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		u.site.log("run %s at %s, budget %s ms", id, start, r.Header.Get("X-Time-Budget-Ms"))
+		u.site.log("run %s at %s, version %s, budget %s ms", id, start, u.version, r.Header.Get("X-Time-Budget-Ms"))
 		u.answer(w, r, id, dark)
 		u.leave()
 	})
