--- a/review/site/deadlisted.go
+++ b/review/site/deadlisted.go
@@ -157,7 +157,7 @@
 func ask(m *machine, zone string) []string {
 	c := http.Client{Timeout: askTimeout}
 	q := url.Values{"name": {"jepu9.example"}, "region": {zones[zone]}, "zone": {zone}}
-	res, err := c.Get("http://" + m.listen["directory"] + "/v1/resolve?" + q.Encode())
+	res, err := c.Get("http://" + m.listen["directory"] + wire.Resolve + "?" + q.Encode())
 	if err != nil {
 		return nil
 	}
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -16,7 +16,6 @@
 	"syscall"
 	"time"
 
-	"shalewick/platform"
 	"shalewick/standin/tablestore"
 )
 
@@ -258,7 +257,7 @@
 // ready reports whether the machine says that it is ready.
 func (m *machine) ready() bool {
 	c := http.Client{Timeout: time.Second}
-	res, err := c.Get("http://" + m.listen["ready"] + "/v1/ready")
+	res, err := c.Get("http://" + m.listen["ready"] + wire.Ready)
 	if err != nil {
 		return false
 	}
@@ -295,7 +294,7 @@
 	if err != nil {
 		panic(err) // all its values can be encoded
 	}
-	s.store.Put(platform.TableConfig, "config", string(b))
+	s.store.Put(wire.Operator, "config", string(b))
 	s.log("config %08x", version)
 }
 
--- a/review/site/unanswered.go
+++ b/review/site/unanswered.go
@@ -135,9 +135,9 @@
 		return end{err: err}
 	}
 	req.Host = "jepu9.example"
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Affinity-Key", fmt.Sprint(object))
-	req.Header.Set("X-Time-Budget-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(wire.ID, id)
+	req.Header.Set(wire.Affinity, fmt.Sprint(object))
+	req.Header.Set(wire.Budget, fmt.Sprint(deadline.Milliseconds()))
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return end{err: err}
--- a/review/site/upstream.go
+++ b/review/site/upstream.go
@@ -10,8 +10,6 @@
 	"strconv"
 	"sync"
 	"time"
-
-	"shalewick/platform"
 )
 
 // answerParts is the number of parts in which an upstream sends an answer while it works on it.
@@ -68,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	u.site.store.Put(platform.TableUpstreams, u.id, string(row))
+	u.site.store.Put(wire.Upstreams, u.id, string(row))
 	u.site.log("upstream %s of %s, version %s, is %s", u.id, u.service, u.version, state)
 	return nil
 }
@@ -82,7 +80,7 @@
 		return err
 	}
 	time.Sleep(serveOn)
-	u.site.store.Delete(platform.TableUpstreams, u.id)
+	u.site.store.Delete(wire.Upstreams, u.id)
 	u.close()
 	u.site.log("upstream %s has ended", u.id)
 	return nil
@@ -99,7 +97,7 @@
 // restart ends the silence with another start. The store has dropped the row of the one before.
 func (u *upstream) restart() error {
 	u.close()
-	u.site.store.Delete(platform.TableUpstreams, u.id)
+	u.site.store.Delete(wire.Upstreams, u.id)
 	if err := u.start(); err != nil {
 		return err
 	}
@@ -145,26 +143,26 @@
 		default:
 		}
 		h := w.Header()
-		id := r.Header.Get("X-Attempt-Id")
-		h.Set("X-Attempt-Id", id)
-		target := r.Header.Get("X-Target-Instance")
+		id := r.Header.Get(wire.ID)
+		h.Set(wire.ID, id)
+		target := r.Header.Get(wire.Target)
 		switch {
 		case r.URL.Path == "/health":
-			h.Set("X-Instance-Id", start)
+			h.Set(wire.Instance, start)
 			return
 		case target != "" && target != start:
-			h.Set("X-Instance-Id", start)
+			h.Set(wire.Instance, start)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
 		load, ok := u.enter()
-		h.Set("X-Server-Load", load)
+		h.Set(wire.Load, load)
 		if !ok {
-			h.Set("X-Not-Executed", "1")
+			h.Set(wire.NotRun, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		u.site.log("run %s at %s, version %s, budget %s ms", id, start, u.version, r.Header.Get("X-Time-Budget-Ms"))
+		u.site.log("run %s at %s, version %s, budget %s ms", id, start, u.version, r.Header.Get(wire.Budget))
 		u.answer(w, r, id, dark)
 		u.leave()
 	})
@@ -172,7 +170,7 @@
 
 // answer sends the answer to a request while it is worked on. It stops if the upstream falls silent, or the connection closes.
 func (u *upstream) answer(w http.ResponseWriter, r *http.Request, id string, dark chan struct{}) {
-	w.Header().Set("X-Response-Seal", "seal-"+id)
+	w.Header().Set(wire.Seal, "seal-"+id)
 	w.Header().Set("Content-Length", strconv.Itoa(u.bytes))
 	part := make([]byte, u.bytes/answerParts)
 	for range answerParts {
